--- /dev/null
+++ b/cmake/TeaselshoreModule.cmake
@@ -0,0 +1,45 @@
+# Adds one module: a static library built from src/teaselshore/<name>/*.cpp and one test executable built from the
+# *_test.cpp files beside the code.
+#
+#   teaselshore_module(<name> [DEPENDS <module>...] [LIBRARIES <target or library>...])
+#
+# Files ending in _main.cpp are programs and belong to teaselshore_program().
+function(teaselshore_module name)
+    cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES" ${ARGN})
+    set(directory ${CMAKE_SOURCE_DIR}/src/teaselshore/${name})
+    file(GLOB sources CONFIGURE_DEPENDS ${directory}/*.cpp ${directory}/generated/*.cc)
+    set(tests ${sources})
+    list(FILTER tests INCLUDE REGEX "_test\\.cpp$")
+    list(FILTER sources EXCLUDE REGEX "_(test|main|benchmark)\\.cpp$")
+
+    set(target teaselshore_${name})
+    if(sources)
+        add_library(${target} STATIC ${sources})
+        set(scope PUBLIC)
+    else()
+        add_library(${target} INTERFACE)
+        set(scope INTERFACE)
+    endif()
+    target_include_directories(${target} ${scope} ${CMAKE_SOURCE_DIR}/include)
+    foreach(dependency IN LISTS ARG_DEPENDS)
+        target_link_libraries(${target} ${scope} teaselshore_${dependency})
+    endforeach()
+    target_link_libraries(${target} ${scope} ${ARG_LIBRARIES})
+
+    if(tests AND TEASELSHORE_TESTS)
+        add_executable(${target}_test ${tests})
+        target_include_directories(${target}_test PRIVATE ${CMAKE_SOURCE_DIR}/src)
+        target_link_libraries(${target}_test PRIVATE ${target} GTest::gmock_main)
+        gtest_discover_tests(${target}_test DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=7")
+    endif()
+endfunction()
+
+# Adds one program from src/teaselshore/<module>/<source>: teaselshore_program(<program> <module> <source> [DEPENDS ...])
+function(teaselshore_program program module source)
+    cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES" ${ARGN})
+    add_executable(${program} ${CMAKE_SOURCE_DIR}/src/teaselshore/${module}/${source})
+    target_link_libraries(${program} PRIVATE teaselshore_${module} ${ARG_LIBRARIES})
+    foreach(dependency IN LISTS ARG_DEPENDS)
+        target_link_libraries(${program} PRIVATE teaselshore_${dependency})
+    endforeach()
+endfunction()
--- /dev/null
+++ b/include/teaselshore/http/event_loop.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "teaselshore/base/time.hpp"
+
+namespace teaselshore {
+
+/// @brief Identifies a pending timer of one EventLoop.
+using TimerId = std::uint64_t;
+
+/// @brief h2o event loop. Servers and clients created on it run in the thread that calls run().
+///
+/// Only post() and stop() may be called from other threads; all else belongs to the loop's thread (or to the creating
+/// thread before run()).
+class EventLoop {
+public:
+    static std::unique_ptr<EventLoop> create();
+    ~EventLoop();
+    EventLoop(const EventLoop&) = delete;
+    EventLoop& operator=(const EventLoop&) = delete;
+
+    /// @brief Runs until stop() is called.
+    void run();
+
+    /// @brief Makes run() return. Thread-safe.
+    void stop();
+
+    /// @brief Runs the task in the loop's thread, in the order of the calls. Thread-safe.
+    void post(std::function<void()> task);
+
+    /// @brief Runs the task once after the delay (resolution 1 ms).
+    TimerId runAfter(Duration delay, std::function<void()> task);
+
+    /// @brief Cancels a timer; does nothing if it already ran.
+    void cancelTimer(TimerId timer);
+
+    /// @brief Returns the current monotonic time.
+    Instant now() const;
+
+    struct Impl;
+    Impl& implementation() { return *this->impl; }
+
+private:
+    explicit EventLoop(std::unique_ptr<Impl> impl);
+    std::unique_ptr<Impl> impl;
+};
+
+} // namespace teaselshore
--- /dev/null
+++ b/include/teaselshore/http/http_client.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "teaselshore/base/time.hpp"
+#include "teaselshore/http/event_loop.hpp"
+#include "teaselshore/http/http_error.hpp"
+#include "teaselshore/http/message.hpp"
+
+namespace teaselshore {
+
+/// @brief Outgoing request.
+struct HttpCall {
+    /// "address:port" with an IPv4 address.
+    std::string authority;
+    HttpRequest request;
+    Duration connectTimeout = std::chrono::seconds(1);
+    /// Longest time without progress (reply head, or next body bytes).
+    Duration idleTimeout = std::chrono::seconds(30);
+};
+
+/// @brief Callbacks of one call. onError and onEnd exclude each other; exactly one of them runs, last, unless
+/// cancelled.
+struct HttpCallHandlers {
+    std::function<void(int status, const HttpHeaders& headers)> onHead;
+    std::function<void(std::string_view bytes)> onData;
+    std::function<void()> onEnd;
+    std::function<void(const HttpError& error)> onError;
+};
+
+/// @brief Identifies a running call of one client.
+using CallId = std::uint64_t;
+
+/// @brief HTTP/1.1 client on h2o with a pool of kept-alive connections per authority.
+///
+/// A request is never repeated by the client: if a kept-alive connection breaks before the reply, the error says so.
+/// All methods belong to the event loop's thread. Callbacks never run inside start().
+class HttpClient {
+public:
+    static std::unique_ptr<HttpClient> create(EventLoop& loop);
+    ~HttpClient();
+    HttpClient(const HttpClient&) = delete;
+    HttpClient& operator=(const HttpClient&) = delete;
+
+    CallId start(HttpCall call, HttpCallHandlers handlers);
+
+    /// @brief Drops a call and its connection; no callback of it runs afterwards.
+    void cancel(CallId call);
+
+    std::size_t openCalls() const;
+
+private:
+    struct Impl;
+    explicit HttpClient(std::unique_ptr<Impl> impl);
+    std::unique_ptr<Impl> impl;
+};
+
+} // namespace teaselshore
--- /dev/null
+++ b/include/teaselshore/http/http_server.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "teaselshore/base/time.hpp"
+#include "teaselshore/http/event_loop.hpp"
+#include "teaselshore/http/http_error.hpp"
+#include "teaselshore/http/message.hpp"
+
+namespace teaselshore {
+
+/// @brief Listening address and limits of a server.
+struct HttpServerSettings {
+    /// IPv4 address, for example "127.0.0.1".
+    std::string address = "127.0.0.1";
+    /// 0 selects a free port; see HttpServer::port().
+    std::uint16_t port = 0;
+    std::size_t maxBodyBytes = 8 * 1024 * 1024;
+    /// Time a client may take to send a whole request.
+    Duration requestTimeout = std::chrono::seconds(10);
+
+    auto operator<=>(const HttpServerSettings&) const = default;
+};
+
+/// @brief One request and the means to answer it. Lives until the answer is finished or the connection is closed.
+///
+/// All methods belong to the event loop's thread. Calls after the connection was closed do nothing.
+class ServerExchange {
+public:
+    virtual ~ServerExchange() = default;
+
+    virtual const HttpRequest& request() const = 0;
+
+    /// @brief Sends a complete answer. Precondition: no answer was started.
+    virtual void reply(HttpReply reply) = 0;
+
+    /// @brief Starts a streamed answer. Precondition: no answer was started.
+    virtual void startStream(int status, HttpHeaders headers) = 0;
+
+    /// @brief Appends bytes to a streamed answer. Chunks written while an earlier one is in flight are joined.
+    virtual void write(std::string_view bytes) = 0;
+
+    /// @brief Ends a streamed answer normally.
+    virtual void finish() = 0;
+
+    /// @brief Breaks the connection off, so that the caller sees that the answer is incomplete.
+    virtual void abort() = 0;
+
+    /// @brief Bytes written but not yet handed to the connection; for back pressure.
+    virtual std::size_t pendingBytes() const = 0;
+
+    /// @brief Sets the function that runs once if the caller goes away before the answer is finished.
+    virtual void onClosed(std::function<void()> handler) = 0;
+};
+
+using HttpHandler = std::function<void(std::shared_ptr<ServerExchange>)>;
+
+/// @brief HTTP/1.1 and HTTP/2 (prior knowledge) server on h2o.
+class HttpServer {
+public:
+    /// @brief Starts to listen. Returns nothing and sets error if the address cannot be used.
+    static std::unique_ptr<HttpServer> listen(
+        EventLoop& loop, const HttpServerSettings& settings, HttpHandler handler, HttpError* error);
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+    std::uint16_t port() const;
+
+    /// @brief Stops accepting connections and closes idle ones; open exchanges go on.
+    void stopAccepting();
+
+    /// @brief Number of exchanges without a finished answer.
+    std::size_t openExchanges() const;
+
+private:
+    struct Impl;
+    explicit HttpServer(std::unique_ptr<Impl> impl);
+    std::unique_ptr<Impl> impl;
+};
+
+} // namespace teaselshore
--- /dev/null
+++ b/include/teaselshore/http/message.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace teaselshore {
+
+/// @brief One header field. Names are lower case.
+struct HttpHeader {
+    std::string name;
+    std::string value;
+
+    auto operator<=>(const HttpHeader&) const = default;
+};
+
+/// @brief Ordered list of header fields.
+class HttpHeaders {
+public:
+    HttpHeaders() = default;
+    HttpHeaders(std::initializer_list<HttpHeader> fields);
+
+    /// @brief Appends a field; the name is stored in lower case.
+    void add(std::string_view name, std::string value);
+
+    /// @brief Returns the value of the first field with this name, compared without case.
+    std::optional<std::string> find(std::string_view name) const;
+
+    const std::vector<HttpHeader>& all() const { return this->fields; }
+
+    auto operator<=>(const HttpHeaders&) const = default;
+
+private:
+    std::vector<HttpHeader> fields;
+};
+
+/// @brief Request as a server received it. The path includes the query string.
+struct HttpRequest {
+    std::string method;
+    std::string path;
+    HttpHeaders headers;
+    std::string body;
+
+    auto operator<=>(const HttpRequest&) const = default;
+};
+
+/// @brief Complete reply.
+struct HttpReply {
+    int status = 200;
+    HttpHeaders headers;
+    std::string body;
+
+    auto operator<=>(const HttpReply&) const = default;
+};
+
+} // namespace teaselshore
