--- a/cmake/Programs.cmake
+++ b/cmake/Programs.cmake
@@ -11,3 +11,7 @@
 teaselshore_program_if_present(teaselshore-engine emulators engine_main.cpp)
 teaselshore_program_if_present(teaselshore-service emulators service_main.cpp)
 teaselshore_program_if_present(teaselshore-load emulators load_main.cpp)
+
+foreach(module IN ITEMS reliability routing journal membership control node)
+    teaselshore_benchmarks(${module})
+endforeach()
