--- /dev/null
+++ b/include/teaselshore/node/request_command.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "teaselshore/base/header_list.hpp"
+#include "teaselshore/base/name.hpp"
+#include "teaselshore/base/time.hpp"
+#include "teaselshore/node/ids.hpp"
+
+namespace teaselshore {
+
+/// @brief Sends a request to an upstream.
+struct StartAttempt {
+    AttemptId attempt = 0;
+    /// Caller's request that the response belongs to; also set for durable requests that have no caller here.
+    RequestId request;
+    UpstreamId upstream;
+    /// "address:port"
+    std::string authority;
+    std::string method;
+    std::string path;
+    HeaderList headers;
+    std::string body;
+    Duration connectTimeout {};
+    Duration idleTimeout {};
+    /// Relays a successful event stream to the caller while it arrives, instead of collecting the body.
+    bool relay = false;
+
+    auto operator<=>(const StartAttempt&) const = default;
+};
+
+/// @brief Drops an attempt; later bytes of it are discarded.
+struct CancelAttempt {
+    AttemptId attempt = 0;
+
+    auto operator<=>(const CancelAttempt&) const = default;
+};
+
+/// @brief Complete response to a caller.
+struct Respond {
+    RequestId request;
+    int status = 0;
+    HeaderList headers;
+    std::string body;
+
+    auto operator<=>(const Respond&) const = default;
+};
+
+/// @brief Ends a relayed stream with an error event, then breaks the connection off: the response is incomplete.
+struct FailStream {
+    RequestId request;
+    std::string errorBody;
+
+    auto operator<=>(const FailStream&) const = default;
+};
+
+} // namespace teaselshore
