Add the relay between callers and upstreams

Cause: responses have to reach their caller while they arrive, also across two upstreams, and never another caller. Change: RequestRelay starts calls, checks the request and attempt named by the response, relays complete events only, and reports the outcome to the node.

--- /dev/null
+++ b/include/teaselshore/daemon/request_relay.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <variant>
+
+#include "teaselshore/http/http_client.hpp"
+#include "teaselshore/http/http_server.hpp"
+#include "teaselshore/node/request_command.hpp"
+#include "teaselshore/node/request_event.hpp"
+
+namespace teaselshore {
+
+/// @brief What the relay reports to the node's decisions.
+using RelayEvent = std::variant<CallerGone, AttemptStarted, AttemptFinished, AttemptFailed>;
+
+/// @brief Counters of a RequestRelay since its start.
+struct RelayCounters {
+    std::uint64_t relayedBytes = 0;
+    /// Responses whose request or attempt header named another request.
+    std::uint64_t misdirectedResponses = 0;
+    /// Callers that read a stream too slowly for the limit of pending bytes.
+    std::uint64_t slowCallers = 0;
+
+    auto operator<=>(const RelayCounters&) const = default;
+};
+
+/// @brief Carries out the request path's commands: starts calls to upstreams and answers callers.
+///
+/// Streams go from the upstream to the caller without a decision per event. All methods belong to the event loop's
+/// thread. Events are emitted from the loop, never from inside a method called by the owner.
+class RequestRelay {
+public:
+    /// @brief Limits of the relay.
+    struct Settings {
+        /// A caller that leaves more bytes unread than this is disconnected.
+        std::size_t maxPendingStreamBytes = 4 * 1024 * 1024;
+        /// Longest response that is collected before it is passed on.
+        std::size_t maxCollectedBytes = 16 * 1024 * 1024;
+
+        auto operator<=>(const Settings&) const = default;
+    };
+
+    RequestRelay(EventLoop& loop, Settings settings, std::function<void(RelayEvent)> emit);
+    ~RequestRelay();
+    RequestRelay(const RequestRelay&) = delete;
+    RequestRelay& operator=(const RequestRelay&) = delete;
+
+    /// @brief Registers the caller of a request. Precondition: the id is not registered.
+    void addCaller(const RequestId& request, std::shared_ptr<ServerExchange> exchange);
+
+    void execute(StartAttempt command);
+    void execute(const CancelAttempt& command);
+    void execute(Respond command);
+    void execute(const FailStream& command);
+
+    std::size_t openCallers() const;
+    std::size_t openAttempts() const;
+    RelayCounters counters() const;
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> impl;
+};
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/daemon/request_relay.cpp
@@ -0,0 +1,331 @@
+#include "teaselshore/daemon/request_relay.hpp"
+
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "teaselshore/base/assert.hpp"
+#include "teaselshore/base/log.hpp"
+#include "teaselshore/node/event_stream_buffer.hpp"
+
+namespace teaselshore {
+
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr std::string_view eventStreamType = "text/event-stream";
+
+    struct Caller {
+        std::shared_ptr<ServerExchange> exchange;
+        EventStreamBuffer events;
+        bool streaming = false;
+    };
+
+    struct Attempt {
+        RequestId request;
+        UpstreamId upstream;
+        CallId call = 0;
+        bool relay = false;
+        bool relaying = false;
+        bool announced = false;
+        bool gotHead = false;
+        int status = 0;
+        HttpHeaders headers;
+        std::string body;
+    };
+
+    HeaderList toHeaderList(const HttpHeaders& headers)
+    {
+        HeaderList list;
+        list.reserve(headers.all().size());
+        for (const HttpHeader& field : headers.all())
+            list.emplace_back(field.name, field.value);
+        return list;
+    }
+
+    HttpHeaders toHttpHeaders(const HeaderList& list)
+    {
+        HttpHeaders headers;
+        for (const auto& [name, value] : list)
+            headers.add(name, value);
+        return headers;
+    }
+
+    bool isEventStream(const HttpHeaders& headers)
+    {
+        const auto type = headers.find("content-type");
+        return type && type->starts_with(eventStreamType);
+    }
+
+} // namespace
+
+struct RequestRelay::Impl : std::enable_shared_from_this<RequestRelay::Impl> {
+    Impl(EventLoop& loop, Settings settings, std::function<void(RelayEvent)> emit)
+        : settings(settings)
+        , emit(std::move(emit))
+        , client(HttpClient::create(loop))
+    {
+    }
+
+    void start(StartAttempt command);
+    void onHead(AttemptId id, int status, const HttpHeaders& headers);
+    void onData(AttemptId id, std::string_view bytes);
+    void onEnd(AttemptId id);
+    void onError(AttemptId id, const HttpError& error);
+
+    bool belongsTo(AttemptId id, const Attempt& attempt, const HttpHeaders& headers) const;
+    void relayBytes(AttemptId id, Attempt& attempt, std::string_view bytes);
+    void fail(AttemptId id, bool mayHaveRun, bool connectionBroken, std::string detail);
+    Caller* findCaller(const RequestId& request);
+    std::uint64_t relayedEvents(const RequestId& request);
+    void callerGone(const RequestId& request);
+
+    Settings settings;
+    std::function<void(RelayEvent)> emit;
+    std::unique_ptr<HttpClient> client;
+    std::unordered_map<RequestId, Caller> callers;
+    std::unordered_map<AttemptId, Attempt> attempts;
+    RelayCounters counters;
+};
+
+RequestRelay::RequestRelay(EventLoop& loop, Settings settings, std::function<void(RelayEvent)> emit)
+    : impl(std::make_shared<Impl>(loop, settings, std::move(emit)))
+{
+}
+
+RequestRelay::~RequestRelay() = default;
+
+void RequestRelay::addCaller(const RequestId& request, std::shared_ptr<ServerExchange> exchange)
+{
+    const std::weak_ptr<Impl> weak = this->impl;
+    exchange->onClosed([weak, request] {
+        if (const auto self = weak.lock())
+            self->callerGone(request);
+    });
+    const bool added = this->impl->callers.emplace(request, Caller { std::move(exchange), {}, false }).second;
+    TEASELSHORE_ASSERT(added, "a request id was used twice");
+}
+
+void RequestRelay::execute(StartAttempt command) { this->impl->start(std::move(command)); }
+
+void RequestRelay::execute(const CancelAttempt& command)
+{
+    const auto found = this->impl->attempts.find(command.attempt);
+    if (found == this->impl->attempts.end())
+        return;
+    this->impl->client->cancel(found->second.call);
+    this->impl->attempts.erase(found);
+}
+
+void RequestRelay::execute(Respond command)
+{
+    const auto found = this->impl->callers.find(command.request);
+    if (found == this->impl->callers.end())
+        return;
+    TEASELSHORE_ASSERT(!found->second.streaming, "a complete response cannot follow a started stream");
+    const auto exchange = std::move(found->second.exchange);
+    this->impl->callers.erase(found);
+    exchange->reply({ command.status, toHttpHeaders(command.headers), std::move(command.body) });
+}
+
+void RequestRelay::execute(const FailStream& command)
+{
+    const auto found = this->impl->callers.find(command.request);
+    if (found == this->impl->callers.end())
+        return;
+    const auto exchange = std::move(found->second.exchange);
+    this->impl->callers.erase(found);
+    exchange->write("event: error\ndata: " + command.errorBody + "\n\n");
+    exchange->abort();
+}
+
+std::size_t RequestRelay::openCallers() const { return this->impl->callers.size(); }
+
+std::size_t RequestRelay::openAttempts() const { return this->impl->attempts.size(); }
+
+RelayCounters RequestRelay::counters() const { return this->impl->counters; }
+
+void RequestRelay::Impl::start(StartAttempt command)
+{
+    const AttemptId id = command.attempt;
+    const std::weak_ptr<Impl> weak = this->weak_from_this();
+    HttpCallHandlers handlers;
+    handlers.onHead = [weak, id](int status, const HttpHeaders& headers) {
+        if (const auto self = weak.lock())
+            self->onHead(id, status, headers);
+    };
+    handlers.onData = [weak, id](std::string_view bytes) {
+        if (const auto self = weak.lock())
+            self->onData(id, bytes);
+    };
+    handlers.onEnd = [weak, id] {
+        if (const auto self = weak.lock())
+            self->onEnd(id);
+    };
+    handlers.onError = [weak, id](const HttpError& error) {
+        if (const auto self = weak.lock())
+            self->onError(id, error);
+    };
+
+    HttpCall call;
+    call.authority = std::move(command.authority);
+    call.request = { std::move(command.method), std::move(command.path), toHttpHeaders(command.headers),
+        std::move(command.body) };
+    call.connectTimeout = command.connectTimeout;
+    call.idleTimeout = command.idleTimeout;
+
+    Attempt attempt;
+    attempt.request = std::move(command.request);
+    attempt.upstream = std::move(command.upstream);
+    attempt.relay = command.relay;
+    attempt.call = this->client->start(std::move(call), std::move(handlers));
+    const bool added = this->attempts.emplace(id, std::move(attempt)).second;
+    TEASELSHORE_ASSERT(added, "an attempt id was used twice");
+}
+
+void RequestRelay::Impl::onHead(AttemptId id, int status, const HttpHeaders& headers)
+{
+    const auto found = this->attempts.find(id);
+    if (found == this->attempts.end())
+        return;
+    Attempt& attempt = found->second;
+    if (!this->belongsTo(id, attempt, headers)) {
+        ++this->counters.misdirectedResponses;
+        logLine(LogLevel::Warning, "response names another request; the attempt is dropped",
+            { { "request", attempt.request }, { "upstream", attempt.upstream } });
+        this->client->cancel(attempt.call);
+        this->fail(id, true, false, "the response belongs to another request");
+        return;
+    }
+
+    attempt.gotHead = true;
+    attempt.status = status;
+    attempt.headers = headers;
+    Caller* caller = this->findCaller(attempt.request);
+    attempt.relaying = attempt.relay && caller && status == statusOk && isEventStream(headers);
+    if (!attempt.relaying || caller->streaming)
+        return;
+    caller->streaming = true;
+    caller->exchange->startStream(status,
+        { { "content-type", std::string(eventStreamType) }, { "cache-control", "no-cache" },
+            { "x-request-id", attempt.request.value() } });
+}
+
+void RequestRelay::Impl::onData(AttemptId id, std::string_view bytes)
+{
+    const auto found = this->attempts.find(id);
+    if (found == this->attempts.end())
+        return;
+    Attempt& attempt = found->second;
+    if (attempt.relaying) {
+        this->relayBytes(id, attempt, bytes);
+        return;
+    }
+    attempt.body.append(bytes);
+    if (attempt.body.size() <= this->settings.maxCollectedBytes)
+        return;
+    this->client->cancel(attempt.call);
+    this->fail(id, true, false, "the response is longer than the limit");
+}
+
+void RequestRelay::Impl::relayBytes(AttemptId id, Attempt& attempt, std::string_view bytes)
+{
+    Caller* caller = this->findCaller(attempt.request);
+    if (!caller)
+        return;
+    const std::string complete = caller->events.takeComplete(bytes);
+    if (complete.empty())
+        return;
+    this->counters.relayedBytes += complete.size();
+    caller->exchange->write(complete);
+    if (caller->exchange->pendingBytes() > this->settings.maxPendingStreamBytes) {
+        ++this->counters.slowCallers;
+        const RequestId request = attempt.request;
+        caller->exchange->abort();
+        this->callerGone(request);
+        return;
+    }
+    if (attempt.announced)
+        return;
+    attempt.announced = true;
+    this->emit(AttemptStarted { id, toHeaderList(attempt.headers) });
+}
+
+void RequestRelay::Impl::onEnd(AttemptId id)
+{
+    const auto found = this->attempts.find(id);
+    if (found == this->attempts.end())
+        return;
+    const Attempt attempt = std::move(found->second);
+    if (!attempt.relaying) {
+        this->attempts.erase(found);
+        this->emit(AttemptFinished { id, attempt.status, toHeaderList(attempt.headers), attempt.body, false,
+            this->relayedEvents(attempt.request) });
+        return;
+    }
+
+    const auto caller = this->callers.find(attempt.request);
+    if (caller == this->callers.end()) {
+        this->attempts.erase(found);
+        return;
+    }
+    if (!caller->second.events.done()) {
+        this->fail(id, true, true, "the stream ended without its final event");
+        return;
+    }
+    const std::uint64_t events = caller->second.events.events();
+    const auto exchange = std::move(caller->second.exchange);
+    this->callers.erase(caller);
+    this->attempts.erase(found);
+    exchange->finish();
+    this->emit(AttemptFinished { id, attempt.status, toHeaderList(attempt.headers), {}, true, events });
+}
+
+void RequestRelay::Impl::onError(AttemptId id, const HttpError& error)
+{
+    if (!this->attempts.contains(id))
+        return;
+    const bool broken = error.requestMayHaveBeenSent && error.kind == HttpError::Kind::ConnectionClosed;
+    this->fail(id, error.requestMayHaveBeenSent, broken, error.detail);
+}
+
+bool RequestRelay::Impl::belongsTo(AttemptId id, const Attempt& attempt, const HttpHeaders& headers) const
+{
+    const auto request = headers.find("x-request-id");
+    if (request && *request != attempt.request.value())
+        return false;
+    const auto number = headers.find("x-attempt");
+    return !number || *number == std::to_string(id);
+}
+
+void RequestRelay::Impl::fail(AttemptId id, bool mayHaveRun, bool connectionBroken, std::string detail)
+{
+    const auto found = this->attempts.find(id);
+    if (found == this->attempts.end())
+        return;
+    const RequestId request = found->second.request;
+    this->attempts.erase(found);
+    if (Caller* caller = this->findCaller(request))
+        caller->events.dropPartial();
+    this->emit(AttemptFailed { id, mayHaveRun, connectionBroken, this->relayedEvents(request), std::move(detail) });
+}
+
+Caller* RequestRelay::Impl::findCaller(const RequestId& request)
+{
+    const auto found = this->callers.find(request);
+    return found == this->callers.end() ? nullptr : &found->second;
+}
+
+std::uint64_t RequestRelay::Impl::relayedEvents(const RequestId& request)
+{
+    const Caller* caller = this->findCaller(request);
+    return caller ? caller->events.events() : 0;
+}
+
+void RequestRelay::Impl::callerGone(const RequestId& request)
+{
+    if (this->callers.erase(request) > 0)
+        this->emit(CallerGone { request });
+}
+
+} // namespace teaselshore
