--- /dev/null
+++ b/include/teaselshore/reliability/retry_budget.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "teaselshore/base/time.hpp"
+#include "teaselshore/reliability/sliding_counter.hpp"
+
+namespace teaselshore {
+
+struct RetryBudgetSettings {
+    /// Retries per request within the window.
+    double ratio = 0.1;
+    /// Retries allowed within the window however few requests there are.
+    double floor = 3;
+    Duration window = std::chrono::seconds(10);
+
+    auto operator<=>(const RetryBudgetSettings&) const = default;
+};
+
+/// @brief Bounds the retries of one service to a ratio of its requests plus a small floor.
+///
+/// Not thread-safe.
+class RetryBudget {
+public:
+    explicit RetryBudget(RetryBudgetSettings settings = {});
+
+    /// @brief Counts a first attempt.
+    void onRequest(Instant now);
+
+    /// @brief Takes one retry from the budget; false if the budget is used up.
+    bool tryRetry(Instant now);
+
+    /// @brief Returns the number of retries that are left, at least 0.
+    double remaining(Instant now) const;
+
+private:
+    RetryBudgetSettings settings;
+    SlidingCounter counter;
+};
+
+} // namespace teaselshore
