--- a/include/teaselshore/node/peer_message.hpp
+++ b/include/teaselshore/node/peer_message.hpp
@@ -1,79 +1,53 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
-#include "teaselshore/base/fingerprint.hpp"
-#include "teaselshore/base/header_list.hpp"
 #include "teaselshore/base/name.hpp"
 #include "teaselshore/base/time.hpp"
+#include "teaselshore/journal/slot_messages.hpp"
+#include "teaselshore/reliability/crash_suspects.hpp"
 
 namespace teaselshore {
 
-/// @brief Identifies a forwarded request at the node that forwarded it; unique per node instance.
-using ForwardId = std::uint64_t;
+/// @brief Durable request for a slot that the receiver owns.
+struct ForwardedRequest {
+    /// Caller id and attempt number at the sender; the response repeats them.
+    CallerId caller = 0;
+    std::uint32_t attempt = 1;
+    JournalRequest request;
+    /// Upstream that the sender chose, if any.
+    std::optional<UpstreamId> upstream;
 
-/// @brief Request for a key whose slot the receiver owns.
-struct ForwardRequest {
-    ForwardId forward = 0;
-    RequestId request;
-    WorkspaceName workspace;
-    IdempotencyKey key;
-    ServiceName service;
-    RouteName route;
-    std::string method;
-    std::string path;
-    HeaderList headers;
-    std::string body;
-    /// True for a durable request that is answered with 202 once it is accepted.
-    bool respondAsync = false;
-    Duration remainingTime {};
-    std::string traceparent;
-
-    auto operator<=>(const ForwardRequest&) const = default;
+    auto operator<=>(const ForwardedRequest&) const = default;
 };
 
 /// @brief Asks the owner of a slot for the stored response of a durable request.
-struct StoredResponseQuery {
-    ForwardId forward = 0;
+struct ForwardedRead {
+    CallerId caller = 0;
+    std::uint32_t attempt = 1;
     RequestId request;
 
-    auto operator<=>(const StoredResponseQuery&) const = default;
-};
-
-/// @brief Response to ForwardRequest or StoredResponseQuery.
-struct ForwardReply {
-    ForwardId forward = 0;
-    int status = 0;
-    HeaderList headers;
-    std::string body;
-
-    auto operator<=>(const ForwardReply&) const = default;
+    auto operator<=>(const ForwardedRead&) const = default;
 };
 
-/// @brief The receiver does not own the slot and did nothing with the forwarded request.
-struct ForwardRefused {
-    ForwardId forward = 0;
-    std::string reason;
+/// @brief Response to ForwardedRequest or ForwardedRead.
+struct ForwardedAnswer {
+    CallerId caller = 0;
+    std::uint32_t attempt = 1;
+    Answer answer;
 
-    auto operator<=>(const ForwardRefused&) const = default;
+    auto operator<=>(const ForwardedAnswer&) const = default;
 };
 
-/// @brief State of a request that was running when its upstream crashed. Sent before the request is retried.
-struct SuspectReport {
-    enum class State {
-        Suspected,
-        Retrying,
-        Rejected,
-        Cleared,
-    };
-
-    Fingerprint request = 0;
-    State state = State::Suspected;
-    std::uint32_t crashes = 0;
+/// @brief Crash suspects of the sender, sent before it retries any of them.
+struct SuspectReports {
+    std::vector<SuspectReport> reports;
 
-    auto operator<=>(const SuspectReport&) const = default;
+    auto operator<=>(const SuspectReports&) const = default;
 };
 
 /// @brief The sender stopped sending work to a version on its own evidence.
@@ -96,23 +70,15 @@
     auto operator<=>(const UpstreamLeaving&) const = default;
 };
 
-/// @brief Hands journal position and open durable requests to a peer; the content is encoded by module journal.
-struct HandOver {
-    std::string content;
-
-    auto operator<=>(const HandOver&) const = default;
-};
-
-/// @brief The receiver has taken over everything in the HandOver of this journal.
+/// @brief The receiver of a HandOver has taken the journal over.
 struct HandOverAck {
-    NodeId journal;
-    std::uint64_t nextNumber = 0;
+    OwnerInstance instance;
 
     auto operator<=>(const HandOverAck&) const = default;
 };
 
 /// @brief Messages between the request paths of two nodes.
-using RequestMessage = std::variant<ForwardRequest, StoredResponseQuery, ForwardReply, ForwardRefused, SuspectReport,
-    VersionEvidence, UpstreamLeaving, HandOver, HandOverAck>;
+using RequestMessage = std::variant<ForwardedRequest, ForwardedRead, ForwardedAnswer, SuspectReports, VersionEvidence,
+    UpstreamLeaving, HandOver, HandOverAck>;
 
 } // namespace teaselshore
