--- a/include/teaselshore/http/http_client.hpp
+++ b/include/teaselshore/http/http_client.hpp
@@ -21,6 +21,9 @@
     Duration connectTimeout = std::chrono::seconds(1);
     /// Longest time without progress (reply head, or next body bytes).
     Duration idleTimeout = std::chrono::seconds(30);
+    /// Accepts a reply without content length and without chunks, whose end is the end of the connection. Off by
+    /// default, because such a reply cannot be told from one that was cut off. A connection reset is an error anyway.
+    bool acceptUnframedReply = false;
 };
 
 /// @brief Callbacks of one call. onError and onEnd exclude each other; exactly one of them runs, last, unless
@@ -46,6 +49,7 @@
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
 
+    /// @brief Starts a call. A request that cannot be sent as it is gives an error of kind RequestInvalid.
     CallId start(HttpCall call, HttpCallHandlers handlers);
 
     /// @brief Drops a call and its connection; no callback of it runs afterwards.
@@ -53,8 +57,9 @@
 
     std::size_t openCalls() const;
 
-private:
     struct Impl;
+
+private:
     explicit HttpClient(std::unique_ptr<Impl> impl);
     std::unique_ptr<Impl> impl;
 };
--- a/include/teaselshore/http/http_error.hpp
+++ b/include/teaselshore/http/http_error.hpp
@@ -8,6 +8,8 @@
 struct HttpError {
     enum class Kind {
         AddressInvalid,
+        /// Method, path or a header field contains bytes that HTTP/1.1 does not allow there.
+        RequestInvalid,
         ListenFailed,
         ConnectFailed,
         Timeout,
--- a/include/teaselshore/http/http_server.hpp
+++ b/include/teaselshore/http/http_server.hpp
@@ -19,7 +19,7 @@
     std::string address = "127.0.0.1";
     /// 0 selects a free port; see HttpServer::port().
     std::uint16_t port = 0;
-    std::size_t maxBodyBytes = 8 * 1024 * 1024;
+    std::size_t maxBodyBytes = std::size_t { 8 } * 1024 * 1024;
     /// Time a client may take to send a whole request.
     Duration requestTimeout = std::chrono::seconds(10);
 
--- /dev/null
+++ b/src/teaselshore/http/event_loop.cpp
@@ -0,0 +1,173 @@
+#include "teaselshore/http/event_loop.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <cstdint>
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "event_loop_impl.hpp"
+#include "teaselshore/base/assert.hpp"
+
+namespace teaselshore {
+
+namespace {
+
+    constexpr std::int32_t longestWaitMilliseconds = 1000;
+    /// Rounds that the destructor grants h2o to release closed sockets.
+    constexpr int drainRounds = 100;
+
+    void onWake(h2o_socket_t* socket, const char*)
+    {
+        auto* impl = static_cast<EventLoop::Impl*>(socket->data);
+        std::uint64_t count = 0;
+        [[maybe_unused]] const ssize_t ignored = read(impl->wakeDescriptor, &count, sizeof(count));
+        impl->runPosted();
+    }
+
+} // namespace
+
+Instant monotonicNow()
+{
+    const auto passed = std::chrono::steady_clock::now().time_since_epoch();
+    return Instant(std::chrono::duration_cast<Duration>(passed));
+}
+
+EventLoop::Impl::Impl()
+    : loop(h2o_evloop_create())
+    , wakeDescriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+    TEASELSHORE_ASSERT(this->wakeDescriptor >= 0, "eventfd failed");
+    // An eventfd instead of h2o's multithread queue: that queue reads into buffers of the creating thread.
+    this->wakeSocket = h2o_evloop_socket_create(this->loop, this->wakeDescriptor, H2O_SOCKET_FLAG_DONT_READ);
+    this->wakeSocket->data = this;
+    h2o_socket_read_start(this->wakeSocket, onWake);
+}
+
+EventLoop::Impl::~Impl()
+{
+    for (int round = 0; round<drainRounds&& this->lingeringServers> 0; ++round) {
+        h2o_evloop_run(this->loop, 1);
+        this->runDueTimers();
+    }
+    h2o_socket_close(this->wakeSocket);
+    h2o_evloop_run(this->loop, 0);
+    // h2o aborts if a loop is destroyed while timeouts of a server are registered; such a loop is leaked instead.
+    if (this->lingeringServers == 0)
+        h2o_evloop_destroy(this->loop);
+}
+
+void EventLoop::Impl::run()
+{
+    this->entered = true;
+    while (!this->stopping.load(std::memory_order_acquire)) {
+        // Socket callbacks that became due inside a timer wait for the next round, which must not block.
+        const bool ranTimer = this->runDueTimers();
+        h2o_evloop_run(this->loop, ranTimer ? 0 : this->waitMilliseconds());
+    }
+    this->stopping.store(false, std::memory_order_release);
+}
+
+void EventLoop::Impl::wake()
+{
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const ssize_t ignored = write(this->wakeDescriptor, &one, sizeof(one));
+}
+
+void EventLoop::Impl::runPosted()
+{
+    std::vector<std::function<void()>> tasks;
+    {
+        const std::lock_guard<std::mutex> lock(this->postedMutex);
+        tasks.swap(this->posted);
+    }
+    for (const std::function<void()>& task : tasks)
+        task();
+}
+
+TimerId EventLoop::Impl::addTimer(Duration delay, std::function<void()> task)
+{
+    const TimerId timer = ++this->lastTimer;
+    const Instant due = monotonicNow() + std::max(delay, Duration(0));
+    this->timers.emplace(std::pair(due, timer), std::move(task));
+    this->timerDue.emplace(timer, due);
+    return timer;
+}
+
+void EventLoop::Impl::cancelTimer(TimerId timer)
+{
+    const auto found = this->timerDue.find(timer);
+    if (found == this->timerDue.end())
+        return;
+    this->timers.erase(std::pair(found->second, timer));
+    this->timerDue.erase(found);
+}
+
+bool EventLoop::Impl::runDueTimers()
+{
+    const Instant now = monotonicNow();
+    bool ran = false;
+    while (!this->timers.empty() && this->timers.begin()->first.first <= now) {
+        auto node = this->timers.extract(this->timers.begin());
+        this->timerDue.erase(node.key().second);
+        node.mapped()();
+        ran = true;
+    }
+    return ran;
+}
+
+std::int32_t EventLoop::Impl::waitMilliseconds() const
+{
+    if (this->timers.empty())
+        return longestWaitMilliseconds;
+    const Duration remaining = this->timers.begin()->first.first - monotonicNow();
+    const auto rounded = std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
+    return static_cast<std::int32_t>(std::clamp<std::int64_t>(rounded, 0, longestWaitMilliseconds));
+}
+
+std::unique_ptr<EventLoop> EventLoop::create()
+{
+    // A write to a closed connection must fail with EPIPE instead of ending the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    return std::unique_ptr<EventLoop>(new EventLoop(std::make_unique<Impl>()));
+}
+
+EventLoop::EventLoop(std::unique_ptr<Impl> impl)
+    : impl(std::move(impl))
+{
+}
+
+EventLoop::~EventLoop() = default;
+
+void EventLoop::run() { this->impl->run(); }
+
+void EventLoop::stop()
+{
+    this->impl->stopping.store(true, std::memory_order_release);
+    this->impl->wake();
+}
+
+void EventLoop::post(std::function<void()> task)
+{
+    bool first = false;
+    {
+        const std::lock_guard<std::mutex> lock(this->impl->postedMutex);
+        first = this->impl->posted.empty();
+        this->impl->posted.push_back(std::move(task));
+    }
+    if (first)
+        this->impl->wake();
+}
+
+TimerId EventLoop::runAfter(Duration delay, std::function<void()> task)
+{
+    return this->impl->addTimer(delay, std::move(task));
+}
+
+void EventLoop::cancelTimer(TimerId timer) { this->impl->cancelTimer(timer); }
+
+Instant EventLoop::now() const { return monotonicNow(); }
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/http/event_loop_impl.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "h2o.hpp"
+#include "teaselshore/http/event_loop.hpp"
+
+namespace teaselshore {
+
+/// @brief State behind EventLoop, shared with the server and the client of this module.
+struct EventLoop::Impl {
+    Impl();
+    ~Impl();
+    Impl(const Impl&) = delete;
+    Impl& operator=(const Impl&) = delete;
+
+    void run();
+    void wake();
+    /// @brief Runs the tasks posted before this call.
+    void runPosted();
+    TimerId addTimer(Duration delay, std::function<void()> task);
+    void cancelTimer(TimerId timer);
+    /// @brief Runs the due timers; returns whether any ran.
+    bool runDueTimers();
+    /// @brief Returns the longest wait in milliseconds until the next timer.
+    std::int32_t waitMilliseconds() const;
+
+    h2o_evloop_t* loop = nullptr;
+    /// Set once run() was entered. Until then, sockets must not read: h2o's buffers belong to the running thread.
+    bool entered = false;
+    /// Servers that were destroyed but whose connections h2o has not released yet.
+    std::size_t lingeringServers = 0;
+
+    std::map<std::pair<Instant, TimerId>, std::function<void()>> timers;
+    std::unordered_map<TimerId, Instant> timerDue;
+    TimerId lastTimer = 0;
+
+    std::atomic<bool> stopping { false };
+    std::mutex postedMutex;
+    std::vector<std::function<void()>> posted;
+    int wakeDescriptor = -1;
+    h2o_socket_t* wakeSocket = nullptr;
+};
+
+/// @brief Returns the current monotonic time.
+Instant monotonicNow();
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -0,0 +1,242 @@
+#include <memory>
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "test_support.hpp"
+
+namespace teaselshore {
+namespace {
+
+    void echo(const std::shared_ptr<ServerExchange>& exchange)
+    {
+        const HttpRequest& request = exchange->request();
+        HttpReply reply;
+        reply.headers.add("X-Method", request.method);
+        reply.headers.add("X-Path", request.path);
+        reply.headers.add("X-Custom", request.headers.find("x-custom").value_or("absent"));
+        reply.body = request.body;
+        exchange->reply(std::move(reply));
+    }
+
+    /// Sends bytes on a raw connection and returns all that comes back until the server closes.
+    std::string exchangeRaw(HttpFixture& fixture, const std::string& bytes)
+    {
+        const RawConnection connection(fixture.server->port());
+        connection.send(bytes);
+        std::string answer;
+        bool ended = false;
+        EXPECT_TRUE(fixture.runUntil([&] {
+            answer += connection.receive(ended);
+            return ended;
+        }));
+        return answer;
+    }
+
+    // Guards against requests that reach the handler without body, query, host or header fields.
+    TEST(HttpServer, PassesWholeRequestAndReply)
+    {
+        HttpFixture fixture(echo);
+        HttpCall call = fixture.call("POST", "/orders?depot=3&x=%20", std::string(300000, 'b'));
+        call.request.headers.add("X-Custom", "value");
+        const CallRecord record = fixture.run(std::move(call));
+        EXPECT_EQ(record.status, 200) << (record.error ? record.error->detail : "");
+        EXPECT_EQ(record.headers.find("X-Path"), "/orders?depot=3&x=%20");
+        EXPECT_EQ(record.headers.find("x-method"), "POST");
+        EXPECT_EQ(record.headers.find("x-custom"), "value");
+        EXPECT_EQ(record.body.size(), 300000u);
+        EXPECT_EQ(fixture.server->openExchanges(), 0u);
+    }
+
+    // Guards against a body sent in answer to HEAD, which would be read as the next answer.
+    TEST(HttpServer, SendsNoBodyForHead)
+    {
+        HttpFixture fixture([](const auto& exchange) { exchange->reply({ 200, {}, "12345" }); });
+        const CallRecord head = fixture.run(fixture.call("HEAD", "/"));
+        EXPECT_TRUE(head.ended);
+        EXPECT_EQ(head.body, "");
+        EXPECT_EQ(fixture.run(fixture.call("GET", "/")).body, "12345");
+    }
+
+    // Guards against streams whose chunks are held back, lost or reordered.
+    TEST(HttpServer, StreamsChunksAsTheyAreWritten)
+    {
+        std::shared_ptr<ServerExchange> open;
+        HttpFixture fixture([&](const auto& exchange) {
+            exchange->startStream(200, { { "content-type", "text/event-stream" } });
+            exchange->write("first");
+            open = exchange;
+        });
+        CallRecord record;
+        fixture.start(fixture.call("GET", "/"), record);
+        ASSERT_TRUE(fixture.runUntil([&] { return record.body == "first"; }));
+        EXPECT_FALSE(record.isDone());
+        std::string expected = "first";
+        for (int index = 0; index < 1000; ++index) {
+            const std::string chunk = "|" + std::to_string(index);
+            open->write(chunk);
+            expected += chunk;
+        }
+        open->finish();
+        ASSERT_TRUE(fixture.runUntil([&] { return record.isDone(); }));
+        EXPECT_TRUE(record.ended);
+        EXPECT_EQ(record.body, expected);
+        EXPECT_EQ(open->pendingBytes(), 0u);
+    }
+
+    // Guards against work that goes on for a caller that left, before and inside the answer.
+    TEST(HttpServer, ReportsCallerThatGoesAway)
+    {
+        for (const bool streaming : { false, true }) {
+            int closed = 0;
+            std::shared_ptr<ServerExchange> open;
+            HttpFixture fixture([&](const auto& exchange) {
+                exchange->onClosed([&closed] { ++closed; });
+                if (streaming) {
+                    exchange->startStream(200, {});
+                    exchange->write("x");
+                }
+                open = exchange;
+            });
+            RawConnection connection(fixture.server->port());
+            connection.send("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+            ASSERT_TRUE(fixture.runUntil([&] { return open != nullptr; }));
+            EXPECT_EQ(fixture.server->openExchanges(), 1u);
+            connection.close();
+            ASSERT_TRUE(fixture.runUntil([&] { return closed > 0; }));
+            open->write("ignored");
+            open->finish();
+            open->abort();
+            EXPECT_EQ(fixture.server->openExchanges(), 0u);
+            EXPECT_EQ(closed, 1);
+        }
+    }
+
+    // Guards against an incomplete answer that the caller takes for a complete one.
+    TEST(HttpServer, AbortIsVisibleToTheCaller)
+    {
+        for (const std::string mode : { "unanswered", "chunked", "length" }) {
+            HttpFixture fixture([&](const auto& exchange) {
+                if (mode == "chunked")
+                    exchange->startStream(200, {});
+                if (mode == "length")
+                    exchange->startStream(200, { { "content-length", "100" } });
+                if (mode != "unanswered")
+                    exchange->write("partial");
+                fixture.loop->runAfter(std::chrono::milliseconds(5), [exchange] { exchange->abort(); });
+            });
+            const CallRecord record = fixture.run(fixture.call("GET", "/"));
+            EXPECT_FALSE(record.ended) << mode;
+            ASSERT_TRUE(record.error) << mode;
+            EXPECT_EQ(record.error->kind, HttpError::Kind::ConnectionClosed) << mode;
+            EXPECT_TRUE(record.error->requestMayHaveBeenSent) << mode;
+            EXPECT_EQ(record.body, mode == "unanswered" ? "" : "partial");
+        }
+    }
+
+    // Guards against memory use that callers control.
+    TEST(HttpServer, RefusesOversizedBody)
+    {
+        HttpServerSettings settings;
+        settings.maxBodyBytes = 1000;
+        int handled = 0;
+        HttpFixture fixture([&](const auto& exchange) { ++handled, echo(exchange); }, settings);
+        EXPECT_EQ(fixture.run(fixture.call("POST", "/", std::string(1000, 'x'))).status, 200);
+        EXPECT_EQ(fixture.run(fixture.call("POST", "/", std::string(1001, 'x'))).status, 413);
+        const std::string chunked = exchangeRaw(fixture,
+            "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3e9\r\n" + std::string(1001, 'x')
+                + "\r\n");
+        EXPECT_EQ(chunked.rfind("HTTP/1.1 413", 0), 0u);
+        EXPECT_EQ(handled, 1);
+    }
+
+    // Guards against malformed or truncated requests that reach the handler or hold a connection for ever.
+    TEST(HttpServer, DropsMalformedTruncatedAndSlowRequests)
+    {
+        HttpServerSettings settings;
+        settings.requestTimeout = std::chrono::milliseconds(100);
+        int handled = 0;
+        HttpFixture fixture([&](const auto& exchange) { ++handled, echo(exchange); }, settings);
+        for (const std::string bytes : {
+                 "\x01\x02nonsense\r\n\r\n",
+                 "GET / HTTP/1.1\r\nbad header\r\n\r\n",
+                 "POST / HTTP/1.1\r\ncontent-length: -5\r\n\r\nabc",
+                 "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+                 "POST / HTTP/1.1\r\ntransfer-encoding: gzip\r\n\r\nabc",
+                 "GET / HTT",
+                 "POST / HTTP/1.1\r\ncontent-length: 10\r\n\r\nabc",
+                 "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n5\r\nabc",
+             }) {
+            const std::string answer = exchangeRaw(fixture, bytes);
+            EXPECT_TRUE(answer.empty() || answer.rfind("HTTP/1.1 4", 0) == 0) << bytes << " -> " << answer;
+        }
+        EXPECT_EQ(handled, 0);
+        EXPECT_EQ(fixture.run(fixture.call("GET", "/")).status, 200);
+    }
+
+    // Guards against pipelined requests that are lost or answered out of order while an earlier one is open.
+    TEST(HttpServer, AnswersPipelinedRequestsInOrder)
+    {
+        HttpFixture fixture([&](const auto& exchange) {
+            fixture.loop->runAfter(std::chrono::milliseconds(exchange->request().path == "/1" ? 20 : 0), [exchange] {
+                exchange->reply({ 200, {}, exchange->request().path + ";" });
+            });
+        });
+        const std::string answer = exchangeRaw(fixture,
+            "GET /1 HTTP/1.1\r\nhost: a\r\n\r\nGET /2 HTTP/1.1\r\nhost: a\r\n\r\nGET /3 HTTP/1.1\r\nhost: a\r\n"
+            "connection: close\r\n\r\n");
+        EXPECT_LT(answer.find("/1;"), answer.find("/2;"));
+        EXPECT_LT(answer.find("/2;"), answer.find("/3;"));
+        EXPECT_NE(answer.find("/3;"), std::string::npos);
+    }
+
+    // Guards against a shutdown that breaks open exchanges off or leaves idle connections open.
+    TEST(HttpServer, StopsAcceptingButFinishesOpenExchanges)
+    {
+        std::shared_ptr<ServerExchange> open;
+        HttpFixture fixture([&](const auto& exchange) { open = exchange; });
+        const RawConnection idle(fixture.server->port());
+        CallRecord record;
+        fixture.start(fixture.call("GET", "/"), record);
+        ASSERT_TRUE(fixture.runUntil([&] { return open != nullptr; }));
+        fixture.server->stopAccepting();
+        bool idleEnded = false;
+        ASSERT_TRUE(fixture.runUntil([&] { return idle.receive(idleEnded).empty() && idleEnded; }));
+        const CallRecord refused = fixture.run(fixture.call("GET", "/"));
+        ASSERT_TRUE(refused.error);
+        EXPECT_FALSE(refused.error->requestMayHaveBeenSent);
+        open->reply({ 200, {}, "late" });
+        ASSERT_TRUE(fixture.runUntil([&] { return record.isDone(); }));
+        EXPECT_EQ(record.body, "late");
+    }
+
+    // Guards against use of released state when a server is destroyed while exchanges are open.
+    TEST(HttpServer, DestructionBreaksOpenExchangesOff)
+    {
+        std::shared_ptr<ServerExchange> open;
+        HttpFixture fixture([&](const auto& exchange) { open = exchange; });
+        CallRecord record;
+        fixture.start(fixture.call("GET", "/"), record);
+        ASSERT_TRUE(fixture.runUntil([&] { return open != nullptr; }));
+        fixture.server.reset();
+        open->reply({ 200, {}, "too late" });
+        ASSERT_TRUE(fixture.runUntil([&] { return record.isDone(); }));
+        EXPECT_TRUE(record.error);
+    }
+
+    // Guards against a server that claims to listen on an address that it cannot use.
+    TEST(HttpServer, ReportsUnusableAddress)
+    {
+        HttpFixture fixture(echo);
+        HttpServerSettings settings;
+        settings.port = fixture.server->port();
+        HttpError error;
+        EXPECT_EQ(HttpServer::listen(*fixture.loop, settings, echo, &error), nullptr);
+        EXPECT_EQ(error.kind, HttpError::Kind::ListenFailed);
+        settings.address = "localhost";
+        EXPECT_EQ(HttpServer::listen(*fixture.loop, settings, echo, &error), nullptr);
+        EXPECT_EQ(error.kind, HttpError::Kind::AddressInvalid);
+    }
+
+} // namespace
+} // namespace teaselshore
