--- a/include/teaselshore/membership/configuration_distributor.hpp
+++ b/include/teaselshore/membership/configuration_distributor.hpp
@@ -72,7 +72,7 @@
     /// Number of nodes per region that watch the configuration object.
     std::size_t watchersPerRegion = 3;
     /// Number of peers told at once about a newly adopted version.
-    std::size_t pushFanout = 4;
+    std::size_t pushFanout = 5;
     /// Time between digests to a random peer.
     Duration digestPeriod = std::chrono::seconds(2);
     /// Time after which an unanswered request is given up and another peer may be asked.
--- a/include/teaselshore/membership/member.hpp
+++ b/include/teaselshore/membership/member.hpp
@@ -35,10 +35,8 @@
 };
 
 /// @brief Returns whether work may be sent to a member: it is alive or only suspected.
-inline bool isLive(const Member& member)
-{
-    return member.state == MemberState::Alive || member.state == MemberState::Suspect;
-}
+constexpr bool isLive(MemberState state) { return state == MemberState::Alive || state == MemberState::Suspect; }
+inline bool isLive(const Member& member) { return isLive(member.state); }
 
 /// @brief Probe of a member. Carries gossip.
 struct Ping {
--- /dev/null
+++ b/src/teaselshore/membership/membership_probes.cpp
@@ -0,0 +1,179 @@
+#include "membership_state.hpp"
+
+#include <cmath>
+#include <iterator>
+#include <set>
+
+namespace teaselshore {
+
+namespace {
+
+    /// Number of seeds probed at once by a node that knows no other member.
+    constexpr std::size_t joinSeeds = 3;
+    /// Number of sync delays after which lists that differ are compared although they keep changing.
+    constexpr int forcedSyncDelays = 12;
+
+} // namespace
+
+std::uint64_t Membership::Impl::sendProbe(
+    const NodeId& target, const std::string& address, bool wantsMembers, Instant now, Commands& commands)
+{
+    const std::uint64_t sequence = this->nextSequence++;
+    const Instant askOthersAt = now + this->scaled(this->settings.directTimeout);
+    const Instant failsAt = now + this->scaled(this->settings.probePeriod);
+    this->probes.emplace(sequence, Probe { target, address, askOthersAt, failsAt, false });
+    commands.emplace_back(SendPing { address,
+        Ping { sequence, this->self(), wantsMembers, this->table.digest(), this->updatesFor(target, false) } });
+    return sequence;
+}
+
+void Membership::Impl::probeNext(Instant now, Commands& commands)
+{
+    if (now < this->nextProbe || this->leaving())
+        return;
+    this->nextProbe = now + this->settings.probePeriod;
+    const std::size_t rounds = 2;
+    for (std::size_t round = 0; round < rounds; ++round) {
+        while (!this->order.empty()) {
+            const NodeId id = this->order.back();
+            this->order.pop_back();
+            const MemberTable::Record* record = this->table.find(id);
+            if (!record || !isLive(record->member))
+                continue;
+            this->sendProbe(id, record->member.address, false, now, commands);
+            return;
+        }
+        for (const Member* peer : this->table.livePeers())
+            this->order.push_back(peer->id);
+        for (std::size_t index = this->order.size(); index > 1; --index)
+            std::swap(this->order[index - 1], this->order[this->random.below(index)]);
+    }
+}
+
+std::vector<std::string> Membership::Impl::seedAddresses() const
+{
+    std::set<std::string> live;
+    std::set<std::string> addresses;
+    for (const auto& [id, record] : this->table.all()) {
+        if (isLive(record.member) || id == this->self().id)
+            live.insert(record.member.address);
+    }
+    // Leaving hosts are only worth a probe to a node that knows nobody else.
+    for (const ListedHost& host : this->hosts) {
+        if (!host.leaving || this->table.liveCount() <= 1)
+            addresses.insert(host.address);
+    }
+    // Dead members may be behind a partition, and the host list may be unavailable meanwhile.
+    for (const auto& [id, record] : this->table.all()) {
+        if (record.member.state == MemberState::Dead && !record.member.address.empty())
+            addresses.insert(record.member.address);
+    }
+    std::vector<std::string> seeds;
+    std::set_difference(addresses.begin(), addresses.end(), live.begin(), live.end(), std::back_inserter(seeds));
+    return seeds;
+}
+
+void Membership::Impl::probeSeeds(Instant now, Commands& commands)
+{
+    if (now < this->nextSeed || this->leaving())
+        return;
+    const bool alone = this->table.liveCount() <= 1;
+    this->nextSeed = now + (alone ? this->settings.probePeriod : this->settings.seedPeriod);
+    this->table.forgetOld(now, this->settings.deadRetention, this->settings.leftRetention);
+
+    std::vector<std::string> seeds = this->seedAddresses();
+    for (std::size_t sent = 0; sent < (alone ? joinSeeds : 1) && !seeds.empty(); ++sent) {
+        const auto index = this->random.below(seeds.size());
+        this->sendProbe({}, seeds[index], alone, now, commands);
+        seeds[index] = std::move(seeds.back());
+        seeds.pop_back();
+    }
+}
+
+std::vector<const Member*> Membership::Impl::choosePeers(std::size_t count, const NodeId& except)
+{
+    std::vector<const Member*> peers = this->table.livePeers();
+    std::erase_if(peers, [&](const Member* peer) { return peer->id == except; });
+    const std::size_t chosen = std::min(count, peers.size());
+    for (std::size_t index = 0; index < chosen; ++index)
+        std::swap(peers[index], peers[index + this->random.below(peers.size() - index)]);
+    peers.resize(chosen);
+    return peers;
+}
+
+void Membership::Impl::askOthers(std::uint64_t sequence, Probe& probe, Commands& commands)
+{
+    probe.askedOthers = true;
+    if (probe.target.empty())
+        return;
+    for (const Member* peer : this->choosePeers(this->settings.indirectProbes, probe.target)) {
+        commands.emplace_back(SendPingRequest { peer->address,
+            PingRequest { sequence, this->self(), probe.target, probe.address, this->updatesFor(peer->id, false) } });
+    }
+}
+
+void Membership::Impl::checkProbes(Instant now, Commands& commands)
+{
+    std::vector<std::uint64_t> sequences;
+    for (const auto& [sequence, probe] : this->probes) {
+        if (now >= (probe.askedOthers ? probe.failsAt : probe.askOthersAt))
+            sequences.push_back(sequence);
+    }
+    std::sort(sequences.begin(), sequences.end());
+    for (const std::uint64_t sequence : sequences) {
+        Probe& probe = this->probes.at(sequence);
+        if (!probe.askedOthers) {
+            this->askOthers(sequence, probe, commands);
+            continue;
+        }
+        const NodeId target = probe.target;
+        this->probes.erase(sequence);
+        const MemberTable::Record* record = this->table.find(target);
+        if (!record || record->member.state != MemberState::Alive)
+            continue;
+        this->raiseHealthScore();
+        this->apply(this->table.suspect(target, now, this->suspicionTimeout()), target, commands);
+    }
+    std::erase_if(this->relays, [&](const auto& entry) { return entry.second.expiresAt <= now; });
+}
+
+void Membership::Impl::sendGossip(std::size_t receivers, Commands& commands)
+{
+    for (const Member* peer : this->choosePeers(receivers, {})) {
+        if (this->gossip.empty())
+            return;
+        commands.emplace_back(SendPing {
+            peer->address, Ping { 0, this->self(), false, this->table.digest(), this->updatesFor(peer->id, false) } });
+    }
+}
+
+bool Membership::Impl::mayFetchList(Instant now) const
+{
+    const bool recent = this->lastSync && now - *this->lastSync < 2 * this->settings.syncDelay;
+    return !this->leaving() && !recent;
+}
+
+void Membership::Impl::compareDigest(const Member& peer, Fingerprint digest, Instant now, Commands& commands)
+{
+    if (digest == this->table.digest()) {
+        this->differsSince.reset();
+        return;
+    }
+    if (!this->differsSince)
+        this->differsSince = now;
+    const Duration delay = this->settings.syncDelay;
+    const bool settled = now - this->table.digestChangedAt() >= delay;
+    const bool forced = now - *this->differsSince >= forcedSyncDelays * delay;
+    if (!isLive(peer) || !this->mayFetchList(now) || !(settled || forced || this->outdated))
+        return;
+    this->fetchList(peer, now, commands);
+}
+
+void Membership::Impl::fetchList(const Member& peer, Instant now, Commands& commands)
+{
+    this->lastSync = now;
+    this->differsSince.reset();
+    this->sendProbe({}, peer.address, true, now, commands);
+}
+
+} // namespace teaselshore
