--- a/include/teaselshore/reliability/concurrency_limit.hpp
+++ b/include/teaselshore/reliability/concurrency_limit.hpp
@@ -16,7 +16,8 @@
     double decrease = 0.8;
     /// Minimum time between two decreases, so that the requests of one overload count once.
     Duration decreaseInterval = std::chrono::milliseconds(500);
-    /// Relative rise of the baseline per second, so that it follows an upstream that became slower for good.
+    /// Relative rise of the baseline per second between requests that may raise it, so that it follows an upstream that
+    /// became slower for good.
     double baselineRise = 0.01;
 
     auto operator<=>(const ConcurrencyLimitSettings&) const = default;
@@ -24,7 +25,8 @@
 
 /// @brief Adaptive limit of concurrent requests to one upstream: additive increase, multiplicative decrease.
 ///
-/// The baseline is the lowest latency seen, raised slowly. The limit grows only while it is in use. Not thread-safe.
+/// The baseline is the lowest latency seen; it rises slowly while the upstream is little used or at the minimum limit.
+/// The limit grows only while it is in use. Not thread-safe.
 class ConcurrencyLimit {
 public:
     explicit ConcurrencyLimit(ConcurrencyLimitSettings settings = {});
@@ -44,7 +46,7 @@
 
 private:
     void decreaseLimit(Instant now);
-    void updateBaseline(double latency, Instant now);
+    void updateBaseline(double latency, bool mayRise, Instant now);
 
     ConcurrencyLimitSettings settings;
     double current;
--- a/include/teaselshore/reliability/crash_suspects.hpp
+++ b/include/teaselshore/reliability/crash_suspects.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <list>
 #include <map>
 #include <optional>
 #include <string_view>
@@ -59,6 +58,8 @@
     Crash,
     /// The lone retry of the request started.
     RetryStarted,
+    /// The lone retry ended without having run to its end or crashed its upstream, and may start again.
+    RetryReturned,
     /// The request completed alone and is no suspect any more.
     Cleared,
     /// The upstream died for a reason outside its requests; all crashes on it are void. Fingerprint is 0.
@@ -98,8 +99,8 @@
     /// @brief Takes the only lone retry. Precondition: verdict() is RetryAlone.
     std::vector<SuspectReport> onRetryStarted(Fingerprint request, Instant now);
 
-    /// @brief Returns the retry that was never sent or was refused before it ran.
-    void onRetryNotRun(Fingerprint request, Instant now);
+    /// @brief Gives the lone retry back: it was never sent, was refused, or was cancelled before its end.
+    std::vector<SuspectReport> onRetryReturned(Fingerprint request, Instant now);
 
     /// @brief Clears a suspect whose lone retry finished.
     std::vector<SuspectReport> clear(Fingerprint request, Instant now);
@@ -127,26 +128,36 @@
         std::optional<Instant> retryStarted;
         std::optional<Instant> clearedAt;
         Instant changedAt {};
+
+        bool isVoid() const { return this->crashes.empty() && !this->retryStarted && !this->clearedAt; }
     };
-    struct ZoneDeath {
+    struct Death {
         UpstreamId upstream;
         Instant at;
     };
+    struct Zone {
+        std::vector<Death> deaths;
+        std::size_t upstreams = 0;
+    };
 
+    bool isRejected(const Suspect& suspect) const { return suspect.crashes.size() >= 2; }
+    bool isKnownSuspect(Fingerprint request) const;
+    bool isExcused(const UpstreamId& upstream, Instant at) const;
+    bool isZoneLost(const Zone& zone, Instant at) const;
     Suspect& suspectOf(Fingerprint request, Instant now);
     void addCrash(Fingerprint request, const Crash& crash, Instant now);
+    void addDeath(Zone& zone, const UpstreamId& upstream, Instant at) const;
+    void excuse(const UpstreamId& upstream, Instant at);
+    std::vector<SuspectReport> excuseLostZone(const AvailabilityZone& name, Instant at, Instant now);
+    void applyReport(const SuspectReport& report, Instant now);
     void applyCleared(Fingerprint request, Instant at, Instant now);
-    void voidCrashes(const UpstreamId& upstream, Instant from, Instant now);
-    bool isZoneLost(const AvailabilityZone& zone, std::size_t upstreamsInZone, Instant at);
-    void recordDeath(const AvailabilityZone& zone, const UpstreamId& upstream, Instant at);
-    std::vector<SuspectReport> excuseZone(const AvailabilityZone& zone, Instant now);
-    bool isKnownSuspect(Fingerprint request) const;
-    void shrink(Instant now);
+    void evict();
 
     CrashSuspectsSettings settings;
     std::unordered_map<Fingerprint, Suspect> suspects;
-    std::map<AvailabilityZone, std::vector<ZoneDeath>> deaths;
-    std::map<AvailabilityZone, std::size_t> zoneSizes;
+    std::map<AvailabilityZone, Zone> zones;
+    /// Upstreams whose death has another cause, with the time of the death or of the notice.
+    std::map<UpstreamId, Instant> excused;
 };
 
 } // namespace teaselshore
