--- a/include/teaselshore/daemon/request_relay.hpp
+++ b/include/teaselshore/daemon/request_relay.hpp
@@ -52,6 +52,7 @@
 
     void execute(StartAttempt command);
     void execute(const CancelAttempt& command);
+    void execute(const InterruptAttempt& command);
     void execute(Respond command);
     void execute(const FailStream& command);
 
--- a/include/teaselshore/node/event_stream_buffer.hpp
+++ b/include/teaselshore/node/event_stream_buffer.hpp
@@ -15,7 +15,7 @@
     /// @brief Takes bytes as they arrive and returns the longest run of complete events.
     std::string takeComplete(std::string_view bytes);
 
-    /// @brief Number of complete events with data, without the final "[DONE]".
+    /// @brief Number of complete events with an id; each is one token. Events without id carry no part of the text.
     std::uint64_t events() const { return this->eventCount; }
 
     /// @brief True once the final "data: [DONE]" event was complete.
--- /dev/null
+++ b/include/teaselshore/node/node_settings.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "teaselshore/base/time.hpp"
+#include "teaselshore/journal/slot_owner.hpp"
+#include "teaselshore/membership/configuration_distributor.hpp"
+#include "teaselshore/membership/membership.hpp"
+#include "teaselshore/reliability/backoff.hpp"
+#include "teaselshore/reliability/crash_suspects.hpp"
+#include "teaselshore/reliability/retry_budget.hpp"
+#include "teaselshore/routing/admission_controller.hpp"
+#include "teaselshore/routing/router.hpp"
+
+namespace teaselshore {
+
+/// @brief Settings of all decisions of one node.
+struct NodeSettings {
+    /// This process; its id must be new for each start.
+    Member self;
+    /// Name of the host in the platform's notices.
+    std::string hostName;
+    std::uint64_t seed = 1;
+
+    RouterSettings router;
+    AdmissionSettings admission;
+    RetryBudgetSettings retryBudget;
+    BackoffSettings retryBackoff;
+    CrashSuspectsSettings crashSuspects;
+    SlotOwnerSettings slotOwner;
+    MembershipSettings membership;
+    DistributorSettings distributor;
+
+    Duration connectTimeout = std::chrono::milliseconds(500);
+    Duration idleTimeout = std::chrono::seconds(30);
+    /// Attempts of one request that can be repeated.
+    std::uint32_t maxAttempts = 4;
+    /// Output tokens expected of a request that gives no limit.
+    std::uint32_t defaultOutputTokens = 256;
+    Duration hostListPeriod = std::chrono::seconds(2);
+    Duration noticePeriod = std::chrono::milliseconds(500);
+    /// Time between two load queries of an upstream that this node uses.
+    Duration loadPeriod = std::chrono::milliseconds(500);
+    /// Load queries that may start per tick, so that the cost does not grow with the number of upstreams.
+    std::size_t loadQueriesPerTick = 8;
+    /// Attempts still running this long before their upstream leaves are moved to another one.
+    Duration moveBeforeLeave = std::chrono::seconds(2);
+    /// Time between failing the readiness check and refusing new requests at a planned stop.
+    Duration balancerDelay = std::chrono::seconds(2);
+    /// Longest time for open requests to finish at a planned stop.
+    Duration drainTimeout = std::chrono::seconds(20);
+};
+
+} // namespace teaselshore
--- a/include/teaselshore/node/request_command.hpp
+++ b/include/teaselshore/node/request_command.hpp
@@ -38,6 +38,13 @@
     auto operator<=>(const CancelAttempt&) const = default;
 };
 
+/// @brief Ends an attempt early and reports it as AttemptFailed, so that the request can go on elsewhere.
+struct InterruptAttempt {
+    AttemptId attempt = 0;
+
+    auto operator<=>(const InterruptAttempt&) const = default;
+};
+
 /// @brief Complete response to a caller.
 struct Respond {
     RequestId request;
--- a/src/teaselshore/daemon/request_relay.cpp
+++ b/src/teaselshore/daemon/request_relay.cpp
@@ -60,10 +60,11 @@
 } // namespace
 
 struct RequestRelay::Impl : std::enable_shared_from_this<RequestRelay::Impl> {
-    Impl(EventLoop& loop, Settings settings, std::function<void(RelayEvent)> emit)
-        : settings(settings)
+    Impl(EventLoop& eventLoop, Settings settings, std::function<void(RelayEvent)> emit)
+        : loop(eventLoop)
+        , settings(settings)
         , emit(std::move(emit))
-        , client(HttpClient::create(loop))
+        , client(HttpClient::create(eventLoop))
     {
     }
 
@@ -80,6 +81,7 @@
     std::uint64_t relayedEvents(const RequestId& request);
     void callerGone(const RequestId& request);
 
+    EventLoop& loop;
     Settings settings;
     std::function<void(RelayEvent)> emit;
     std::unique_ptr<HttpClient> client;
@@ -117,6 +119,20 @@
     this->impl->attempts.erase(found);
 }
 
+void RequestRelay::execute(const InterruptAttempt& command)
+{
+    const auto found = this->impl->attempts.find(command.attempt);
+    if (found == this->impl->attempts.end())
+        return;
+    this->impl->client->cancel(found->second.call);
+    // The event is posted, because the owner is still inside the decision that asked for the interruption.
+    const std::weak_ptr<Impl> weak = this->impl;
+    this->impl->loop.post([weak, id = command.attempt] {
+        if (const auto self = weak.lock())
+            self->fail(id, true, false, "interrupted");
+    });
+}
+
 void RequestRelay::execute(Respond command)
 {
     const auto found = this->impl->callers.find(command.request);
--- /dev/null
+++ b/src/teaselshore/node/cluster_events.cpp
@@ -0,0 +1,170 @@
+#include "cluster_events.hpp"
+
+#include <utility>
+
+#include "teaselshore/base/assert.hpp"
+#include "teaselshore/configuration/parse.hpp"
+
+namespace teaselshore {
+
+namespace {
+
+    /// Nodes that do not watch the configuration read the host list this many times less often.
+    constexpr int relaxedHostListFactor = 15;
+
+    template <typename... Handlers> struct Overloaded : Handlers... {
+        using Handlers::operator()...;
+    };
+    template <typename... Handlers> Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+} // namespace
+
+ClusterEvents::ClusterEvents(NodeState& state, DurableRequests& durable)
+    : state(state)
+    , durable(durable)
+{
+}
+
+void ClusterEvents::onMembershipMessage(const MembershipMessage& message, Instant now)
+{
+    Membership& membership = this->state.membership;
+    const auto commands
+        = std::visit(Overloaded { [&](const Ping& ping) { return membership.onPing(ping, now); },
+                         [&](const PingRequest& request) { return membership.onPingRequest(request, now); },
+                         [&](const Ack& ack) { return membership.onAck(ack, now); } },
+            message);
+    this->execute(commands, now);
+}
+
+void ClusterEvents::onConfigurationMessage(const std::string& sender, const ConfigurationMessage& message, Instant now)
+{
+    ConfigurationDistributor& distributor = this->state.distributor;
+    const auto commands = std::visit(
+        Overloaded { [&](const ConfigurationDigest& digest) { return distributor.onDigest(sender, digest, now); },
+            [&](const ConfigurationRequest& request) { return distributor.onRequest(sender, request, now); },
+            [&](const ConfigurationText& text) { return distributor.onText(sender, text, now); } },
+        message);
+    this->execute(commands, now);
+}
+
+void ClusterEvents::onConfigurationRead(ConfigurationRead read, Instant now)
+{
+    this->execute(this->state.distributor.onLocalVersion(read.version, std::move(read.text), now), now);
+}
+
+void ClusterEvents::onHostList(const HostListRead& read, Instant now)
+{
+    this->execute(this->state.membership.onHostList(read.entryHosts, now), now);
+    if (!read.upstreams.entries.empty())
+        this->state.router.onHostList(read.upstreams, now);
+}
+
+void ClusterEvents::onTick(Instant now)
+{
+    this->execute(this->state.membership.onTick(now), now);
+    this->execute(this->state.distributor.onTick(now), now);
+    this->pollPlatform(now);
+}
+
+void ClusterEvents::leave(Instant now) { this->execute(this->state.membership.onLeave(now), now); }
+
+void ClusterEvents::pollPlatform(Instant now)
+{
+    const bool watch = this->state.distributor.shouldWatch();
+    if (watch != this->watching) {
+        this->watching = watch;
+        this->state.commands.emplace_back(WatchConfiguration { watch });
+    }
+    if (now >= this->nextHostList) {
+        const Duration period = this->state.settings.hostListPeriod;
+        this->nextHostList = now + (watch ? period : period * relaxedHostListFactor);
+        this->state.commands.emplace_back(ReadHostList {});
+    }
+    if (watch && now >= this->nextNotices) {
+        this->nextNotices = now + this->state.settings.noticePeriod;
+        this->state.commands.emplace_back(ReadNotices {});
+    }
+}
+
+void ClusterEvents::execute(const std::vector<MembershipCommand>& commands, Instant now)
+{
+    for (const MembershipCommand& command : commands) {
+        std::visit(
+            Overloaded {
+                [&](const SendPing& send) {
+                    this->state.commands.emplace_back(SendToPeer { send.address, MembershipMessage { send.ping } });
+                },
+                [&](const SendPingRequest& send) {
+                    this->state.commands.emplace_back(SendToPeer { send.address, MembershipMessage { send.request } });
+                },
+                [&](const SendAck& send) {
+                    this->state.commands.emplace_back(SendToPeer { send.address, MembershipMessage { send.ack } });
+                },
+                [&](const MemberChanged& change) { this->onMemberChanged(change, now); } },
+            command);
+    }
+}
+
+void ClusterEvents::onMemberChanged(const MemberChanged& change, Instant now)
+{
+    const bool live = isLive(change.member);
+    const bool wasLive = change.previous == MemberState::Alive || change.previous == MemberState::Suspect;
+    this->state.distributor.onMembers(this->state.membership.members());
+    if (live == wasLive && change.previous)
+        return;
+
+    this->state.log(LogLevel::Info, live ? "member joined" : "member left",
+        { { "member", change.member.id.value() }, { "address", change.member.address } });
+    if (!live) {
+        this->durable.handle(MemberDead { change.member.id }, now);
+        return;
+    }
+    this->durable.handle(MemberAlive { change.member.id }, now);
+    SuspectReports reports { this->state.suspects.reports(now) };
+    if (!reports.reports.empty())
+        this->state.commands.emplace_back(SendToPeer { change.member.address, RequestMessage { std::move(reports) } });
+}
+
+void ClusterEvents::execute(const std::vector<ConfigurationCommand>& commands, Instant now)
+{
+    for (const ConfigurationCommand& command : commands) {
+        std::visit(
+            Overloaded { [&](const SendDigest& send) {
+                            this->state.commands.emplace_back(
+                                SendToPeer { send.address, ConfigurationMessage { send.digest } });
+                        },
+                [&](const RequestConfiguration& send) {
+                    this->state.commands.emplace_back(
+                        SendToPeer { send.address, ConfigurationMessage { send.request } });
+                },
+                [&](const SendConfiguration& send) {
+                    this->state.commands.emplace_back(SendToPeer { send.address, ConfigurationMessage { send.text } });
+                },
+                [&](const AdoptConfiguration& adopted) { this->adopt(adopted, now); },
+                [&](const ReportInvalid& report) {
+                    this->state.configurationProblem = report.reason;
+                    this->state.log(LogLevel::Error, "configuration refused; the last valid one stays in effect",
+                        { { "version", std::to_string(report.version) }, { "reason", report.reason } });
+                } },
+            command);
+    }
+}
+
+void ClusterEvents::adopt(const AdoptConfiguration& adopted, Instant now)
+{
+    std::vector<ConfigurationProblem> problems;
+    auto parsed = parseConfiguration(adopted.text, problems);
+    TEASELSHORE_ASSERT(parsed.has_value(), "the distributor adopted a configuration that is not valid");
+    TEASELSHORE_ASSERT(
+        adopted.version > this->state.configurationVersion, "a configuration may only be replaced by a newer one");
+    this->state.configuration = std::make_shared<const Configuration>(std::move(*parsed));
+    this->state.configurationVersion = adopted.version;
+    this->state.configurationProblem.clear();
+    this->state.router.onConfiguration(*this->state.configuration, now);
+    this->state.admission.onConfiguration(*this->state.configuration, now);
+    this->state.refreshCapacity(now);
+    this->state.log(LogLevel::Info, "configuration in effect",
+        { { "version", std::to_string(adopted.version) }, { "note", this->state.configuration->revisionNote } });
+}
+
+} // namespace teaselshore
--- a/src/teaselshore/node/event_stream_buffer.cpp
+++ b/src/teaselshore/node/event_stream_buffer.cpp
@@ -38,7 +38,7 @@
             this->sawDone = true;
             continue;
         }
-        if (event.starts_with("data:") || event.find("\ndata:") != std::string_view::npos)
+        if (event.starts_with("id:") || event.find("\nid:") != std::string_view::npos)
             ++this->eventCount;
     }
 }
--- /dev/null
+++ b/src/teaselshore/node/node_state.cpp
@@ -0,0 +1,145 @@
+#include "node_state.hpp"
+
+#include <utility>
+
+#include "teaselshore/configuration/parse.hpp"
+
+namespace teaselshore {
+
+namespace {
+
+    constexpr std::size_t traceDigits = 32;
+    constexpr std::size_t spanDigits = 16;
+
+    std::optional<std::string> configurationFault(std::string_view text)
+    {
+        std::vector<ConfigurationProblem> problems;
+        if (parseConfiguration(text, problems))
+            return std::nullopt;
+        return problems.empty() ? "the text is not valid" : describe(problems.front());
+    }
+
+    std::string_view outcomeName(AttemptOutcome outcome)
+    {
+        switch (outcome) {
+        case AttemptOutcome::Completed:
+            return "completed";
+        case AttemptOutcome::Failed:
+            return "failed";
+        case AttemptOutcome::Refused:
+            return "refused";
+        case AttemptOutcome::TimedOut:
+            return "timed out";
+        case AttemptOutcome::Cancelled:
+            return "cancelled";
+        }
+        return "unknown";
+    }
+
+} // namespace
+
+NodeState::NodeState(NodeSettings nodeSettings)
+    : settings(std::move(nodeSettings))
+    , random(settings.seed)
+    , router(settings.router)
+    , admission(settings.admission)
+    , suspects(settings.crashSuspects)
+    , poller(settings.loadPeriod, settings.loadQueriesPerTick)
+    , membership(settings.self, settings.membership, RandomSource(settings.seed + 1))
+    , distributor(settings.self, settings.distributor, configurationFault, RandomSource(settings.seed + 2))
+{
+}
+
+TraceContext NodeState::childOf(const std::optional<TraceContext>& parent)
+{
+    const TraceId trace = parent ? parent->trace : TraceId(this->random.hex(traceDigits));
+    return { trace, this->random.hex(spanDigits) };
+}
+
+void NodeState::broadcast(const RequestMessage& message)
+{
+    for (const Member& member : this->membership.liveMembers()) {
+        if (member.id == this->settings.self.id)
+            continue;
+        this->commands.emplace_back(SendToPeer { member.address, message });
+    }
+}
+
+void NodeState::broadcastSuspects(std::vector<SuspectReport> reports)
+{
+    if (!reports.empty())
+        this->broadcast(SuspectReports { std::move(reports) });
+}
+
+AttemptId NodeState::startAttempt(
+    const RoutingRequest& routing, const RoutingDecision& decision, Outgoing outgoing, Instant now)
+{
+    RunningAttempt& attempt = outgoing.attempt;
+    attempt.dispatch = this->router.onDispatched(routing, decision, now);
+    attempt.service = routing.service;
+    attempt.latencyClass = routing.latencyClass;
+    attempt.alone = routing.alone;
+    attempt.upstream = decision.chosen.upstream;
+    attempt.version = decision.version;
+    attempt.zone = decision.zone;
+    attempt.startedAt = now;
+
+    StartAttempt& start = outgoing.start;
+    start.request = attempt.request;
+    start.upstream = decision.chosen.upstream;
+    start.authority = decision.address;
+    start.connectTimeout = this->settings.connectTimeout;
+    start.idleTimeout = this->settings.idleTimeout;
+    start.headers.emplace_back("x-request-id", attempt.request.value());
+    start.headers.emplace_back("traceparent", attempt.trace.traceparent());
+    const AttemptId id = this->attempts.add(std::move(attempt));
+    start.attempt = id;
+    start.headers.emplace_back("x-attempt", std::to_string(id));
+    ++this->statistics.attempts;
+    this->decisions.add(start.request, decision);
+    this->poller.onUsed(start.upstream, start.authority, now);
+    this->commands.emplace_back(std::move(start));
+    return id;
+}
+
+void NodeState::endAttempt(
+    const RunningAttempt& attempt, AttemptOutcome outcome, std::uint32_t outputTokens, Instant now)
+{
+    this->router.onFinished(attempt.dispatch, outcome, outputTokens, now);
+    if (attempt.alone && outcome == AttemptOutcome::Completed)
+        this->broadcastSuspects(this->suspects.clear(attempt.suspect, now));
+    else if (attempt.alone && outcome != AttemptOutcome::Failed)
+        this->broadcastSuspects(this->suspects.onRetryReturned(attempt.suspect, now));
+    this->commands.emplace_back(SpanRecord { attempt.trace.trace, attempt.trace.span, attempt.parentSpan, "attempt",
+        attempt.startedAt, now - attempt.startedAt,
+        { { "upstream", attempt.upstream.value() }, { "version", attempt.version.value() },
+            { "zone", attempt.zone.value() }, { "outcome", std::string(outcomeName(outcome)) },
+            { "request", attempt.request.value() } } });
+}
+
+void NodeState::release(const RequestId& request, Instant now)
+{
+    this->admissionChanges.push_back(this->admission.onReleased(request, now));
+}
+
+void NodeState::refreshCapacity(Instant now)
+{
+    if (!this->configuration)
+        return;
+    for (const ServiceConfiguration& service : this->configuration->services) {
+        const std::uint32_t capacity = this->router.capacity(service.name);
+        this->admissionChanges.push_back(this->admission.onCapacity(service.name, capacity, now));
+    }
+}
+
+RetryBudget& NodeState::retryBudget(const ServiceName& service)
+{
+    return this->retryBudgets.try_emplace(service, this->settings.retryBudget).first->second;
+}
+
+void NodeState::log(LogLevel level, std::string message, std::vector<std::pair<std::string, std::string>> fields)
+{
+    this->commands.emplace_back(LogEvent { level, std::move(message), std::move(fields) });
+}
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/node/node_state.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "teaselshore/base/random.hpp"
+#include "teaselshore/configuration/configuration.hpp"
+#include "teaselshore/membership/configuration_distributor.hpp"
+#include "teaselshore/membership/membership.hpp"
+#include "teaselshore/node/attempt_table.hpp"
+#include "teaselshore/node/classified_request.hpp"
+#include "teaselshore/node/decision_log.hpp"
+#include "teaselshore/node/node_command.hpp"
+#include "teaselshore/node/node_settings.hpp"
+#include "teaselshore/node/node_statistics.hpp"
+#include "teaselshore/reliability/crash_suspects.hpp"
+#include "teaselshore/reliability/retry_budget.hpp"
+#include "teaselshore/routing/admission_controller.hpp"
+#include "teaselshore/routing/router.hpp"
+#include "upstream_poller.hpp"
+
+namespace teaselshore {
+
+/// @brief State that the parts of a Node share, and the commands of the event that is being handled.
+struct NodeState {
+    explicit NodeState(NodeSettings nodeSettings);
+
+    /// @brief Starts a child span of a trace, or a new trace if there is none.
+    TraceContext childOf(const std::optional<TraceContext>& parent);
+
+    /// @brief Sends a message to every live peer.
+    void broadcast(const RequestMessage& message);
+
+    /// @brief Tells all peers about crash suspects, if there is anything to tell.
+    void broadcastSuspects(std::vector<SuspectReport> reports);
+
+    /// @brief Attempt that is about to be sent; startAttempt() fills in what follows from the decision.
+    struct Outgoing {
+        RunningAttempt attempt;
+        StartAttempt start;
+    };
+
+    /// @brief Registers an attempt and sends it to the chosen upstream.
+    AttemptId startAttempt(
+        const RoutingRequest& routing, const RoutingDecision& decision, Outgoing outgoing, Instant now);
+
+    /// @brief Reports the end of an attempt to router and traces. Precondition: it was taken out of the table.
+    void endAttempt(const RunningAttempt& attempt, AttemptOutcome outcome, std::uint32_t outputTokens, Instant now);
+
+    /// @brief Frees the admission place of a request, if it has one; see admissionChanges.
+    void release(const RequestId& request, Instant now);
+
+    /// @brief Tells admission how many requests each service can run at the same time.
+    void refreshCapacity(Instant now);
+
+    RetryBudget& retryBudget(const ServiceName& service);
+
+    void log(LogLevel level, std::string message, std::vector<std::pair<std::string, std::string>> fields = {});
+
+    NodeSettings settings;
+    RandomSource random;
+    std::shared_ptr<const Configuration> configuration;
+    ConfigurationVersion configurationVersion = 0;
+    /// Why the newest configuration was refused; empty if it was accepted.
+    std::string configurationProblem;
+    Router router;
+    AdmissionController admission;
+    CrashSuspects suspects;
+    AttemptTable attempts;
+    Membership membership;
+    ConfigurationDistributor distributor;
+    DecisionLog decisions;
+    UpstreamPoller poller;
+    NodeStatistics statistics;
+    NodeCommands commands;
+    /// Changes of admission that the node still has to pass to the requests.
+    std::vector<AdmissionChanges> admissionChanges;
+    /// Running requests that have to make room for more urgent ones.
+    std::vector<RequestId> preemptions;
+
+private:
+    std::map<ServiceName, RetryBudget> retryBudgets;
+};
+
+} // namespace teaselshore
