--- /dev/null
+++ b/include/teaselshore/journal/journal_reader.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "teaselshore/base/time.hpp"
+#include "teaselshore/journal/object_api.hpp"
+#include "teaselshore/journal/record.hpp"
+#include "teaselshore/journal/write_pacer.hpp"
+
+namespace teaselshore {
+
+/// @brief What a JournalReader does with the journal.
+enum class ReadMode {
+    /// Seals the journal, then reads it: its owner is dead or suspected.
+    SealAndRead,
+    /// Reads the journal of an owner that has stopped writing about the wanted slots.
+    Read,
+    /// Only seals the journal.
+    Seal,
+};
+
+/// @brief Seals and reads the journal of another instance.
+///
+/// The seal is the batch after the last one. Once it exists, no append of the old owner can succeed, so the batches
+/// that were listed before it are complete. Pure and not thread-safe.
+class JournalReader {
+public:
+    JournalReader(OwnerInstance source, std::string writerId, ReadMode mode);
+
+    /// @brief Returns the calls that can start now.
+    std::vector<ObjectCommand> poll(Instant now, ObjectCallIds& ids, WritePacer& pacer);
+
+    bool awaits(ObjectCallId id) const { return this->calls.contains(id); }
+
+    /// @brief Handles the result of a call. Precondition: awaits(result.id).
+    void onResult(const ObjectResult& result, Instant now);
+
+    bool done() const { return this->phase == Phase::Done; }
+
+    /// @brief Returns the batches by number. Precondition: done().
+    const std::map<std::uint64_t, Batch>& batches() const { return this->found; }
+
+    const OwnerInstance& source() const { return this->journal; }
+
+private:
+    enum class Phase {
+        List,
+        ReadLast,
+        Seal,
+        Read,
+        Done,
+    };
+
+    void onList(const ObjectResult& result, Instant now);
+    void onLast(const ObjectResult& result, Instant now);
+    void onSeal(const ObjectResult& result, Instant now);
+    void onBatch(std::uint64_t number, const ObjectResult& result, Instant now);
+    void startReading();
+    void finishIfRead();
+    void retry(Phase next, Instant now);
+
+    OwnerInstance journal;
+    std::string writer;
+    ReadMode mode;
+    Phase phase = Phase::List;
+    /// Calls in flight and the batch that each one reads; 0 for calls of other phases.
+    std::map<ObjectCallId, std::uint64_t> calls;
+    std::vector<std::uint64_t> listed;
+    std::vector<std::uint64_t> unread;
+    std::map<std::uint64_t, Batch> found;
+    bool sealed = false;
+    bool restart = false;
+    Instant retryAt {};
+    Duration backoff {};
+};
+
+} // namespace teaselshore
--- a/include/teaselshore/journal/journal_writer.hpp
+++ b/include/teaselshore/journal/journal_writer.hpp
@@ -43,8 +43,8 @@
     /// @brief Continues a journal that was handed over.
     JournalWriter(const HandOver& handOver, std::string writerId);
 
-    /// @brief Queues a group. Precondition: it fits into one batch, see fitsBatch().
-    AppendTicket append(const RecordGroup& group);
+    /// @brief Queues a group as encoded by encodeGroup(). Preconditions: fitsBatch(size of the group), not lost.
+    AppendTicket append(std::string group);
 
     /// @brief Removes a queued group; false if it is in a batch that may have been applied, or is durable.
     bool withdraw(AppendTicket ticket);
@@ -76,6 +76,12 @@
     /// @brief Time since when the append in flight has had no answer.
     std::optional<Instant> waitingSince() const;
 
+    /// @brief Returns when poll() can next start a call; nothing if it waits for a result or has nothing to do.
+    std::optional<Instant> wakeAt(const WritePacer& pacer) const;
+
+    /// @brief Size of the groups that are not in a batch yet, in bytes.
+    std::size_t queuedBytes() const { return this->queuedSize; }
+
     const OwnerInstance& instance() const { return this->journal; }
 
     /// @brief Returns position and open groups for a peer.
@@ -108,6 +114,7 @@
     Phase phase = Phase::Idle;
     std::optional<ObjectCallId> call;
     std::deque<QueuedGroup> queue;
+    std::size_t queuedSize = 0;
     /// Groups of the open batch; they keep their content while the batch may have been applied.
     std::vector<QueuedGroup> open;
     std::string openBytes;
--- a/include/teaselshore/journal/key_ledger.hpp
+++ b/include/teaselshore/journal/key_ledger.hpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -87,9 +88,8 @@
     /// @brief Applies a durable record of a journal that is being read; the records must come in journal order.
     void replay(const JournalRecord& record, Instant now);
 
-    /// @brief Returns groups that rebuild the entries of the slot through replay(); entries that are not durable
-    /// yet are included only with uncommitted set.
-    std::vector<RecordGroup> snapshot(Slot slot, bool uncommitted) const;
+    /// @brief Returns groups that rebuild the durable entries of the slot through replay().
+    std::vector<RecordGroup> snapshot(Slot slot) const;
 
     /// @brief Returns the keys of one slot.
     std::vector<KeyId> keysOf(Slot slot) const;
@@ -100,6 +100,14 @@
     std::size_t size() const { return this->entries.size(); }
 
 private:
+    void apply(const Accepted& record, Instant now);
+    void apply(const Dispatching& record, Instant now);
+    void apply(const Finished& record, Instant now);
+    void apply(const NotRun& record, Instant now);
+    void apply(const OutcomeUnknown& record, Instant now);
+    void apply(const SlotsTaken& record, Instant now);
+    KeyEntry& settledEntry(const KeyId& key, const RequestId& request);
+
     struct Settled {
         Instant at;
         std::uint64_t number = 0;
@@ -108,7 +116,8 @@
 
     std::map<KeyId, KeyEntry> entries;
     std::unordered_map<RequestId, KeyId> byRequest;
-    std::unordered_map<Slot, std::map<KeyId, bool>> bySlot;
+    std::unordered_map<Slot, std::set<KeyId>> bySlot;
+    std::unordered_map<Slot, std::uint64_t> epochs;
     std::deque<Settled> settled;
     std::size_t settledCount = 0;
     std::uint64_t settleNumber = 0;
--- a/include/teaselshore/journal/record.hpp
+++ b/include/teaselshore/journal/record.hpp
@@ -81,11 +81,11 @@
 };
 
 /// @brief The request was never sent, or was refused by an upstream that guarantees that it did not start.
+///
+/// An Accepted record after it, in the same group, makes the request run again.
 struct NotRun {
     RequestId request;
     KeyId key;
-    /// True if the request stays accepted and is tried again.
-    bool keepAccepted = false;
 
     auto operator<=>(const NotRun&) const = default;
 };
--- a/include/teaselshore/journal/slot_owner.hpp
+++ b/include/teaselshore/journal/slot_owner.hpp
@@ -36,7 +36,9 @@
     std::size_t storedBodyLimit = 500'000;
     /// Slots that one owner gives up at once when members join.
     std::size_t movesAtOnce = 64;
-    /// Time for which the seal of a journal that no slot refers to is kept.
+    /// Time between two searches for journals that no slot refers to.
+    Duration sweepInterval = std::chrono::minutes(10);
+    /// Time for which a journal that no slot refers to is kept. A process that was paused for half of it gives up.
     Duration sealRetention = std::chrono::hours(24);
 };
 
--- /dev/null
+++ b/src/teaselshore/journal/batch_cleaner.cpp
@@ -0,0 +1,49 @@
+#include "teaselshore/journal/batch_cleaner.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+#include "teaselshore/base/assert.hpp"
+
+namespace teaselshore {
+
+namespace {
+
+    constexpr Duration retryDelay = std::chrono::milliseconds(200);
+
+} // namespace
+
+void BatchCleaner::deleteBelow(std::uint64_t number) { this->bound = std::max(this->bound, number); }
+
+std::size_t BatchCleaner::backlog(const JournalWriter& writer) const
+{
+    const auto& batches = writer.batches();
+    return static_cast<std::size_t>(std::distance(batches.begin(), batches.lower_bound(this->bound)));
+}
+
+std::optional<ObjectCommand> BatchCleaner::poll(
+    const JournalWriter& writer, Instant now, ObjectCallIds& ids, WritePacer& pacer)
+{
+    const auto oldest = writer.batches().begin();
+    if (oldest == writer.batches().end() || oldest->first >= this->bound)
+        return std::nullopt;
+    if (this->call || now < this->retryAt || !pacer.allows(now))
+        return std::nullopt;
+    pacer.take(now);
+    this->current = oldest->first;
+    this->call = ids.next();
+    return ObjectDelete { *this->call, batchKey(writer.instance(), oldest->first), oldest->second };
+}
+
+void BatchCleaner::onResult(const ObjectResult& result, JournalWriter& writer, Instant now)
+{
+    TEASELSHORE_ASSERT(this->awaits(result.id), "result of a call that is not in flight");
+    this->call.reset();
+    if (result.outcome == ObjectOutcome::Ok || result.outcome == ObjectOutcome::NotFound) {
+        writer.forgetBatch(this->current);
+        return;
+    }
+    this->retryAt = now + retryDelay;
+}
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/journal/slot_claims.cpp
@@ -0,0 +1,374 @@
+#include <algorithm>
+#include <limits>
+
+#include "slot_owner_impl.hpp"
+#include "teaselshore/base/assert.hpp"
+
+namespace teaselshore {
+
+namespace {
+
+    constexpr Duration firstMapBackoff = std::chrono::milliseconds(20);
+    constexpr Duration mapRetryDelay = std::chrono::milliseconds(100);
+    constexpr Duration longestMapBackoff = std::chrono::seconds(1);
+    // Share of the mean above which an owner gives up slots to less loaded members.
+    constexpr double imbalanceBound = 1.25;
+
+} // namespace
+
+bool SlotOwner::Impl::isDead(const OwnerInstance& instance) const
+{
+    const NodeId node = nodeOf(instance);
+    if (node == this->self)
+        return instance != this->writer.instance();
+    const auto absent = this->absentSince.find(node);
+    return absent != this->absentSince.end() && this->now - absent->second >= this->settings.claimDelay;
+}
+
+void SlotOwner::Impl::noteAbsentOwners()
+{
+    for (std::size_t slot = 0; slot < slotCount; ++slot) {
+        const OwnerInstance& owner = this->map.at(static_cast<Slot>(slot)).owner;
+        if (owner.empty() || (slot > 0 && owner == this->map.at(static_cast<Slot>(slot - 1)).owner))
+            continue;
+        const NodeId node = nodeOf(owner);
+        if (!this->alive.contains(node))
+            this->absentSince.try_emplace(node, this->now);
+    }
+}
+
+void SlotOwner::Impl::pollMap()
+{
+    if (this->mapRead || this->mapWrite || this->now < this->nextMapRead)
+        return;
+    this->mapRead = this->ids.next();
+    this->call(ObjectRead { *this->mapRead, std::string(slotMapKey) });
+}
+
+void SlotOwner::Impl::onMapRead(const ObjectResult& result)
+{
+    this->mapRead.reset();
+    this->nextMapRead = this->now + this->settings.mapReadInterval;
+    if (result.outcome == ObjectOutcome::NotFound && this->mapVersion == 0) {
+        this->mapKnown = true;
+        return;
+    }
+    if (result.outcome != ObjectOutcome::Ok) {
+        this->nextMapRead = this->now + mapRetryDelay;
+        return this->enterOutage();
+    }
+    if (result.version == this->mapVersion)
+        return;
+    const std::optional<SlotMap> read = SlotMap::decode(result.value);
+    TEASELSHORE_ASSERT(read, "slot map is malformed");
+    this->applyMap(*read, result.version);
+}
+
+void SlotOwner::Impl::onMapWritten(const ObjectResult& result)
+{
+    this->mapWrite.reset();
+    if (result.outcome == ObjectOutcome::Ok) {
+        this->mapBackoff = {};
+        return this->applyMap(this->mapWritten, result.version);
+    }
+    // Conflict or lost answer: the stored map decides. Several owners write it, hence the spread of the back-off.
+    this->nextMapRead = this->now;
+    this->mapBackoff = std::clamp(this->mapBackoff * 2, firstMapBackoff, longestMapBackoff);
+    const std::uint64_t spread = rendezvousWeight(std::to_string(this->now.time_since_epoch().count()), this->self);
+    this->nextMapWrite = this->now + this->mapBackoff * static_cast<Duration::rep>(1 + spread % 8) / 8;
+}
+
+void SlotOwner::Impl::applyMap(const SlotMap& read, ObjectVersion version)
+{
+    if (this->mapKnown && version <= this->mapVersion)
+        return;
+    this->mapKnown = true;
+    this->map = read;
+    this->mapVersion = version;
+    this->mapEditDue = true;
+    this->applyClaim();
+    bool lost = false;
+    for (std::size_t index = 0; index < slotCount; ++index) {
+        const Slot slot = static_cast<Slot>(index);
+        const SlotAssignment& assignment = this->map.at(slot);
+        SlotTenure& tenure = this->slots[slot];
+        const bool mine = assignment.owner == this->writer.instance();
+        if (tenure.phase == SlotPhase::Foreign) {
+            TEASELSHORE_ASSERT(!mine, "slot map names this instance for a slot whose records it does not have");
+            continue;
+        }
+        if (mine && assignment.epoch == tenure.epoch) {
+            if (assignment.released)
+                tenure.phase = SlotPhase::Released;
+            continue;
+        }
+        if (tenure.phase == SlotPhase::Held || tenure.phase == SlotPhase::Releasing)
+            lost = true;
+        else
+            this->dropSlot(slot);
+    }
+    // Another instance takes a slot that was not released only after it has sealed this journal.
+    if (lost)
+        this->loseOwnership();
+}
+
+void SlotOwner::Impl::applyClaim()
+{
+    if (!this->claim)
+        return;
+    auto& wanted = this->claim->slots;
+    for (auto position = wanted.begin(); position != wanted.end();) {
+        const auto [slot, epoch] = *position;
+        const SlotAssignment& assignment = this->map.at(slot);
+        if (assignment.owner == this->claim->source && assignment.epoch == epoch) {
+            ++position;
+            continue;
+        }
+        position = wanted.erase(position);
+        if (assignment.owner != this->writer.instance() || assignment.epoch != epoch + 1)
+            continue;
+        TEASELSHORE_ASSERT(this->claim->ticket && *this->claim->ticket <= this->writer.committedThrough(),
+            "slot taken before its records are durable");
+        this->adopt(slot, *this->claim->recovered);
+        this->slots[slot] = { SlotPhase::Held, epoch + 1, 0 };
+        ++this->statistics.claims;
+        if (this->stopping)
+            this->startRelease(slot);
+    }
+    if (wanted.empty())
+        this->claim.reset();
+}
+
+bool SlotOwner::Impl::stoppedForGood(const OwnerInstance& instance) const
+{
+    return nodeOf(instance) == this->self && instance != this->writer.instance();
+}
+
+bool SlotOwner::Impl::editMap(SlotMap& edited) const
+{
+    bool changed = false;
+    if (this->claim && this->claim->ticket && *this->claim->ticket <= this->writer.committedThrough()) {
+        for (const auto& [slot, epoch] : this->claim->slots) {
+            edited.assign(slot, { this->writer.instance(), epoch + 1, false });
+            changed = true;
+        }
+    }
+    for (std::size_t index = 0; index < slotCount; ++index) {
+        const Slot slot = static_cast<Slot>(index);
+        SlotAssignment assignment = edited.at(slot);
+        if (assignment.owner.empty() || assignment.released)
+            continue;
+        const SlotTenure& tenure = this->slots[slot];
+        const bool drained = tenure.phase == SlotPhase::Drained && tenure.barrier <= this->writer.committedThrough()
+            && assignment.owner == this->writer.instance();
+        if (!drained && !this->stoppedForGood(assignment.owner))
+            continue;
+        assignment.released = true;
+        edited.assign(slot, assignment);
+        changed = true;
+    }
+    return changed;
+}
+
+void SlotOwner::Impl::writeMap()
+{
+    if (!this->mapKnown || this->mapRead || this->mapWrite || this->now < this->nextMapWrite)
+        return;
+    if (!this->storeUp() || this->handedOver || !this->pacer.allows(this->now))
+        return;
+    if (!this->mapEditDue)
+        return;
+    SlotMap edited = this->map;
+    this->mapEditDue = this->editMap(edited);
+    if (!this->mapEditDue)
+        return;
+    this->pacer.take(this->now);
+    this->mapWritten = edited;
+    this->mapWrite = this->ids.next();
+    if (this->mapVersion == 0)
+        this->call(ObjectCreate { *this->mapWrite, std::string(slotMapKey), edited.encode() });
+    else
+        this->call(ObjectUpdate { *this->mapWrite, std::string(slotMapKey), edited.encode(), this->mapVersion });
+}
+
+const std::vector<NodeId>& SlotOwner::Impl::placement() const
+{
+    const std::vector<NodeId> candidates = ownerCandidates(this->alive, this->settings.maxOwners);
+    if (candidates != this->placementFor) {
+        this->placementFor = candidates;
+        this->placementCache = placeSlots(candidates);
+    }
+    return this->placementCache;
+}
+
+bool SlotOwner::Impl::claimable(Slot slot) const
+{
+    const SlotAssignment& assignment = this->map.at(slot);
+    return assignment.owner.empty() || assignment.released || this->isDead(assignment.owner);
+}
+
+void SlotOwner::Impl::startClaim()
+{
+    if (this->claim || this->stopping || !this->mapKnown || !this->storeUp() || this->checkpointSlot)
+        return;
+    if (this->now - this->startedAt < this->settings.claimDelay)
+        return;
+    const std::vector<NodeId>& owners = this->placement();
+    std::optional<Claim> next;
+    for (std::size_t index = 0; index < slotCount; ++index) {
+        const Slot slot = static_cast<Slot>(index);
+        const SlotAssignment& assignment = this->map.at(slot);
+        if (owners[slot] != this->self || !this->claimable(slot) || this->adopted.contains(assignment.owner))
+            continue;
+        if (!next)
+            next = Claim { assignment.owner, {}, nullptr, nullptr, std::nullopt };
+        if (next->source == assignment.owner)
+            next->slots.emplace(slot, assignment.epoch);
+    }
+    if (!next)
+        return;
+    this->claim = std::move(next);
+    if (this->claim->source.empty()) {
+        this->claim->recovered = std::make_unique<KeyLedger>(this->settings.retention);
+        return this->queueTakeOver();
+    }
+    const bool seal = this->isDead(this->claim->source) && !this->mutations.skipSeal;
+    this->claim->reader = std::make_unique<JournalReader>(
+        this->claim->source, this->writer.instance().value(), seal ? ReadMode::SealAndRead : ReadMode::Read);
+}
+
+void SlotOwner::Impl::advanceClaim()
+{
+    if (!this->claim || !this->claim->reader)
+        return;
+    JournalReader& reader = *this->claim->reader;
+    for (ObjectCommand& command : reader.poll(this->now, this->ids, this->pacer))
+        this->call(std::move(command));
+    if (!reader.done())
+        return;
+    // Checkpoints of this journal must not fall between the records and their slots.
+    if (this->checkpointSlot)
+        return;
+    RetentionSettings unlimited { Duration::max(), std::numeric_limits<std::size_t>::max() };
+    this->claim->recovered = std::make_unique<KeyLedger>(unlimited);
+    for (const auto& [number, batch] : reader.batches()) {
+        for (const std::string& bytes : batch.groups) {
+            const std::optional<RecordGroup> group = decodeGroup(bytes);
+            TEASELSHORE_ASSERT(group, "journal record is malformed");
+            for (const JournalRecord& record : *group)
+                this->claim->recovered->replay(record, this->now);
+        }
+    }
+    this->claim->reader.reset();
+    this->queueTakeOver();
+}
+
+void SlotOwner::Impl::queueTakeOver()
+{
+    SlotsTaken taken;
+    for (const auto& [slot, epoch] : this->claim->slots)
+        taken.epochs.emplace_back(slot, epoch + 1);
+    this->claim->ticket = this->append({ taken });
+    for (const auto& [slot, epoch] : this->claim->slots) {
+        for (const RecordGroup& group : this->claim->recovered->snapshot(slot))
+            this->claim->ticket = this->append(group);
+    }
+}
+
+std::size_t SlotOwner::Impl::countPhase(SlotPhase phase) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        this->slots.begin(), this->slots.end(), [&](const SlotTenure& tenure) { return tenure.phase == phase; }));
+}
+
+void SlotOwner::Impl::rebalance()
+{
+    if (this->claim || this->stopping || !this->mapKnown || !this->storeUp())
+        return;
+    const std::size_t held = this->countPhase(SlotPhase::Held);
+    if (held == 0 || this->countPhase(SlotPhase::Releasing) > 0 || this->countPhase(SlotPhase::Drained) > 0)
+        return;
+    const std::vector<NodeId>& owners = this->placement();
+    const bool candidate = std::binary_search(this->placementFor.begin(), this->placementFor.end(), this->self);
+    const std::size_t mean = candidate ? slotCount / this->placementFor.size() : 0;
+    if (static_cast<double>(held) <= static_cast<double>(mean) * imbalanceBound)
+        return;
+    std::size_t excess = std::min(held - mean, this->settings.movesAtOnce);
+    for (std::size_t index = 0; index < slotCount && excess > 0; ++index) {
+        const Slot slot = static_cast<Slot>(index);
+        if (this->slots[slot].phase != SlotPhase::Held || owners[slot] == this->self || this->busy(slot))
+            continue;
+        this->startRelease(slot);
+        ++this->statistics.moves;
+        --excess;
+    }
+}
+
+bool SlotOwner::Impl::busy(Slot slot) const
+{
+    KeyLedger& entries = const_cast<KeyLedger&>(this->ledger);
+    for (const KeyId& key : entries.keysOf(slot)) {
+        const KeyEntry& entry = *entries.find(key);
+        if (!entry.callers.empty() || entry.state == KeyState::Pending || entry.state == KeyState::DispatchPending
+            || entry.state == KeyState::Running)
+            return true;
+    }
+    return false;
+}
+
+void SlotOwner::Impl::startRelease(Slot slot)
+{
+    this->slots[slot].phase = SlotPhase::Releasing;
+    this->releasing = true;
+}
+
+void SlotOwner::Impl::drainReleasing()
+{
+    if (!this->releasing)
+        return;
+    const bool late = this->stopping && this->now >= this->stopDeadline;
+    this->releasing = false;
+    for (std::size_t index = 0; index < slotCount; ++index) {
+        SlotTenure& tenure = this->slots[index];
+        if (tenure.phase != SlotPhase::Releasing)
+            continue;
+        if (!late && this->busy(static_cast<Slot>(index))) {
+            this->releasing = true;
+            continue;
+        }
+        tenure.phase = SlotPhase::Drained;
+        tenure.barrier = this->writer.lastTicket();
+        this->mapEditDue = true;
+    }
+}
+
+bool SlotOwner::Impl::inUse(const OwnerInstance& instance)
+{
+    const NodeId node = nodeOf(instance);
+    if (!this->alive.contains(node))
+        this->absentSince.try_emplace(node, this->now);
+    if (instance == this->writer.instance() || this->adopted.contains(instance) || !this->isDead(instance))
+        return true;
+    return !this->map.slotsOf(instance).empty();
+}
+
+void SlotOwner::Impl::sweep()
+{
+    if (this->stopping || !this->mapKnown || !this->storeUp() || !this->sweeper.due(this->now))
+        return;
+    this->placement();
+    if (rendezvousChoice("journal sweep", this->placementFor) != this->self)
+        return;
+    for (ObjectCommand& command : this->sweeper.poll(this->now, this->ids, this->pacer))
+        this->call(std::move(command));
+}
+
+void SlotOwner::Impl::dropSlot(Slot slot)
+{
+    for (const KeyId& key : this->ledger.keysOf(slot))
+        this->orphan(*this->ledger.find(key));
+    this->ledger.eraseSlot(slot);
+    this->slots[slot] = {};
+}
+
+} // namespace teaselshore
