--- a/include/teaselshore/emulators/engine_model.hpp
+++ b/include/teaselshore/emulators/engine_model.hpp
@@ -145,6 +145,9 @@
     /// @brief Returns the end of the current step; nothing if there is no work.
     std::optional<Instant> nextTick() const;
 
+    /// @brief Returns the key of the text that a request gets. An empty model name means the loaded model.
+    PromptKey keyOf(const EngineRequest& request) const;
+
     /// @brief Returns the KV cache of a running request; nothing if it is not running.
     std::optional<KvState> exportKv(const RequestId& id) const;
 
--- a/include/teaselshore/emulators/object_store.hpp
+++ b/include/teaselshore/emulators/object_store.hpp
@@ -91,7 +91,8 @@
     /// Current version of the object; 0 if it is absent.
     std::uint64_t version = 0;
     std::string value;
-    std::vector<ObjectSummary> listing;
+    /// Set for ListObjects only.
+    std::optional<std::vector<ObjectSummary>> listing;
 
     auto operator<=>(const ObjectAnswer&) const = default;
 };
--- a/include/teaselshore/emulators/service_model.hpp
+++ b/include/teaselshore/emulators/service_model.hpp
@@ -122,6 +122,12 @@
     std::vector<ServiceAnswer> onTick(Instant now);
     std::optional<Instant> nextTick() const;
 
+    /// @brief Returns the keys of the runs that started since the last call, in order.
+    std::vector<IdempotencyKey> takeStarted();
+
+    /// @brief Counts a run from before a restart.
+    void restoreExecution(const IdempotencyKey& key) { ++this->records[key].started; }
+
     void setFaults(const ServiceFaults& faults) { this->settings.faults = faults; }
     void setBehaviour(VersionBehaviour behaviour, Instant now);
 
@@ -151,6 +157,7 @@
     std::map<IdempotencyKey, ExecutionRecord> records;
     std::deque<Work> waiting;
     std::multimap<Instant, Work> running;
+    std::vector<IdempotencyKey> newlyStarted;
     ServiceStatistics counters;
 };
 
--- a/src/teaselshore/emulators/engine_model.cpp
+++ b/src/teaselshore/emulators/engine_model.cpp
@@ -52,7 +52,7 @@
     Sequence entry;
     entry.sequence = sequence;
     const std::string& model = request.model.empty() ? this->controlState.model() : request.model;
-    entry.key = promptKey(model, request.prompt);
+    entry.key = this->keyOf(request);
     entry.blocks = promptBlocks(model, request.prompt);
     entry.order = ++this->lastOrder;
     entry.next = std::min(request.resumeFrom, request.maxTokens);
@@ -116,6 +116,11 @@
 
 std::optional<Instant> EngineModel::nextTick() const { return this->stepEnd; }
 
+PromptKey EngineModel::keyOf(const EngineRequest& request) const
+{
+    return promptKey(request.model.empty() ? this->controlState.model() : request.model, request.prompt);
+}
+
 std::optional<KvState> EngineModel::exportKv(const RequestId& id) const
 {
     for (const Sequence& sequence : this->running) {
--- /dev/null
+++ b/src/teaselshore/emulators/json_reply.cpp
@@ -0,0 +1,26 @@
+#include "teaselshore/emulators/json_reply.hpp"
+
+namespace teaselshore {
+
+HttpReply jsonReply(int status, const nlohmann::json& body)
+{
+    // Invalid UTF-8 from a caller must not make the reply fail.
+    return { status, { { "content-type", "application/json" } },
+        body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) };
+}
+
+HttpReply errorReply(int status, std::string_view code, std::string_view message, const RequestId& id)
+{
+    return jsonReply(
+        status, { { "error", { { "code", code }, { "message", message }, { "requestId", id.value() } } } });
+}
+
+std::optional<nlohmann::json> parseObject(std::string_view text)
+{
+    nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+    if (!document.is_object())
+        return std::nullopt;
+    return document;
+}
+
+} // namespace teaselshore
--- a/src/teaselshore/emulators/object_store.cpp
+++ b/src/teaselshore/emulators/object_store.cpp
@@ -145,10 +145,11 @@
 ObjectAnswer ObjectStore::apply(const ListObjects& request) const
 {
     ObjectAnswer answer;
+    answer.listing.emplace();
     for (auto position = this->objects.lower_bound(request.prefix); position != this->objects.end(); ++position) {
         if (!position->first.starts_with(request.prefix))
             break;
-        answer.listing.push_back({ position->first, position->second.version });
+        answer.listing->push_back({ position->first, position->second.version });
     }
     return answer;
 }
--- a/src/teaselshore/emulators/service_model.cpp
+++ b/src/teaselshore/emulators/service_model.cpp
@@ -59,6 +59,8 @@
     return this->running.begin()->first;
 }
 
+std::vector<IdempotencyKey> ServiceModel::takeStarted() { return std::exchange(this->newlyStarted, {}); }
+
 void ServiceModel::setBehaviour(VersionBehaviour behaviour, Instant now)
 {
     this->settings.behaviour = std::move(behaviour);
@@ -90,6 +92,7 @@
         work.executions = ++record.started;
         ++record.running;
         record.checksum = work.checksum;
+        this->newlyStarted.push_back(work.request.key);
     }
     const double mean = toSeconds(this->settings.meanWork) * slowdown(this->settings.behaviour);
     const Duration length = mean > 0 ? fromSeconds(this->random.exponential(mean)) : Duration::zero();
