Test failure detector and configuration distribution on a simulated network

Nodes of one process exchange messages through a queue that loses, delays and cuts them; RapidCheck draws sequences of crashes, restarts, pauses, partitions and object API outages.

--- a/src/teaselshore/membership/configuration_distributor.cpp
+++ b/src/teaselshore/membership/configuration_distributor.cpp
@@ -162,7 +162,7 @@
 ConfigurationDistributor::ConfigurationDistributor(
     Member self, DistributorSettings settings, ConfigurationCheck check, RandomSource random)
     : impl(std::make_unique<Impl>(
-        Impl { .self = std::move(self), .settings = settings, .check = std::move(check), .random = std::move(random) }))
+        Impl { .self = std::move(self), .settings = settings, .check = std::move(check), .random = random }))
 {
 }
 
--- a/src/teaselshore/membership/membership.cpp
+++ b/src/teaselshore/membership/membership.cpp
@@ -10,7 +10,7 @@
 } // namespace
 
 Membership::Membership(Member self, MembershipSettings settings, RandomSource random)
-    : impl(std::make_unique<Impl>(std::move(self), settings, std::move(random)))
+    : impl(std::make_unique<Impl>(std::move(self), settings, random))
 {
 }
 
--- a/src/teaselshore/membership/membership_state.hpp
+++ b/src/teaselshore/membership/membership_state.hpp
@@ -36,7 +36,7 @@
 
     Impl(Member self, MembershipSettings settings, RandomSource random)
         : settings(settings)
-        , random(std::move(random))
+        , random(random)
         , table(std::move(self))
         // An old Ack to an earlier process at the same address must not match a probe of this one.
         , nextSequence(this->random.below(std::uint64_t(1) << 32) + 1)
--- /dev/null
+++ b/src/teaselshore/membership/membership_test.cpp
@@ -0,0 +1,306 @@
+#include <algorithm>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "teaselshore/membership/cluster_simulation.hpp"
+
+namespace teaselshore {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    std::size_t declaredDead(const ClusterSimulation& cluster, std::size_t index)
+    {
+        std::size_t count = 0;
+        for (const SimulatedNode& node : cluster.nodes) {
+            count += static_cast<std::size_t>(std::count_if(node.declaredDead.begin(), node.declaredDead.end(),
+                [&](const auto& entry) { return entry.second == cluster.nodes[index].member.id; }));
+        }
+        return count;
+    }
+
+    std::size_t totalDeclaredDead(const ClusterSimulation& cluster)
+    {
+        std::size_t count = 0;
+        for (const SimulatedNode& node : cluster.nodes)
+            count += node.declaredDead.size();
+        return count;
+    }
+
+    bool isLiveAnywhere(const ClusterSimulation& cluster, const NodeId& id)
+    {
+        return std::any_of(cluster.nodes.begin(), cluster.nodes.end(), [&](const SimulatedNode& node) {
+            const Member* member = node.up ? node.membership->find(id) : nullptr;
+            return member && isLive(*member);
+        });
+    }
+
+    // Guards against nodes that never learn of members which are neither seeds nor were there when they joined.
+    TEST(Membership, JoinsThroughFewSeeds)
+    {
+        ClusterSimulation cluster(1);
+        cluster.addMany(40);
+        cluster.listFirst(3);
+        EXPECT_LT(cluster.runUntil([&] { return cluster.agrees(); }, 60s), 30s);
+        cluster.run(60s);
+        EXPECT_EQ(totalDeclaredDead(cluster), 0u);
+    }
+
+    // Guards against crashed nodes that stay in the list, and against live nodes declared dead because of lost
+    // messages.
+    TEST(Membership, FindsCrashedNodesAndSparesLiveOnesDespiteLoss)
+    {
+        for (const std::size_t size : { 3, 9, 50 }) {
+            ClusterSimulation cluster(size);
+            cluster.loss = 0.05;
+            cluster.addMany(size);
+            cluster.listFirst(size);
+            cluster.run(60s);
+            cluster.crash(size - 1);
+            const NodeId crashed = cluster.nodes[size - 1].member.id;
+            EXPECT_LT(cluster.runUntil([&] { return !isLiveAnywhere(cluster, crashed); }, 60s), 20s) << size;
+            cluster.run(10min);
+            EXPECT_TRUE(cluster.agrees()) << size;
+            EXPECT_EQ(totalDeclaredDead(cluster), size - 1);
+        }
+    }
+
+    // Guards against a reclaimed zone that takes live nodes with it or is found only one member after the other.
+    TEST(Membership, FindsLostZoneWithinBound)
+    {
+        ClusterSimulation cluster(3);
+        cluster.addMany(60);
+        cluster.listFirst(60);
+        cluster.run(60s);
+        for (std::size_t index = 0; index < 60; index += 3)
+            cluster.crash(index);
+        EXPECT_LT(cluster.runUntil([&] { return cluster.agrees(); }, 2min), 40s);
+        for (std::size_t index = 1; index < 60; index += 3)
+            EXPECT_EQ(declaredDead(cluster, index), 0u);
+    }
+
+    // Guards against a process that was paused and then takes its own silence for the death of the others.
+    TEST(Membership, PausedNodeDeclaresNobodyDead)
+    {
+        for (const Duration pause : { Duration(3s), Duration(30s), Duration(10min) }) {
+            ClusterSimulation cluster(4);
+            cluster.addMany(12);
+            cluster.listFirst(12);
+            cluster.run(60s);
+            cluster.pause(5, pause);
+            cluster.run(pause + 30s);
+            EXPECT_TRUE(cluster.nodes[5].declaredDead.empty());
+            EXPECT_TRUE(cluster.agrees());
+        }
+    }
+
+    // Guards against members that die although others can reach them: one direction of one link is cut.
+    TEST(Membership, OneWayCutKillsNobody)
+    {
+        ClusterSimulation cluster(5);
+        cluster.addMany(9);
+        cluster.listFirst(9);
+        cluster.run(30s);
+        cluster.connected = [](std::size_t from, std::size_t to) { return from != 2 || to != 7; };
+        cluster.run(10min);
+        EXPECT_TRUE(cluster.agrees());
+        EXPECT_EQ(totalDeclaredDead(cluster), 0u);
+    }
+
+    // Guards against two halves that declared each other dead and never meet again, also without a host list and when
+    // a single node was cut off.
+    TEST(Membership, HealsAfterLongPartition)
+    {
+        for (const std::size_t smaller : { 1, 5, 20 }) {
+            ClusterSimulation cluster(6);
+            cluster.addMany(40);
+            cluster.listFirst(40);
+            cluster.run(60s);
+            cluster.tellHostList({});
+            cluster.connected = [=](std::size_t from, std::size_t to) { return (from < smaller) == (to < smaller); };
+            cluster.run(1h);
+            EXPECT_EQ(cluster.nodes[39].membership->liveMembers().size(), 40 - smaller);
+            cluster.connected = [](std::size_t, std::size_t) { return true; };
+            EXPECT_LT(cluster.runUntil([&] { return cluster.agrees(); }, 5min), 30s) << smaller;
+            cluster.run(60s);
+            EXPECT_TRUE(cluster.agrees()) << smaller;
+        }
+    }
+
+    // Guards against a lagging host list that revives a dead member or removes one that answers.
+    TEST(Membership, HostListNeitherRevivesNorKills)
+    {
+        ClusterSimulation cluster(7);
+        cluster.addMany(9);
+        cluster.listFirst(9);
+        cluster.run(30s);
+        cluster.crash(8);
+        const NodeId crashed = cluster.nodes[8].member.id;
+        cluster.run(60s);
+        std::vector<ListedHost> hosts { { ClusterSimulation::addressOf(8), false } };
+        hosts.push_back({ ClusterSimulation::addressOf(0), true });
+        for (int round = 0; round < 60; ++round) {
+            cluster.tellHostList(hosts);
+            cluster.run(1s);
+            EXPECT_FALSE(isLiveAnywhere(cluster, crashed));
+        }
+        EXPECT_TRUE(cluster.agrees());
+    }
+
+    // Guards against a planned stop that others only notice by probing, which would keep sending work to it.
+    TEST(Membership, PlannedStopIsKnownAtOnce)
+    {
+        ClusterSimulation cluster(8);
+        cluster.addMany(100);
+        cluster.listFirst(100);
+        cluster.run(60s);
+        cluster.leave(42);
+        const NodeId left = cluster.nodes[42].member.id;
+        EXPECT_LT(cluster.runUntil([&] { return !isLiveAnywhere(cluster, left); }, 30s), 3s);
+        EXPECT_EQ(totalDeclaredDead(cluster), 0u);
+    }
+
+    // Guards against a restarted process that is taken for its predecessor on the same address.
+    TEST(Membership, RestartedProcessReplacesItsPredecessor)
+    {
+        ClusterSimulation cluster(9);
+        cluster.addMany(20);
+        cluster.listFirst(20);
+        cluster.run(60s);
+        const NodeId previous = cluster.nodes[4].member.id;
+        cluster.crash(4);
+        cluster.start(4);
+        EXPECT_LT(cluster.runUntil([&] { return cluster.agrees(); }, 60s), 15s);
+        EXPECT_FALSE(isLiveAnywhere(cluster, previous));
+    }
+
+    // Guards against old gossip that overrules a refutation: state of a lower incarnation has to be ignored.
+    TEST(Membership, OldClaimsDoNotOverruleHigherIncarnation)
+    {
+        const Instant now { 1h };
+        const Member self { NodeId("a"), {}, {}, "127.0.0.1:1", 1, MemberState::Alive };
+        Member other { NodeId("b"), {}, {}, "127.0.0.1:2", 3, MemberState::Alive };
+        Membership membership(self, {}, RandomSource(1));
+        membership.onPing({ 1, other, false, 0, {} }, now);
+        Member claim = other;
+        claim.incarnation = 2;
+        for (const MemberState state : { MemberState::Suspect, MemberState::Dead }) {
+            claim.state = state;
+            membership.onPing({ 2, other, false, 0, { claim } }, now);
+            EXPECT_EQ(membership.find(other.id)->state, MemberState::Alive);
+        }
+        claim = self;
+        claim.state = MemberState::Dead;
+        claim.incarnation = 7;
+        membership.onPing({ 3, other, false, 0, { claim } }, now);
+        EXPECT_EQ(membership.self().incarnation, 8u);
+        EXPECT_EQ(membership.self().state, MemberState::Alive);
+    }
+
+    enum class Fault {
+        Crash,
+        Restart,
+        Pause,
+        Leave,
+        OneWayCut,
+        Partition,
+        Isolate,
+        Heal,
+        LoseMessages,
+        ObjectOutage,
+        ObjectBack,
+        Publish,
+        PublishInvalid,
+        Last,
+    };
+
+    struct Step {
+        Fault fault;
+        std::size_t node;
+        Duration wait;
+    };
+
+    void inject(ClusterSimulation& cluster, const Step& step)
+    {
+        const std::size_t node = step.node % cluster.nodes.size();
+        switch (step.fault) {
+        case Fault::Crash:
+            return cluster.crash(node);
+        case Fault::Restart:
+            return cluster.start(node);
+        case Fault::Pause:
+            return cluster.pause(node, step.wait * 2);
+        case Fault::Leave:
+            return cluster.nodes[node].up ? cluster.leave(node) : cluster.start(node);
+        case Fault::OneWayCut:
+            cluster.connected = [=](std::size_t from, std::size_t to) { return from != node || to % 3 != 0; };
+            return;
+        case Fault::Partition:
+            cluster.connected = [=](std::size_t from, std::size_t to) { return (from < node) == (to < node); };
+            return;
+        case Fault::Isolate:
+            cluster.connected = [=](std::size_t from, std::size_t to) { return from != node && to != node; };
+            return;
+        case Fault::Heal:
+            cluster.connected = [](std::size_t, std::size_t) { return true; };
+            return;
+        case Fault::LoseMessages:
+            cluster.loss = cluster.loss == 0 ? 0.2 : 0;
+            return;
+        case Fault::ObjectOutage:
+            cluster.objectAvailable = false;
+            return;
+        case Fault::ObjectBack:
+            cluster.objectAvailable = true;
+            return;
+        case Fault::Publish:
+            return cluster.publish(fmt::format("valid: {}\n", cluster.objectVersion));
+        case Fault::PublishInvalid:
+            return cluster.publish("invalid\n");
+        case Fault::Last:
+            return;
+        }
+    }
+
+    // Guards against any order of crashes, restarts, pauses, cuts and partitions after which a live node stays dead, a
+    // dead one stays live, a node goes back to a lower configuration version or does not get the highest one.
+    RC_GTEST_PROP(Membership, RecoversFromAnySequenceOfFaults, ())
+    {
+        const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1'000'000);
+        const auto size = *rc::gen::inRange<std::size_t>(3, 16);
+        const auto steps = *rc::gen::container<std::vector<Step>>(
+            rc::gen::construct<Step>(rc::gen::map(rc::gen::inRange(0, static_cast<int>(Fault::Last)),
+                                         [](int i) { return static_cast<Fault>(i); }),
+                rc::gen::inRange<std::size_t>(0, 100), rc::gen::map(rc::gen::inRange(1, 60), [](int seconds) {
+                    return Duration(std::chrono::seconds(seconds));
+                })));
+        ClusterSimulation cluster(seed);
+        cluster.addMany(size);
+        cluster.listFirst(size);
+        cluster.publish("valid: first\n");
+        cluster.run(20s);
+        for (const Step& step : steps) {
+            inject(cluster, step);
+            cluster.run(step.wait);
+        }
+        cluster.connected = [](std::size_t, std::size_t) { return true; };
+        cluster.loss = 0;
+        cluster.objectAvailable = true;
+        cluster.publish("valid: last\n");
+        if (std::none_of(cluster.nodes.begin(), cluster.nodes.end(), [](const auto& node) { return node.up; }))
+            cluster.start(0);
+        for (SimulatedNode& node : cluster.nodes)
+            node.pausedUntil = std::min(node.pausedUntil, cluster.now + 1s);
+
+        RC_ASSERT(cluster.runUntil([&] { return cluster.allHaveVersion(cluster.objectVersion); }, 2min) < 20s);
+        cluster.runUntil([&] { return cluster.agrees(); }, 3min);
+        RC_ASSERT(cluster.agrees());
+        cluster.run(60s);
+        RC_ASSERT(cluster.agrees());
+        for (const SimulatedNode& node : cluster.nodes)
+            RC_ASSERT(std::is_sorted(node.adopted.begin(), node.adopted.end(), std::less_equal<>()));
+    }
+
+} // namespace
+} // namespace teaselshore
