Rename two sections of the daemon settings

Cause: MembershipSettings and CircuitBreakerSettings named two types each, of the settings file and of the decision modules. Change: the settings file's types are MembershipSection and CircuitBreakerSection. Conclusion: both headers can be included together.

--- a/include/teaselshore/configuration/daemon_settings.hpp
+++ b/include/teaselshore/configuration/daemon_settings.hpp
@@ -24,13 +24,13 @@
     auto operator<=>(const RetrySettings&) const = default;
 };
 
-struct CircuitBreakerSettings {
+struct CircuitBreakerSection {
     /// Consecutive failures of an upstream that open its circuit.
     std::uint32_t failures = 5;
     /// Time until an open circuit lets a probe through.
     Duration openTime = std::chrono::seconds(2);
 
-    auto operator<=>(const CircuitBreakerSettings&) const = default;
+    auto operator<=>(const CircuitBreakerSection&) const = default;
 };
 
 struct TimeoutSettings {
@@ -52,13 +52,13 @@
     auto operator<=>(const LimitSettings&) const = default;
 };
 
-struct MembershipSettings {
+struct MembershipSection {
     Duration probePeriod = std::chrono::seconds(1);
     Duration probeTimeout = std::chrono::milliseconds(300);
     /// Time between a suspicion and the declaration that the node is dead.
     Duration suspicionTime = std::chrono::seconds(4);
 
-    auto operator<=>(const MembershipSettings&) const = default;
+    auto operator<=>(const MembershipSection&) const = default;
 };
 
 struct JournalSettings {
@@ -94,10 +94,10 @@
     SocketAddress platform;
     LogLevel logLevel = LogLevel::Info;
     RetrySettings retries;
-    CircuitBreakerSettings circuitBreaker;
+    CircuitBreakerSection circuitBreaker;
     TimeoutSettings timeouts;
     LimitSettings limits;
-    MembershipSettings membership;
+    MembershipSection membership;
     JournalSettings journal;
     PlatformBudgetSettings platformBudget;
 
--- a/src/teaselshore/configuration/daemon_settings.cpp
+++ b/src/teaselshore/configuration/daemon_settings.cpp
@@ -148,7 +148,7 @@
 
         void readMembership(YamlFields& fields)
         {
-            MembershipSettings& membership = this->result.membership;
+            MembershipSection& membership = this->result.membership;
             fields.milliseconds("probe-period-ms", membership.probePeriod, shortMilliseconds);
             fields.milliseconds("probe-timeout-ms", membership.probeTimeout, shortMilliseconds);
             fields.milliseconds("suspicion-ms", membership.suspicionTime, longMilliseconds);
--- a/src/teaselshore/configuration/daemon_settings_test.cpp
+++ b/src/teaselshore/configuration/daemon_settings_test.cpp
@@ -16,12 +16,12 @@
         EXPECT_EQ(settings->peer, (SocketAddress { "127.0.0.1", 20201 }));
         EXPECT_EQ(settings->logLevel, LogLevel::Debug);
         EXPECT_EQ(settings->retries, (RetrySettings { 0.2, Duration(10'000), Duration(100'000) }));
-        EXPECT_EQ(settings->circuitBreaker, (CircuitBreakerSettings { 3, Duration(500'000) }));
+        EXPECT_EQ(settings->circuitBreaker, (CircuitBreakerSection { 3, Duration(500'000) }));
         EXPECT_EQ(
             settings->timeouts, (TimeoutSettings { Duration(100'000), Duration(1'000'000), Duration(5'000'000) }));
         EXPECT_EQ(settings->limits, (LimitSettings { 65536, 100, 4096 }));
         EXPECT_EQ(
-            settings->membership, (MembershipSettings { Duration(200'000), Duration(50'000), Duration(1'000'000) }));
+            settings->membership, (MembershipSection { Duration(200'000), Duration(50'000), Duration(1'000'000) }));
         EXPECT_EQ(settings->journal, (JournalSettings { 3, 50 }));
         EXPECT_EQ(settings->platformBudget, (PlatformBudgetSettings { 10, 20 }));
     }
