Parse replies with Boost.Beast on h2o's sockets and test server and client

h2o's client aborts the process on a reply with an invalid content length or an unknown transfer encoding (assertion in on_error_before_head), so that one bad upstream could end a daemon. The client now keeps its own connections on h2o's sockets and parses replies with the parser of Boost.Beast, which also reports a chunked reply that breaks off between two chunks. Idle connections stay polled, so that their end is noticed at once, and are tested before they are reused.

Calls can be paused for back pressure. An aborted HTTP/1.0 answer without length is reset, since an orderly end would mark it as complete.

--- a/include/teaselshore/http/http_client.hpp
+++ b/include/teaselshore/http/http_client.hpp
@@ -38,7 +38,7 @@
 /// @brief Identifies a running call of one client.
 using CallId = std::uint64_t;
 
-/// @brief HTTP/1.1 client on h2o with a pool of kept-alive connections per authority.
+/// @brief HTTP/1.1 client on h2o's sockets with a pool of kept-alive connections per authority.
 ///
 /// A request is never repeated by the client: if a kept-alive connection breaks before the reply, the error says so.
 /// All methods belong to the event loop's thread. Callbacks never run inside start().
@@ -55,11 +55,14 @@
     /// @brief Drops a call and its connection; no callback of it runs afterwards.
     void cancel(CallId call);
 
-    std::size_t openCalls() const;
+    /// @brief Stops or resumes reading the reply, for back pressure. Bytes already read may still be delivered, and a
+    /// paused call does not time out.
+    void setPaused(CallId call, bool paused);
 
-    struct Impl;
+    std::size_t openCalls() const;
 
 private:
+    struct Impl;
     explicit HttpClient(std::unique_ptr<Impl> impl);
     std::unique_ptr<Impl> impl;
 };
--- a/src/teaselshore/http/client_call.hpp
+++ b/src/teaselshore/http/client_call.hpp
@@ -2,51 +2,38 @@
 
 #include <array>
 #include <memory>
+#include <optional>
 #include <string>
 
-#include "connection_pool.hpp"
-#include "event_loop_impl.hpp"
-#include "h2o.hpp"
+#include "client_connection.hpp"
+#include "reply_parser.hpp"
 #include "teaselshore/http/http_client.hpp"
 
 namespace teaselshore {
 
-/// @brief How the end of a reply body is marked.
-enum class ReplyFraming {
-    ContentLength,
-    Chunked,
-    EndOfConnection,
-};
+/// @brief State of one running call; passes the parts of its reply on to the handlers.
+struct ClientCall : public ReplySink {
+    bool onReplyHead(int status, const HttpHeaders& headers, bool endsWithConnection) override;
+    bool onReplyBytes(std::string_view bytes) override;
 
-/// @brief State of one running call.
-struct ClientCall {
-    HttpClient::Impl* owner = nullptr;
     CallId id = 0;
     HttpCall call;
     HttpCallHandlers handlers;
-    sockaddr_in address {};
     std::string head;
     std::array<h2o_iovec_t, 2> buffers {};
-    std::unique_ptr<PooledConnection> connection;
-    h2o_http1client_t* client = nullptr;
+    std::unique_ptr<ClientConnection> connection;
+    std::optional<ReplyParser> parser;
     TimerId timer = 0;
     /// Start of the call, later the last time bytes arrived.
     Instant lastProgress;
-    ReplyFraming framing = ReplyFraming::ContentLength;
+    /// Set if the head of the reply is refused.
+    std::optional<HttpError> refusal;
+    /// The connection is established, so that the request may have been sent.
     bool connected = false;
-    /// start() has not returned from h2o yet; errors are reported later.
-    bool starting = false;
-    bool inCallback = false;
+    bool paused = false;
+    /// A handler is on the call stack; a cancellation waits until it returns.
+    bool inHandler = false;
     bool cancelled = false;
 };
 
-/// @brief Returns the framing of a reply, or nothing if its header fields contradict each other.
-std::optional<ReplyFraming> replyFraming(const HttpHeaders& headers);
-
-/// @brief Converts an error text of h2o's client.
-HttpError convertError(const char* text, bool requestMayHaveBeenSent);
-
-/// @brief Returns whether the peer ended the connection orderly, as opposed to a reset.
-bool endedOrderly(h2o_socket_t* socket);
-
 } // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/http/client_connection.cpp
@@ -0,0 +1,96 @@
+#include "client_connection.hpp"
+
+#include <cerrno>
+#include <charconv>
+#include <iterator>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace teaselshore {
+
+ClientConnection::ClientConnection(
+    h2o_loop_t* loop, std::string authority, const sockaddr_in& address, h2o_socket_cb established)
+    : peer(std::move(authority))
+{
+    sockaddr_in copy = address;
+    this->handle = h2o_socket_connect(loop, reinterpret_cast<sockaddr*>(&copy), sizeof(copy), established);
+    if (this->handle != nullptr)
+        this->handle->data = this;
+}
+
+ClientConnection::~ClientConnection()
+{
+    if (this->handle != nullptr)
+        h2o_socket_close(this->handle);
+}
+
+void ClientConnection::configure() const
+{
+    const int on = 1;
+    setsockopt(h2o_socket_get_fd(this->handle), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+bool ClientConnection::isQuiet() const
+{
+    char byte = 0;
+    const ssize_t count = recv(h2o_socket_get_fd(this->handle), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+std::unique_ptr<ClientConnection> ConnectionPool::take(const std::string& authority)
+{
+    const auto found = this->idle.find(authority);
+    while (found != this->idle.end() && !found->second.empty()) {
+        std::unique_ptr<ClientConnection> connection = std::move(found->second.back());
+        found->second.pop_back();
+        if (connection->isQuiet())
+            return connection;
+    }
+    return nullptr;
+}
+
+void ConnectionPool::put(std::unique_ptr<ClientConnection> connection, Instant now)
+{
+    connection->idleSince = now;
+    const std::string& authority = connection->authority();
+    this->idle[authority].push_back(std::move(connection));
+}
+
+void ConnectionPool::drop(const ClientConnection& connection)
+{
+    const auto found = this->idle.find(connection.authority());
+    if (found != this->idle.end())
+        std::erase_if(found->second, [&connection](const auto& entry) { return entry.get() == &connection; });
+}
+
+void ConnectionPool::prune(Instant idleBefore)
+{
+    for (auto entry = this->idle.begin(); entry != this->idle.end();) {
+        std::erase_if(
+            entry->second, [idleBefore](const auto& connection) { return connection->idleSince < idleBefore; });
+        entry = entry->second.empty() ? this->idle.erase(entry) : std::next(entry);
+    }
+}
+
+std::optional<sockaddr_in> parseAuthority(const std::string& authority)
+{
+    const std::size_t colon = authority.find(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    if (inet_pton(AF_INET, authority.substr(0, colon).c_str(), &address.sin_addr) != 1)
+        return std::nullopt;
+    std::uint16_t port = 0;
+    const char* end = authority.data() + authority.size();
+    const auto parsed = std::from_chars(authority.data() + colon + 1, end, port);
+    if (parsed.ec != std::errc() || parsed.ptr != end || port == 0)
+        return std::nullopt;
+    address.sin_port = htons(port);
+    return address;
+}
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/http/client_connection.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <netinet/in.h>
+
+#include "h2o.hpp"
+#include "teaselshore/base/time.hpp"
+
+namespace teaselshore {
+
+struct ClientCall;
+
+/// @brief One TCP connection of the client. Closes its socket on destruction.
+class ClientConnection {
+public:
+    /// @brief Starts to connect; established is called later. socket() is null if the attempt failed at once.
+    ClientConnection(h2o_loop_t* loop, std::string authority, const sockaddr_in& address, h2o_socket_cb established);
+    ~ClientConnection();
+    ClientConnection(const ClientConnection&) = delete;
+    ClientConnection& operator=(const ClientConnection&) = delete;
+
+    /// @brief Returns the connection that owns the socket.
+    static ClientConnection& of(h2o_socket_t* socket) { return *static_cast<ClientConnection*>(socket->data); }
+
+    h2o_socket_t* socket() const { return this->handle; }
+    const std::string& authority() const { return this->peer; }
+    /// @brief Sets TCP_NODELAY.
+    void configure() const;
+    /// @brief Returns whether nothing arrived and the peer did not close; for an idle connection.
+    bool isQuiet() const;
+
+    void* owner = nullptr;
+    /// Null while the connection is idle.
+    ClientCall* call = nullptr;
+    Instant idleSince;
+
+private:
+    std::string peer;
+    h2o_socket_t* handle;
+};
+
+/// @brief Idle connections by authority. The time is passed in.
+class ConnectionPool {
+public:
+    /// @brief Returns the most recently used idle connection that is still quiet, or nothing.
+    std::unique_ptr<ClientConnection> take(const std::string& authority);
+    void put(std::unique_ptr<ClientConnection> connection, Instant now);
+    /// @brief Closes one idle connection.
+    void drop(const ClientConnection& connection);
+    /// @brief Closes connections that are idle since before the instant.
+    void prune(Instant idleBefore);
+    bool empty() const { return this->idle.empty(); }
+
+private:
+    std::unordered_map<std::string, std::vector<std::unique_ptr<ClientConnection>>> idle;
+};
+
+/// @brief Returns the address of "a.b.c.d:port", or nothing.
+std::optional<sockaddr_in> parseAuthority(const std::string& authority);
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/http/event_loop_test.cpp
@@ -0,0 +1,63 @@
+#include <thread>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "teaselshore/http/event_loop.hpp"
+
+namespace teaselshore {
+namespace {
+
+    // Guards against tasks of other threads that are lost, reordered or leave the loop asleep.
+    TEST(EventLoop, RunsPostedTasksOfEachThreadInOrder)
+    {
+        constexpr int threadCount = 4;
+        constexpr int tasksPerThread = 5000;
+        const auto loop = EventLoop::create();
+        std::vector<int> last(threadCount, 0);
+        int total = 0;
+        bool ordered = true;
+        std::vector<std::thread> threads;
+        threads.reserve(threadCount);
+        for (int thread = 0; thread < threadCount; ++thread) {
+            threads.emplace_back([&, thread] {
+                for (int task = 1; task <= tasksPerThread; ++task) {
+                    loop->post([&, thread, task] {
+                        ordered = ordered && last[thread] == task - 1;
+                        last[thread] = task;
+                        if (++total == threadCount * tasksPerThread)
+                            loop->stop();
+                    });
+                }
+            });
+        }
+        loop->run();
+        for (std::thread& thread : threads)
+            thread.join();
+        EXPECT_TRUE(ordered);
+        EXPECT_EQ(total, threadCount * tasksPerThread);
+    }
+
+    // Guards against timers that run out of order, early, or after their cancellation.
+    TEST(EventLoop, RunsTimersInOrderAndNotWhenCancelled)
+    {
+        const auto loop = EventLoop::create();
+        const Instant start = loop->now();
+        std::vector<int> order;
+        TimerId cancelled = 0;
+        loop->runAfter(std::chrono::milliseconds(30), [&] {
+            order.push_back(3);
+            loop->stop();
+        });
+        cancelled = loop->runAfter(std::chrono::milliseconds(20), [&] { order.push_back(2); });
+        loop->runAfter(std::chrono::milliseconds(10), [&] {
+            order.push_back(1);
+            loop->cancelTimer(cancelled);
+        });
+        loop->run();
+        EXPECT_EQ(order, (std::vector<int> { 1, 3 }));
+        EXPECT_GE(loop->now() - start, std::chrono::milliseconds(30));
+    }
+
+} // namespace
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/http/http_client_test.cpp
@@ -0,0 +1,329 @@
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "test_support.hpp"
+
+namespace teaselshore {
+namespace {
+
+    using Kind = HttpError::Kind;
+
+    void ignore(const std::shared_ptr<ServerExchange>&) { }
+
+    /// Plays a server that answers a request with fixed bytes and then ends the connection.
+    class ScriptedUpstream {
+    public:
+        enum class Ending {
+            Close,
+            Reset,
+            KeepOpen,
+        };
+
+        ScriptedUpstream()
+            : fixture(ignore)
+        {
+        }
+
+        CallRecord run(const std::string& answer, Ending ending, bool acceptUnframed = false)
+        {
+            HttpCall call = this->fixture.call("GET", "/");
+            call.authority = this->server.authority();
+            call.acceptUnframedReply = acceptUnframed;
+            CallRecord record;
+            this->fixture.start(std::move(call), record);
+            EXPECT_TRUE(this->fixture.runUntil([&] { return (this->connection = this->server.accept()) != nullptr; }));
+            bool ended = false;
+            EXPECT_TRUE(this->fixture.runUntil([&] { return !this->connection->receive(ended).empty(); }));
+            this->connection->send(answer);
+            // The reply must be read before a reset discards it.
+            this->fixture.runUntil([] { return false; }, std::chrono::milliseconds(20));
+            if (ending == Ending::Close)
+                this->connection->close();
+            if (ending == Ending::Reset)
+                this->connection->reset();
+            EXPECT_TRUE(this->fixture.runUntil([&] { return record.isDone(); })) << answer;
+            return record;
+        }
+
+        HttpFixture fixture;
+        RawServer server;
+        std::unique_ptr<RawConnection> connection;
+    };
+
+    // Guards against replies that were cut off but are reported as complete.
+    TEST(HttpClient, ReportsReplyThatBreaksOff)
+    {
+        using Ending = ScriptedUpstream::Ending;
+        const std::string chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        const std::vector<std::pair<std::string, std::string>> answers {
+            { "", "" },
+            { "HTTP/1.1 200 OK\r\ncontent-le", "" },
+            { "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n", "" },
+            { "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n123456789", "123456789" },
+            { chunked, "" },
+            { chunked + "5\r\nhello\r\n", "hello" },
+            { chunked + "5\r\nhel", "hel" },
+            { chunked + "5\r\nhello\r\n0\r\n", "hello" },
+        };
+        for (const auto& [answer, body] : answers) {
+            for (const Ending ending : { Ending::Close, Ending::Reset }) {
+                ScriptedUpstream upstream;
+                const CallRecord record = upstream.run(answer, ending);
+                EXPECT_FALSE(record.ended) << answer;
+                ASSERT_TRUE(record.error) << answer;
+                EXPECT_EQ(record.error->kind, Kind::ConnectionClosed) << answer;
+                EXPECT_TRUE(record.error->requestMayHaveBeenSent) << answer;
+                EXPECT_EQ(record.body, body) << answer;
+            }
+        }
+    }
+
+    // Guards against replies that two parsers would delimit differently, and against broken ones taken as valid.
+    TEST(HttpClient, RefusesMalformedReplies)
+    {
+        for (const std::string answer : {
+                 "nonsense\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab",
+                 "HTTP/1.1 200 OK\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+                 "HTTP/1.1 200 OK\r\n\r\nno length",
+             }) {
+            ScriptedUpstream upstream;
+            const CallRecord record = upstream.run(answer, ScriptedUpstream::Ending::KeepOpen);
+            ASSERT_TRUE(record.error) << answer;
+            EXPECT_EQ(record.error->kind, Kind::MalformedReply) << answer;
+            EXPECT_TRUE(record.error->requestMayHaveBeenSent) << answer;
+        }
+    }
+
+    // Guards against an end of connection by reset that counts as the end of an accepted unframed reply.
+    TEST(HttpClient, AcceptsUnframedReplyOnlyWithOrderlyEnd)
+    {
+        const std::string answer = "HTTP/1.0 200 OK\r\n\r\nbody";
+        ScriptedUpstream orderly;
+        const CallRecord complete = orderly.run(answer, ScriptedUpstream::Ending::Close, true);
+        EXPECT_TRUE(complete.ended);
+        EXPECT_EQ(complete.body, "body");
+        ScriptedUpstream broken;
+        EXPECT_TRUE(broken.run(answer, ScriptedUpstream::Ending::Reset, true).error);
+    }
+
+    // Guards against bytes after one reply that the next call on the connection takes for its own.
+    TEST(HttpClient, DropsConnectionWithSurplusBytes)
+    {
+        for (const std::string answer : {
+                 "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwrong",
+                 "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwrong",
+                 "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\nHTTP/1.1 200 OK\r\n"
+                 "content-length: 5\r\n\r\nwrong",
+             }) {
+            ScriptedUpstream upstream;
+            EXPECT_TRUE(upstream.run(answer, ScriptedUpstream::Ending::KeepOpen).ended);
+            // run() waits for a new connection.
+            const CallRecord next
+                = upstream.run("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nright", ScriptedUpstream::Ending::KeepOpen);
+            EXPECT_EQ(next.body, "right") << answer;
+        }
+        ScriptedUpstream late;
+        EXPECT_TRUE(late.run("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", ScriptedUpstream::Ending::KeepOpen).ended);
+        late.connection->send("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwrong");
+        const CallRecord next
+            = late.run("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nright", ScriptedUpstream::Ending::KeepOpen);
+        EXPECT_EQ(next.body, "right");
+    }
+
+    // Guards against a request on a connection that the upstream closed while it was idle.
+    TEST(HttpClient, ReplacesIdleConnectionThatWasClosed)
+    {
+        ScriptedUpstream upstream;
+        const std::string answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        EXPECT_TRUE(upstream.run(answer, ScriptedUpstream::Ending::Close).ended);
+        EXPECT_EQ(upstream.run(answer, ScriptedUpstream::Ending::Close).body, "ok");
+    }
+
+    // Guards against "not run" answers that are reported as unknown, and against invalid input that is sent.
+    TEST(HttpClient, SaysThatRequestWasNotSent)
+    {
+        HttpFixture fixture(ignore);
+        HttpCall refused = fixture.call("GET", "/");
+        {
+            const RawServer closed;
+            refused.authority = closed.authority();
+        }
+        HttpCall address = fixture.call("GET", "/");
+        address.authority = "localhost:80";
+        HttpCall path = fixture.call("GET", "/ HTTP/1.1\r\nx: y\r\n");
+        HttpCall header = fixture.call("GET", "/");
+        header.request.headers.add("x", "y\r\ncontent-length: 3");
+        const std::vector<std::pair<HttpCall, Kind>> calls {
+            { refused, Kind::ConnectFailed },
+            { address, Kind::AddressInvalid },
+            { path, Kind::RequestInvalid },
+            { header, Kind::RequestInvalid },
+        };
+        for (const auto& [call, kind] : calls) {
+            const CallRecord record = fixture.run(call);
+            ASSERT_TRUE(record.error);
+            EXPECT_EQ(record.error->kind, kind);
+            EXPECT_FALSE(record.error->requestMayHaveBeenSent);
+        }
+    }
+
+    // Guards against calls that never end: no reply at all, or a stream that falls silent.
+    TEST(HttpClient, TimesOutWithoutProgress)
+    {
+        HttpFixture fixture([&](const auto& exchange) {
+            if (exchange->request().path == "/silent")
+                return;
+            exchange->startStream(200, {});
+            for (int index = 0; index < 4; ++index)
+                fixture.loop->runAfter(std::chrono::milliseconds(30 * index), [exchange] { exchange->write("x"); });
+        });
+        for (const std::string path : { "/silent", "/stalled" }) {
+            HttpCall call = fixture.call("GET", path);
+            call.idleTimeout = std::chrono::milliseconds(60);
+            const CallRecord record = fixture.run(std::move(call));
+            ASSERT_TRUE(record.error);
+            EXPECT_EQ(record.error->kind, Kind::Timeout);
+            EXPECT_TRUE(record.error->requestMayHaveBeenSent);
+            EXPECT_EQ(record.body, path == "/silent" ? "" : "xxxx");
+        }
+        EXPECT_EQ(fixture.client->openCalls(), 0u);
+    }
+
+    // Guards against a connect attempt without limit. The backlog of the listener is full, so that it drops attempts.
+    TEST(HttpClient, TimesOutWhileConnecting)
+    {
+        HttpFixture fixture(ignore);
+        const RawServer server;
+        std::vector<CallRecord> records(40);
+        for (CallRecord& record : records) {
+            HttpCall call = fixture.call("GET", "/");
+            call.authority = server.authority();
+            call.connectTimeout = std::chrono::milliseconds(100);
+            call.idleTimeout = std::chrono::milliseconds(100);
+            fixture.start(std::move(call), record);
+        }
+        int notSent = 0;
+        for (const CallRecord& record : records) {
+            ASSERT_TRUE(fixture.runUntil([&] { return record.isDone(); }));
+            ASSERT_TRUE(record.error);
+            EXPECT_EQ(record.error->kind, Kind::Timeout);
+            notSent += record.error->requestMayHaveBeenSent ? 0 : 1;
+        }
+        EXPECT_GT(notSent, 0);
+    }
+
+    // Guards against callbacks of a cancelled call, also when it is cancelled inside its own callbacks.
+    TEST(HttpClient, CancelledCallStaysSilent)
+    {
+        int closed = 0;
+        HttpFixture fixture([&](const auto& exchange) {
+            exchange->onClosed([&closed] { ++closed; });
+            exchange->startStream(200, {});
+            exchange->write("x");
+        });
+        int calls = 0;
+        for (const std::string where : { "outside", "head", "data" }) {
+            CallId id = 0;
+            bool cancelled = false;
+            int later = 0;
+            const auto onCallback = [&](const std::string& name) {
+                later += cancelled ? 1 : 0;
+                if (name != where)
+                    return;
+                cancelled = true;
+                fixture.client->cancel(id);
+            };
+            HttpCallHandlers handlers;
+            handlers.onHead = [&](int, const HttpHeaders&) { onCallback("head"); };
+            handlers.onData = [&](std::string_view) { onCallback("data"); };
+            handlers.onEnd = [&] { onCallback("end"); };
+            handlers.onError = [&](const HttpError&) { onCallback("error"); };
+            id = fixture.client->start(fixture.call("GET", "/"), handlers);
+            ++calls;
+            if (where == "outside") {
+                ASSERT_TRUE(fixture.runUntil([&] { return fixture.server->openExchanges() == 1; }));
+                onCallback("outside");
+            }
+            ASSERT_TRUE(fixture.runUntil([&] { return closed == calls; }));
+            EXPECT_TRUE(cancelled);
+            EXPECT_EQ(later, 0) << where;
+            EXPECT_EQ(fixture.client->openCalls(), 0u);
+        }
+    }
+
+    // Guards against a fast upstream that fills the memory while the caller reads slowly.
+    TEST(HttpClient, PausedCallReceivesNothing)
+    {
+        const std::string chunk(65536, 'x');
+        constexpr std::size_t chunks = 400;
+        std::shared_ptr<ServerExchange> open;
+        HttpFixture fixture([&](const auto& exchange) {
+            exchange->startStream(200, {});
+            exchange->write("first");
+            open = exchange;
+        });
+        CallRecord record;
+        HttpCall call = fixture.call("GET", "/");
+        call.idleTimeout = std::chrono::milliseconds(50);
+        const CallId id = fixture.start(std::move(call), record);
+        ASSERT_TRUE(fixture.runUntil([&] { return !record.body.empty(); }));
+        fixture.client->setPaused(id, true);
+        for (std::size_t index = 0; index < chunks; ++index)
+            open->write(chunk);
+        open->finish();
+        fixture.runUntil([&] { return record.isDone(); }, std::chrono::milliseconds(150));
+        EXPECT_EQ(record.body, "first");
+        EXPECT_FALSE(record.isDone());
+        fixture.client->setPaused(id, false);
+        ASSERT_TRUE(fixture.runUntil([&] { return record.isDone(); }));
+        EXPECT_TRUE(record.ended);
+        EXPECT_EQ(record.body.size(), 5 + chunks * chunk.size());
+    }
+
+    // Guards against replies that reach the wrong call when connections are shared by many.
+    TEST(HttpClient, GivesEachConcurrentCallItsOwnReply)
+    {
+        HttpFixture fixture([&](const auto& exchange) {
+            const int delay = static_cast<int>(exchange->request().body.size() * 7 % 5);
+            fixture.loop->runAfter(std::chrono::milliseconds(delay), [exchange] {
+                exchange->startStream(200, {});
+                exchange->write(exchange->request().path);
+                exchange->write(exchange->request().body);
+                exchange->finish();
+            });
+        });
+        constexpr int concurrent = 50;
+        constexpr int total = 3000;
+        int started = 0;
+        int correct = 0;
+        std::vector<std::string> bodies(total);
+        std::function<void()> startNext = [&] {
+            if (started == total)
+                return;
+            const int index = started++;
+            const std::string path = "/" + std::to_string(index);
+            const std::string body(static_cast<std::size_t>(index % 300), static_cast<char>('a' + index % 26));
+            HttpCallHandlers handlers;
+            handlers.onData = [&bodies, index](std::string_view bytes) { bodies[index].append(bytes); };
+            handlers.onEnd = [&, index, expected = path + body] {
+                correct += bodies[index] == expected ? 1 : 0;
+                startNext();
+            };
+            handlers.onError = [](const HttpError& error) { ADD_FAILURE() << error.detail; };
+            fixture.client->start(fixture.call("POST", path, body), handlers);
+        };
+        for (int index = 0; index < concurrent; ++index)
+            startNext();
+        EXPECT_TRUE(fixture.runUntil([&] { return correct == total; }, std::chrono::seconds(30)));
+        EXPECT_EQ(correct, total);
+    }
+
+} // namespace
+} // namespace teaselshore
--- a/src/teaselshore/http/http_server_test.cpp
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -134,6 +134,26 @@
         }
     }
 
+    // Guards against an aborted answer to HTTP/1.0 whose end looks orderly; there the end of the connection is the end.
+    TEST(HttpServer, AbortResetsUnframedAnswer)
+    {
+        HttpFixture fixture([&](const auto& exchange) {
+            exchange->startStream(200, {});
+            exchange->write("partial");
+            fixture.loop->runAfter(std::chrono::milliseconds(5), [exchange] { exchange->abort(); });
+        });
+        const RawConnection connection(fixture.server->port());
+        connection.send("GET / HTTP/1.0\r\n\r\n");
+        bool ended = false;
+        std::string answer;
+        ASSERT_TRUE(fixture.runUntil([&] {
+            answer += connection.receive(ended);
+            return ended;
+        }));
+        EXPECT_TRUE(answer.empty() || answer.find("partial") != std::string::npos);
+        EXPECT_TRUE(connection.wasReset());
+    }
+
     // Guards against memory use that callers control.
     TEST(HttpServer, RefusesOversizedBody)
     {
--- a/src/teaselshore/http/server_exchange.cpp
+++ b/src/teaselshore/http/server_exchange.cpp
@@ -178,10 +178,8 @@
     this->aborting = true;
     h2o_req_t* request = this->h2oRequest;
     h2o_timeout_unlink(&this->anchor->flushEntry);
-    if (this->socket != nullptr) {
-        request->http1_is_persistent = 0;
-        shutdown(h2o_socket_get_fd(this->socket), SHUT_RDWR);
-    }
+    if (this->socket != nullptr)
+        this->breakConnectionOff();
     if (this->inFlight)
         return;
     if (!this->started)
@@ -189,6 +187,22 @@
     h2o_send(request, nullptr, 0, H2O_SEND_STATE_ERROR);
 }
 
+void H2oExchange::breakConnectionOff()
+{
+    h2o_req_t* request = this->h2oRequest;
+    request->http1_is_persistent = 0;
+    const int descriptor = h2o_socket_get_fd(this->socket);
+    const bool endsWithConnection
+        = this->started && request->version < 0x101 && request->res.content_length == SIZE_MAX;
+    if (!endsWithConnection) {
+        shutdown(descriptor, SHUT_RDWR);
+        return;
+    }
+    // An orderly end would mark an HTTP/1.0 answer without length as complete.
+    const linger resetOnClose { 1, 0 };
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof(resetOnClose));
+}
+
 void H2oExchange::settle()
 {
     if (this->settled)
--- a/src/teaselshore/http/server_exchange.hpp
+++ b/src/teaselshore/http/server_exchange.hpp
@@ -50,6 +50,7 @@
     void flush();
     void scheduleFlush();
     void closeConnection();
+    void breakConnectionOff();
     void detach();
     void settle();
     void notifyClosed();
--- a/src/teaselshore/http/test_support.hpp
+++ b/src/teaselshore/http/test_support.hpp
@@ -57,10 +57,12 @@
     /// @brief Closes with a reset instead of an orderly end.
     void reset();
     void close();
-    bool isOpen() const { return this->descriptor >= 0; }
+    /// @brief Returns whether the last receive() ended with a reset.
+    bool wasReset() const { return this->resetSeen; }
 
 private:
     int descriptor;
+    mutable bool resetSeen = false;
 };
 
 /// @brief Listens on a free port and answers each connection's first bytes with fixed bytes.
--- a/src/teaselshore/http/test_support_test.cpp
+++ b/src/teaselshore/http/test_support_test.cpp
@@ -113,6 +113,7 @@
     while (true) {
         const ssize_t count = recv(this->descriptor, buffer, sizeof(buffer), MSG_DONTWAIT);
         if (count <= 0) {
+            this->resetSeen = count < 0 && errno == ECONNRESET;
             ended = count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
             return bytes;
         }
