Add routing: router, load estimate, prefix index, admission

Cause: a decision must stay cheap at 5,300 engines and use what is known about load, caches, links and prices.

Change: upstreams are kept in sets by zone, price and idleness that every event updates in constant time, so that a decision samples a bounded set of candidates. Preferred engines of a prefix come from a two-level rendezvous table. An estimate of the others' load fades within half a minute: with a slower decline an engine last reported as full got no work for minutes, as a test showed.

--- a/include/teaselshore/reliability/concurrency_limit.hpp
+++ b/include/teaselshore/reliability/concurrency_limit.hpp
@@ -12,6 +12,8 @@
     double maximum = 64;
     /// A latency above this multiple of the baseline counts as overload.
     double tolerance = 2.5;
+    /// A latency below this never counts as overload.
+    Duration harmless = std::chrono::milliseconds(1);
     /// Factor of the limit on overload.
     double decrease = 0.8;
     /// Minimum time between two decreases, so that the requests of one overload count once.
@@ -25,7 +27,7 @@
 
 /// @brief Adaptive limit of concurrent requests to one upstream: additive increase, multiplicative decrease.
 ///
-/// The baseline is the lowest latency seen; it rises slowly while the upstream is little used or at the minimum limit.
+/// The baseline follows the low latencies; it rises slowly while the upstream is little used or at the minimum limit.
 /// The limit grows only while it is in use. Not thread-safe.
 class ConcurrencyLimit {
 public:
--- a/include/teaselshore/routing/load_estimate.hpp
+++ b/include/teaselshore/routing/load_estimate.hpp
@@ -51,6 +51,8 @@
     double secondsPerToken = 0.03;
     /// Time a request occupies its slot, seconds.
     double holdSeconds = 1;
+    /// Work before the first byte per request, token equivalents.
+    double workPerRequest = 50;
 
     auto operator<=>(const LoadRates&) const = default;
 };
@@ -93,16 +95,17 @@
     Duration predictTotal(const WorkSize& work, const LoadShape& shape, const LoadRates& pool, Instant now) const;
 
 private:
-    double confidence(Instant now) const;
+    double blend(double measuredRate, double poolRate, Instant now) const;
 
     std::uint32_t outstanding = 0;
     double ownPrefillWork = 0;
     double othersLast = 0;
     double othersAverage = 0;
-    double othersQueued = 0;
+    /// Part of othersLast that waits, in [0, 1].
+    double queuedPart = 0;
     Instant reportedAt = Instant::min();
     /// Measured; all zero before the first sample.
-    LoadRates measured { 0, 0, 0 };
+    LoadRates measured { 0, 0, 0, 0 };
     Instant measuredAt = Instant::min();
 };
 
--- a/include/teaselshore/routing/prefix_index.hpp
+++ b/include/teaselshore/routing/prefix_index.hpp
@@ -63,7 +63,7 @@
 /// @brief Tells which engines have which prompt blocks in their prefix cache.
 ///
 /// The memory is fixed: a set-associative table that replaces the least recently used block of a set, with up to four
-/// engines per block. A gap in the events of an engine halves the certainty of what was known about it before; its end
+/// engines per block. A gap in the events of an engine lowers the certainty of what was known about it before; its end
 /// forgets it, both in constant time. A lookup reads a number of entries logarithmic in the blocks of the prompt. Not
 /// thread-safe.
 class PrefixIndex {
@@ -109,9 +109,9 @@
     const Block* findBlock(Fingerprint hash) const;
     Block& findOrCreateBlock(Fingerprint hash);
     void store(std::uint32_t engine, Fingerprint hash, std::uint32_t epoch);
-    void remove(std::uint32_t engine, Fingerprint hash);
+    void remove(std::uint32_t engine, Fingerprint hash, bool late);
     double certainty(const Holder& holder) const;
-    void collect(const Block& block, std::uint32_t depth, PrefixHolders& found) const;
+    bool collect(const Block& block, std::uint32_t depth, PrefixHolders& found) const;
 
     PrefixIndexSettings settings;
     std::size_t setMask;
--- a/include/teaselshore/routing/rendezvous_table.hpp
+++ b/include/teaselshore/routing/rendezvous_table.hpp
@@ -31,6 +31,8 @@
     /// @brief Removes a member that was added with the same salt.
     void remove(std::uint32_t member, Fingerprint salt);
 
+    void clear();
+
     /// @brief Returns the preferred members of a key, best first, from at most two buckets.
     Choices choose(Fingerprint key) const;
 
--- a/include/teaselshore/routing/router.hpp
+++ b/include/teaselshore/routing/router.hpp
@@ -168,6 +168,9 @@
     /// @brief Reports the end of an attempt and the number of tokens it generated.
     void onFinished(DispatchId dispatch, AttemptOutcome outcome, std::uint32_t outputTokens, Instant now);
 
+    /// @brief Makes upstreams eligible again whose circuit breaker or load report has aged. Call it every 100 ms or so.
+    void onTick(Instant now);
+
     /// @brief Returns the number of requests that this node may have outstanding at the available upstreams of a
     /// service, for AdmissionController::onCapacity().
     std::uint32_t capacity(const ServiceName& service) const;
--- a/src/teaselshore/reliability/concurrency_limit.cpp
+++ b/src/teaselshore/reliability/concurrency_limit.cpp
@@ -4,6 +4,13 @@
 
 namespace teaselshore {
 
+namespace {
+
+    /// Weight of a lower sample in the baseline; a strict minimum would take one lucky request as the norm.
+    constexpr double baselineFall = 0.2;
+
+} // namespace
+
 ConcurrencyLimit::ConcurrencyLimit(ConcurrencyLimitSettings settings)
     : settings(settings)
     , current(std::clamp(settings.initial, settings.minimum, settings.maximum))
@@ -16,7 +23,7 @@
     // Under full use the latency contains queueing, which must not become the new baseline.
     const bool mayRise = outstanding * 2 < this->limit() || this->current <= this->settings.minimum;
     this->updateBaseline(sample, mayRise, now);
-    if (sample > this->baseline * this->settings.tolerance) {
+    if (latency >= this->settings.harmless && sample > this->baseline * this->settings.tolerance) {
         this->decreaseLimit(now);
         return;
     }
@@ -51,7 +58,7 @@
     } else {
         const double elapsed = toSeconds(now - this->baselineAt);
         const double raised = this->baseline * (mayRise ? 1 + this->settings.baselineRise * elapsed : 1);
-        this->baseline = std::min(latency, raised);
+        this->baseline = latency < raised ? raised + baselineFall * (latency - raised) : raised;
     }
     this->baselineAt = now;
 }
--- /dev/null
+++ b/src/teaselshore/routing/upstream_table.cpp
@@ -0,0 +1,428 @@
+#include "upstream_table.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace teaselshore {
+
+namespace {
+
+    constexpr std::size_t rechecksPerCall = 16;
+    /// An upstream that others fill is looked at again after this time, when the report has faded.
+    constexpr Duration othersRecheck = std::chrono::milliseconds(500);
+    /// Versions of a service that are not configured, or not yet, but keep their share and stop mark.
+    constexpr std::size_t rememberedVersions = 8;
+    constexpr double latencyTolerance = 4;
+    /// Part of the tightest first-token target that is never taken for overload.
+    constexpr double harmlessPart = 0.3;
+    constexpr Duration defaultHarmless = std::chrono::milliseconds(20);
+
+    const std::vector<std::uint32_t> noPools;
+
+    double pricePerHour(const Configuration& configuration, const UpstreamConfiguration& upstream)
+    {
+        for (const PriceConfiguration& price : configuration.prices) {
+            if (price.zone == upstream.zone && price.hostClass == upstream.hostClass)
+                return upstream.reclaimable ? price.reclaimablePerHour : price.onDemandPerHour;
+        }
+        return 0;
+    }
+
+    double reclaimRisk(const Configuration& configuration, const UpstreamConfiguration& upstream)
+    {
+        if (!upstream.reclaimable)
+            return 0;
+        for (const PriceConfiguration& price : configuration.prices) {
+            if (price.zone == upstream.zone && price.hostClass == upstream.hostClass)
+                return price.reclaimRiskPerHour;
+        }
+        return 0;
+    }
+
+    Link linkOf(const Configuration& configuration, const AvailabilityZone& first, const AvailabilityZone& second)
+    {
+        if (first == second)
+            return {};
+        for (const LinkConfiguration& link : configuration.links) {
+            if ((link.first == first && link.second == second) || (link.first == second && link.second == first))
+                return link.link;
+        }
+        return configuration.defaultLink;
+    }
+
+} // namespace
+
+UpstreamTable::UpstreamTable(const RouterSettings& settings)
+    : settings(settings)
+{
+}
+
+void UpstreamTable::configure(const Configuration& configuration, Instant now)
+{
+    this->replaced.clear();
+    this->classes.clear();
+    this->harmlessLatency = defaultHarmless;
+    for (const ClassConfiguration& latencyClass : configuration.classes) {
+        this->classes[latencyClass.name] = { latencyClass.firstTokenTarget };
+        if (latencyClass.firstTokenTarget) {
+            const Duration part = fromSeconds(harmlessPart * toSeconds(*latencyClass.firstTokenTarget));
+            this->harmlessLatency = std::max(this->harmlessLatency, part);
+        }
+    }
+    this->configureZones(configuration);
+
+    for (Pool& pool : this->pools) {
+        pool.configured = false;
+        pool.eligible.clear();
+        pool.idle.clear();
+        pool.byZone.assign(this->zones.size(), {});
+        pool.idleByZone.assign(this->zones.size(), {});
+        pool.byPrice.clear();
+        pool.preferred.clear();
+        pool.capacity = 0;
+        pool.inService = 0;
+        pool.outstanding = 0;
+    }
+    for (std::uint32_t index = 0; index < this->details.size(); index++) {
+        this->details[index].configured = false;
+        this->details[index].contribution = 0;
+        this->details[index].inService = false;
+        this->upstreams[index].positions.fill(noPosition);
+    }
+
+    this->prices.assign(this->details.size(), 0);
+    for (const ServiceConfiguration& service : configuration.services)
+        this->configureService(configuration, service);
+    this->recyclePools();
+    this->configurePrices();
+
+    for (std::uint32_t index = 0; index < this->details.size(); index++) {
+        if (this->details[index].configured) {
+            this->pools[this->upstreams[index].pool].outstanding += this->upstreams[index].load.ownOutstanding();
+            this->refresh(index, now);
+            continue;
+        }
+        if (this->details[index].id.empty())
+            continue;
+        this->indices.erase(this->details[index].id);
+        this->resetProcess(index, 1);
+        this->details[index].id = UpstreamId {};
+        this->freeIndices.push_back(index);
+    }
+}
+
+void UpstreamTable::configureZones(const Configuration& configuration)
+{
+    this->zones.clear();
+    for (const RegionConfiguration& region : configuration.regions) {
+        for (const AvailabilityZone& zone : region.zones)
+            this->zones.push_back({ zone, linkOf(configuration, this->settings.zone, zone) });
+    }
+    // Takes the upstreams whose zone is not listed.
+    this->zones.push_back({ AvailabilityZone {}, configuration.defaultLink });
+
+    this->nearestZones.clear();
+    for (std::uint32_t number = 0; number < this->zones.size(); number++)
+        this->nearestZones.push_back(number);
+    std::stable_sort(
+        this->nearestZones.begin(), this->nearestZones.end(), [&](std::uint32_t first, std::uint32_t second) {
+            return this->zones[first].link.delay < this->zones[second].link.delay;
+        });
+}
+
+void UpstreamTable::configureService(const Configuration& configuration, const ServiceConfiguration& service)
+{
+    const auto configurePool = [&](const VersionName& version, bool moving) {
+        Pool& pool = this->poolFor(service.name, version);
+        pool.configured = true;
+        pool.kind = service.kind;
+        if (!pool.shareSet)
+            pool.share = moving ? 0 : 1;
+        return static_cast<std::uint32_t>(&pool - this->pools.data());
+    };
+    for (const VersionConfiguration& version : service.versions)
+        configurePool(version.name, version.moveBy.has_value());
+    for (const UpstreamConfiguration& upstream : service.upstreams) {
+        const auto declared = std::find_if(service.versions.begin(), service.versions.end(),
+            [&](const VersionConfiguration& version) { return version.name == upstream.version; });
+        const bool moving = declared != service.versions.end() && declared->moveBy.has_value();
+        this->configureUpstream(upstream, configurePool(upstream.version, moving), configuration);
+    }
+    this->sortPools(service.name);
+}
+
+void UpstreamTable::configureUpstream(
+    const UpstreamConfiguration& upstream, std::uint32_t pool, const Configuration& configuration)
+{
+    const auto known = this->indices.find(upstream.id);
+    std::uint32_t index = 0;
+    if (known != this->indices.end()) {
+        index = known->second;
+        if (this->details[index].configured)
+            return;
+        if (this->details[index].address != upstream.address)
+            this->resetProcess(index, upstream.capacity);
+    } else {
+        if (this->freeIndices.empty()) {
+            index = static_cast<std::uint32_t>(this->upstreams.size());
+            this->upstreams.emplace_back();
+            this->details.emplace_back();
+            this->prices.push_back(0);
+        } else {
+            index = this->freeIndices.back();
+            this->freeIndices.pop_back();
+        }
+        this->indices[upstream.id] = index;
+        this->resetProcess(index, upstream.capacity);
+    }
+
+    UpstreamDetails& detail = this->details[index];
+    detail.id = upstream.id;
+    detail.address = upstream.address;
+    detail.salt = fingerprint(upstream.id.value());
+    detail.configured = true;
+    const double capacity = std::max(1U, upstream.capacity);
+    detail.limit.setBounds(std::max(1.0, capacity / 4), capacity * 2);
+
+    Upstream& entry = this->upstreams[index];
+    const bool plain = this->pools[pool].kind == ServiceKind::Plain;
+    entry.pool = pool;
+    entry.zone = this->zoneNumber(upstream.zone);
+    entry.shape = { std::max(1U, upstream.capacity), plain ? std::max(1U, upstream.capacity) : 1 };
+    entry.reclaimRiskPerHour = reclaimRisk(configuration, upstream);
+    this->prices[index] = pricePerHour(configuration, upstream) / capacity;
+    this->pools[pool].preferred.add(index, detail.salt);
+}
+
+void UpstreamTable::configurePrices()
+{
+    std::vector<std::vector<double>> tiers(this->pools.size());
+    for (std::uint32_t index = 0; index < this->details.size(); index++) {
+        if (this->details[index].configured)
+            tiers[this->upstreams[index].pool].push_back(this->prices[index]);
+    }
+    for (std::size_t pool = 0; pool < this->pools.size(); pool++) {
+        std::sort(tiers[pool].begin(), tiers[pool].end());
+        tiers[pool].erase(std::unique(tiers[pool].begin(), tiers[pool].end()), tiers[pool].end());
+        this->pools[pool].byPrice.assign(tiers[pool].size(), {});
+    }
+    for (std::uint32_t index = 0; index < this->details.size(); index++) {
+        if (!this->details[index].configured)
+            continue;
+        Upstream& entry = this->upstreams[index];
+        const std::vector<double>& prices = tiers[entry.pool];
+        const auto tier = std::lower_bound(prices.begin(), prices.end(), this->prices[index]);
+        entry.priceTier = static_cast<std::uint32_t>(tier - prices.begin());
+        const double span = prices.back() - prices.front();
+        entry.relativePrice = span > 0 ? (this->prices[index] - prices.front()) / span : 0;
+    }
+}
+
+void UpstreamTable::resetProcess(std::uint32_t index, std::uint32_t capacity)
+{
+    UpstreamDetails fresh;
+    UpstreamDetails& detail = this->details[index];
+    fresh.id = detail.id;
+    fresh.generation = detail.generation + 1;
+    // A pending recheck stays in the queue and must not be doubled.
+    fresh.recheckAt = detail.recheckAt;
+    fresh.breaker = CircuitBreaker(this->settings.circuitBreaker);
+    fresh.limit = ConcurrencyLimit({ .initial = static_cast<double>(std::max(1U, capacity)),
+        .minimum = 1,
+        .maximum = std::max(1.0, 2.0 * capacity),
+        .tolerance = latencyTolerance,
+        .harmless = this->harmlessLatency });
+    detail = std::move(fresh);
+    this->upstreams[index].load = LoadEstimate {};
+    this->replaced.push_back(index);
+}
+
+void UpstreamTable::recyclePools()
+{
+    for (auto& [service, pools] : this->services) {
+        const auto isUnused = [&](std::uint32_t pool) { return !this->pools[pool].configured; };
+        auto unused = static_cast<std::size_t>(std::count_if(pools.begin(), pools.end(), isUnused));
+        std::erase_if(pools, [&](std::uint32_t pool) {
+            if (unused <= rememberedVersions || !isUnused(pool))
+                return false;
+            unused--;
+            this->freePools.push_back(pool);
+            return true;
+        });
+    }
+}
+
+std::optional<std::uint32_t> UpstreamTable::find(const UpstreamId& id) const
+{
+    const auto found = this->indices.find(id);
+    if (found == this->indices.end())
+        return std::nullopt;
+    return found->second;
+}
+
+const std::vector<std::uint32_t>& UpstreamTable::poolsOf(const ServiceName& service) const
+{
+    const auto found = this->services.find(service);
+    return found == this->services.end() ? noPools : found->second;
+}
+
+Pool& UpstreamTable::poolFor(const ServiceName& service, const VersionName& version)
+{
+    std::vector<std::uint32_t>& pools = this->services[service];
+    for (const std::uint32_t pool : pools) {
+        if (this->pools[pool].version == version)
+            return this->pools[pool];
+    }
+    if (this->freePools.empty()) {
+        this->freePools.push_back(static_cast<std::uint32_t>(this->pools.size()));
+        this->pools.emplace_back();
+    }
+    pools.push_back(this->freePools.back());
+    this->freePools.pop_back();
+    Pool& pool = this->pools[pools.back()];
+    pool = Pool {};
+    pool.service = service;
+    pool.version = version;
+    pool.byZone.assign(this->zones.size(), {});
+    pool.idleByZone.assign(this->zones.size(), {});
+    return pool;
+}
+
+void UpstreamTable::sortPools(const ServiceName& service)
+{
+    std::vector<std::uint32_t>& pools = this->services[service];
+    std::stable_sort(pools.begin(), pools.end(), [&](std::uint32_t first, std::uint32_t second) {
+        return this->pools[first].share > this->pools[second].share;
+    });
+}
+
+std::uint32_t UpstreamTable::zoneNumber(const AvailabilityZone& zone) const
+{
+    for (std::uint32_t number = 0; number + 1 < this->zones.size(); number++) {
+        if (this->zones[number].name == zone)
+            return number;
+    }
+    return static_cast<std::uint32_t>(this->zones.size() - 1);
+}
+
+UpstreamState UpstreamTable::stateOf(std::uint32_t index) const
+{
+    const UpstreamDetails& detail = this->details[index];
+    if (detail.dead)
+        return UpstreamState::Dead;
+    if (detail.noticed || detail.departing)
+        return UpstreamState::Leaving;
+    return detail.draining ? UpstreamState::Draining : UpstreamState::Available;
+}
+
+void UpstreamTable::refresh(std::uint32_t index, Instant now)
+{
+    UpstreamDetails& detail = this->details[index];
+    if (!detail.configured)
+        return;
+    Upstream& entry = this->upstreams[index];
+    Pool& pool = this->pools[entry.pool];
+    const bool available = this->stateOf(index) == UpstreamState::Available;
+    const bool admits = detail.breaker.admits(now);
+    const std::uint32_t own = entry.load.ownOutstanding();
+    const double others = entry.load.othersOutstanding(now);
+    entry.limit = detail.limit.limit();
+
+    // Half of an expected request of others does not block a place.
+    const bool hasRoom = own + others + 0.5 < entry.limit;
+    const bool eligible = available && admits && hasRoom && !detail.reserved;
+    this->setMembership(SetKind::All, index, eligible);
+    this->setMembership(SetKind::Zone, index, eligible);
+    this->setMembership(SetKind::Price, index, eligible);
+    this->setMembership(SetKind::Idle, index, eligible && own == 0);
+    this->setMembership(SetKind::IdleZone, index, eligible && own == 0);
+
+    // A half-open upstream counts with one place: without it, a service whose breakers are all open would admit no
+    // request that could serve as a probe.
+    const bool closed = detail.breaker.state(now) == CircuitState::Closed;
+    const bool inService = available && (closed || admits);
+    const auto room = closed ? static_cast<std::uint32_t>(std::max(0.0, std::round(entry.limit - others))) : 1U;
+    const std::uint32_t contribution = inService ? std::max(own, room) : 0;
+    pool.capacity += contribution - detail.contribution;
+    detail.contribution = contribution;
+    pool.inService += static_cast<std::uint32_t>(inService) - static_cast<std::uint32_t>(detail.inService);
+    detail.inService = inService;
+
+    if (!available)
+        return;
+    if (const std::optional<Instant> at = detail.breaker.admitsFrom(now))
+        this->scheduleRecheck(index, *at);
+    else if (!hasRoom && own < entry.limit)
+        this->scheduleRecheck(index, now + othersRecheck);
+}
+
+void UpstreamTable::scheduleRecheck(std::uint32_t index, Instant at)
+{
+    Instant& pending = this->details[index].recheckAt;
+    if (pending <= at)
+        return;
+    pending = at;
+    this->rechecks.emplace(at, index);
+}
+
+void UpstreamTable::refreshDue(Instant now)
+{
+    for (std::size_t i = 0; i < rechecksPerCall; i++) {
+        if (this->rechecks.empty() || this->rechecks.top().first > now)
+            return;
+        const auto [at, index] = this->rechecks.top();
+        this->rechecks.pop();
+        if (this->details[index].recheckAt != at)
+            continue;
+        this->details[index].recheckAt = Instant::max();
+        this->refresh(index, now);
+    }
+}
+
+UpstreamSet& UpstreamTable::setOf(SetKind kind, std::uint32_t index)
+{
+    const Upstream& entry = this->upstreams[index];
+    Pool& pool = this->pools[entry.pool];
+    switch (kind) {
+    case SetKind::All:
+        return pool.eligible;
+    case SetKind::Zone:
+        return pool.byZone[entry.zone];
+    case SetKind::Price:
+        return pool.byPrice[entry.priceTier];
+    case SetKind::Idle:
+        return pool.idle;
+    case SetKind::IdleZone:
+        return pool.idleByZone[entry.zone];
+    }
+    return pool.eligible;
+}
+
+void UpstreamTable::setMembership(SetKind kind, std::uint32_t index, bool member)
+{
+    std::uint32_t& position = this->upstreams[index].positions[static_cast<std::size_t>(kind)];
+    if (member == (position != noPosition))
+        return;
+    UpstreamSet& set = this->setOf(kind, index);
+    if (member) {
+        position = static_cast<std::uint32_t>(set.size());
+        set.push_back(index);
+        return;
+    }
+    const std::uint32_t last = set.back();
+    set[position] = last;
+    this->upstreams[last].positions[static_cast<std::size_t>(kind)] = position;
+    set.pop_back();
+    position = noPosition;
+}
+
+std::size_t UpstreamTable::memoryBytes() const
+{
+    std::size_t bytes
+        = this->upstreams.capacity() * sizeof(Upstream) + this->details.capacity() * sizeof(UpstreamDetails);
+    // Sets, the rendezvous entry, the id index, and the text of the address.
+    bytes += this->details.size() * (setKinds * 2 * sizeof(std::uint32_t) + 32 + 64 + 32);
+    return bytes + this->pools.size() * sizeof(Pool);
+}
+
+} // namespace teaselshore
