--- a/src/teaselshore/configuration/difference.cpp
+++ b/src/teaselshore/configuration/difference.cpp
@@ -180,7 +180,7 @@
 std::string describe(const ConfigurationChange& change)
 {
     std::string subject = change.element.empty() ? describe(change.subject)
-                                                       : fmt::format("{} {}", describe(change.subject), change.element);
+                                                 : fmt::format("{} {}", describe(change.subject), change.element);
     switch (change.kind) {
     case ChangeKind::Added:
         return fmt::format("added {}: {}", subject, change.after);
--- a/src/teaselshore/configuration/parse_test.cpp
+++ b/src/teaselshore/configuration/parse_test.cpp
@@ -96,6 +96,8 @@
                 "reserved" },
             { "hourly: 40.0", "hourly: 40.0, hourly: 4", 13, "hourly: 4}", "commitment", "duplicate key 'hourly'" },
             { "kind: plain", "kind: plian", 37, "plian", "services[1].kind", "must be 'engine' or 'plain'" },
+            { "za, address: \"127.0.0.1:9101\"", "za, address: ", 40, "address", "services[1].upstreams[0].address",
+                "must be text, is empty" },
             { "between: [za, zb]", "between: [za, za]", 8, "za], delay", "links.pairs[0].between[1]", "another zone" },
         };
         for (const BadEdit& edit : edits) {
--- a/src/teaselshore/configuration/yaml_document.cpp
+++ b/src/teaselshore/configuration/yaml_document.cpp
@@ -126,6 +126,9 @@
                 parent.key = std::move(node);
                 return;
             }
+            // yaml-cpp places an absent value at the token that follows, which can be many lines further on.
+            if (std::holds_alternative<YamlNull>(node.content))
+                node.position = parent.key->position;
             std::get<YamlMap>(parent.node.content).entries.push_back({ std::move(*parent.key), std::move(node) });
             parent.key.reset();
         }
