--- a/include/teaselshore/emulators/json_reply.hpp
+++ b/include/teaselshore/emulators/json_reply.hpp
@@ -20,4 +20,7 @@
 /// @brief Parses a JSON object; nothing if the text is anything else.
 std::optional<nlohmann::json> parseObject(std::string_view text);
 
+/// @brief Returns a string member, or an empty text if it is missing or no string.
+std::string memberText(const nlohmann::json& document, const char* name);
+
 } // namespace teaselshore
--- a/src/teaselshore/emulators/engine_server.cpp
+++ b/src/teaselshore/emulators/engine_server.cpp
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 
+#include "engine_json.hpp"
 #include "teaselshore/base/log.hpp"
 #include "teaselshore/base/random.hpp"
 #include "teaselshore/emulators/chat_format.hpp"
@@ -38,64 +39,6 @@
         std::_Exit(crashStatus);
     }
 
-    HttpReply refusalReply(EngineRefusal refusal, const RequestId& id)
-    {
-        switch (refusal) {
-        case EngineRefusal::QueueFull:
-            return errorReply(503, "queue_full", "the queue of the engine is full", id);
-        case EngineRefusal::Draining:
-            return errorReply(503, "draining", "the engine takes no new requests", id);
-        case EngineRefusal::ModelNotLoaded:
-            return errorReply(404, "model_not_loaded", "the engine has not loaded this model", id);
-        case EngineRefusal::VersionFault:
-            break;
-        }
-        return errorReply(500, "version_fault", "this version of the engine fails the request", id);
-    }
-
-    std::string hex(Fingerprint value) { return fmt::format("{:016x}", value); }
-
-    std::optional<Fingerprint> parseHex(const std::string& text)
-    {
-        char* end = nullptr;
-        const Fingerprint value = std::strtoull(text.c_str(), &end, 16);
-        if (text.empty() || *end != '\0')
-            return std::nullopt;
-        return value;
-    }
-
-    std::optional<ControlAction> parseAction(const std::string& text)
-    {
-        static const std::map<std::string, ControlAction> actions { { "load-model", ControlAction::LoadModel },
-            { "load-adapter", ControlAction::LoadAdapter }, { "load-version", ControlAction::LoadVersion },
-            { "set-role", ControlAction::SetRole } };
-        const auto found = actions.find(text);
-        return found == actions.end() ? std::nullopt : std::optional(found->second);
-    }
-
-    std::string_view actionName(ControlAction action)
-    {
-        switch (action) {
-        case ControlAction::LoadModel:
-            return "load-model";
-        case ControlAction::LoadAdapter:
-            return "load-adapter";
-        case ControlAction::LoadVersion:
-            return "load-version";
-        case ControlAction::SetRole:
-            break;
-        }
-        return "set-role";
-    }
-
-    std::string_view roleName(EngineRole role) { return role == EngineRole::Serving ? "serving" : "draining"; }
-
-    std::string textMember(const json& document, const char* name)
-    {
-        const auto found = document.find(name);
-        return found != document.end() && found->is_string() ? found->get<std::string>() : std::string();
-    }
-
 } // namespace
 
 struct EngineServer::Impl {
@@ -127,10 +70,6 @@
     HttpReply importKv(const json& body);
     HttpReply control(const HttpRequest& request, const json& body);
     HttpReply faults(const json& body);
-    HttpReply loadReport() const;
-    HttpReply cacheEvents(const RequestTarget& target) const;
-    HttpReply controlState() const;
-    HttpReply statistics() const;
     HttpHeaders responseHeaders(const RequestId& id, const HttpRequest& request) const;
     void tick();
     void deliver(const TokensGenerated& tokens);
@@ -153,7 +92,7 @@
     auto impl = std::make_unique<Impl>(loop, engine, seed);
     Impl* state = impl.get();
     impl->server = HttpServer::listen(
-        loop, address, [state](std::shared_ptr<ServerExchange> exchange) { state->handle(exchange); }, error);
+        loop, address, [state](const std::shared_ptr<ServerExchange>& exchange) { state->handle(exchange); }, error);
     if (!impl->server)
         return nullptr;
     return std::unique_ptr<EngineServer>(new EngineServer(std::move(impl)));
@@ -195,13 +134,16 @@
     }
     if (request.method == "GET") {
         if (target.path == "/load")
-            return this->loadReport();
-        if (target.path == "/cache-events")
-            return this->cacheEvents(target);
+            return jsonReply(200, loadJson(this->model.loadReport(this->loop.now()), this->model));
+        if (target.path == "/cache-events") {
+            const std::uint64_t after = target.number("after").value_or(0);
+            return jsonReply(
+                200, cacheEventsJson(this->model.cacheEventsAfter(after, maxCacheEvents, this->loop.now()), after));
+        }
         if (target.path == "/orders")
-            return this->controlState();
+            return jsonReply(200, controlJson(this->model.control()));
         if (target.path == "/stats")
-            return this->statistics();
+            return jsonReply(200, engineStatisticsJson(this->model.statistics()));
         return errorReply(404, "not_found", "no such resource");
     }
     const auto body = parseObject(request.body);
@@ -289,30 +231,28 @@
 
 HttpReply EngineServer::Impl::exportKv(const json& body) const
 {
-    const RequestId id(textMember(body, "requestId"));
+    const RequestId id(memberText(body, "requestId"));
     const auto state = this->model.exportKv(id);
     if (!state)
         return errorReply(404, "not_found", "no such request is running", id);
-    return jsonReply(200, { { "requestId", id.value() }, { "key", hex(state->key) }, { "tokens", state->tokens } });
+    return jsonReply(200, kvStateJson(*state));
 }
 
 HttpReply EngineServer::Impl::importKv(const json& body)
 {
-    const RequestId id(textMember(body, "requestId"));
-    const auto key = parseHex(textMember(body, "key"));
-    const json tokens = body.value("tokens", json());
-    if (id.empty() || !key || !tokens.is_number_unsigned())
-        return errorReply(400, "bad_request", "expected requestId, key and tokens as exported", id);
-    this->model.importKv({ id, *key, tokens.get<std::uint64_t>() });
+    const auto state = parseKvState(body);
+    if (!state)
+        return errorReply(400, "bad_request", "expected requestId, key and tokens as exported");
+    this->model.importKv(*state);
     return jsonReply(200, { { "imported", true } });
 }
 
 HttpReply EngineServer::Impl::control(const HttpRequest& request, const json& body)
 {
-    const auto action = parseAction(textMember(body, "action"));
+    const auto action = parseAction(memberText(body, "action"));
     if (!action)
         return errorReply(400, "bad_request", "action must be load-model, load-adapter, load-version or set-role");
-    const ControlCommand command { headerNumber(request, "x-fencing-token", 0), *action, textMember(body, "value") };
+    const ControlCommand command { headerNumber(request, "x-fencing-token", 0), *action, memberText(body, "value") };
     switch (this->model.onControl(command, this->loop.now())) {
     case ControlResult::OldToken:
         return errorReply(409, "old_fencing_token",
@@ -322,7 +262,7 @@
     case ControlResult::Accepted:
         break;
     }
-    return this->controlState();
+    return jsonReply(200, controlJson(this->model.control()));
 }
 
 HttpReply EngineServer::Impl::faults(const json& body)
@@ -345,62 +285,6 @@
     return jsonReply(200, json::object());
 }
 
-HttpReply EngineServer::Impl::loadReport() const
-{
-    const EngineLoadReport report = this->model.loadReport(this->loop.now());
-    const EngineControl& control = this->model.control();
-    return jsonReply(200,
-        { { "queued", report.load.queued }, { "running", report.load.running },
-            { "capacity", this->model.engineSettings().maxRunning }, { "cachedBlocks", report.load.cachedBlocks },
-            { "generatedTokens", report.load.generatedTokens }, { "ageMs", toMilliseconds(report.age) },
-            { "model", control.model() }, { "version", control.version().value() },
-            { "role", roleName(control.role()) } });
-}
-
-HttpReply EngineServer::Impl::cacheEvents(const RequestTarget& target) const
-{
-    const std::uint64_t after = target.number("after").value_or(0);
-    json list = json::array();
-    std::uint64_t last = after;
-    for (const CacheEvent& event : this->model.cacheEventsAfter(after, maxCacheEvents, this->loop.now())) {
-        json blocks = json::array();
-        for (const Fingerprint block : event.blocks)
-            blocks.push_back(hex(block));
-        const bool isStored = event.kind == CacheEvent::Kind::Stored;
-        list.push_back(
-            { { "number", event.number }, { "kind", isStored ? "stored" : "evicted" }, { "blocks", blocks } });
-        last = event.number;
-    }
-    return jsonReply(200, { { "events", list }, { "last", last } });
-}
-
-HttpReply EngineServer::Impl::controlState() const
-{
-    const EngineControl& control = this->model.control();
-    json applied = json::array();
-    for (const AppliedCommand& entry : control.applied()) {
-        applied.push_back(
-            { { "fencingToken", entry.command.fencingToken }, { "action", actionName(entry.command.action) },
-                { "value", entry.command.value }, { "wasOld", entry.wasOld } });
-    }
-    return jsonReply(200,
-        { { "model", control.model() }, { "version", control.version().value() }, { "adapters", control.adapters() },
-            { "role", roleName(control.role()) }, { "loading", control.loading() },
-            { "fencingToken", control.highestToken() }, { "applied", applied } });
-}
-
-HttpReply EngineServer::Impl::statistics() const
-{
-    const EngineStatistics& counters = this->model.statistics();
-    return jsonReply(200,
-        { { "requests", counters.requests }, { "refused", counters.refused },
-            { "versionFaults", counters.versionFaults }, { "finished", counters.finished },
-            { "cancelled", counters.cancelled }, { "preempted", counters.preempted }, { "resumed", counters.resumed },
-            { "kvImported", counters.kvImported }, { "generatedTokens", counters.generatedTokens },
-            { "promptTokens", counters.promptTokens }, { "cachedPromptTokens", counters.cachedPromptTokens },
-            { "recomputedTokens", counters.recomputedTokens } });
-}
-
 void EngineServer::Impl::tick()
 {
     for (const EngineEvent& event : this->model.onTick(this->loop.now()))
--- a/src/teaselshore/emulators/json_reply.cpp
+++ b/src/teaselshore/emulators/json_reply.cpp
@@ -23,4 +23,10 @@
     return document;
 }
 
+std::string memberText(const nlohmann::json& document, const char* name)
+{
+    const auto found = document.find(name);
+    return found != document.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
 } // namespace teaselshore
--- a/src/teaselshore/emulators/platform_json.cpp
+++ b/src/teaselshore/emulators/platform_json.cpp
@@ -245,12 +245,6 @@
         { "refusedWhileDown", statistics.refusedWhileDown } };
 }
 
-std::string memberText(const json& document, const char* name)
-{
-    const auto found = document.find(name);
-    return found != document.end() && found->is_string() ? found->get<std::string>() : std::string();
-}
-
 std::optional<std::uint32_t> memberNumber(const json& document, const char* name)
 {
     const auto found = document.find(name);
--- a/src/teaselshore/emulators/platform_json.hpp
+++ b/src/teaselshore/emulators/platform_json.hpp
@@ -41,9 +41,6 @@
 nlohmann::json noticesJson(const std::vector<ReclaimNotice>& notices, Instant now);
 nlohmann::json objectStatisticsJson(const ObjectStoreStatistics& statistics);
 
-/// @brief Returns a string member, or an empty text.
-std::string memberText(const nlohmann::json& document, const char* name);
-
 /// @brief Returns a non-negative integer member.
 std::optional<std::uint32_t> memberNumber(const nlohmann::json& document, const char* name);
 
--- a/src/teaselshore/emulators/platform_server.cpp
+++ b/src/teaselshore/emulators/platform_server.cpp
@@ -81,7 +81,7 @@
     auto impl = std::make_unique<Impl>(loop, platform, seed);
     Impl* state = impl.get();
     impl->server = HttpServer::listen(
-        loop, address, [state](std::shared_ptr<ServerExchange> exchange) { state->handle(exchange); }, error);
+        loop, address, [state](const std::shared_ptr<ServerExchange>& exchange) { state->handle(exchange); }, error);
     if (!impl->server)
         return nullptr;
     return std::unique_ptr<PlatformServer>(new PlatformServer(std::move(impl)));
--- a/src/teaselshore/emulators/service_server.cpp
+++ b/src/teaselshore/emulators/service_server.cpp
@@ -79,7 +79,7 @@
     }
     Impl* state = impl.get();
     impl->server = HttpServer::listen(
-        loop, address, [state](std::shared_ptr<ServerExchange> exchange) { state->handle(exchange); }, error);
+        loop, address, [state](const std::shared_ptr<ServerExchange>& exchange) { state->handle(exchange); }, error);
     if (!impl->server)
         return nullptr;
     return std::unique_ptr<ServiceServer>(new ServiceServer(std::move(impl)));
