--- a/src/teaselshore/membership/membership_test.cpp
+++ b/src/teaselshore/membership/membership_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <ostream>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -221,6 +222,12 @@
         Duration wait;
     };
 
+    std::ostream& operator<<(std::ostream& stream, const Step& step)
+    {
+        return stream << "{fault " << static_cast<int>(step.fault) << ", node " << step.node << ", "
+                      << toSeconds(step.wait) << " s}";
+    }
+
     void inject(ClusterSimulation& cluster, const Step& step)
     {
         const std::size_t node = step.node % cluster.nodes.size();
@@ -284,14 +291,16 @@
             inject(cluster, step);
             cluster.run(step.wait);
         }
+        Duration pause {};
+        for (const SimulatedNode& node : cluster.nodes)
+            pause = std::max(pause, node.pausedUntil - cluster.now);
+        cluster.run(pause);
         cluster.connected = [](std::size_t, std::size_t) { return true; };
         cluster.loss = 0;
         cluster.objectAvailable = true;
-        cluster.publish("valid: last\n");
         if (std::none_of(cluster.nodes.begin(), cluster.nodes.end(), [](const auto& node) { return node.up; }))
             cluster.start(0);
-        for (SimulatedNode& node : cluster.nodes)
-            node.pausedUntil = std::min(node.pausedUntil, cluster.now + 1s);
+        cluster.publish("valid: last\n");
 
         RC_ASSERT(cluster.runUntil([&] { return cluster.allHaveVersion(cluster.objectVersion); }, 2min) < 20s);
         cluster.runUntil([&] { return cluster.agrees(); }, 3min);
