--- a/include/teaselshore/node/attempt_table.hpp
+++ b/include/teaselshore/node/attempt_table.hpp
@@ -11,8 +11,8 @@
 #include "teaselshore/base/name.hpp"
 #include "teaselshore/base/time.hpp"
 #include "teaselshore/node/ids.hpp"
-#include "teaselshore/node/span_record.hpp"
 #include "teaselshore/routing/router.hpp"
+#include "teaselshore/telemetry/trace_context.hpp"
 
 namespace teaselshore {
 
@@ -35,7 +35,7 @@
     bool alone = false;
     Instant startedAt {};
     TraceContext trace;
-    std::string parentSpan;
+    SpanId parentSpan;
 };
 
 /// @brief Running attempts of one node, by id and by upstream. Not thread-safe.
--- a/include/teaselshore/node/classified_request.hpp
+++ b/include/teaselshore/node/classified_request.hpp
@@ -12,7 +12,6 @@
 #include "teaselshore/configuration/configuration.hpp"
 #include "teaselshore/node/error_response.hpp"
 #include "teaselshore/node/request_event.hpp"
-#include "teaselshore/node/span_record.hpp"
 
 namespace teaselshore {
 
@@ -53,7 +52,4 @@
 /// @brief Returns the value of a header; names are lower case.
 std::optional<std::string> findHeader(const HeaderList& headers, std::string_view name);
 
-/// @brief Parses a W3C traceparent value; nothing if it is malformed.
-std::optional<TraceContext> parseTraceContext(std::string_view traceparent);
-
 } // namespace teaselshore
--- a/include/teaselshore/node/node.hpp
+++ b/include/teaselshore/node/node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,8 +40,8 @@
     /// @brief Configuration in effect; null before the first one.
     std::shared_ptr<const Configuration> configuration() const;
     ConfigurationVersion configurationVersion() const;
-    /// @brief Why the newest configuration was refused; empty if none was since the last accepted one.
-    const std::string& configurationProblem() const;
+    /// @brief Newest configuration that was refused since the last accepted one.
+    const std::optional<ReportInvalid>& refusedConfiguration() const;
     bool stopping() const;
     const Membership& membership() const;
     const Router& router() const;
@@ -49,6 +50,8 @@
     /// @brief Routing decisions for the attempts of a request, if it is remembered.
     std::vector<RoutingDecision> decisions(const RequestId& request) const;
     std::size_t openRequests() const;
+    /// @brief Requests that wait for admission.
+    std::size_t queuedRequests() const;
 
 private:
     struct Impl;
--- a/include/teaselshore/node/node_command.hpp
+++ b/include/teaselshore/node/node_command.hpp
@@ -8,7 +8,7 @@
 #include "teaselshore/journal/object_api.hpp"
 #include "teaselshore/node/node_event.hpp"
 #include "teaselshore/node/request_command.hpp"
-#include "teaselshore/node/span_record.hpp"
+#include "teaselshore/telemetry/span.hpp"
 
 namespace teaselshore {
 
@@ -83,9 +83,9 @@
     auto operator<=>(const LogEvent&) const = default;
 };
 
-using NodeCommand = std::variant<StartAttempt, CancelAttempt, InterruptAttempt, Respond, FailStream, SendToPeer,
-    CallObjectApi, WatchConfiguration, ReadHostList, ReadNotices, QueryLoad, QueryOutcome, SetReady, StopProcess,
-    LogEvent, SpanRecord>;
+using NodeCommand
+    = std::variant<StartAttempt, CancelAttempt, InterruptAttempt, Respond, FailStream, SendToPeer, CallObjectApi,
+        WatchConfiguration, ReadHostList, ReadNotices, QueryLoad, QueryOutcome, SetReady, StopProcess, LogEvent, Span>;
 
 using NodeCommands = std::vector<NodeCommand>;
 
--- a/src/teaselshore/node/classified_request.cpp
+++ b/src/teaselshore/node/classified_request.cpp
@@ -25,12 +25,6 @@
         return number;
     }
 
-    bool isLowerHex(std::string_view text)
-    {
-        return std::all_of(text.begin(), text.end(),
-            [](char digit) { return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f'); });
-    }
-
     std::optional<CallerError> applyCallerHeaders(
         const HeaderList& headers, const Configuration& configuration, ClassifiedRequest& classified)
     {
@@ -129,23 +123,4 @@
     return std::nullopt;
 }
 
-std::optional<TraceContext> parseTraceContext(std::string_view traceparent)
-{
-    constexpr std::size_t length = 55;
-    constexpr std::size_t traceBegin = 3;
-    constexpr std::size_t traceDigits = 32;
-    constexpr std::size_t spanBegin = 36;
-    constexpr std::size_t spanDigits = 16;
-    if (traceparent.size() != length || !traceparent.starts_with("00-") || traceparent[spanBegin - 1] != '-'
-        || traceparent[spanBegin + spanDigits] != '-')
-        return std::nullopt;
-    const std::string_view trace = traceparent.substr(traceBegin, traceDigits);
-    const std::string_view span = traceparent.substr(spanBegin, spanDigits);
-    const bool zero = trace.find_first_not_of('0') == std::string_view::npos
-        || span.find_first_not_of('0') == std::string_view::npos;
-    if (zero || !isLowerHex(trace) || !isLowerHex(span))
-        return std::nullopt;
-    return TraceContext { TraceId(std::string(trace)), std::string(span) };
-}
-
 } // namespace teaselshore
--- a/src/teaselshore/node/cluster_events.cpp
+++ b/src/teaselshore/node/cluster_events.cpp
@@ -142,7 +142,7 @@
                 },
                 [&](const AdoptConfiguration& adopted) { this->adopt(adopted, now); },
                 [&](const ReportInvalid& report) {
-                    this->state.configurationProblem = report.reason;
+                    this->state.refusedConfiguration = report;
                     this->state.log(LogLevel::Error, "configuration refused; the last valid one stays in effect",
                         { { "version", std::to_string(report.version) }, { "reason", report.reason } });
                 } },
@@ -159,7 +159,7 @@
         adopted.version > this->state.configurationVersion, "a configuration may only be replaced by a newer one");
     this->state.configuration = std::make_shared<const Configuration>(std::move(*parsed));
     this->state.configurationVersion = adopted.version;
-    this->state.configurationProblem.clear();
+    this->state.refusedConfiguration.reset();
     this->state.router.onConfiguration(*this->state.configuration, now);
     this->state.admission.onConfiguration(*this->state.configuration, now);
     this->state.refreshCapacity(now);
--- a/src/teaselshore/node/durable_requests.cpp
+++ b/src/teaselshore/node/durable_requests.cpp
@@ -67,7 +67,7 @@
     LocalCaller caller;
     caller.request = arrived.request;
     caller.trace = this->state.childOf(parent);
-    caller.parentSpan = parent ? parent->span : std::string();
+    caller.parentSpan = parent ? parent->spanId : SpanId();
     caller.service = classified.service;
     caller.arrivedAt = now;
 
@@ -88,7 +88,7 @@
     request.body = arrived.body;
     request.idempotent = classified.idempotent;
     request.patient = classified.respondAsync;
-    request.traceparent = caller.trace.traceparent();
+    request.traceparent = formatTraceparent(caller.trace);
 
     if (this->state.suspects.verdict(classified.suspect, now) == SuspectVerdict::Rejected) {
         this->state.commands.emplace_back(errorResponse(
@@ -108,11 +108,11 @@
 
 void DurableRequests::onReadArrived(const RequestArrived& arrived, const RequestId& target, Instant now)
 {
-    const auto parent = parseTraceContext(findHeader(arrived.headers, "traceparent").value_or(std::string()));
+    const auto parent = parseTraceparent(findHeader(arrived.headers, "traceparent").value_or(std::string()));
     LocalCaller caller;
     caller.request = arrived.request;
     caller.trace = this->state.childOf(parent);
-    caller.parentSpan = parent ? parent->span : std::string();
+    caller.parentSpan = parent ? parent->spanId : SpanId();
     caller.arrivedAt = now;
     const CallerId id = ++this->lastCaller;
     this->callerOfRequest.emplace(arrived.request, id);
@@ -134,10 +134,10 @@
     const CallerId id = ++this->lastCaller;
     JournalRequest request = forwarded.request;
     RemoteCaller caller { senderAddress, forwarded.caller, forwarded.attempt, request.id, std::nullopt, {}, now };
-    if (const auto parent = parseTraceContext(request.traceparent)) {
+    if (const auto parent = parseTraceparent(request.traceparent)) {
         caller.trace = this->state.childOf(parent);
-        caller.parentSpan = parent->span;
-        request.traceparent = caller.trace->traceparent();
+        caller.parentSpan = parent->spanId;
+        request.traceparent = formatTraceparent(*caller.trace);
     }
     this->remoteCallers.emplace(id, std::move(caller));
     std::optional<UpstreamId> upstream;
@@ -212,7 +212,7 @@
     if (choice.mapped().routing.alone)
         this->state.broadcastSuspects(this->state.suspects.onRetryStarted(classified.suspect, now));
 
-    const auto parent = parseTraceContext(request.traceparent);
+    const auto parent = parseTraceparent(request.traceparent);
     NodeState::Outgoing outgoing;
     outgoing.attempt.request = request.id;
     outgoing.attempt.durable = true;
@@ -220,7 +220,7 @@
     outgoing.attempt.route = request.route;
     outgoing.attempt.suspect = classified.suspect;
     outgoing.attempt.trace = this->state.childOf(parent);
-    outgoing.attempt.parentSpan = parent ? parent->span : std::string();
+    outgoing.attempt.parentSpan = parent ? parent->spanId : SpanId();
     outgoing.start.method = request.method;
     outgoing.start.path = request.path;
     outgoing.start.headers = upstreamHeaders(request.headers);
@@ -250,9 +250,8 @@
         SendToPeer { caller.address, ForwardedAnswer { caller.caller, caller.attempt, command.answer } });
     if (!caller.trace)
         return;
-    this->state.commands.emplace_back(SpanRecord { caller.trace->trace, caller.trace->span, caller.parentSpan,
-        "forwarded request", caller.arrivedAt, now - caller.arrivedAt,
-        { { "from", caller.address }, { "outcome", isNotRunAnswer(command.answer) ? "not_run" : "answered" } } });
+    this->state.recordSpan(*caller.trace, caller.parentSpan, "forwarded request", caller.arrivedAt, now,
+        { { "from", caller.address }, { "outcome", isNotRunAnswer(command.answer) ? "not_run" : "answered" } });
 }
 
 void DurableRequests::answerLocal(const LocalCaller& caller, const Answer& answer, Instant now)
@@ -286,9 +285,8 @@
     } else {
         outcome = respondError(rejectedError(statusNotFound, "no request with this id is known"));
     }
-    this->state.commands.emplace_back(SpanRecord { caller.trace.trace, caller.trace.span, caller.parentSpan, "request",
-        caller.arrivedAt, now - caller.arrivedAt,
-        { { "service", caller.service.value() }, { "outcome", outcome }, { "request", caller.request.value() } } });
+    this->state.recordSpan(caller.trace, caller.parentSpan, "request", caller.arrivedAt, now,
+        { { "service", caller.service.value() }, { "outcome", outcome }, { "request", caller.request.value() } });
 }
 
 void DurableRequests::execute(const LookUpOutcome& command, Instant now)
--- a/src/teaselshore/node/durable_requests.hpp
+++ b/src/teaselshore/node/durable_requests.hpp
@@ -63,7 +63,7 @@
     struct LocalCaller {
         RequestId request;
         TraceContext trace;
-        std::string parentSpan;
+        SpanId parentSpan;
         ServiceName service;
         /// Id under which the request would be journalled.
         RequestId journalled;
@@ -75,7 +75,7 @@
         std::uint32_t attempt = 0;
         RequestId journalled;
         std::optional<TraceContext> trace;
-        std::string parentSpan;
+        SpanId parentSpan;
         Instant arrivedAt {};
     };
 
--- a/src/teaselshore/node/node.cpp
+++ b/src/teaselshore/node/node.cpp
@@ -99,7 +99,10 @@
 const NodeSettings& Node::settings() const { return this->impl->state.settings; }
 std::shared_ptr<const Configuration> Node::configuration() const { return this->impl->state.configuration; }
 ConfigurationVersion Node::configurationVersion() const { return this->impl->state.configurationVersion; }
-const std::string& Node::configurationProblem() const { return this->impl->state.configurationProblem; }
+const std::optional<ReportInvalid>& Node::refusedConfiguration() const
+{
+    return this->impl->state.refusedConfiguration;
+}
 bool Node::stopping() const { return this->impl->stopping; }
 const Membership& Node::membership() const { return this->impl->state.membership; }
 const Router& Node::router() const { return this->impl->state.router; }
@@ -107,6 +110,16 @@
 const NodeStatistics& Node::statistics() const { return this->impl->state.statistics; }
 std::size_t Node::openRequests() const { return this->impl->openRequests(); }
 
+std::size_t Node::queuedRequests() const
+{
+    std::size_t queued = 0;
+    if (!this->impl->state.configuration)
+        return queued;
+    for (const ServiceConfiguration& service : this->impl->state.configuration->services)
+        queued += this->impl->state.admission.queued(service.name);
+    return queued;
+}
+
 std::vector<RoutingDecision> Node::decisions(const RequestId& request) const
 {
     return this->impl->state.decisions.find(request);
@@ -133,7 +146,7 @@
         return;
     }
     auto& classified = std::get<ClassifiedRequest>(result);
-    const auto parent = parseTraceContext(findHeader(event.headers, "traceparent").value_or(std::string()));
+    const auto parent = parseTraceparent(findHeader(event.headers, "traceparent").value_or(std::string()));
     if (classified.durable())
         this->durable.onArrived(event, classified, parent, now);
     else
--- a/src/teaselshore/node/node_state.cpp
+++ b/src/teaselshore/node/node_state.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-    constexpr std::size_t traceDigits = 32;
-    constexpr std::size_t spanDigits = 16;
-
     std::optional<std::string> configurationFault(std::string_view text)
     {
         std::vector<ConfigurationProblem> problems;
@@ -52,8 +49,7 @@
 
 TraceContext NodeState::childOf(const std::optional<TraceContext>& parent)
 {
-    const TraceId trace = parent ? parent->trace : TraceId(this->random.hex(traceDigits));
-    return { trace, this->random.hex(spanDigits) };
+    return parent ? teaselshore::childOf(*parent, this->random) : newTrace(this->random);
 }
 
 void NodeState::broadcast(const RequestMessage& message)
@@ -91,7 +87,7 @@
     start.connectTimeout = this->settings.connectTimeout;
     start.idleTimeout = this->settings.idleTimeout;
     start.headers.emplace_back("x-request-id", attempt.request.value());
-    start.headers.emplace_back("traceparent", attempt.trace.traceparent());
+    start.headers.emplace_back("traceparent", formatTraceparent(attempt.trace));
     const AttemptId id = this->attempts.add(std::move(attempt));
     start.attempt = id;
     start.headers.emplace_back("x-attempt", std::to_string(id));
@@ -110,11 +106,17 @@
         this->broadcastSuspects(this->suspects.clear(attempt.suspect, now));
     else if (attempt.alone && outcome != AttemptOutcome::Failed)
         this->broadcastSuspects(this->suspects.onRetryReturned(attempt.suspect, now));
-    this->commands.emplace_back(SpanRecord { attempt.trace.trace, attempt.trace.span, attempt.parentSpan, "attempt",
-        attempt.startedAt, now - attempt.startedAt,
+    this->recordSpan(attempt.trace, attempt.parentSpan, "attempt", attempt.startedAt, now,
         { { "upstream", attempt.upstream.value() }, { "version", attempt.version.value() },
             { "zone", attempt.zone.value() }, { "outcome", std::string(outcomeName(outcome)) },
-            { "request", attempt.request.value() } } });
+            { "request", attempt.request.value() } });
+}
+
+void NodeState::recordSpan(const TraceContext& trace, const SpanId& parent, std::string name, Instant start,
+    Instant now, std::vector<SpanAttribute> attributes)
+{
+    this->commands.emplace_back(Span { trace.traceId, trace.spanId, parent, std::move(name), this->settings.self.id,
+        start, now - start, std::move(attributes) });
 }
 
 void NodeState::release(const RequestId& request, Instant now)
--- a/src/teaselshore/node/node_state.hpp
+++ b/src/teaselshore/node/node_state.hpp
@@ -18,6 +18,8 @@
 #include "teaselshore/reliability/retry_budget.hpp"
 #include "teaselshore/routing/admission_controller.hpp"
 #include "teaselshore/routing/router.hpp"
+#include "teaselshore/telemetry/span.hpp"
+#include "teaselshore/telemetry/trace_context.hpp"
 #include "upstream_poller.hpp"
 
 namespace teaselshore {
@@ -48,6 +50,10 @@
     /// @brief Reports the end of an attempt to router and traces. Precondition: it was taken out of the table.
     void endAttempt(const RunningAttempt& attempt, AttemptOutcome outcome, std::uint32_t outputTokens, Instant now);
 
+    /// @brief Records a finished hop of a request.
+    void recordSpan(const TraceContext& trace, const SpanId& parent, std::string name, Instant start, Instant now,
+        std::vector<SpanAttribute> attributes);
+
     /// @brief Frees the admission place of a request, if it has one; see admissionChanges.
     void release(const RequestId& request, Instant now);
 
@@ -62,8 +68,8 @@
     RandomSource random;
     std::shared_ptr<const Configuration> configuration;
     ConfigurationVersion configurationVersion = 0;
-    /// Why the newest configuration was refused; empty if it was accepted.
-    std::string configurationProblem;
+    /// Newest configuration that was refused since the last accepted one.
+    std::optional<ReportInvalid> refusedConfiguration;
     Router router;
     AdmissionController admission;
     CrashSuspects suspects;
--- a/src/teaselshore/node/transient_requests.cpp
+++ b/src/teaselshore/node/transient_requests.cpp
@@ -45,7 +45,7 @@
     const RequestId id = arrived.request;
     Request request;
     request.trace = this->state.childOf(parent);
-    request.parentSpan = parent ? parent->span : std::string();
+    request.parentSpan = parent ? parent->spanId : SpanId();
     request.arrivedAt = now;
     request.deadline = now + classified.timeLimit;
     request.relayedEvents = classified.deliveredEvents;
@@ -149,7 +149,7 @@
     outgoing.attempt.route = request.classified.route;
     outgoing.attempt.suspect = request.classified.suspect;
     outgoing.attempt.trace = this->state.childOf(request.trace);
-    outgoing.attempt.parentSpan = request.trace.span;
+    outgoing.attempt.parentSpan = request.trace.spanId;
     outgoing.start.method = request.arrived.method;
     outgoing.start.path = request.arrived.path;
     outgoing.start.headers = upstreamHeaders(request.arrived.headers);
@@ -344,7 +344,7 @@
     if (!finished.relayed) {
         Respond response { id, finished.status, callerHeaders(finished.headers), std::move(finished.body) };
         response.headers.emplace_back("x-request-id", id.value());
-        response.headers.emplace_back("traceparent", request.trace.traceparent());
+        response.headers.emplace_back("traceparent", formatTraceparent(request.trace));
         this->state.commands.emplace_back(std::move(response));
     }
     ++this->state.statistics.responses;
@@ -369,11 +369,10 @@
     const auto node = this->requests.extract(id);
     const Request& request = node.mapped();
     this->timers.erase({ request.deadline, id });
-    this->state.commands.emplace_back(SpanRecord { request.trace.trace, request.trace.span, request.parentSpan,
-        "request", request.arrivedAt, now - request.arrivedAt,
+    this->state.recordSpan(request.trace, request.parentSpan, "request", request.arrivedAt, now,
         { { "service", request.classified.service.value() }, { "route", request.classified.route.value() },
             { "class", request.classified.latencyClass.value() }, { "outcome", std::move(outcome) },
-            { "attempts", std::to_string(request.attempts) }, { "request", id.value() } } });
+            { "attempts", std::to_string(request.attempts) }, { "request", id.value() } });
     this->state.release(id, now);
 }
 
--- a/src/teaselshore/node/transient_requests.hpp
+++ b/src/teaselshore/node/transient_requests.hpp
@@ -62,7 +62,7 @@
         RequestArrived arrived;
         ClassifiedRequest classified;
         TraceContext trace;
-        std::string parentSpan;
+        SpanId parentSpan;
         Instant arrivedAt {};
         Instant deadline {};
         Phase phase = Phase::Queued;
