--- a/include/teaselshore/journal/journal_reader.hpp
+++ b/include/teaselshore/journal/journal_reader.hpp
@@ -21,6 +21,8 @@
     Read,
     /// Only seals the journal.
     Seal,
+    /// Only finds the number of the last batch.
+    Observe,
 };
 
 /// @brief Seals and reads the journal of another instance.
@@ -31,6 +33,9 @@
 public:
     JournalReader(OwnerInstance source, std::string writerId, ReadMode mode);
 
+    /// @brief Gives up before the seal unless this is still the number of the last batch: otherwise the owner lives.
+    void expectLast(std::uint64_t number) { this->expected = number; }
+
     /// @brief Returns the calls that can start now.
     std::vector<ObjectCommand> poll(Instant now, ObjectCallIds& ids, WritePacer& pacer);
 
@@ -44,6 +49,12 @@
     /// @brief Returns the batches by number. Precondition: done().
     const std::map<std::uint64_t, Batch>& batches() const { return this->found; }
 
+    /// @brief Returns true if the journal grew, so that it was not sealed. Precondition: done().
+    bool grew() const { return this->advanced; }
+
+    /// @brief Returns the number of the last batch that was listed; 0 for an empty journal.
+    std::uint64_t last() const { return this->listed.empty() ? 0 : this->listed.back(); }
+
     const OwnerInstance& source() const { return this->journal; }
 
 private:
@@ -72,6 +83,8 @@
     std::vector<std::uint64_t> listed;
     std::vector<std::uint64_t> unread;
     std::map<std::uint64_t, Batch> found;
+    std::optional<std::uint64_t> expected;
+    bool advanced = false;
     bool sealed = false;
     bool restart = false;
     Instant retryAt {};
--- a/include/teaselshore/journal/key_ledger.hpp
+++ b/include/teaselshore/journal/key_ledger.hpp
@@ -106,7 +106,10 @@
     void apply(const NotRun& record, Instant now);
     void apply(const OutcomeUnknown& record, Instant now);
     void apply(const SlotsTaken& record, Instant now);
-    KeyEntry& settledEntry(const KeyId& key, const RequestId& request);
+    void apply(const CheckpointComplete&, Instant) { }
+    /// @brief Returns the entry of this request; replaces an entry of the key that belongs to another request.
+    KeyEntry& entryFor(const KeyId& key, const RequestId& request);
+    RecordGroup openSnapshot(const KeyEntry& entry) const;
 
     struct Settled {
         Instant at;
@@ -117,7 +120,6 @@
     std::map<KeyId, KeyEntry> entries;
     std::unordered_map<RequestId, KeyId> byRequest;
     std::unordered_map<Slot, std::set<KeyId>> bySlot;
-    std::unordered_map<Slot, std::uint64_t> epochs;
     std::deque<Settled> settled;
     std::size_t settledCount = 0;
     std::uint64_t settleNumber = 0;
--- a/include/teaselshore/journal/record.hpp
+++ b/include/teaselshore/journal/record.hpp
@@ -61,9 +61,12 @@
 };
 
 /// @brief The request may have reached the upstream; no later owner may run it.
+///
+/// Stands for itself: a checkpoint may have replaced the batch with the Accepted record before it.
 struct Dispatching {
     RequestId request;
     KeyId key;
+    ServiceName service;
     UpstreamId upstream;
     std::uint32_t attempt = 1;
 
@@ -101,14 +104,24 @@
     auto operator<=>(const OutcomeUnknown&) const = default;
 };
 
-/// @brief The journal's instance takes or holds these slots. A slot whose epoch changes starts without keys.
+/// @brief The journal's instance takes these slots with these epochs. Earlier records about them are void.
 struct SlotsTaken {
     std::vector<std::pair<Slot, std::uint64_t>> epochs;
 
     auto operator<=>(const SlotsTaken&) const = default;
 };
 
-using JournalRecord = std::variant<Accepted, Dispatching, Finished, NotRun, OutcomeUnknown, SlotsTaken>;
+/// @brief All open and retained keys are repeated in the batches from this number on; earlier batches are void.
+///
+/// A create that was delayed in the network can bring back a batch that was deleted, so its absence is not enough.
+struct CheckpointComplete {
+    std::uint64_t from = 0;
+
+    auto operator<=>(const CheckpointComplete&) const = default;
+};
+
+using JournalRecord
+    = std::variant<Accepted, Dispatching, Finished, NotRun, OutcomeUnknown, SlotsTaken, CheckpointComplete>;
 
 /// @brief Records that must become durable together.
 using RecordGroup = std::vector<JournalRecord>;
--- a/include/teaselshore/journal/slot_owner.hpp
+++ b/include/teaselshore/journal/slot_owner.hpp
@@ -19,7 +19,8 @@
     /// Writes that one owner may make at once after a quiet time.
     double writeBurst = 4;
     RetentionSettings retention;
-    /// Time for which a member must have been dead before its slots are claimed.
+    /// Time for which a member must have been dead, and its journal unchanged, before its slots are claimed. Owners
+    /// append at least twice in this time.
     Duration claimDelay = std::chrono::seconds(2);
     Duration mapReadInterval = std::chrono::seconds(1);
     /// Time without an answer of the object API after which new requests get not_run.
--- a/src/teaselshore/journal/journal_reader.cpp
+++ b/src/teaselshore/journal/journal_reader.cpp
@@ -44,7 +44,7 @@
         commands.push_back(ObjectList { id, journalPrefix(this->journal) });
         return commands;
     }
-    const std::uint64_t last = this->listed.empty() ? 0 : this->listed.back();
+    const std::uint64_t last = this->last();
     if (this->phase == Phase::ReadLast) {
         commands.push_back(ObjectRead { id, batchKey(this->journal, last) });
         return commands;
@@ -86,6 +86,11 @@
             this->listed.push_back(*number);
     }
     std::sort(this->listed.begin(), this->listed.end());
+    this->advanced = this->expected && *this->expected != this->last();
+    if (this->mode == ReadMode::Observe || this->advanced) {
+        this->phase = Phase::Done;
+        return;
+    }
     if (this->mode == ReadMode::Read)
         return this->startReading();
     this->phase = this->listed.empty() ? Phase::Seal : Phase::ReadLast;
@@ -106,11 +111,12 @@
 
 void JournalReader::onSeal(const ObjectResult& result, Instant now)
 {
-    // Another writer may have taken the number, or the answer may be lost: the last batch then tells.
+    // Another writer may have taken the number, the answer may be lost, or a delayed create may have filled the place
+    // of a deleted batch: only a seal in the last place counts.
+    this->expected.reset();
     if (result.outcome != ObjectOutcome::Ok)
         return this->retry(Phase::List, now);
-    this->sealed = true;
-    this->startReading();
+    this->phase = Phase::List;
 }
 
 void JournalReader::startReading()
--- a/src/teaselshore/journal/key_ledger.cpp
+++ b/src/teaselshore/journal/key_ledger.cpp
@@ -106,13 +106,8 @@
 
 void KeyLedger::apply(const SlotsTaken& record, Instant)
 {
-    // A checkpoint repeats the epoch of a slot; only a new epoch starts the slot afresh.
-    for (const auto& [slot, epoch] : record.epochs) {
-        std::uint64_t& known = this->epochs[slot];
-        if (known != epoch)
-            this->eraseSlot(slot);
-        known = epoch;
-    }
+    for (const auto& [slot, epoch] : record.epochs)
+        this->eraseSlot(slot);
 }
 
 void KeyLedger::apply(const Accepted& record, Instant)
@@ -128,17 +123,18 @@
 
 void KeyLedger::apply(const Dispatching& record, Instant)
 {
-    KeyEntry* const entry = this->find(record.key);
-    if (!entry || entry->request.id != record.request || isSettled(entry->state) || record.attempt <= entry->attempt)
+    KeyEntry& entry = this->entryFor(record.key, record.request);
+    if (isSettled(entry.state) || record.attempt < entry.attempt)
         return;
-    entry->state = KeyState::Running;
-    entry->attempt = record.attempt;
-    entry->upstream = record.upstream;
-    entry->mayHaveBeenDispatched = true;
-    entry->dispatchedByEarlierOwner = true;
+    entry.request.service = record.service;
+    entry.state = KeyState::Running;
+    entry.attempt = record.attempt;
+    entry.upstream = record.upstream;
+    entry.mayHaveBeenDispatched = true;
+    entry.dispatchedByEarlierOwner = true;
 }
 
-KeyEntry& KeyLedger::settledEntry(const KeyId& key, const RequestId& request)
+KeyEntry& KeyLedger::entryFor(const KeyId& key, const RequestId& request)
 {
     KeyEntry* const known = this->find(key);
     if (known && known->request.id == request)
@@ -152,7 +148,7 @@
 
 void KeyLedger::apply(const Finished& record, Instant now)
 {
-    KeyEntry& entry = this->settledEntry(record.key, record.request);
+    KeyEntry& entry = this->entryFor(record.key, record.request);
     entry.request.patient = record.patient;
     entry.answer = record.answer;
     this->settle(entry, KeyState::Finished, now);
@@ -160,7 +156,7 @@
 
 void KeyLedger::apply(const OutcomeUnknown& record, Instant now)
 {
-    KeyEntry& entry = this->settledEntry(record.key, record.request);
+    KeyEntry& entry = this->entryFor(record.key, record.request);
     if (entry.state == KeyState::Finished)
         return;
     entry.request.service = record.service;
@@ -179,6 +175,17 @@
     this->erase(record.key);
 }
 
+RecordGroup KeyLedger::openSnapshot(const KeyEntry& entry) const
+{
+    const JournalRequest& request = entry.request;
+    const bool accepted = entry.state == KeyState::Accepted || entry.state == KeyState::DispatchPending;
+    // A request whose caller waits is never run by a later owner, because the caller may be told not_run meanwhile.
+    if (request.idempotent || (accepted && request.patient))
+        return { Accepted { request } };
+    return { Accepted { withoutPayload(request) },
+        Dispatching { request.id, request.key, request.service, entry.upstream, entry.attempt } };
+}
+
 std::vector<RecordGroup> KeyLedger::snapshot(Slot slot) const
 {
     std::vector<RecordGroup> groups;
@@ -191,16 +198,9 @@
             break;
         case KeyState::Accepted:
         case KeyState::DispatchPending:
-            groups.push_back({ Accepted { request } });
-            break;
         case KeyState::Running:
         case KeyState::LookingUp:
-            if (request.idempotent) {
-                groups.push_back({ Accepted { request } });
-                break;
-            }
-            groups.push_back({ Accepted { withoutPayload(request) },
-                Dispatching { request.id, key, entry.upstream, entry.attempt } });
+            groups.push_back(this->openSnapshot(entry));
             break;
         case KeyState::Finished:
             groups.push_back({ Finished { request.id, key, *entry.answer, request.patient } });
--- a/src/teaselshore/journal/record.cpp
+++ b/src/teaselshore/journal/record.cpp
@@ -21,6 +21,7 @@
         NotRun = 4,
         OutcomeUnknown = 5,
         SlotsTaken = 6,
+        CheckpointComplete = 7,
     };
 
     constexpr std::size_t numberDigits = 12;
@@ -38,7 +39,7 @@
     Json encodeRecord(const Dispatching& record)
     {
         return Json::array({ tag(Kind::Dispatching), record.request.value(), record.key.workspace.value(),
-            record.key.key.value(), record.upstream.value(), record.attempt });
+            record.key.key.value(), record.service.value(), record.upstream.value(), record.attempt });
     }
 
     Json encodeRecord(const Finished& record)
@@ -62,6 +63,11 @@
 
     Json encodeRecord(const SlotsTaken& record) { return Json::array({ tag(Kind::SlotsTaken), record.epochs }); }
 
+    Json encodeRecord(const CheckpointComplete& record)
+    {
+        return Json::array({ tag(Kind::CheckpointComplete), record.from });
+    }
+
     template <typename T> T field(const Json& item, std::size_t index) { return item.at(index).get<T>(); }
 
     KeyId keyOf(const Json& item)
@@ -92,13 +98,15 @@
         const Kind kind = static_cast<Kind>(field<int>(item, 0));
         if (kind == Kind::SlotsTaken)
             return SlotsTaken { field<std::vector<std::pair<Slot, std::uint64_t>>>(item, 1) };
+        if (kind == Kind::CheckpointComplete)
+            return CheckpointComplete { field<std::uint64_t>(item, 1) };
         if (kind == Kind::Accepted)
             return decodeAccepted(item);
         const RequestId request(field<std::string>(item, 1));
         switch (kind) {
         case Kind::Dispatching:
-            return Dispatching { request, keyOf(item), UpstreamId(field<std::string>(item, 4)),
-                field<std::uint32_t>(item, 5) };
+            return Dispatching { request, keyOf(item), ServiceName(field<std::string>(item, 4)),
+                UpstreamId(field<std::string>(item, 5)), field<std::uint32_t>(item, 6) };
         case Kind::Finished:
             return Finished { request, keyOf(item),
                 { field<int>(item, 4), field<JournalHeaders>(item, 5), field<std::string>(item, 6),
--- a/src/teaselshore/journal/slot_claims.cpp
+++ b/src/teaselshore/journal/slot_claims.cpp
@@ -201,10 +201,54 @@
     return this->placementCache;
 }
 
+bool SlotOwner::Impl::silent(const OwnerInstance& instance) const
+{
+    if (nodeOf(instance) == this->self)
+        return true;
+    const auto seen = this->observations.find(instance);
+    return seen != this->observations.end() && this->now - seen->second.at >= this->settings.claimDelay;
+}
+
 bool SlotOwner::Impl::claimable(Slot slot) const
 {
     const SlotAssignment& assignment = this->map.at(slot);
-    return assignment.owner.empty() || assignment.released || this->isDead(assignment.owner);
+    if (assignment.owner.empty() || assignment.released)
+        return true;
+    return this->isDead(assignment.owner) && this->silent(assignment.owner);
+}
+
+void SlotOwner::Impl::observeOwners()
+{
+    if (this->observer) {
+        for (ObjectCommand& command : this->observer->poll(this->now, this->ids, this->pacer))
+            this->call(std::move(command));
+        if (!this->observer->done())
+            return;
+        this->observations[this->observer->source()] = { this->observer->last(), this->now };
+        this->observer.reset();
+    }
+    if (!this->storeUp())
+        return;
+    // An owner that membership cannot reach may still serve others, so its journal has to be silent too.
+    for (std::size_t index = 0; index < slotCount; ++index) {
+        const OwnerInstance& owner = this->map.at(static_cast<Slot>(index)).owner;
+        if (owner.empty() || nodeOf(owner) == this->self || this->observations.contains(owner))
+            continue;
+        if (!this->absentSince.contains(nodeOf(owner)))
+            continue;
+        this->observer = std::make_unique<JournalReader>(owner, std::string(), ReadMode::Observe);
+        return;
+    }
+    std::erase_if(this->observations, [&](const auto& seen) { return this->map.slotsOf(seen.first).empty(); });
+}
+
+void SlotOwner::Impl::heartbeat()
+{
+    if (this->stopping || !this->storeUp() || !this->writer.drained())
+        return;
+    if (this->now - this->lastAppend < this->settings.claimDelay / 2 || this->countPhase(SlotPhase::Held) == 0)
+        return;
+    this->append({});
 }
 
 void SlotOwner::Impl::startClaim()
@@ -228,13 +272,19 @@
     if (!next)
         return;
     this->claim = std::move(next);
-    if (this->claim->source.empty()) {
+    const OwnerInstance& source = this->claim->source;
+    if (source.empty()) {
         this->claim->recovered = std::make_unique<KeyLedger>(this->settings.retention);
         return this->queueTakeOver();
     }
-    const bool seal = this->isDead(this->claim->source) && !this->mutations.skipSeal;
+    const bool allReleased = std::all_of(this->claim->slots.begin(), this->claim->slots.end(),
+        [&](const auto& wanted) { return this->map.at(wanted.first).released; });
+    const bool seal = !allReleased && !this->mutations.skipSeal;
     this->claim->reader = std::make_unique<JournalReader>(
-        this->claim->source, this->writer.instance().value(), seal ? ReadMode::SealAndRead : ReadMode::Read);
+        source, this->writer.instance().value(), seal ? ReadMode::SealAndRead : ReadMode::Read);
+    const auto seen = this->observations.find(source);
+    if (seal && seen != this->observations.end())
+        this->claim->reader->expectLast(seen->second.lastBatch);
 }
 
 void SlotOwner::Impl::advanceClaim()
@@ -246,21 +296,45 @@
         this->call(std::move(command));
     if (!reader.done())
         return;
-    // Checkpoints of this journal must not fall between the records and their slots.
-    if (this->checkpointSlot)
+    if (reader.grew()) {
+        this->observations[this->claim->source] = { reader.last(), this->now };
+        this->claim.reset();
         return;
-    RetentionSettings unlimited { Duration::max(), std::numeric_limits<std::size_t>::max() };
+    }
+    this->replayJournal(reader);
+    this->claim->reader.reset();
+    this->queueTakeOver();
+}
+
+void SlotOwner::Impl::replayJournal(const JournalReader& reader)
+{
+    const RetentionSettings unlimited { Duration::max(), std::numeric_limits<std::size_t>::max() };
     this->claim->recovered = std::make_unique<KeyLedger>(unlimited);
+    std::vector<std::pair<std::uint64_t, JournalRecord>> records;
+    std::uint64_t validFrom = 0;
     for (const auto& [number, batch] : reader.batches()) {
         for (const std::string& bytes : batch.groups) {
-            const std::optional<RecordGroup> group = decodeGroup(bytes);
+            std::optional<RecordGroup> group = decodeGroup(bytes);
             TEASELSHORE_ASSERT(group, "journal record is malformed");
-            for (const JournalRecord& record : *group)
-                this->claim->recovered->replay(record, this->now);
+            for (JournalRecord& record : *group) {
+                if (const auto* const checkpoint = std::get_if<CheckpointComplete>(&record))
+                    validFrom = std::max(validFrom, checkpoint->from);
+                records.emplace_back(number, std::move(record));
+            }
         }
     }
-    this->claim->reader.reset();
-    this->queueTakeOver();
+    for (auto& [number, record] : records) {
+        if (number < validFrom)
+            continue;
+        // A later epoch than the slot map's belongs to a take-over that its owner did not complete.
+        if (auto* const taken = std::get_if<SlotsTaken>(&record)) {
+            std::erase_if(taken->epochs, [&](const auto& item) {
+                const auto wanted = this->claim->slots.find(item.first);
+                return wanted == this->claim->slots.end() || item.second > wanted->second;
+            });
+        }
+        this->claim->recovered->replay(record, this->now);
+    }
 }
 
 void SlotOwner::Impl::queueTakeOver()
--- a/src/teaselshore/journal/slot_owner.cpp
+++ b/src/teaselshore/journal/slot_owner.cpp
@@ -110,6 +110,8 @@
         return this->onMapWritten(event);
     if (this->claim && this->claim->reader && this->claim->reader->awaits(event.id))
         return this->claim->reader->onResult(event, this->now);
+    if (this->observer && this->observer->awaits(event.id))
+        return this->observer->onResult(event, this->now);
     if (this->sweeper.awaits(event.id))
         return this->sweeper.onResult(
             event, [this](const OwnerInstance& instance) { return this->inUse(instance); }, this->now);
@@ -139,6 +141,7 @@
 void SlotOwner::Impl::onCommitted()
 {
     ++this->statistics.appends;
+    this->lastAppend = this->now;
     this->mapEditDue = true;
     // An action may queue further groups, which get later tickets.
     while (!this->actions.empty() && this->actions.begin()->first <= this->writer.committedThrough()) {
@@ -216,8 +219,10 @@
     this->noteAbsentOwners();
     this->runDue();
     this->forwardsDue();
+    this->observeOwners();
     this->startClaim();
     this->rebalance();
+    this->heartbeat();
     this->sweep();
 }
 
@@ -271,17 +276,12 @@
             return;
         this->checkpointSlot = 0;
         this->checkpointFrom = this->writer.nextNumber();
-        SlotsTaken held;
-        for (std::size_t slot = 0; slot < slotCount; ++slot) {
-            if (this->slots[slot].phase != SlotPhase::Foreign)
-                held.epochs.emplace_back(static_cast<Slot>(slot), this->slots[slot].epoch);
-        }
-        this->append({ held });
     }
     while (this->writer.queuedBytes() < checkpointFeed) {
         const Slot slot = *this->checkpointSlot;
         if (slot == slotCount) {
-            this->actions.emplace(this->append({}), CheckpointCommitted { this->checkpointFrom });
+            const AppendTicket ticket = this->append({ CheckpointComplete { this->checkpointFrom } });
+            this->actions.emplace(ticket, CheckpointCommitted { this->checkpointFrom });
             this->lastCheckpoint = this->writer.nextNumber();
             this->checkpointSize = this->lastCheckpoint - this->checkpointFrom;
             this->checkpointSlot.reset();
--- a/src/teaselshore/journal/slot_owner_impl.hpp
+++ b/src/teaselshore/journal/slot_owner_impl.hpp
@@ -53,6 +53,12 @@
 };
 using CommitAction = std::variant<RequestCommitted, DispatchCommitted, CheckpointCommitted>;
 
+/// @brief Last sign of life in the journal of an owner that membership reports as dead.
+struct Observation {
+    std::uint64_t lastBatch = 0;
+    Instant at {};
+};
+
 /// @brief Take-over of slots from one instance.
 struct Claim {
     OwnerInstance source;
@@ -162,6 +168,11 @@
     void writeMap();
     bool editMap(SlotMap& edited) const;
     void startClaim();
+    bool silent(const OwnerInstance& instance) const;
+    bool mayTake(Slot slot) const;
+    void observeOwners();
+    void heartbeat();
+    void replayJournal(const JournalReader& reader);
     bool claimable(Slot slot) const;
     void advanceClaim();
     void queueTakeOver();
@@ -223,6 +234,9 @@
     Instant nextMapWrite {};
     Duration mapBackoff {};
     std::optional<Claim> claim;
+    std::map<OwnerInstance, Observation> observations;
+    std::unique_ptr<JournalReader> observer;
+    Instant lastAppend {};
     /// True if the slot map may have to change: slots to take, or to mark as released.
     bool mapEditDue = false;
     /// True if slots may be in phase Releasing.
--- a/src/teaselshore/journal/slot_owner_test_support.hpp
+++ b/src/teaselshore/journal/slot_owner_test_support.hpp
@@ -215,7 +215,7 @@
         result.writesPerSecond = 900;
         result.claimDelay = seconds(0.5);
         result.mapReadInterval = seconds(0.5);
-        result.storePatience = seconds(0.3);
+        result.storePatience = seconds(0.5);
         result.forwardPatience = seconds(4);
         result.retryInterval = seconds(0.3);
         result.checkpointEvery = 8;
@@ -331,7 +331,7 @@
         if (this->storeOutage == Outage::Hanging || node.cutFromStore)
             return reply({ id, ObjectOutcome::Unknown, {}, 0, {} }, timeout);
         const bool write = !std::holds_alternative<ObjectRead>(command) && !std::holds_alternative<ObjectList>(command);
-        if (write && !this->quiet && this->chance(0.02)) {
+        if (write && !this->quiet && this->chance(0.01)) {
             // The answer is lost; the write is applied now, later than the timeout, or never.
             this->note("lost write answer");
             const double kind = this->random.uniform();
@@ -547,7 +547,7 @@
     {
         if (this->quiet)
             return;
-        this->after(seconds(this->random.exponential(0.04)), [this] { this->nextRequest(); });
+        this->after(seconds(this->random.exponential(0.03)), [this] { this->nextRequest(); });
         Node* const node = this->anyNode();
         if (!node)
             return;
@@ -590,7 +590,7 @@
     {
         if (this->quiet)
             return;
-        this->after(seconds(this->random.exponential(1.2)), [this] { this->nextFault(); });
+        this->after(seconds(this->random.exponential(2.5)), [this] { this->nextFault(); });
         Node* const node = this->anyNode();
         if (!node)
             return;
--- a/src/teaselshore/journal/slot_requests.cpp
+++ b/src/teaselshore/journal/slot_requests.cpp
@@ -46,7 +46,7 @@
     if (!request.patient) {
         entry.attempt = 1;
         entry.upstream = *event.upstream;
-        group.emplace_back(Dispatching { request.id, request.key, entry.upstream, entry.attempt });
+        group.emplace_back(Dispatching { request.id, request.key, request.service, entry.upstream, entry.attempt });
     }
     std::string bytes = encodeGroup(group);
     if (!fitsBatch(bytes.size()))
@@ -171,7 +171,8 @@
     ++entry.attempt;
     entry.upstream = upstream;
     entry.state = KeyState::DispatchPending;
-    entry.ticket = this->append({ Dispatching { entry.request.id, entry.request.key, upstream, entry.attempt } });
+    const JournalRequest& request = entry.request;
+    entry.ticket = this->append({ Dispatching { request.id, request.key, request.service, upstream, entry.attempt } });
     this->actions.emplace(entry.ticket, DispatchCommitted { entry.request.id, entry.attempt });
 }
 
