--- a/include/teaselshore/reliability/concurrency_limit.hpp
+++ b/include/teaselshore/reliability/concurrency_limit.hpp
@@ -10,9 +10,9 @@
     double initial = 8;
     double minimum = 1;
     double maximum = 64;
-    /// A latency above this multiple of the baseline counts as overload.
+    /// A smoothed latency above this multiple of the baseline counts as overload.
     double tolerance = 2.5;
-    /// A latency below this never counts as overload.
+    /// A smoothed latency below this never counts as overload.
     Duration harmless = std::chrono::milliseconds(1);
     /// Factor of the limit on overload.
     double decrease = 0.8;
@@ -27,8 +27,9 @@
 
 /// @brief Adaptive limit of concurrent requests to one upstream: additive increase, multiplicative decrease.
 ///
-/// The baseline follows the low latencies; it rises slowly while the upstream is little used or at the minimum limit.
-/// The limit grows only while it is in use. Not thread-safe.
+/// Overload shows as a smoothed latency well above the baseline, the lowest smoothed latency seen; the baseline rises
+/// slowly while the upstream is little used or at the minimum limit. The limit grows only while it is in use. Not
+/// thread-safe.
 class ConcurrencyLimit {
 public:
     explicit ConcurrencyLimit(ConcurrencyLimitSettings settings = {});
@@ -48,11 +49,12 @@
 
 private:
     void decreaseLimit(Instant now);
-    void updateBaseline(double latency, bool mayRise, Instant now);
+    void updateBaseline(bool mayRise, Instant now);
 
     ConcurrencyLimitSettings settings;
     double current;
     /// Microseconds; 0 before the first sample.
+    double smoothed = 0;
     double baseline = 0;
     Instant baselineAt {};
     Instant decreasedAt = Instant::min();
--- a/src/teaselshore/reliability/concurrency_limit.cpp
+++ b/src/teaselshore/reliability/concurrency_limit.cpp
@@ -6,8 +6,11 @@
 
 namespace {
 
-    /// Weight of a lower sample in the baseline; a strict minimum would take one lucky request as the norm.
-    constexpr double baselineFall = 0.2;
+    /// Weight of a sample in the smoothed latency. Single samples vary with what the requests find in caches and
+    /// queues: a limit that reacted to them fell to its minimum on an idle upstream.
+    constexpr double sampleWeight = 0.1;
+    /// Weight of a lower smoothed latency in the baseline.
+    constexpr double baselineFall = 0.05;
 
 } // namespace
 
@@ -20,11 +23,15 @@
 void ConcurrencyLimit::onCompleted(Duration latency, std::uint32_t outstanding, Instant now)
 {
     const auto sample = static_cast<double>(latency.count());
+    this->smoothed = this->smoothed == 0 ? sample : this->smoothed + sampleWeight * (sample - this->smoothed);
     // Under full use the latency contains queueing, which must not become the new baseline.
     const bool mayRise = outstanding * 2 < this->limit() || this->current <= this->settings.minimum;
-    this->updateBaseline(sample, mayRise, now);
-    if (latency >= this->settings.harmless && sample > this->baseline * this->settings.tolerance) {
+    this->updateBaseline(mayRise, now);
+    const auto harmless = static_cast<double>(this->settings.harmless.count());
+    if (this->smoothed > std::max(harmless, this->baseline * this->settings.tolerance)) {
         this->decreaseLimit(now);
+        // The next decrease needs evidence from after this one.
+        this->smoothed = this->baseline;
         return;
     }
     // An upstream that is little used gives no evidence that it could do more.
@@ -51,14 +58,15 @@
     this->current = std::max(this->settings.minimum, this->current * this->settings.decrease);
 }
 
-void ConcurrencyLimit::updateBaseline(double latency, bool mayRise, Instant now)
+void ConcurrencyLimit::updateBaseline(bool mayRise, Instant now)
 {
     if (this->baseline == 0) {
-        this->baseline = latency;
-    } else {
-        const double elapsed = toSeconds(now - this->baselineAt);
-        const double raised = this->baseline * (mayRise ? 1 + this->settings.baselineRise * elapsed : 1);
-        this->baseline = latency < raised ? raised + baselineFall * (latency - raised) : raised;
+        this->baseline = this->smoothed;
+    } else if (this->smoothed < this->baseline) {
+        this->baseline += baselineFall * (this->smoothed - this->baseline);
+    } else if (mayRise) {
+        const double rise = 1 + this->settings.baselineRise * toSeconds(now - this->baselineAt);
+        this->baseline = std::min(this->smoothed, this->baseline * rise);
     }
     this->baselineAt = now;
 }
--- a/src/teaselshore/routing/upstream_table.cpp
+++ b/src/teaselshore/routing/upstream_table.cpp
@@ -12,9 +12,9 @@
     constexpr Duration othersRecheck = std::chrono::milliseconds(500);
     /// Versions of a service that are not configured, or not yet, but keep their share and stop mark.
     constexpr std::size_t rememberedVersions = 8;
-    constexpr double latencyTolerance = 4;
+    constexpr double latencyTolerance = 3;
     /// Part of the tightest first-token target that is never taken for overload.
-    constexpr double harmlessPart = 0.3;
+    constexpr double harmlessPart = 0.5;
     constexpr Duration defaultHarmless = std::chrono::milliseconds(20);
 
     const std::vector<std::uint32_t> noPools;
