--- a/src/teaselshore/configuration/difference.cpp
+++ b/src/teaselshore/configuration/difference.cpp
@@ -1,5 +1,6 @@
 #include "teaselshore/configuration/difference.hpp"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <utility>
--- a/src/teaselshore/ctl/apply_command.cpp
+++ b/src/teaselshore/ctl/apply_command.cpp
@@ -97,11 +97,10 @@
         const std::vector<ConfigurationChange> changes = changesFrom(done.previous, configuration);
         if (command.output == OutputFormat::Text) {
             if (done.written)
-                fmt::print(context.out, "version {} written; {} changes\n", done.version, changes.size());
+                fmt::print(context.out, "version {} written; {}\n", done.version, countText(changes));
             else
                 fmt::print(context.out, "version {} already has this text; nothing written\n", done.version);
-            for (const ConfigurationChange& change : changes)
-                fmt::print(context.out, "  {}\n", describe(change));
+            printChanges(changes, context);
             context.out.flush();
         }
         const ExitCode waited = command.wait ? waitForNodes(command, done.version, context) : ExitCode::Ok;
--- a/src/teaselshore/ctl/configuration_file.cpp
+++ b/src/teaselshore/ctl/configuration_file.cpp
@@ -80,6 +80,17 @@
     return list;
 }
 
+void printChanges(const std::vector<ConfigurationChange>& changes, CommandContext& context)
+{
+    for (const ConfigurationChange& change : changes)
+        fmt::print(context.out, "  {}\n", describe(change));
+}
+
+std::string countText(const std::vector<ConfigurationChange>& changes)
+{
+    return fmt::format("{} change{}", changes.size(), changes.size() == 1 ? "" : "s");
+}
+
 void printJson(const Json& document, CommandContext& context)
 {
     fmt::print(context.out, "{}\n", document.dump(2, ' ', false, Json::error_handler_t::replace));
--- a/src/teaselshore/ctl/configuration_file.hpp
+++ b/src/teaselshore/ctl/configuration_file.hpp
@@ -34,6 +34,12 @@
 
 nlohmann::ordered_json toJson(const std::vector<ConfigurationChange>& changes);
 
+/// @brief Prints one indented line per change.
+void printChanges(const std::vector<ConfigurationChange>& changes, CommandContext& context);
+
+/// @brief Returns "1 change", "2 changes" and so on.
+std::string countText(const std::vector<ConfigurationChange>& changes);
+
 /// @brief Prints a JSON document; bytes that are not UTF-8 are replaced.
 void printJson(const nlohmann::ordered_json& document, CommandContext& context);
 
--- a/src/teaselshore/ctl/configuration_object.cpp
+++ b/src/teaselshore/ctl/configuration_object.cpp
@@ -67,7 +67,7 @@
     }
     const auto& reply = std::get<HttpReply>(result);
     const std::optional<std::uint64_t> version = versionOf(reply);
-    if ((reply.status == 200 || reply.status == 201) && version)
+    if (reply.status >= 200 && reply.status < 300 && version)
         return WriteDone { *version };
     if (reply.status == 409 || reply.status == 412)
         return WriteConflict {};
--- a/src/teaselshore/ctl/diff_command.cpp
+++ b/src/teaselshore/ctl/diff_command.cpp
@@ -28,11 +28,10 @@
         return ExitCode::Ok;
     }
     if (stored)
-        fmt::print(context.out, "version {} is in force; {} changes\n", version, changes.size());
+        fmt::print(context.out, "version {} is in force; {}\n", version, countText(changes));
     else
-        fmt::print(context.out, "no configuration is in force; {} changes\n", changes.size());
-    for (const ConfigurationChange& change : changes)
-        fmt::print(context.out, "  {}\n", describe(change));
+        fmt::print(context.out, "no configuration is in force; {}\n", countText(changes));
+    printChanges(changes, context);
     return ExitCode::Ok;
 }
 
