--- a/include/teaselshore/peers/peers_task.hpp
+++ b/include/teaselshore/peers/peers_task.hpp
@@ -29,7 +29,7 @@
     /// Time without a message to a peer after which its connection is closed.
     Duration idleTimeout = std::chrono::minutes(10);
     /// Largest accepted message; a larger one closes the connection.
-    std::int64_t maximumMessageBytes = 64 * 1024 * 1024;
+    std::int64_t maximumMessageBytes = 64'000'000;
 
     auto operator<=>(const PeersSettings&) const = default;
 };
