--- a/src/teaselshore/journal/slot_claims.cpp
+++ b/src/teaselshore/journal/slot_claims.cpp
@@ -27,10 +27,7 @@
 
 void SlotOwner::Impl::noteAbsentOwners()
 {
-    for (std::size_t slot = 0; slot < slotCount; ++slot) {
-        const OwnerInstance& owner = this->map.at(static_cast<Slot>(slot)).owner;
-        if (owner.empty() || (slot > 0 && owner == this->map.at(static_cast<Slot>(slot - 1)).owner))
-            continue;
+    for (const OwnerInstance& owner : this->mapOwners) {
         const NodeId node = nodeOf(owner);
         if (!this->alive.contains(node))
             this->absentSince.try_emplace(node, this->now);
@@ -86,6 +83,15 @@
     this->map = read;
     this->mapVersion = version;
     this->mapEditDue = true;
+    this->mapOwners.clear();
+    this->mapHasFreeSlots = false;
+    for (std::size_t slot = 0; slot < slotCount; ++slot) {
+        const SlotAssignment& assignment = this->map.at(static_cast<Slot>(slot));
+        if (assignment.owner.empty() || assignment.released)
+            this->mapHasFreeSlots = true;
+        if (!assignment.owner.empty())
+            this->mapOwners.insert(assignment.owner);
+    }
     this->applyClaim();
     bool lost = false;
     for (std::size_t index = 0; index < slotCount; ++index) {
@@ -147,6 +153,11 @@
 bool SlotOwner::Impl::editMap(SlotMap& edited) const
 {
     bool changed = false;
+    std::set<OwnerInstance> stopped;
+    for (const OwnerInstance& owner : this->mapOwners) {
+        if (this->stoppedForGood(owner))
+            stopped.insert(owner);
+    }
     if (this->claim && this->claim->ticket && *this->claim->ticket <= this->writer.committedThrough()) {
         for (const auto& [slot, epoch] : this->claim->slots) {
             edited.assign(slot, { this->writer.instance(), epoch + 1, false });
@@ -155,13 +166,15 @@
     }
     for (std::size_t index = 0; index < slotCount; ++index) {
         const Slot slot = static_cast<Slot>(index);
+        const SlotTenure& tenure = this->slots[slot];
+        if (tenure.phase != SlotPhase::Drained && stopped.empty())
+            continue;
         SlotAssignment assignment = edited.at(slot);
         if (assignment.owner.empty() || assignment.released)
             continue;
-        const SlotTenure& tenure = this->slots[slot];
         const bool drained = tenure.phase == SlotPhase::Drained && tenure.barrier <= this->writer.committedThrough()
             && assignment.owner == this->writer.instance();
-        if (!drained && !this->stoppedForGood(assignment.owner))
+        if (!drained && !stopped.contains(assignment.owner))
             continue;
         assignment.released = true;
         edited.assign(slot, assignment);
@@ -191,14 +204,16 @@
         this->call(ObjectUpdate { *this->mapWrite, std::string(slotMapKey), edited.encode(), this->mapVersion });
 }
 
-const std::vector<NodeId>& SlotOwner::Impl::placement() const
+void SlotOwner::Impl::place()
 {
-    const std::vector<NodeId> candidates = ownerCandidates(this->alive, this->settings.maxOwners);
-    if (candidates != this->placementFor) {
-        this->placementFor = candidates;
-        this->placementCache = placeSlots(candidates);
-    }
-    return this->placementCache;
+    if (!this->membersChanged)
+        return;
+    this->membersChanged = false;
+    std::vector<NodeId> chosen = ownerCandidates(this->alive, this->settings.maxOwners);
+    if (chosen == this->candidates)
+        return;
+    this->candidates = std::move(chosen);
+    this->slotPlacement = placeSlots(this->candidates);
 }
 
 bool SlotOwner::Impl::silent(const OwnerInstance& instance) const
@@ -230,16 +245,15 @@
     if (!this->storeUp())
         return;
     // An owner that membership cannot reach may still serve others, so its journal has to be silent too.
-    for (std::size_t index = 0; index < slotCount; ++index) {
-        const OwnerInstance& owner = this->map.at(static_cast<Slot>(index)).owner;
-        if (owner.empty() || nodeOf(owner) == this->self || this->observations.contains(owner))
+    for (const OwnerInstance& owner : this->mapOwners) {
+        if (nodeOf(owner) == this->self || this->observations.contains(owner))
             continue;
         if (!this->absentSince.contains(nodeOf(owner)))
             continue;
         this->observer = std::make_unique<JournalReader>(owner, std::string(), ReadMode::Observe);
         return;
     }
-    std::erase_if(this->observations, [&](const auto& seen) { return this->map.slotsOf(seen.first).empty(); });
+    std::erase_if(this->observations, [&](const auto& seen) { return !this->mapOwners.contains(seen.first); });
 }
 
 void SlotOwner::Impl::heartbeat()
@@ -257,12 +271,17 @@
         return;
     if (this->now - this->startedAt < this->settings.claimDelay)
         return;
-    const std::vector<NodeId>& owners = this->placement();
+    const bool anyDead = std::any_of(this->mapOwners.begin(), this->mapOwners.end(),
+        [&](const OwnerInstance& owner) { return this->isDead(owner) && this->silent(owner); });
+    if (!anyDead && !this->mapHasFreeSlots)
+        return;
+    this->place();
     std::optional<Claim> next;
     for (std::size_t index = 0; index < slotCount; ++index) {
         const Slot slot = static_cast<Slot>(index);
         const SlotAssignment& assignment = this->map.at(slot);
-        if (owners[slot] != this->self || !this->claimable(slot) || this->adopted.contains(assignment.owner))
+        if (this->slotPlacement[slot] != this->self || !this->claimable(slot)
+            || this->adopted.contains(assignment.owner))
             continue;
         if (!next)
             next = Claim { assignment.owner, {}, nullptr, nullptr, std::nullopt };
@@ -362,15 +381,15 @@
     const std::size_t held = this->countPhase(SlotPhase::Held);
     if (held == 0 || this->countPhase(SlotPhase::Releasing) > 0 || this->countPhase(SlotPhase::Drained) > 0)
         return;
-    const std::vector<NodeId>& owners = this->placement();
-    const bool candidate = std::binary_search(this->placementFor.begin(), this->placementFor.end(), this->self);
-    const std::size_t mean = candidate ? slotCount / this->placementFor.size() : 0;
+    this->place();
+    const bool candidate = std::binary_search(this->candidates.begin(), this->candidates.end(), this->self);
+    const std::size_t mean = candidate ? slotCount / this->candidates.size() : 0;
     if (static_cast<double>(held) <= static_cast<double>(mean) * imbalanceBound)
         return;
     std::size_t excess = std::min(held - mean, this->settings.movesAtOnce);
     for (std::size_t index = 0; index < slotCount && excess > 0; ++index) {
         const Slot slot = static_cast<Slot>(index);
-        if (this->slots[slot].phase != SlotPhase::Held || owners[slot] == this->self || this->busy(slot))
+        if (this->slots[slot].phase != SlotPhase::Held || this->slotPlacement[slot] == this->self || this->busy(slot))
             continue;
         this->startRelease(slot);
         ++this->statistics.moves;
@@ -423,15 +442,15 @@
         this->absentSince.try_emplace(node, this->now);
     if (instance == this->writer.instance() || this->adopted.contains(instance) || !this->isDead(instance))
         return true;
-    return !this->map.slotsOf(instance).empty();
+    return this->mapOwners.contains(instance);
 }
 
 void SlotOwner::Impl::sweep()
 {
     if (this->stopping || !this->mapKnown || !this->storeUp() || !this->sweeper.due(this->now))
         return;
-    this->placement();
-    if (rendezvousChoice("journal sweep", this->placementFor) != this->self)
+    this->place();
+    if (rendezvousChoice("journal sweep", this->candidates) != this->self)
         return;
     for (ObjectCommand& command : this->sweeper.poll(this->now, this->ids, this->pacer))
         this->call(std::move(command));
--- a/src/teaselshore/journal/slot_owner.cpp
+++ b/src/teaselshore/journal/slot_owner.cpp
@@ -200,7 +200,7 @@
 
 void SlotOwner::Impl::handle(const MemberAlive& event)
 {
-    this->alive.insert(event.node);
+    this->membersChanged = this->alive.insert(event.node).second || this->membersChanged;
     this->absentSince.erase(event.node);
 }
 
@@ -208,7 +208,7 @@
 {
     if (event.node == this->self)
         return;
-    this->alive.erase(event.node);
+    this->membersChanged = this->alive.erase(event.node) > 0 || this->membersChanged;
     this->absentSince.try_emplace(event.node, this->now);
     this->failForwards(event.node);
 }
--- a/src/teaselshore/journal/slot_owner_impl.hpp
+++ b/src/teaselshore/journal/slot_owner_impl.hpp
@@ -184,7 +184,7 @@
     void sweep();
     void startRelease(Slot slot);
     void dropSlot(Slot slot);
-    const std::vector<NodeId>& placement() const;
+    void place();
     std::size_t countPhase(SlotPhase phase) const;
 
     // slot_stop.cpp: planned stop and hand-over.
@@ -221,10 +221,15 @@
 
     std::set<NodeId> alive;
     std::map<NodeId, Instant> absentSince;
-    mutable std::vector<NodeId> placementCache;
-    mutable std::vector<NodeId> placementFor;
+    std::vector<NodeId> slotPlacement;
+    std::vector<NodeId> candidates;
+    bool membersChanged = true;
 
     SlotMap map;
+    /// Instances in the slot map.
+    std::set<OwnerInstance> mapOwners;
+    /// True if the slot map has slots without an owner or released ones.
+    bool mapHasFreeSlots = true;
     ObjectVersion mapVersion = 0;
     bool mapKnown = false;
     std::optional<ObjectCallId> mapRead;
--- a/src/teaselshore/journal/slot_owner_test_support.hpp
+++ b/src/teaselshore/journal/slot_owner_test_support.hpp
@@ -95,6 +95,8 @@
     /// Events with faults; the quiet phase that follows is not counted.
     std::size_t events = 5000;
     SlotOwnerMutations mutations;
+    /// Faults of nodes, links and the whole object API; single calls and messages still fail without them.
+    bool faults = true;
 };
 
 /// @brief Drives several slot owners event by event against a fake store, fake upstreams and a fake network.
@@ -112,7 +114,8 @@
         for (std::size_t index = 0; index < this->settings.nodes; ++index)
             this->startNode();
         this->after(seconds(2), [this] { this->nextRequest(); });
-        this->after(seconds(3), [this] { this->nextFault(); });
+        if (this->settings.faults)
+            this->after(seconds(3), [this] { this->nextFault(); });
         while (this->handled < this->settings.events && !this->queue.empty())
             this->step();
         this->quiet = true;
@@ -135,6 +138,7 @@
     const std::map<std::string, std::size_t>& occurrences() const { return this->counts; }
     std::size_t events() const { return this->handled; }
     std::size_t objects() const { return this->store.size(); }
+    Duration passed() const { return this->now.time_since_epoch(); }
 
 private:
     enum class Outage {
@@ -150,6 +154,8 @@
         bool paused = false;
         bool cutFromStore = false;
         bool cutFromPeers = false;
+        Instant startedAt {};
+        std::size_t writes = 0;
         std::deque<SlotEvent> inbox;
     };
 
@@ -230,6 +236,7 @@
     {
         auto node = std::make_unique<Node>();
         node->id = NodeId(fmt::format("n{}", this->nodes.size()));
+        node->startedAt = this->now;
         node->owner = std::make_unique<SlotOwner>(node->id, this->ownerSettings(), this->settings.mutations);
         this->nodes.push_back(std::move(node));
         this->tick(*this->nodes.back());
@@ -331,6 +338,8 @@
         if (this->storeOutage == Outage::Hanging || node.cutFromStore)
             return reply({ id, ObjectOutcome::Unknown, {}, 0, {} }, timeout);
         const bool write = !std::holds_alternative<ObjectRead>(command) && !std::holds_alternative<ObjectList>(command);
+        if (write)
+            this->countWrite(node);
         if (write && !this->quiet && this->chance(0.01)) {
             // The answer is lost; the write is applied now, later than the timeout, or never.
             this->note("lost write answer");
@@ -340,7 +349,22 @@
                     [this, command] { this->store.apply(command); });
             return reply({ id, ObjectOutcome::Unknown, {}, 0, {} }, timeout);
         }
-        this->after(this->delay(), [this, command, reply] { reply(this->store.apply(command), this->delay()); });
+        const Duration there = this->delay();
+        const Duration back = this->delay();
+        if (there + back > timeout) {
+            this->after(there, [this, command] { this->store.apply(command); });
+            return reply({ id, ObjectOutcome::Unknown, {}, 0, {} }, timeout);
+        }
+        this->after(there, [this, command, reply, back] { reply(this->store.apply(command), back); });
+    }
+
+    void countWrite(Node& node)
+    {
+        const SlotOwnerSettings limits = this->ownerSettings();
+        const double rate = limits.writesPerSecond / static_cast<double>(limits.maxOwners);
+        const double allowed = rate * toSeconds(this->now - node.startedAt) + limits.writeBurst + 1;
+        if (static_cast<double>(++node.writes) > allowed)
+            this->violation("write budget exceeded by " + node.id.value());
     }
 
     // Upstream.
