Reduce the cost of a routing decision at large fleets

Cause: a decision at 5,300 engines cost 1.9 times one at 20, mostly for scoring and rendezvous hashing.

Change: three-level rendezvous table, predictions in seconds without conversions, smaller samples, and the data that a decision reads in whole cache lines.

--- a/include/teaselshore/routing/load_estimate.hpp
+++ b/include/teaselshore/routing/load_estimate.hpp
@@ -46,17 +46,27 @@
 /// @brief Measured speeds, of one upstream or as the mean of a pool of upstreams.
 struct LoadRates {
     /// Token equivalents before the first byte, per second and unit of parallelism.
-    double prefillPerSecond = 8000;
+    float prefillPerSecond = 8000;
     /// Time between two output tokens of one request, seconds.
-    double secondsPerToken = 0.03;
+    float secondsPerToken = 0.03F;
     /// Time a request occupies its slot, seconds.
-    double holdSeconds = 1;
+    float holdSeconds = 1;
     /// Work before the first byte per request, token equivalents.
-    double workPerRequest = 50;
+    float workPerRequest = 50;
 
     auto operator<=>(const LoadRates&) const = default;
 };
 
+/// @brief Predicted course of one request at one upstream.
+struct LoadPrediction {
+    /// Time to the first byte.
+    double firstTokenSeconds = 0;
+    /// Requests of all nodes that are there now.
+    double outstanding = 0;
+
+    auto operator<=>(const LoadPrediction&) const = default;
+};
+
 /// @brief Predicts the load and speed of one upstream.
 ///
 /// It combines the node's own outstanding work, which is exact and current, with load reports, which cover all nodes
@@ -88,21 +98,18 @@
     /// @brief Returns the work before the first byte of the requests that wait there. Unit: token equivalents.
     double workAhead(Instant now) const;
 
-    /// @brief Returns the predicted time to the first byte of a new request, without the network.
-    Duration predictFirstToken(const WorkSize& work, const LoadShape& shape, const LoadRates& pool, Instant now) const;
-
-    /// @brief Returns the predicted time from dispatch to the end of a new request, without the network.
-    Duration predictTotal(const WorkSize& work, const LoadShape& shape, const LoadRates& pool, Instant now) const;
+    /// @brief Predicts a new request, without the network.
+    LoadPrediction predict(const WorkSize& work, const LoadShape& shape, const LoadRates& pool, Instant now) const;
 
 private:
     double blend(double measuredRate, double poolRate, Instant now) const;
 
     std::uint32_t outstanding = 0;
     double ownPrefillWork = 0;
-    double othersLast = 0;
-    double othersAverage = 0;
+    float othersLast = 0;
+    float othersAverage = 0;
     /// Part of othersLast that waits, in [0, 1].
-    double queuedPart = 0;
+    float queuedPart = 0;
     Instant reportedAt = Instant::min();
     /// Measured; all zero before the first sample.
     LoadRates measured { 0, 0, 0, 0 };
--- a/include/teaselshore/routing/prefix_index.hpp
+++ b/include/teaselshore/routing/prefix_index.hpp
@@ -52,7 +52,7 @@
 
 /// @brief Bounded list of holders, without allocation.
 struct PrefixHolders {
-    static constexpr std::size_t maximum = 8;
+    static constexpr std::size_t maximum = 4;
 
     std::array<PrefixHolder, maximum> entries;
     std::size_t count = 0;
--- a/include/teaselshore/routing/rendezvous_table.hpp
+++ b/include/teaselshore/routing/rendezvous_table.hpp
@@ -11,9 +11,9 @@
 
 /// @brief Chooses the same few members for the same key on every node (rendezvous hashing).
 ///
-/// Members are hashed into buckets; a key ranks the buckets by weighted rendezvous hashing and then the members of the
-/// best buckets. The cost grows with the square root of the number of members instead of linearly, and the arrival or
-/// departure of a member moves only the keys of that member. Not thread-safe.
+/// Members are hashed into buckets, and buckets into groups. A key ranks the groups and then the buckets of the best
+/// group by weighted rendezvous hashing, and last the members of the best buckets. The cost grows with a small fraction
+/// of the number of members, and the arrival or departure of a member moves few keys of others. Not thread-safe.
 class RendezvousTable {
 public:
     static constexpr std::size_t maximumChoices = 3;
@@ -33,18 +33,27 @@
 
     void clear();
 
-    /// @brief Returns the preferred members of a key, best first, from at most two buckets.
+    /// @brief Returns the preferred members of a key, best first, from at most two buckets of one group.
     Choices choose(Fingerprint key) const;
 
 private:
-    static constexpr std::size_t bucketCount = 64;
+    static constexpr std::size_t groupCount = 16;
+    static constexpr std::size_t bucketsPerGroup = 16;
 
     struct Member {
         Fingerprint salt = 0;
         std::uint32_t member = 0;
     };
 
-    std::array<std::vector<Member>, bucketCount> buckets;
+    struct Group {
+        std::array<std::vector<Member>, bucketsPerGroup> buckets;
+        std::size_t size = 0;
+    };
+
+    static std::size_t groupOf(Fingerprint salt) { return salt % groupCount; }
+    static std::size_t bucketOf(Fingerprint salt) { return salt / groupCount % bucketsPerGroup; }
+
+    std::array<Group, groupCount> groups;
 };
 
 } // namespace teaselshore
--- a/src/teaselshore/routing/load_estimate.cpp
+++ b/src/teaselshore/routing/load_estimate.cpp
@@ -19,13 +19,14 @@
     constexpr double poolWeight = 0.02;
     constexpr double averageWeight = 0.1;
     constexpr double shortestElapsed = 1e-4;
+    constexpr double longestPrediction = 3600;
 
     double fade(Duration age, double halfLife) { return halfLife / (halfLife + std::max(0.0, toSeconds(age))); }
 
-    void learn(double& measured, double& pool, double sample)
+    void learn(float& measured, float& pool, double sample)
     {
-        measured = measured == 0 ? sample : measured + ownWeight * (sample - measured);
-        pool += poolWeight * (sample - pool);
+        measured = static_cast<float>(measured == 0 ? sample : measured + ownWeight * (sample - measured));
+        pool += static_cast<float>(poolWeight * (sample - pool));
     }
 
 } // namespace
@@ -78,12 +79,12 @@
     if (this->reportedAt != Instant::min() && at < this->reportedAt)
         return;
     const double total = static_cast<double>(report.queued) + report.running;
-    this->othersLast = std::max(0.0, total - this->outstanding);
-    this->queuedPart = total > 0 ? report.queued / total : 0;
+    this->othersLast = static_cast<float>(std::max(0.0, total - this->outstanding));
+    this->queuedPart = total > 0 ? static_cast<float>(report.queued / total) : 0;
     if (this->reportedAt == Instant::min())
         this->othersAverage = this->othersLast;
     else
-        this->othersAverage += averageWeight * (this->othersLast - this->othersAverage);
+        this->othersAverage += static_cast<float>(averageWeight * (this->othersLast - this->othersAverage));
     this->reportedAt = at;
 }
 
@@ -109,27 +110,22 @@
     return poolRate + (measuredRate - poolRate) * fade(now - this->measuredAt, rateHalfLife);
 }
 
-Duration LoadEstimate::predictFirstToken(
+LoadPrediction LoadEstimate::predict(
     const WorkSize& work, const LoadShape& shape, const LoadRates& pool, Instant now) const
 {
-    const double rate = this->blend(this->measured.prefillPerSecond, pool.prefillPerSecond, now);
     const double others = this->othersOutstanding(now);
-    const double othersWork = others * this->queuedPart * pool.workPerRequest;
-    double seconds = (work.prefillWork() + (this->ownPrefillWork + othersWork) / shape.parallelism) / rate;
     const double total = this->outstanding + others;
+    double ahead = this->ownPrefillWork + others * this->queuedPart * pool.workPerRequest;
+    if (shape.parallelism > 1)
+        ahead /= shape.parallelism;
+    const double rate = this->blend(this->measured.prefillPerSecond, pool.prefillPerSecond, now);
+    double seconds = (work.prefillWork() + ahead) / rate;
     // Where the first byte comes late in the request, the work ahead already contains the wait for a slot.
     if (shape.parallelism < shape.capacity && total >= shape.capacity) {
         const double hold = this->blend(this->measured.holdSeconds, pool.holdSeconds, now);
         seconds += hold * (total - shape.capacity + 1) / shape.capacity;
     }
-    return fromSeconds(std::min(seconds, 3600.0));
-}
-
-Duration LoadEstimate::predictTotal(
-    const WorkSize& work, const LoadShape& shape, const LoadRates& pool, Instant now) const
-{
-    const double perToken = this->blend(this->measured.secondsPerToken, pool.secondsPerToken, now);
-    return this->predictFirstToken(work, shape, pool, now) + fromSeconds(perToken * work.outputTokens);
+    return { std::min(seconds, longestPrediction), total };
 }
 
 } // namespace teaselshore
--- a/src/teaselshore/routing/policy_simulation_test.cpp
+++ b/src/teaselshore/routing/policy_simulation_test.cpp
@@ -263,7 +263,7 @@
         void submit(const std::shared_ptr<Job>& job, const std::shared_ptr<EngineJob>& attempt)
         {
             attempt->prefillTokens = job->routing.promptTokens;
-            attempt->cacheableTokens = job->routing.prefixBlocks.size() * blockTokens;
+            attempt->cacheableTokens = static_cast<double>(job->routing.prefixBlocks.size() * blockTokens);
             attempt->prefix = job->routing.prefixBlocks.back();
             attempt->outputTokens = job->routing.expectedOutputTokens;
             attempt->onFirstToken = [this, job] {
--- a/src/teaselshore/routing/rendezvous_table.cpp
+++ b/src/teaselshore/routing/rendezvous_table.cpp
@@ -19,63 +19,77 @@
     /// Maps a digest to (0, 1).
     double unit(std::uint64_t value) { return (static_cast<double>(value >> 11) + 0.5) * 0x1p-53; }
 
+    /// Score of a set of members: each set wins with a probability proportional to its size.
+    double weightedScore(std::uint64_t digest, std::size_t size)
+    {
+        return static_cast<double>(size) / -std::log(unit(digest));
+    }
+
+    /// Best two of the scored items; nothing has the score 0.
+    template <typename Score> struct BestTwo {
+        std::array<Score, 2> scores { 0, 0 };
+        std::array<std::uint32_t, 2> items { 0, 0 };
+
+        void add(std::uint32_t item, Score score)
+        {
+            if (score > this->scores[0]) {
+                this->scores = { score, this->scores[0] };
+                this->items = { item, this->items[0] };
+            } else if (score > this->scores[1]) {
+                this->scores[1] = score;
+                this->items[1] = item;
+            }
+        }
+    };
+
 } // namespace
 
 void RendezvousTable::add(std::uint32_t member, Fingerprint salt)
 {
-    this->buckets[salt % bucketCount].push_back({ salt, member });
+    Group& group = this->groups[groupOf(salt)];
+    group.buckets[bucketOf(salt)].push_back({ salt, member });
+    group.size++;
 }
 
 void RendezvousTable::remove(std::uint32_t member, Fingerprint salt)
 {
-    std::erase_if(
-        this->buckets[salt % bucketCount], [&](const Member& candidate) { return candidate.member == member; });
+    Group& group = this->groups[groupOf(salt)];
+    group.size -= std::erase_if(
+        group.buckets[bucketOf(salt)], [&](const Member& candidate) { return candidate.member == member; });
 }
 
 void RendezvousTable::clear()
 {
-    for (std::vector<Member>& bucket : this->buckets)
-        bucket.clear();
+    for (Group& group : this->groups) {
+        group.size = 0;
+        for (std::vector<Member>& bucket : group.buckets)
+            bucket.clear();
+    }
 }
 
 RendezvousTable::Choices RendezvousTable::choose(Fingerprint key) const
 {
-    std::array<double, 2> bestScores { 0, 0 };
-    std::array<std::size_t, 2> bestBuckets { bucketCount, bucketCount };
-    for (std::size_t i = 0; i < bucketCount; i++) {
-        if (this->buckets[i].empty())
-            continue;
-        // Weighted rendezvous hashing: a bucket wins with a probability proportional to its size.
-        const double score = static_cast<double>(this->buckets[i].size()) / -std::log(unit(mix(key, i + 1)));
-        if (score > bestScores[0]) {
-            bestScores = { score, bestScores[0] };
-            bestBuckets = { i, bestBuckets[0] };
-        } else if (score > bestScores[1]) {
-            bestScores[1] = score;
-            bestBuckets[1] = i;
-        }
+    BestTwo<double> bestGroups;
+    for (std::uint32_t i = 0; i < groupCount; i++) {
+        if (this->groups[i].size > 0)
+            bestGroups.add(i, weightedScore(mix(key, i + 1), this->groups[i].size));
     }
-
     Choices choices;
-    for (const std::size_t bucket : bestBuckets) {
-        if (bucket == bucketCount)
-            break;
-        std::array<std::uint64_t, 2> scores { 0, 0 };
-        std::array<std::uint32_t, 2> members { 0, 0 };
-        for (const Member& candidate : this->buckets[bucket]) {
-            const std::uint64_t score = mix(key, candidate.salt) | 1;
-            if (score > scores[0]) {
-                scores = { score, scores[0] };
-                members = { candidate.member, members[0] };
-            } else if (score > scores[1]) {
-                scores[1] = score;
-                members[1] = candidate.member;
-            }
-        }
-        for (std::size_t i = 0; i < 2 && choices.count < maximumChoices; i++) {
-            if (scores[i] > 0)
-                choices.members[choices.count++] = members[i];
-        }
+    if (bestGroups.scores[0] == 0)
+        return choices;
+
+    const Group& group = this->groups[bestGroups.items[0]];
+    BestTwo<double> bestBuckets;
+    for (std::uint32_t i = 0; i < bucketsPerGroup; i++) {
+        if (!group.buckets[i].empty())
+            bestBuckets.add(i, weightedScore(mix(key, groupCount + i + 1), group.buckets[i].size()));
+    }
+    for (std::size_t i = 0; i < 2 && bestBuckets.scores[i] > 0; i++) {
+        BestTwo<std::uint64_t> bestMembers;
+        for (const Member& candidate : group.buckets[bestBuckets.items[i]])
+            bestMembers.add(candidate.member, mix(key, candidate.salt) | 1);
+        for (std::size_t j = 0; j < 2 && bestMembers.scores[j] > 0 && choices.count < maximumChoices; j++)
+            choices.members[choices.count++] = bestMembers.items[j];
     }
     return choices;
 }
--- a/src/teaselshore/routing/upstream_chooser.cpp
+++ b/src/teaselshore/routing/upstream_chooser.cpp
@@ -7,12 +7,12 @@
 
 namespace {
 
-    // Sizes of the samples. Four of the own zone keep the gap to the least loaded one small; the others only have to
+    // Sizes of the samples. Three of the own zone keep the gap to the least loaded one small; the others only have to
     // find a way out when the own zone is overloaded, dear or lost.
-    constexpr std::size_t nearSample = 4;
+    constexpr std::size_t nearSample = 3;
     constexpr std::size_t idleSample = 2;
-    constexpr std::size_t remoteSample = 3;
-    constexpr std::size_t cheapSample = 4;
+    constexpr std::size_t remoteSample = 2;
+    constexpr std::size_t cheapSample = 3;
     constexpr std::size_t aloneSample = 32;
     constexpr std::size_t lastResortSample = 64;
 
@@ -59,7 +59,9 @@
     }
     const auto found = this->table.classes.find(request.latencyClass);
     this->latencyClass = found == this->table.classes.end() ? ClassView {} : found->second;
-    this->weights = this->latencyClass.firstTokenTarget ? &this->settings.interactive : &this->settings.patient;
+    this->weights = this->latencyClass.firstTokenTargetSeconds ? &this->settings.interactive : &this->settings.patient;
+    this->gigabytes = (bytesPerPromptToken * request.promptTokens + bytesPerOutputToken * request.expectedOutputTokens)
+        / bytesPerGigabyte;
     for (const UpstreamId& id : request.excluded) {
         if (const std::optional<std::uint32_t> index = this->table.find(id))
             this->table.upstreams[*index].decision = this->decision;
@@ -175,7 +177,7 @@
     const Pool& pool = this->table.pools[number];
     if (!request.prefixBlocks.empty())
         this->gatherPrefix(number, request);
-    if (!this->latencyClass.firstTokenTarget)
+    if (!this->latencyClass.firstTokenTargetSeconds)
         this->sampleCheapest(number, cheapSample);
     this->sampleNearest(number, pool.byZone, nearSample);
     this->sampleNearest(number, pool.idleByZone, idleSample);
@@ -312,30 +314,27 @@
 {
     const Upstream& upstream = this->table.upstreams[candidate.index];
     const Pool& pool = this->table.pools[upstream.pool];
-    const Link& link = this->table.zones[upstream.zone].link;
+    const ZoneView& zone = this->table.zones[upstream.zone];
     const ScoreWeights& weights = *this->weights;
     const WorkSize work { request.promptTokens, candidate.cachedTokens, request.expectedOutputTokens };
 
-    Scored scored { candidate, {}, 0, {} };
-    const Duration computing = upstream.load.predictFirstToken(work, upstream.shape, pool.rates, this->now);
-    scored.firstToken = computing + 2 * link.delay;
+    const LoadPrediction predicted = upstream.load.predict(work, upstream.shape, pool.rates, this->now);
+    Scored scored { candidate, {}, 0, predicted.firstTokenSeconds + zone.delaySeconds };
     ScoreTerms& terms = scored.terms;
-    terms.firstToken = weights.firstToken * toSeconds(computing);
-    terms.linkDelay = weights.linkDelay * 2 * toSeconds(link.delay);
-    if (this->latencyClass.firstTokenTarget && scored.firstToken > *this->latencyClass.firstTokenTarget)
-        terms.overTarget = weights.overTarget * toSeconds(scored.firstToken - *this->latencyClass.firstTokenTarget);
-    const double bytes
-        = bytesPerPromptToken * request.promptTokens + bytesPerOutputToken * request.expectedOutputTokens;
-    terms.linkCost = weights.linkCost * link.costPerGigabyte * bytes / bytesPerGigabyte;
+    terms.firstToken = weights.firstToken * predicted.firstTokenSeconds;
+    terms.linkDelay = weights.linkDelay * zone.delaySeconds;
+    const double target = this->latencyClass.firstTokenTargetSeconds.value_or(scored.firstTokenSeconds);
+    terms.overTarget = weights.overTarget * std::max(0.0, scored.firstTokenSeconds - target);
+    terms.linkCost = weights.linkCost * zone.link.costPerGigabyte * this->gigabytes;
     terms.price = weights.price * upstream.relativePrice;
     if (upstream.reclaimRiskPerHour > 0) {
-        const double remaining = toSeconds(computing) + pool.rates.secondsPerToken * request.expectedOutputTokens;
+        const double perToken = pool.rates.secondsPerToken;
+        const double remaining = predicted.firstTokenSeconds + perToken * request.expectedOutputTokens;
         const double harm = request.idempotent ? remaining / 2 : unknownOutcomeSeconds;
         terms.reclaimRisk = upstream.reclaimRiskPerHour * remaining / secondsPerHour * harm;
     }
     if (weights.interference > 0) {
-        const double total = upstream.load.ownOutstanding() + upstream.load.othersOutstanding(this->now);
-        const double excess = total / upstream.shape.capacity - interferenceFrom;
+        const double excess = predicted.outstanding / upstream.shape.capacity - interferenceFrom;
         terms.interference = weights.interference * std::max(0.0, excess) / (1 - interferenceFrom);
     }
     if (candidate.preferred) {
@@ -374,7 +373,7 @@
 
 ScoredUpstream UpstreamChooser::describe(const Scored& scored) const
 {
-    return { this->table.details[scored.candidate.index].id, scored.terms, scored.firstToken,
+    return { this->table.details[scored.candidate.index].id, scored.terms, fromSeconds(scored.firstTokenSeconds),
         scored.candidate.cachedTokens };
 }
 
--- a/src/teaselshore/routing/upstream_chooser.hpp
+++ b/src/teaselshore/routing/upstream_chooser.hpp
@@ -28,7 +28,7 @@
         Candidate candidate;
         ScoreTerms terms;
         double sum = 0;
-        Duration firstToken {};
+        double firstTokenSeconds = 0;
     };
     static constexpr std::size_t maximumCandidates = 32;
     static constexpr std::size_t keptCandidates = 3;
@@ -66,6 +66,8 @@
     Instant now {};
     ClassView latencyClass;
     const ScoreWeights* weights = nullptr;
+    /// Size of prompt and response.
+    double gigabytes = 0;
     std::array<Candidate, maximumCandidates> candidates;
     std::size_t candidateCount = 0;
 };
--- a/src/teaselshore/routing/upstream_table.cpp
+++ b/src/teaselshore/routing/upstream_table.cpp
@@ -63,11 +63,12 @@
     this->classes.clear();
     this->harmlessLatency = defaultHarmless;
     for (const ClassConfiguration& latencyClass : configuration.classes) {
-        this->classes[latencyClass.name] = { latencyClass.firstTokenTarget };
-        if (latencyClass.firstTokenTarget) {
-            const Duration part = fromSeconds(harmlessPart * toSeconds(*latencyClass.firstTokenTarget));
-            this->harmlessLatency = std::max(this->harmlessLatency, part);
-        }
+        this->classes[latencyClass.name] = {};
+        if (!latencyClass.firstTokenTarget)
+            continue;
+        const double target = toSeconds(*latencyClass.firstTokenTarget);
+        this->classes[latencyClass.name] = { target };
+        this->harmlessLatency = std::max(this->harmlessLatency, fromSeconds(harmlessPart * target));
     }
     this->configureZones(configuration);
 
@@ -120,6 +121,8 @@
     }
     // Takes the upstreams whose zone is not listed.
     this->zones.push_back({ AvailabilityZone {}, configuration.defaultLink });
+    for (ZoneView& zone : this->zones)
+        zone.delaySeconds = 2 * toSeconds(zone.link.delay);
 
     this->nearestZones.clear();
     for (std::uint32_t number = 0; number < this->zones.size(); number++)
@@ -189,7 +192,7 @@
     entry.pool = pool;
     entry.zone = this->zoneNumber(upstream.zone);
     entry.shape = { std::max(1U, upstream.capacity), plain ? std::max(1U, upstream.capacity) : 1 };
-    entry.reclaimRiskPerHour = reclaimRisk(configuration, upstream);
+    entry.reclaimRiskPerHour = static_cast<float>(reclaimRisk(configuration, upstream));
     this->prices[index] = pricePerHour(configuration, upstream) / capacity;
     this->pools[pool].preferred.add(index, detail.salt);
 }
@@ -214,7 +217,7 @@
         const auto tier = std::lower_bound(prices.begin(), prices.end(), this->prices[index]);
         entry.priceTier = static_cast<std::uint32_t>(tier - prices.begin());
         const double span = prices.back() - prices.front();
-        entry.relativePrice = span > 0 ? (this->prices[index] - prices.front()) / span : 0;
+        entry.relativePrice = span > 0 ? static_cast<float>((this->prices[index] - prices.front()) / span) : 0;
     }
 }
 
--- a/src/teaselshore/routing/upstream_table.hpp
+++ b/src/teaselshore/routing/upstream_table.hpp
@@ -32,7 +32,7 @@
 
 /// @brief What the score of an upstream needs. Kept apart from UpstreamDetails to keep the memory read by a decision
 /// small.
-struct Upstream {
+struct alignas(64) Upstream {
     LoadEstimate load;
     LoadShape shape;
     std::array<std::uint32_t, setKinds> positions { noPosition, noPosition, noPosition, noPosition, noPosition };
@@ -43,8 +43,8 @@
     /// Number of the last decision that considered or excluded it.
     std::uint64_t decision = 0;
     /// 0 for the cheapest upstream of the pool, 1 for the dearest.
-    double relativePrice = 0;
-    double reclaimRiskPerHour = 0;
+    float relativePrice = 0;
+    float reclaimRiskPerHour = 0;
 };
 
 /// @brief The rest of what is known about an upstream.
@@ -103,11 +103,13 @@
 struct ZoneView {
     AvailabilityZone name;
     Link link;
+    /// There and back.
+    double delaySeconds = 0;
 };
 
 /// @brief Latency class, reduced to what the choice needs.
 struct ClassView {
-    std::optional<Duration> firstTokenTarget;
+    std::optional<double> firstTokenTargetSeconds;
 };
 
 /// @brief Upstreams of all services, their eligibility, and the sets to sample from.
