--- a/src/teaselshore/emulators/load_runner.cpp
+++ b/src/teaselshore/emulators/load_runner.cpp
@@ -34,7 +34,7 @@
     }
 
     void dispatch();
-    void launch(PlannedRequest planned);
+    void launch(PlannedRequest&& planned);
     void planDuplicate(const PlannedRequest& order);
     void take(FlowId id, const FlowStep& step);
     void send(FlowId id, const FlowSend& step);
@@ -121,12 +121,12 @@
     ++this->pendingDuplicates;
     this->loop.runAfter(order.duplicate->delay, [this, copy = duplicateOf(order)] {
         --this->pendingDuplicates;
-        this->launch(copy);
+        this->launch(PlannedRequest(copy));
         this->checkDone();
     });
 }
 
-void LoadRunner::Impl::launch(PlannedRequest planned)
+void LoadRunner::Impl::launch(PlannedRequest&& planned)
 {
     if (this->flows.size() >= this->settings.maxOpen) {
         this->report.onSkipped(planned.kind);
