--- a/src/teaselshore/membership/cluster_simulation.hpp
+++ b/src/teaselshore/membership/cluster_simulation.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 #include <functional>
 #include <map>
 #include <memory>
@@ -22,6 +23,14 @@
 /// @brief Message between two simulated nodes.
 using SimulatedMessage = std::variant<MembershipMessage, ConfigurationMessage>;
 
+/// @brief Returns the CPU time of the calling thread, which does not grow while other processes have the core.
+inline std::chrono::nanoseconds threadCpuTime()
+{
+    timespec time {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 /// @brief Work of one simulated node.
 struct SimulatedTraffic {
     std::uint64_t messages = 0;
@@ -235,12 +244,12 @@
             this->tick(event.to);
     }
 
-    /// @brief Runs one step of a node and adds its processing time.
+    /// @brief Runs one step of a node and adds its CPU time.
     template <typename Step> auto measured(SimulatedTraffic& traffic, Step step)
     {
-        const auto start = std::chrono::steady_clock::now();
+        const std::chrono::nanoseconds start = threadCpuTime();
         auto commands = step();
-        traffic.processing += std::chrono::steady_clock::now() - start;
+        traffic.processing += threadCpuTime() - start;
         return commands;
     }
 
--- a/src/teaselshore/membership/membership_probes.cpp
+++ b/src/teaselshore/membership/membership_probes.cpp
@@ -1,8 +1,9 @@
 #include "membership_state.hpp"
 
 #include <cmath>
-#include <iterator>
 #include <set>
+#include <string_view>
+#include <unordered_set>
 
 namespace teaselshore {
 
@@ -52,25 +53,25 @@
 
 std::vector<std::string> Membership::Impl::seedAddresses() const
 {
-    std::set<std::string> live;
-    std::set<std::string> addresses;
+    std::unordered_set<std::string_view> live;
     for (const auto& [id, record] : this->table.all()) {
         if (isLive(record.member) || id == this->self().id)
             live.insert(record.member.address);
     }
+    std::set<std::string> seeds;
     // Leaving hosts are only worth a probe to a node that knows nobody else.
     for (const ListedHost& host : this->hosts) {
-        if (!host.leaving || this->table.liveCount() <= 1)
-            addresses.insert(host.address);
+        if (live.contains(host.address) || (host.leaving && this->table.liveCount() > 1))
+            continue;
+        seeds.insert(host.address);
     }
     // Dead members may be behind a partition, and the host list may be unavailable meanwhile.
     for (const auto& [id, record] : this->table.all()) {
-        if (record.member.state == MemberState::Dead && !record.member.address.empty())
-            addresses.insert(record.member.address);
+        const Member& member = record.member;
+        if (member.state == MemberState::Dead && !member.address.empty() && !live.contains(member.address))
+            seeds.insert(member.address);
     }
-    std::vector<std::string> seeds;
-    std::set_difference(addresses.begin(), addresses.end(), live.begin(), live.end(), std::back_inserter(seeds));
-    return seeds;
+    return { seeds.begin(), seeds.end() };
 }
 
 void Membership::Impl::probeSeeds(Instant now, Commands& commands)
--- a/src/teaselshore/membership/membership_test.cpp
+++ b/src/teaselshore/membership/membership_test.cpp
@@ -4,7 +4,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "teaselshore/membership/cluster_simulation.hpp"
+#include "cluster_simulation.hpp"
 
 namespace teaselshore {
 namespace {
