Pause accepting without descriptors and leave invalid answer fields out

A listener stays readable while the process has no descriptor for the waiting connection, so the loop used a whole core (0.20 s of processor time in 0.20 s). The server now pauses accepting for 50 ms. Answer fields with line breaks are left out instead of sent as they are.

--- a/include/teaselshore/http/http_server.hpp
+++ b/include/teaselshore/http/http_server.hpp
@@ -28,7 +28,8 @@
 
 /// @brief One request and the means to answer it. Lives until the answer is finished or the connection is closed.
 ///
-/// All methods belong to the event loop's thread. Calls after the connection was closed do nothing.
+/// All methods belong to the event loop's thread. Calls after the connection was closed do nothing. Header fields that
+/// frame the answer or contain line breaks are left out; a content length given to startStream() is used.
 class ServerExchange {
 public:
     virtual ~ServerExchange() = default;
--- a/src/teaselshore/http/http_server_test.cpp
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -1,7 +1,10 @@
+#include <ctime>
 #include <memory>
 #include <string>
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include "test_support.hpp"
 
@@ -244,6 +247,42 @@
         EXPECT_TRUE(record.error);
     }
 
+    // Guards against text of callers that adds fields or a second answer to an answer.
+    TEST(HttpServer, LeavesInvalidAnswerFieldsOut)
+    {
+        HttpFixture fixture([](const auto& exchange) {
+            exchange->reply({ 200,
+                { { "x-split", "a\r\nx-injected: b" }, { "x bad", "c" }, { "content-length", "1" }, { "x-good", "d" } },
+                "body" });
+        });
+        const CallRecord record = fixture.run(fixture.call("GET", "/"));
+        EXPECT_EQ(record.body, "body");
+        EXPECT_EQ(record.headers.find("x-good"), "d");
+        EXPECT_FALSE(record.headers.find("x-injected"));
+        EXPECT_FALSE(record.headers.find("x-split"));
+    }
+
+    // Guards against a server that spins or stops accepting for good once the process has run out of descriptors.
+    TEST(HttpServer, SurvivesLackOfDescriptors)
+    {
+        HttpFixture fixture(echo);
+        const RawConnection connection(fixture.server->port());
+        rlimit limit {};
+        ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &limit), 0);
+        const int next = dup(0);
+        close(next);
+        const rlimit lowered { static_cast<rlim_t>(next), limit.rlim_max };
+        ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &lowered), 0);
+        const std::clock_t before = std::clock();
+        fixture.runUntil([] { return false; }, std::chrono::milliseconds(200));
+        const double busySeconds = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+        ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &limit), 0);
+        EXPECT_LT(busySeconds, 0.1);
+        connection.send("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+        bool ended = false;
+        EXPECT_TRUE(fixture.runUntil([&] { return !connection.receive(ended).empty(); }));
+    }
+
     // Guards against a server that claims to listen on an address that it cannot use.
     TEST(HttpServer, ReportsUnusableAddress)
     {
--- a/src/teaselshore/http/request_text.cpp
+++ b/src/teaselshore/http/request_text.cpp
@@ -38,6 +38,8 @@
 
 } // namespace
 
+bool isValidField(std::string_view name, std::string_view value) { return isToken(name, ":") && isFieldValue(value); }
+
 std::optional<std::string> requestHead(const HttpRequest& request, const std::string& authority)
 {
     if (!isToken(request.method, ":/") || !isToken(request.path, ""))
@@ -51,7 +53,7 @@
     for (const HttpHeader& field : request.headers.all()) {
         if (concernsConnection(field.name))
             continue;
-        if (!isToken(field.name, ":") || !isFieldValue(field.value))
+        if (!isValidField(field.name, field.value))
             return std::nullopt;
         appendField(head, field.name, field.value);
     }
--- a/src/teaselshore/http/request_text.hpp
+++ b/src/teaselshore/http/request_text.hpp
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "teaselshore/http/message.hpp"
 
@@ -13,4 +14,7 @@
 /// the method, the path or a field contains bytes that would change the framing.
 std::optional<std::string> requestHead(const HttpRequest& request, const std::string& authority);
 
+/// @brief Returns whether a field can be written without changing the framing.
+bool isValidField(std::string_view name, std::string_view value);
+
 } // namespace teaselshore
--- a/src/teaselshore/http/server_core.cpp
+++ b/src/teaselshore/http/server_core.cpp
@@ -14,6 +14,8 @@
 
     /// Connections accepted per event, so that a burst does not delay open exchanges.
     constexpr int acceptsPerEvent = 16;
+    /// Pause after the process ran out of descriptors; the listener stays readable and would be polled in a tight loop.
+    constexpr Duration acceptPause = std::chrono::milliseconds(50);
     constexpr char serverName[] = "teaselshore";
 
     enum class Pending {
@@ -78,6 +80,7 @@
 {
     if (this->listener == nullptr)
         return;
+    this->loop.cancelTimer(this->acceptTimer);
     h2o_socket_close(this->listener);
     this->listener = nullptr;
     // From here on h2o announces "connection: close" in each answer.
@@ -159,9 +162,13 @@
         return;
     auto* core = static_cast<ServerCore*>(listener->data);
     for (int count = 0; count < acceptsPerEvent; ++count) {
+        errno = 0;
         h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
-        if (socket == nullptr)
+        if (socket == nullptr) {
+            if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
+                core->pauseAccepting();
             return;
+        }
         auto connection = std::make_unique<Connection>(Connection { core, socket });
         socket->on_close.cb = onConnectionReleased;
         socket->on_close.data = connection.get();
@@ -170,6 +177,12 @@
     }
 }
 
+void ServerCore::pauseAccepting()
+{
+    h2o_socket_read_stop(this->listener);
+    this->acceptTimer = this->loop.addTimer(acceptPause, [this] { h2o_socket_read_start(this->listener, onAccept); });
+}
+
 void ServerCore::onConnectionReleased(void* data)
 {
     auto* connection = static_cast<Connection*>(data);
--- a/src/teaselshore/http/server_core.hpp
+++ b/src/teaselshore/http/server_core.hpp
@@ -51,6 +51,7 @@
     static int onRequest(h2o_handler_t* handler, h2o_req_t* request);
     static void closeIfIdle(h2o_socket_t* socket);
     void releaseIfUnused();
+    void pauseAccepting();
 
     EventLoop::Impl& loop;
     HttpHandler handler;
@@ -58,6 +59,7 @@
     h2o_context_t context {};
     h2o_accept_ctx_t acceptContext {};
     h2o_socket_t* listener = nullptr;
+    TimerId acceptTimer = 0;
     bool abandoned = false;
     bool releasing = false;
     std::unordered_map<h2o_socket_t*, std::unique_ptr<Connection>> connections;
--- a/src/teaselshore/http/server_exchange.cpp
+++ b/src/teaselshore/http/server_exchange.cpp
@@ -5,6 +5,7 @@
 
 #include <sys/socket.h>
 
+#include "request_text.hpp"
 #include "server_core.hpp"
 #include "status_text.hpp"
 #include "teaselshore/base/assert.hpp"
@@ -140,7 +141,7 @@
     request->res.content_length = contentLength;
     request->res.reason = statusText(status);
     for (const HttpHeader& field : this->replyHeaders.all()) {
-        if (isFramingField(field.name))
+        if (isFramingField(field.name) || !isValidField(field.name, field.value))
             continue;
         h2o_add_header_by_str(&request->pool, &request->res.headers, field.name.data(), field.name.size(), 1, nullptr,
             field.value.data(), field.value.size());
