--- a/include/teaselshore/journal/batch_cleaner.hpp
+++ b/include/teaselshore/journal/batch_cleaner.hpp
@@ -32,6 +32,8 @@
 private:
     std::uint64_t bound = 0;
     std::uint64_t current = 0;
+    /// Version of the current batch if it is not the one that the writer created.
+    std::optional<ObjectVersion> replaced;
     std::optional<ObjectCallId> call;
     Instant retryAt {};
 };
--- a/src/teaselshore/journal/batch_cleaner.cpp
+++ b/src/teaselshore/journal/batch_cleaner.cpp
@@ -30,9 +30,12 @@
     if (this->call || now < this->retryAt || !pacer.allows(now))
         return std::nullopt;
     pacer.take(now);
+    if (this->current != oldest->first)
+        this->replaced.reset();
     this->current = oldest->first;
     this->call = ids.next();
-    return ObjectDelete { *this->call, batchKey(writer.instance(), oldest->first), oldest->second };
+    const ObjectVersion version = this->replaced.value_or(oldest->second);
+    return ObjectDelete { *this->call, batchKey(writer.instance(), oldest->first), version };
 }
 
 void BatchCleaner::onResult(const ObjectResult& result, JournalWriter& writer, Instant now)
@@ -43,6 +46,9 @@
         writer.forgetBatch(this->current);
         return;
     }
+    // A delayed create of the same batch can bring it back with another version after a deletion without an answer.
+    if (result.outcome == ObjectOutcome::Conflict)
+        this->replaced = result.version;
     this->retryAt = now + retryDelay;
 }
 
