--- a/include/teaselshore/control/lease.hpp
+++ b/include/teaselshore/control/lease.hpp
@@ -91,8 +91,11 @@
     std::vector<ObjectCommand> onWritten(
         const Pending& call, const ObjectResult& result, Instant now, ObjectCallIds& ids);
     void observe(const Lease& lease, ObjectVersion version, Instant now);
-    void adopt(const Lease& lease, Instant sentAt);
-    void dropHeld();
+    void adopt(const Lease& lease);
+    void hold(const Pending& call);
+    void abandonCall();
+    std::vector<ObjectCommand> tickAsHolder(Instant now, ObjectCallIds& ids);
+    std::vector<ObjectCommand> acquireIfDue(Instant now, ObjectCallIds& ids);
 
     NodeId self;
     ServiceName service;
--- /dev/null
+++ b/src/teaselshore/control/lease.cpp
@@ -0,0 +1,228 @@
+#include "teaselshore/control/lease.hpp"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "teaselshore/base/assert.hpp"
+#include "teaselshore/journal/owner_placement.hpp"
+
+namespace teaselshore {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    std::string leaseKey(const ServiceName& service) { return "leases/" + service.value(); }
+
+} // namespace
+
+std::string Lease::encode() const
+{
+    const Json value { { "holder", this->holder.value() }, { "epoch", this->epoch }, { "write", this->writeNumber },
+        { "lengthMs", std::chrono::duration_cast<std::chrono::milliseconds>(this->length).count() } };
+    return value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::optional<Lease> Lease::decode(std::string_view text)
+{
+    const Json value = Json::parse(text, nullptr, false);
+    if (!value.is_object())
+        return std::nullopt;
+    try {
+        return Lease { NodeId(value.at("holder").get<std::string>()), value.at("epoch").get<std::uint64_t>(),
+            value.at("write").get<std::uint64_t>(),
+            std::chrono::milliseconds(value.at("lengthMs").get<std::int64_t>()) };
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    }
+}
+
+LeaseHolder::LeaseHolder(NodeId self, ServiceName service, LeaseSettings settings)
+    : self(std::move(self))
+    , service(std::move(service))
+    , settings(settings)
+{
+    TEASELSHORE_ASSERT(settings.margin < settings.length, "lease margin leaves no time to act");
+    this->members.insert(this->self);
+}
+
+void LeaseHolder::setMembers(std::set<NodeId> alive)
+{
+    this->members = std::move(alive);
+    this->members.insert(this->self);
+}
+
+bool LeaseHolder::preferred() const
+{
+    if (this->stopping)
+        return false;
+    const std::vector<NodeId> nodes(this->members.begin(), this->members.end());
+    return rendezvousChoice(leaseKey(this->service), nodes) == this->self;
+}
+
+bool LeaseHolder::awaits(ObjectCallId id) const { return this->pending && this->pending->id == id; }
+
+std::optional<std::uint64_t> LeaseHolder::fencingToken(Instant now) const
+{
+    if (!this->validUntil || now >= *this->validUntil)
+        return std::nullopt;
+    return this->heldEpoch;
+}
+
+std::vector<ObjectCommand> LeaseHolder::tick(Instant now, ObjectCallIds& ids)
+{
+    if (this->pending && now - this->pending->sentAt < this->settings.callPatience)
+        return {};
+    // The result of an abandoned call is ignored; a write among them is judged by the next read.
+    if (this->pending)
+        this->abandonCall();
+    if (this->known && this->current && this->current->holder == this->self)
+        return this->tickAsHolder(now, ids);
+    // Only the preferred node reads the lease: the reads of all nodes would exceed the object API's limits.
+    if (!this->preferred() && this->unanswered.empty())
+        return {};
+    if (now >= this->nextRead)
+        return this->read(now, ids);
+    return this->known ? this->acquireIfDue(now, ids) : std::vector<ObjectCommand>();
+}
+
+std::vector<ObjectCommand> LeaseHolder::tickAsHolder(Instant now, ObjectCallIds& ids)
+{
+    if (!this->preferred()) {
+        // Actions end before others may see that the lease is free.
+        this->validUntil.reset();
+        // The release may be applied late, so a renewal that was sent before it gives no right any more.
+        this->unanswered.clear();
+        return this->write({ NodeId(), this->current->epoch, ++this->writeNumber, this->settings.length }, now, ids);
+    }
+    if (now < this->nextRenewal)
+        return {};
+    return this->write({ this->self, this->current->epoch, ++this->writeNumber, this->settings.length }, now, ids);
+}
+
+std::vector<ObjectCommand> LeaseHolder::acquireIfDue(Instant now, ObjectCallIds& ids)
+{
+    if (!this->preferred())
+        return {};
+    const std::uint64_t epoch = this->current ? this->current->epoch : 0;
+    const bool held = this->current && !this->current->holder.empty();
+    // The old holder counts from before its last write; this node counts from after it saw that write.
+    if (held && now - this->observedAt < this->current->length)
+        return {};
+    return this->write({ this->self, epoch + 1, ++this->writeNumber, this->settings.length }, now, ids);
+}
+
+std::vector<ObjectCommand> LeaseHolder::read(Instant now, ObjectCallIds& ids)
+{
+    this->pending = Pending { Call::Read, ids.next(), now, {} };
+    this->nextRead = now + this->settings.readEvery;
+    return { ObjectRead { this->pending->id, leaseKey(this->service) } };
+}
+
+std::vector<ObjectCommand> LeaseHolder::write(Lease lease, Instant now, ObjectCallIds& ids)
+{
+    this->pending = Pending { Call::Write, ids.next(), now, lease };
+    if (this->version == 0)
+        return { ObjectCreate { this->pending->id, leaseKey(this->service), lease.encode() } };
+    return { ObjectUpdate { this->pending->id, leaseKey(this->service), lease.encode(), this->version } };
+}
+
+void LeaseHolder::abandonCall()
+{
+    if (this->pending->kind == Call::Write)
+        this->unanswered.push_back(*this->pending);
+    this->pending.reset();
+    this->known = false;
+    this->nextRead = {};
+}
+
+std::vector<ObjectCommand> LeaseHolder::onResult(const ObjectResult& result, Instant now, ObjectCallIds& ids)
+{
+    if (!this->awaits(result.id))
+        return {};
+    const Pending call = *this->pending;
+    this->pending.reset();
+    if (call.kind == Call::Read)
+        return this->onRead(result, now, ids);
+    return this->onWritten(call, result, now, ids);
+}
+
+std::vector<ObjectCommand> LeaseHolder::onRead(const ObjectResult& result, Instant now, ObjectCallIds& ids)
+{
+    if (result.outcome == ObjectOutcome::NotFound && this->version == 0) {
+        this->known = true;
+        return this->acquireIfDue(now, ids);
+    }
+    if (result.outcome != ObjectOutcome::Ok) {
+        this->nextRead = now + this->settings.readEvery;
+        return {};
+    }
+    const std::optional<Lease> lease = Lease::decode(result.value);
+    if (!lease) {
+        // A value that is no lease is replaced like one that has run out, after the full length.
+        this->observe({ NodeId("unknown"), this->current ? this->current->epoch : 0, 0, this->settings.length },
+            result.version, now);
+        return {};
+    }
+    this->observe(*lease, result.version, now);
+    if (lease->holder == this->self)
+        this->adopt(*lease);
+    return {};
+}
+
+std::vector<ObjectCommand> LeaseHolder::onWritten(
+    const Pending& call, const ObjectResult& result, Instant now, ObjectCallIds& ids)
+{
+    switch (result.outcome) {
+    case ObjectOutcome::Ok:
+        this->observe(call.written, result.version, now);
+        if (call.written.holder == this->self && this->version == result.version)
+            this->hold(call);
+        return {};
+    case ObjectOutcome::Unavailable:
+        // Not applied: the lease runs on until its end, and the write is tried again at a later tick.
+        this->nextRenewal = now + this->settings.renewEvery / 4;
+        this->nextRead = now + this->settings.readEvery;
+        return {};
+    default:
+        // Conflict or lost answer: read back before any other decision.
+        this->unanswered.push_back(call);
+        this->known = false;
+        return this->read(now, ids);
+    }
+}
+
+void LeaseHolder::observe(const Lease& lease, ObjectVersion seen, Instant now)
+{
+    this->known = true;
+    if (seen <= this->version)
+        return;
+    this->version = seen;
+    this->current = lease;
+    // Every other write without an answer was conditional on an older version.
+    std::erase_if(this->unanswered, [&](const Pending& call) { return call.written != lease; });
+    this->observedAt = now;
+    if (lease.holder != this->self)
+        this->validUntil.reset();
+}
+
+void LeaseHolder::adopt(const Lease& lease)
+{
+    // The writes up to this one are decided; the validity counts from when the applied one was sent.
+    const auto applied = std::find_if(this->unanswered.begin(), this->unanswered.end(),
+        [&](const Pending& call) { return call.written.writeNumber == lease.writeNumber; });
+    if (applied != this->unanswered.end())
+        this->hold(Pending(*applied));
+}
+
+void LeaseHolder::hold(const Pending& call)
+{
+    this->heldEpoch = call.written.epoch;
+    this->validUntil = call.sentAt + call.written.length - this->settings.margin;
+    this->nextRenewal = call.sentAt + this->settings.renewEvery;
+    std::erase_if(this->unanswered,
+        [&](const Pending& earlier) { return earlier.written.writeNumber <= call.written.writeNumber; });
+}
+
+} // namespace teaselshore
