Document the emulators and leave starting hosts out of the host list

The host list shows live and departing hosts only: a reader must not connect to a host that does not run yet. The log of accepted control commands is bounded, because lease holders repeat their commands.

--- a/include/teaselshore/emulators/engine_control.hpp
+++ b/include/teaselshore/emulators/engine_control.hpp
@@ -70,6 +70,7 @@
     EngineRole role() const { return this->activeRole; }
     std::uint64_t highestToken() const { return this->highest; }
     std::size_t loading() const { return this->loads.size(); }
+    /// @brief Returns the last 1000 accepted commands, oldest first.
     const std::vector<AppliedCommand>& applied() const { return this->log; }
 
 private:
--- a/include/teaselshore/emulators/engine_server.hpp
+++ b/include/teaselshore/emulators/engine_server.hpp
@@ -13,7 +13,8 @@
 
 /// @brief Serves an EngineModel over HTTP.
 ///
-/// A crash of the model ends the process with std::_Exit(). All methods belong to the event loop's thread.
+/// A crash of the model ends the process with std::_Exit(). All methods belong to the event loop's thread. The
+/// loop must not run after the server is destroyed.
 class EngineServer {
 public:
     /// @brief Starts to listen. Returns nothing and sets error if the address cannot be used.
--- a/include/teaselshore/emulators/host_list.hpp
+++ b/include/teaselshore/emulators/host_list.hpp
@@ -9,7 +9,7 @@
 
 namespace teaselshore {
 
-/// @brief Model of the platform's host list, which shows each change only after a delay.
+/// @brief Model of the platform's list of live and departing hosts, which shows each change only after a delay.
 ///
 /// Pure: no I/O; not thread-safe.
 class HostList {
--- a/include/teaselshore/emulators/platform_server.hpp
+++ b/include/teaselshore/emulators/platform_server.hpp
@@ -24,7 +24,8 @@
     std::vector<Host> hosts;
 };
 
-/// @brief Serves the platform models over HTTP. All methods belong to the event loop's thread.
+/// @brief Serves the platform models over HTTP. All methods belong to the event loop's thread. The
+/// loop must not run after the server is destroyed.
 class PlatformServer {
 public:
     /// @brief Starts to listen. Returns nothing and sets error if the address cannot be used.
--- a/include/teaselshore/emulators/service_server.hpp
+++ b/include/teaselshore/emulators/service_server.hpp
@@ -12,7 +12,8 @@
 
 namespace teaselshore {
 
-/// @brief Serves a ServiceModel over HTTP. All methods belong to the event loop's thread.
+/// @brief Serves a ServiceModel over HTTP. All methods belong to the event loop's thread. The
+/// loop must not run after the server is destroyed.
 class ServiceServer {
 public:
     /// @brief Starts to listen. Returns nothing and sets error if the address or the log file cannot be used.
--- a/src/teaselshore/emulators/cloud_model_test.cpp
+++ b/src/teaselshore/emulators/cloud_model_test.cpp
@@ -67,7 +67,8 @@
         EXPECT_DOUBLE_EQ(cloud.spend(at(7200)), 5.0);
     }
 
-    // Guards against a host list without delay: readers would never see a host that is already gone.
+    // Guards against a host list without delay or with hosts that do not run yet: readers would never see a host that
+    // is already gone, or would connect to one that is not there.
     TEST(HostList, ShowsChangesOnlyAfterTheLag)
     {
         CloudModel cloud(settings(), 1);
@@ -80,6 +81,10 @@
         feed(at(0));
         EXPECT_TRUE(list.view(at(2)).empty());
         EXPECT_EQ(list.view(at(3)).size(), 1u);
+        HostStartError error {};
+        cloud.onStart(start("a", HostKind::Reclaimable), at(3), &error);
+        feed(at(3));
+        EXPECT_EQ(list.view(at(7)).size(), 1u);
         cloud.onStop(HostId("entry-1"), at(10));
         feed(at(10));
         EXPECT_EQ(list.view(at(12)).size(), 1u);
--- a/src/teaselshore/emulators/engine_control.cpp
+++ b/src/teaselshore/emulators/engine_control.cpp
@@ -5,6 +5,13 @@
 
 namespace teaselshore {
 
+namespace {
+
+    /// Holders repeat their commands, so the log is bounded.
+    constexpr std::size_t maxLoggedCommands = 1000;
+
+} // namespace
+
 EngineControl::EngineControl(std::string model, VersionName version, bool checksFencing, Duration loadTime)
     : activeModel(std::move(model))
     , activeVersion(std::move(version))
@@ -24,6 +31,8 @@
         return ControlResult::OldToken;
 
     this->highest = std::max(this->highest, command.fencingToken);
+    if (this->log.size() >= maxLoggedCommands)
+        this->log.erase(this->log.begin());
     this->log.push_back({ command, isOld });
     if (command.action == ControlAction::SetRole) {
         this->activate(command);
--- a/src/teaselshore/emulators/host_list.cpp
+++ b/src/teaselshore/emulators/host_list.cpp
@@ -4,7 +4,12 @@
 
 namespace teaselshore {
 
-void HostList::onChange(HostChange change, Instant now) { this->pending.push_back({ now, std::move(change) }); }
+void HostList::onChange(HostChange change, Instant now)
+{
+    if (change.host && change.host->state == HostState::Starting)
+        return;
+    this->pending.push_back({ now, std::move(change) });
+}
 
 std::vector<Host> HostList::view(Instant now)
 {
