Send returned lone retries of crash suspects over the wire

Cause: the protocol had no value for RetryReturned, so a node told its peers a crash instead. Change: SUSPECT_RETRY_RETURNED, and the test draws from all five kinds.

--- a/src/teaselshore/protocol/codec_test.cpp
+++ b/src/teaselshore/protocol/codec_test.cpp
@@ -89,7 +89,7 @@
         {
             std::vector<SuspectReport> result(this->below(4));
             for (SuspectReport& report : result)
-                report = { static_cast<SuspectReportKind>(this->below(4)), this->number(), UpstreamId(this->text()),
+                report = { static_cast<SuspectReportKind>(this->below(5)), this->number(), UpstreamId(this->text()),
                     AvailabilityZone(this->text()), this->duration(), this->flag() };
             return result;
         }
--- a/src/teaselshore/protocol/request_conversions.cpp
+++ b/src/teaselshore/protocol/request_conversions.cpp
@@ -29,6 +29,8 @@
             return wire::SUSPECT_CRASH;
         case SuspectReportKind::RetryStarted:
             return wire::SUSPECT_RETRY_STARTED;
+        case SuspectReportKind::RetryReturned:
+            return wire::SUSPECT_RETRY_RETURNED;
         case SuspectReportKind::Cleared:
             return wire::SUSPECT_CLEARED;
         case SuspectReportKind::Excused:
@@ -44,6 +46,8 @@
             return SuspectReportKind::Crash;
         case wire::SUSPECT_RETRY_STARTED:
             return SuspectReportKind::RetryStarted;
+        case wire::SUSPECT_RETRY_RETURNED:
+            return SuspectReportKind::RetryReturned;
         case wire::SUSPECT_CLEARED:
             return SuspectReportKind::Cleared;
         case wire::SUSPECT_EXCUSED:
