--- a/src/teaselshore/protocol/codec_test.cpp
+++ b/src/teaselshore/protocol/codec_test.cpp
@@ -189,7 +189,7 @@
 
         const SuspectReport report { .kind = SuspectReportKind::Excused };
         std::string invalid = encode({ NodeId("a"), "b", "c", RequestMessage(SuspectReports { { report } }) });
-        ASSERT_EQ(invalid.back(), '\x03');
+        ASSERT_EQ(invalid.back(), '\x04');
         invalid.back() = '\x09';
         EXPECT_FALSE(decode(invalid, error));
         EXPECT_EQ(error, ProtocolError::InvalidValue);
