--- a/include/teaselshore/journal/slot_map.hpp
+++ b/include/teaselshore/journal/slot_map.hpp
@@ -57,7 +57,7 @@
     /// @brief Returns the slots of an instance in ascending order.
     std::vector<Slot> slotsOf(const OwnerInstance& instance) const;
 
-    /// @brief Encodes as compact JSON: instances are listed once and runs of equal slots are joined.
+    /// @brief Encodes as compact JSON: each instance and each assignment is listed once.
     std::string encode() const;
 
     /// @brief Decodes encode()'s text; nothing if it is malformed or does not cover all slots.
--- a/src/teaselshore/journal/slot_forwards.cpp
+++ b/src/teaselshore/journal/slot_forwards.cpp
@@ -59,10 +59,12 @@
         this->forwards.erase(position);
         return this->answer(event.caller, event.answer);
     }
+    this->hurryMapRead();
     forward.open.erase(event.attempt);
     if (forward.open.empty()) {
+        const Answer content = event.answer;
         this->forwards.erase(position);
-        return this->answer(event.caller, event.answer);
+        return this->answer(event.caller, content);
     }
     // An earlier attempt may have run, so only a retry with the same key can tell.
     if (event.attempt == forward.attempt)
@@ -75,6 +77,7 @@
     if (position == this->forwards.end())
         return;
     Forward& forward = position->second;
+    this->hurryMapRead();
     if (!event.mayHaveBeenSent || !forward.request)
         forward.open.erase(event.attempt);
     if (forward.open.empty()) {
--- a/src/teaselshore/journal/slot_map.cpp
+++ b/src/teaselshore/journal/slot_map.cpp
@@ -17,24 +17,26 @@
 
     constexpr std::size_t slotDigits = 4;
 
-    // One run of equal assignments in the encoded map: [owner index or -1, epoch, released, length].
-    struct Run {
-        std::int64_t owner = -1;
-        std::uint64_t epoch = 0;
-        bool released = false;
-        std::size_t length = 0;
-    };
-
-    std::optional<Run> decodeRun(const Json& item)
+    // Decodes [owner index or -1, epoch, released].
+    std::optional<SlotAssignment> decodeAssignment(const Json& item, const Json& owners)
     {
-        if (!item.is_array() || item.size() != 4)
+        if (!item.is_array() || item.size() != 3)
             return std::nullopt;
         for (const Json& field : item) {
             if (!field.is_number_integer())
                 return std::nullopt;
         }
-        return Run { item[0].get<std::int64_t>(), item[1].get<std::uint64_t>(), item[2].get<int>() != 0,
-            item[3].get<std::size_t>() };
+        SlotAssignment assignment { {}, item[1].get<std::uint64_t>(), item[2].get<int>() != 0 };
+        const std::int64_t index = item[0].get<std::int64_t>();
+        if (index < 0)
+            return assignment;
+        if (index >= static_cast<std::int64_t>(owners.size()))
+            return std::nullopt;
+        const Json& owner = owners[static_cast<std::size_t>(index)];
+        if (!owner.is_string())
+            return std::nullopt;
+        assignment.owner = OwnerInstance(owner.get<std::string>());
+        return assignment;
     }
 
 } // namespace
@@ -82,55 +84,55 @@
 
 std::string SlotMap::encode() const
 {
-    std::map<OwnerInstance, std::size_t> indexes;
+    std::map<OwnerInstance, std::int64_t> ownerIndexes;
+    std::map<SlotAssignment, std::size_t> indexes;
     Json owners = Json::array();
-    Json runs = Json::array();
-    const SlotAssignment* previous = nullptr;
+    Json assigned = Json::array();
+    Json slots = Json::array();
     for (const SlotAssignment& assignment : this->assignments) {
-        if (previous && *previous == assignment) {
-            runs.back()[3] = runs.back()[3].get<std::size_t>() + 1;
+        const auto [position, added] = indexes.try_emplace(assignment, assigned.size());
+        slots.push_back(position->second);
+        if (!added)
             continue;
-        }
-        previous = &assignment;
         std::int64_t index = -1;
         if (!assignment.owner.empty()) {
-            const auto [position, added] = indexes.try_emplace(assignment.owner, owners.size());
-            if (added)
+            const auto [owner, first] = ownerIndexes.try_emplace(assignment.owner, owners.size());
+            index = owner->second;
+            if (first)
                 owners.push_back(assignment.owner.value());
-            index = static_cast<std::int64_t>(position->second);
         }
-        runs.push_back({ index, assignment.epoch, assignment.released ? 1 : 0, 1 });
+        assigned.push_back({ index, assignment.epoch, assignment.released ? 1 : 0 });
     }
-    return Json { { "owners", std::move(owners) }, { "slots", std::move(runs) } }.dump(
-        -1, ' ', false, Json::error_handler_t::replace);
+    const Json value { { "owners", std::move(owners) }, { "assignments", std::move(assigned) },
+        { "slots", std::move(slots) } };
+    return value.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::optional<SlotMap> SlotMap::decode(std::string_view text)
 {
     const Json value = Json::parse(text, nullptr, false);
-    if (!value.is_object() || !value.contains("owners") || !value.contains("slots"))
+    if (!value.is_object())
         return std::nullopt;
-    const Json& owners = value["owners"];
-    if (!owners.is_array() || !value["slots"].is_array())
+    for (const char* const part : { "owners", "assignments", "slots" }) {
+        if (!value.contains(part) || !value[part].is_array())
+            return std::nullopt;
+    }
+    std::vector<SlotAssignment> assigned;
+    for (const Json& item : value["assignments"]) {
+        std::optional<SlotAssignment> assignment = decodeAssignment(item, value["owners"]);
+        if (!assignment)
+            return std::nullopt;
+        assigned.push_back(std::move(*assignment));
+    }
+    const Json& slots = value["slots"];
+    if (slots.size() != slotCount)
         return std::nullopt;
     SlotMap map;
-    std::size_t slot = 0;
-    for (const Json& item : value["slots"]) {
-        const std::optional<Run> run = decodeRun(item);
-        if (!run || run->length > slotCount - slot || run->owner >= static_cast<std::int64_t>(owners.size()))
+    for (std::size_t slot = 0; slot < slotCount; ++slot) {
+        if (!slots[slot].is_number_unsigned() || slots[slot].get<std::size_t>() >= assigned.size())
             return std::nullopt;
-        SlotAssignment assignment { {}, run->epoch, run->released };
-        if (run->owner >= 0) {
-            const Json& owner = owners[static_cast<std::size_t>(run->owner)];
-            if (!owner.is_string())
-                return std::nullopt;
-            assignment.owner = OwnerInstance(owner.get<std::string>());
-        }
-        for (std::size_t end = slot + run->length; slot < end; ++slot)
-            map.assignments[slot] = assignment;
+        map.assignments[slot] = assigned[slots[slot].get<std::size_t>()];
     }
-    if (slot != slotCount)
-        return std::nullopt;
     return map;
 }
 
--- a/src/teaselshore/journal/slot_owner_impl.hpp
+++ b/src/teaselshore/journal/slot_owner_impl.hpp
@@ -163,6 +163,7 @@
     bool isDead(const OwnerInstance& instance) const;
     void noteAbsentOwners();
     void pollMap();
+    void hurryMapRead();
     void onMapRead(const ObjectResult& result);
     void onMapWritten(const ObjectResult& result);
     void applyMap(const SlotMap& read, ObjectVersion version);
@@ -238,6 +239,7 @@
     std::optional<ObjectCallId> mapWrite;
     SlotMap mapWritten;
     Instant nextMapRead {};
+    Instant lastMapRead {};
     Instant nextMapWrite {};
     Duration mapBackoff {};
     std::optional<Claim> claim;
@@ -260,6 +262,7 @@
     bool stopReported = false;
     Instant stopDeadline {};
     Instant nextHandOver {};
+    std::size_t handOversSent = 0;
     std::map<OwnerInstance, JournalWriter> adopted;
     JournalSweeper sweeper;
 };
--- a/src/teaselshore/journal/slot_stop.cpp
+++ b/src/teaselshore/journal/slot_stop.cpp
@@ -62,8 +62,9 @@
     if (peers.empty())
         return;
     this->nextHandOver = this->now + handOverInterval;
-    const OwnerInstance& instance = this->writer.instance();
-    const NodeId peer = rendezvousChoice(instance.value(), peers);
+    // Another peer each time: the last one may be stopping too. The journal's next number decides between them.
+    const NodeId& peer = peers[this->handOversSent % peers.size()];
+    ++this->handOversSent;
     this->out.push_back(SendHandOver { peer, this->writer.handOver(this->self) });
 }
 
