--- a/src/teaselshore/journal/slot_owner_impl.hpp
+++ b/src/teaselshore/journal/slot_owner_impl.hpp
@@ -112,6 +112,7 @@
     void handle(const HandOverAcknowledged& event);
     void flush();
     void flushWriters();
+    void deleteOldBatch();
     void feedCheckpoint();
     void onAppendProgress(AppendProgress progress);
     void onCommitted();
@@ -122,6 +123,7 @@
     void answer(CallerId caller, Answer content);
     void answerNotRun(CallerId caller, std::string reason);
     AppendTicket append(const RecordGroup& group);
+    void appendLazily(const RecordGroup& group);
     bool storeUp() const { return !this->storeDown; }
 
     // slot_requests.cpp: requests of held slots.
@@ -161,6 +163,7 @@
     bool isDead(const OwnerInstance& instance) const;
     void noteAbsentOwners();
     void pollMap();
+    void hurryMapRead();
     void onMapRead(const ObjectResult& result);
     void onMapWritten(const ObjectResult& result);
     void applyMap(const SlotMap& read, ObjectVersion version);
@@ -236,12 +239,15 @@
     std::optional<ObjectCallId> mapWrite;
     SlotMap mapWritten;
     Instant nextMapRead {};
+    Instant lastMapRead {};
     Instant nextMapWrite {};
     Duration mapBackoff {};
     std::optional<Claim> claim;
     std::map<OwnerInstance, Observation> observations;
     std::unique_ptr<JournalReader> observer;
     Instant lastAppend {};
+    /// True if the last write of this owner was a deletion, so that the next append goes first.
+    bool deletedLast = false;
     /// True if the slot map may have to change: slots to take, or to mark as released.
     bool mapEditDue = false;
     /// True if slots may be in phase Releasing.
@@ -256,6 +262,7 @@
     bool stopReported = false;
     Instant stopDeadline {};
     Instant nextHandOver {};
+    std::size_t handOversSent = 0;
     std::map<OwnerInstance, JournalWriter> adopted;
     JournalSweeper sweeper;
 };
