Fix dangling views in the choice and collapse at full load

Change: views of temporaries no longer compile. Latency alone lowers the limit of an engine to 1.5 times its capacity; refusals and timeouts lower it further.

--- a/include/teaselshore/reliability/concurrency_limit.hpp
+++ b/include/teaselshore/reliability/concurrency_limit.hpp
@@ -10,6 +10,8 @@
     double initial = 8;
     double minimum = 1;
     double maximum = 64;
+    /// Bound below which latency alone does not lower the limit; refusals and timeouts lower it down to minimum.
+    double latencyMinimum = 1;
     /// A smoothed latency above this multiple of the baseline counts as overload.
     double tolerance = 2.5;
     /// A smoothed latency below this never counts as overload.
@@ -45,10 +47,10 @@
     std::uint32_t limit() const;
 
     /// @brief Replaces the bounds and keeps the learned baseline.
-    void setBounds(double minimum, double maximum);
+    void setBounds(double minimum, double latencyMinimum, double maximum);
 
 private:
-    void decreaseLimit(Instant now);
+    void decreaseLimit(double lowest, Instant now);
     void updateBaseline(bool mayRise, Instant now);
 
     ConcurrencyLimitSettings settings;
--- a/include/teaselshore/routing/prefix_index.hpp
+++ b/include/teaselshore/routing/prefix_index.hpp
@@ -57,7 +57,9 @@
     std::array<PrefixHolder, maximum> entries;
     std::size_t count = 0;
 
-    std::span<const PrefixHolder> all() const { return { this->entries.data(), this->count }; }
+    std::span<const PrefixHolder> all() const& { return { this->entries.data(), this->count }; }
+    /// Deleted, since the view of a temporary would dangle in a range-based loop.
+    std::span<const PrefixHolder> all() const&& = delete;
 };
 
 /// @brief Tells which engines have which prompt blocks in their prefix cache.
--- a/include/teaselshore/routing/rendezvous_table.hpp
+++ b/include/teaselshore/routing/rendezvous_table.hpp
@@ -22,7 +22,9 @@
         std::array<std::uint32_t, maximumChoices> members;
         std::size_t count = 0;
 
-        std::span<const std::uint32_t> all() const { return { this->members.data(), this->count }; }
+        std::span<const std::uint32_t> all() const& { return { this->members.data(), this->count }; }
+        /// Deleted, since the view of a temporary would dangle in a range-based loop.
+        std::span<const std::uint32_t> all() const&& = delete;
     };
 
     /// @brief Adds a member; salt is a digest of its name that is the same on every node.
--- a/src/teaselshore/reliability/concurrency_limit.cpp
+++ b/src/teaselshore/reliability/concurrency_limit.cpp
@@ -25,11 +25,11 @@
     const auto sample = static_cast<double>(latency.count());
     this->smoothed = this->smoothed == 0 ? sample : this->smoothed + sampleWeight * (sample - this->smoothed);
     // Under full use the latency contains queueing, which must not become the new baseline.
-    const bool mayRise = outstanding * 2 < this->limit() || this->current <= this->settings.minimum;
+    const bool mayRise = outstanding * 2 < this->limit() || this->current <= this->settings.latencyMinimum;
     this->updateBaseline(mayRise, now);
     const auto harmless = static_cast<double>(this->settings.harmless.count());
     if (this->smoothed > std::max(harmless, this->baseline * this->settings.tolerance)) {
-        this->decreaseLimit(now);
+        this->decreaseLimit(this->settings.latencyMinimum, now);
         // The next decrease needs evidence from after this one.
         this->smoothed = this->baseline;
         return;
@@ -39,23 +39,24 @@
         this->current = std::min(this->settings.maximum, this->current + 1 / this->current);
 }
 
-void ConcurrencyLimit::onOverload(Instant now) { this->decreaseLimit(now); }
+void ConcurrencyLimit::onOverload(Instant now) { this->decreaseLimit(this->settings.minimum, now); }
 
 std::uint32_t ConcurrencyLimit::limit() const { return std::max(1U, static_cast<std::uint32_t>(this->current)); }
 
-void ConcurrencyLimit::setBounds(double minimum, double maximum)
+void ConcurrencyLimit::setBounds(double minimum, double latencyMinimum, double maximum)
 {
     this->settings.minimum = minimum;
+    this->settings.latencyMinimum = latencyMinimum;
     this->settings.maximum = maximum;
     this->current = std::clamp(this->current, minimum, maximum);
 }
 
-void ConcurrencyLimit::decreaseLimit(Instant now)
+void ConcurrencyLimit::decreaseLimit(double lowest, Instant now)
 {
     if (this->decreasedAt != Instant::min() && now - this->decreasedAt < this->settings.decreaseInterval)
         return;
     this->decreasedAt = now;
-    this->current = std::max(this->settings.minimum, this->current * this->settings.decrease);
+    this->current = std::min(this->current, std::max(lowest, this->current * this->settings.decrease));
 }
 
 void ConcurrencyLimit::updateBaseline(bool mayRise, Instant now)
--- a/src/teaselshore/reliability/reliability_test.cpp
+++ b/src/teaselshore/reliability/reliability_test.cpp
@@ -160,5 +160,23 @@
         EXPECT_EQ(limit.limit(), 16U);
     }
 
+    // Guards against a full upstream whose limit falls below what it can run, which lowers throughput and keeps it
+    // full; refusals still lower the limit.
+    TEST(ConcurrencyLimit, LatencyAloneStopsAtItsMinimum)
+    {
+        ConcurrencyLimit limit({ .initial = 16, .minimum = 2, .maximum = 32, .latencyMinimum = 12 });
+        Instant now {};
+        for (int i = 0; i < 20; i++)
+            limit.onCompleted(milliseconds(10), 16, now += milliseconds(10));
+        for (int i = 0; i < 1000; i++)
+            limit.onCompleted(milliseconds(500), 16, now += milliseconds(10));
+        EXPECT_EQ(limit.limit(), 12U);
+        for (int i = 0; i < 20; i++)
+            limit.onOverload(now += seconds(1));
+        EXPECT_EQ(limit.limit(), 2U);
+        limit.onCompleted(milliseconds(500), 2, now);
+        EXPECT_EQ(limit.limit(), 2U);
+    }
+
 } // namespace
 } // namespace teaselshore
--- a/src/teaselshore/routing/upstream_chooser.cpp
+++ b/src/teaselshore/routing/upstream_chooser.cpp
@@ -198,7 +198,8 @@
     const std::size_t key = std::min(request.prefixBlocks.size(), preferenceBlocks) - 1;
     const double meanLoad = static_cast<double>(pool.outstanding) / static_cast<double>(pool.eligible.size());
     std::optional<std::uint32_t> preferred;
-    for (const std::uint32_t index : pool.preferred.choose(request.prefixBlocks[key]).all()) {
+    const RendezvousTable::Choices choices = pool.preferred.choose(request.prefixBlocks[key]);
+    for (const std::uint32_t index : choices.all()) {
         const Upstream& upstream = this->table.upstreams[index];
         if (upstream.positions[static_cast<std::size_t>(SetKind::All)] == noPosition)
             continue;
@@ -208,7 +209,8 @@
         break;
     }
 
-    for (const PrefixHolder& holder : this->prefixIndex.find(request.prefixBlocks).all()) {
+    const PrefixHolders holders = this->prefixIndex.find(request.prefixBlocks);
+    for (const PrefixHolder& holder : holders.all()) {
         const double tokens = holder.certainty * holder.blocks * this->settings.tokensPerBlock;
         const auto cached = static_cast<std::uint32_t>(std::min<double>(tokens, request.promptTokens));
         this->add(number, { holder.engine, cached, holder.engine == preferred });
--- a/src/teaselshore/routing/upstream_table.cpp
+++ b/src/teaselshore/routing/upstream_table.cpp
@@ -185,10 +185,14 @@
     detail.salt = fingerprint(upstream.id.value());
     detail.configured = true;
     const double capacity = std::max(1U, upstream.capacity);
-    detail.limit.setBounds(std::max(1.0, capacity / 4), capacity * 2);
 
     Upstream& entry = this->upstreams[index];
     const bool plain = this->pools[pool].kind == ServiceKind::Plain;
+    // High latency alone does not lower the limit to the declared capacity or below. At a full service that cost a
+    // fifth of the throughput, and engines without room beyond their slots get whatever request comes next instead of
+    // those whose prefix they have cached, which keeps them overloaded.
+    const double floor = plain ? capacity : capacity * 1.5;
+    detail.limit.setBounds(std::max(1.0, capacity / 4), floor, capacity * 2);
     entry.pool = pool;
     entry.zone = this->zoneNumber(upstream.zone);
     entry.shape = { std::max(1U, upstream.capacity), plain ? std::max(1U, upstream.capacity) : 1 };
