Add comparison of versions, guard and state machine of version rollouts

The controller's state is one JSON object; each step waits for evidence and for its time planned back from the deadline, and each change is a conditional write before it is in effect.

--- /dev/null
+++ b/include/teaselshore/control/move_plan.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "teaselshore/control/move_record.hpp"
+
+namespace teaselshore {
+
+/// @brief Share of traffic and the evidence needed before the next larger share.
+struct MoveStep {
+    double share = 0;
+    /// Attempts of the new version on the busiest route; less busy routes need proportionally fewer.
+    std::uint64_t samples = 0;
+
+    auto operator<=>(const MoveStep&) const = default;
+};
+
+struct MovePlanSettings {
+    std::vector<MoveStep> steps {
+        { 0.005, 40 },
+        { 0.02, 80 },
+        { 0.05, 120 },
+        { 0.1, 150 },
+        { 0.25, 200 },
+        { 0.5, 300 },
+        { 1, 300 },
+    };
+    /// Part of the time until the deadline in which the share grows; the rest is for late faults at the full share.
+    double growthPart = 0.7;
+    std::chrono::seconds minStep { 5 };
+    /// Longest wait at one share if the deadline is far away.
+    std::chrono::seconds maxStep { 1800 };
+    /// Samples that suffice for a step with little traffic.
+    std::uint64_t minSamples = 10;
+    /// Time from which on a step counts as one with little traffic; at least twice its planned time.
+    std::chrono::seconds sparseTrafficWait { 120 };
+    /// Shares below it bring no evidence if traffic is very little, and a step at them may end without any.
+    double negligibleShare = 0.1;
+    /// Time at the full share after which a rollout is complete, before its deadline.
+    std::chrono::seconds settleTime { 3600 };
+
+    auto operator<=>(const MovePlanSettings&) const = default;
+};
+
+/// @brief Whether a rollout may go on to its next step.
+struct StepVerdict {
+    bool proceed = false;
+    /// What it waits for, or what it is based on.
+    std::string reason;
+
+    auto operator<=>(const StepVerdict&) const = default;
+};
+
+/// @brief Decides by a record's evidence and time whether its current step is done.
+///
+/// A step ends when both hold: its evidence suffices on each route, class and under high load, and its share of the
+/// time until the deadline has passed. A deadline that is close or over removes the second condition, never the first.
+/// With little traffic a step asks only for what its share of the traffic so far should have brought, up to minSamples.
+StepVerdict judgeStep(const MoveRecord& record, const MovePlanSettings& settings, WallTime now);
+
+/// @brief Returns the earliest end of the current step by the deadline.
+WallTime plannedStepEnd(const MoveRecord& record, const MovePlanSettings& settings);
+
+} // namespace teaselshore
--- /dev/null
+++ b/include/teaselshore/control/move_record.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "teaselshore/control/version_evidence.hpp"
+
+namespace teaselshore {
+
+enum class MoveState {
+    InProgress,
+    Complete,
+    RolledBack,
+};
+
+/// @brief Returns "in_progress", "complete" or "rolled_back".
+std::string_view moveStateName(MoveState state);
+
+/// @brief Outcomes of both versions in one cell during the current step.
+struct StepEvidence {
+    EvidenceCell cell;
+    EvidenceCounts from;
+    EvidenceCounts to;
+
+    auto operator<=>(const StepEvidence&) const = default;
+};
+
+/// @brief Whole state of a version rollout; value of the object `moves/<service>`.
+struct MoveRecord {
+    VersionPair pair;
+    MoveState state = MoveState::InProgress;
+    /// Why the rollout is in this state, with figures.
+    std::string reason;
+    std::uint32_t step = 0;
+    /// Share of the service's traffic that the new version gets, in [0, 1].
+    double share = 0;
+    WallTime startedAt;
+    WallTime stepStartedAt;
+    /// Lease epoch of the controller that wrote it.
+    std::uint64_t fencingToken = 0;
+    std::vector<StepEvidence> evidence;
+
+    auto operator<=>(const MoveRecord&) const = default;
+
+    /// @brief Encodes as JSON.
+    std::string encode() const;
+    static std::optional<MoveRecord> decode(std::string_view text);
+};
+
+/// @brief Returns the key of the object of a service's rollout.
+std::string moveKey(const ServiceName& service);
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/control/move_plan.cpp
@@ -0,0 +1,130 @@
+#include "teaselshore/control/move_plan.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+#include <fmt/format.h>
+
+namespace teaselshore {
+
+namespace {
+
+    struct RouteEvidence {
+        std::uint64_t from = 0;
+        std::uint64_t to = 0;
+        std::uint64_t fromHigh = 0;
+        std::uint64_t toHigh = 0;
+
+        std::uint64_t total() const { return this->from + this->to; }
+    };
+
+    using RouteKey = std::pair<RouteName, ClassName>;
+
+    /// Old version's attempts under high load from which on the new one is asked for some, too.
+    constexpr std::uint64_t minHighLoadSamples = 50;
+
+    /// Part of a rollout's time before the deadline at which it may be complete.
+    constexpr double completionReserve = 0.05;
+    constexpr std::chrono::seconds maxCompletionReserve { 60 };
+
+    std::map<RouteKey, RouteEvidence> byRoute(const MoveRecord& record)
+    {
+        std::map<RouteKey, RouteEvidence> routes;
+        for (const StepEvidence& entry : record.evidence) {
+            RouteEvidence& route = routes[{ entry.cell.route, entry.cell.latencyClass }];
+            route.from += entry.from.samples;
+            route.to += entry.to.samples;
+            if (entry.cell.load != LoadBand::High)
+                continue;
+            route.fromHigh += entry.from.samples;
+            route.toHigh += entry.to.samples;
+        }
+        return routes;
+    }
+
+    // Routes with little traffic need fewer samples, so that one rare route does not stop a rollout.
+    std::uint64_t neededSamples(
+        const RouteEvidence& route, std::uint64_t busiest, const MoveStep& step, bool sparse, std::uint64_t minSamples)
+    {
+        if (sparse) {
+            const auto expected = static_cast<std::uint64_t>(static_cast<double>(route.total()) * step.share);
+            return std::min({ expected, minSamples, step.samples });
+        }
+        const double part
+            = static_cast<double>(route.total()) / static_cast<double>(std::max<std::uint64_t>(busiest, 1));
+        const auto scaled = static_cast<std::uint64_t>(std::ceil(part * static_cast<double>(step.samples)));
+        return std::max(scaled, std::min(minSamples, step.samples));
+    }
+
+    std::uint64_t neededInAll(const MoveStep& step, std::uint64_t total, bool sparse, const MovePlanSettings& settings)
+    {
+        const std::uint64_t least = std::min(step.samples, settings.minSamples);
+        if (!sparse || step.share >= settings.negligibleShare || total < settings.minSamples)
+            return least;
+        return std::min(least, static_cast<std::uint64_t>(static_cast<double>(total) * step.share / 2));
+    }
+
+    // Half of what the share should bring: the loads of single upstreams differ between the versions.
+    std::uint64_t neededHighLoad(const RouteEvidence& route, double share, std::uint64_t samples)
+    {
+        if (share >= 1 || route.fromHigh < minHighLoadSamples)
+            return 0;
+        const double expected = static_cast<double>(route.fromHigh) * share / (1 - share);
+        return std::min<std::uint64_t>(samples / 10, static_cast<std::uint64_t>(expected / 2));
+    }
+
+} // namespace
+
+WallTime plannedStepEnd(const MoveRecord& record, const MovePlanSettings& settings)
+{
+    const std::size_t growthSteps = settings.steps.size() - 1;
+    const auto whole = std::chrono::duration<double>(record.pair.moveBy - record.startedAt);
+    if (record.step >= growthSteps) {
+        const auto reserve = std::chrono::duration_cast<std::chrono::seconds>(whole * completionReserve);
+        return record.pair.moveBy - std::clamp(reserve, std::chrono::seconds(0), maxCompletionReserve);
+    }
+    const WallTime fullShareAt
+        = record.startedAt + std::chrono::duration_cast<std::chrono::seconds>(whole * settings.growthPart);
+    const auto left = std::max(fullShareAt - record.stepStartedAt, std::chrono::seconds(0));
+    const auto step = left / static_cast<std::int64_t>(growthSteps - record.step);
+    return record.stepStartedAt + std::clamp(step, settings.minStep, settings.maxStep);
+}
+
+StepVerdict judgeStep(const MoveRecord& record, const MovePlanSettings& settings, WallTime now)
+{
+    const MoveStep& step = settings.steps.at(record.step);
+    const std::string place = fmt::format("step {} of {}", record.step + 1, settings.steps.size());
+    const auto routes = byRoute(record);
+    std::uint64_t busiest = 0;
+    std::uint64_t samples = 0;
+    std::uint64_t total = 0;
+    for (const auto& [key, route] : routes) {
+        busiest = std::max(busiest, route.total());
+        samples += route.to;
+        total += route.total();
+    }
+    const WallTime plannedEnd = plannedStepEnd(record, settings);
+    const auto planned = std::min(plannedEnd - record.stepStartedAt, settings.maxStep);
+    const bool sparse = now >= record.stepStartedAt + std::max(2 * planned, settings.sparseTrafficWait);
+    if (samples < neededInAll(step, total, sparse, settings))
+        return { false, fmt::format("{}, waiting for traffic: {} of {} samples", place, samples, step.samples) };
+    for (const auto& [key, route] : routes) {
+        const std::uint64_t needed = neededSamples(route, busiest, step, sparse, settings.minSamples);
+        if (route.to < needed)
+            return { false,
+                fmt::format("{}, route {} class {}: {} of {} samples", place, key.first.value(), key.second.value(),
+                    route.to, needed) };
+        // The new version may have so much capacity that its load never gets high.
+        const std::uint64_t high = sparse ? 0 : neededHighLoad(route, step.share, step.samples);
+        if (route.toHigh < high)
+            return { false,
+                fmt::format("{}, route {} class {}: {} of {} samples under high load", place, key.first.value(),
+                    key.second.value(), route.toHigh, high) };
+    }
+    if (now < plannedEnd)
+        return { false, fmt::format("{}, {} samples; pace planned from the deadline", place, samples) };
+    return { true, fmt::format("{}, {} samples", place, samples) };
+}
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/control/version_move.cpp
@@ -0,0 +1,254 @@
+#include "teaselshore/control/version_move.hpp"
+
+#include <tuple>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace teaselshore {
+
+VersionMove::VersionMove(ServiceName service, VersionMoveSettings settings)
+    : service(std::move(service))
+    , settings(std::move(settings))
+{
+}
+
+void VersionMove::setPair(const std::optional<VersionPair>& configured)
+{
+    if (configured == this->pair)
+        return;
+    this->pair = configured;
+    this->history.reset();
+    this->stop.reset();
+    this->stepEvidence.clear();
+    this->nextRead = {};
+    if (!this->pair)
+        return;
+    this->history.emplace(*this->pair, this->settings.comparison);
+    if (this->isCurrent())
+        this->adopt(*this->stored);
+}
+
+std::vector<ObjectCommand> VersionMove::tick(
+    const MoveTime& time, std::optional<std::uint64_t> fencingToken, ObjectCallIds& ids)
+{
+    if (this->pending && time.now - this->pending->sentAt >= this->settings.callPatience) {
+        this->pending.reset();
+        this->known = false;
+    }
+    if (!this->pair || this->pending || time.now < this->nextCall)
+        return {};
+    if (fencingToken ? !this->known : time.now >= this->nextRead)
+        return this->read(time.now, ids);
+    if (!fencingToken || (this->stored && this->stored->fencingToken > *fencingToken))
+        return {};
+    if (time.now < this->nextDecision)
+        return {};
+    this->nextDecision = time.now + this->settings.decideEvery;
+    MoveRecord next = this->decide(time, *fencingToken);
+    if (next == this->stored)
+        return {};
+    return this->write(std::move(next), time.now, ids);
+}
+
+void VersionMove::onResult(const ObjectResult& result, Instant now)
+{
+    if (!this->awaits(result.id))
+        return;
+    const Pending call = *std::exchange(this->pending, std::nullopt);
+    if (call.written) {
+        if (result.outcome == ObjectOutcome::Ok) {
+            this->version = result.version;
+            this->adoptWritten(*call.written);
+            return;
+        }
+        if (result.outcome == ObjectOutcome::Unavailable)
+            this->nextCall = now + this->settings.retryEvery;
+        // After a conflict another node has written; after a lost answer this write may have taken effect.
+        this->known = false;
+        return;
+    }
+    if (result.outcome == ObjectOutcome::Ok || result.outcome == ObjectOutcome::NotFound)
+        this->nextRead = now + this->settings.readEvery;
+    if (result.outcome == ObjectOutcome::NotFound) {
+        this->known = true;
+        this->version = 0;
+        this->stored.reset();
+        return;
+    }
+    if (result.outcome != ObjectOutcome::Ok) {
+        this->nextCall = now + this->settings.retryEvery;
+        return;
+    }
+    this->known = true;
+    this->version = result.version;
+    if (const auto record = MoveRecord::decode(result.value))
+        this->adopt(*record);
+    else
+        this->stored.reset();
+}
+
+void VersionMove::onReport(const VersionReport& report, Instant now)
+{
+    if (!this->pair || report.pair != *this->pair)
+        return;
+    std::uint64_t& last = this->lastSequence[report.node];
+    if (std::exchange(last, report.sequence) == report.sequence)
+        return;
+    if (report.stopped)
+        this->onEvidence(*report.stopped);
+    for (const EvidenceEntry& entry : report.entries) {
+        this->history->add(entry, now);
+        if (this->stepEvidence.size() >= EvidenceHistory::maxCells && !this->stepEvidence.contains(entry.cell))
+            continue;
+        StepEvidence& step = this->stepEvidence[entry.cell];
+        step.cell = entry.cell;
+        if (entry.version == this->pair->to)
+            step.to += entry.counts;
+        else if (entry.version == this->pair->from)
+            step.from += entry.counts;
+    }
+}
+
+void VersionMove::onEvidence(const VersionEvidence& evidence)
+{
+    if (this->pair && evidence.pair == *this->pair && !this->stop)
+        this->stop = evidence;
+}
+
+void VersionMove::onPeerRecord(const MoveRecord& record, Instant now)
+{
+    if (!this->pair || record.pair != *this->pair)
+        return;
+    // Within one rollout a record of a later controller, a final one or a later step is newer.
+    const auto order = [](const MoveRecord& value) {
+        return std::tuple(value.state != MoveState::InProgress, value.fencingToken, value.step);
+    };
+    this->nextRead = now + this->settings.readEvery;
+    if (this->isCurrent() && order(record) <= order(*this->stored))
+        return;
+    // The object's version is not known from a peer; it is read before a write.
+    this->known = false;
+    this->adopt(record);
+}
+
+const MoveRecord* VersionMove::record() const { return this->isCurrent() ? &*this->stored : nullptr; }
+
+std::optional<double> VersionMove::share() const
+{
+    if (!this->pair)
+        return std::nullopt;
+    const bool complete = this->isCurrent() && this->stored->state == MoveState::Complete;
+    if (this->stop && !complete)
+        return 0;
+    if (!this->isCurrent())
+        return std::nullopt;
+    return this->stored->share;
+}
+
+std::vector<ObjectCommand> VersionMove::read(Instant now, ObjectCallIds& ids)
+{
+    this->pending = Pending { ids.next(), now, std::nullopt };
+    return { ObjectRead { this->pending->id, moveKey(this->service) } };
+}
+
+std::vector<ObjectCommand> VersionMove::write(MoveRecord next, Instant now, ObjectCallIds& ids)
+{
+    const std::string value = next.encode();
+    this->nextSave = now + this->settings.saveEvery;
+    this->pending = Pending { ids.next(), now, std::move(next) };
+    if (this->version == 0)
+        return { ObjectCreate { this->pending->id, moveKey(this->service), value } };
+    return { ObjectUpdate { this->pending->id, moveKey(this->service), value, this->version } };
+}
+
+MoveRecord VersionMove::decide(const MoveTime& time, std::uint64_t fencingToken)
+{
+    const bool known = this->isCurrent();
+    MoveRecord next = known ? *this->stored : this->start(time);
+    const bool claim = next.fencingToken < fencingToken;
+    next.fencingToken = fencingToken;
+    if (next.state != MoveState::InProgress)
+        return known ? *this->stored : next;
+    if (this->stop) {
+        this->rollBack(next, fmt::format("{} (seen by {})", this->stop->fault.describe(), this->stop->node.value()));
+        return next;
+    }
+    if (const auto fault = this->history->judge(time.now)) {
+        this->rollBack(next, fault->describe());
+        return next;
+    }
+    // A new controller first claims the record, so that its predecessor's next write fails.
+    if (claim)
+        return next;
+    this->advance(next, time);
+    const bool changed = next.step != this->stored->step || next.state != this->stored->state;
+    return changed || time.now >= this->nextSave ? next : *this->stored;
+}
+
+MoveRecord VersionMove::start(const MoveTime& time) const
+{
+    MoveRecord record;
+    record.pair = *this->pair;
+    record.share = this->settings.plan.steps.front().share;
+    record.startedAt = time.wall;
+    record.stepStartedAt = time.wall;
+    record.reason = fmt::format("step 1 of {}, started", this->settings.plan.steps.size());
+    return record;
+}
+
+void VersionMove::advance(MoveRecord& next, const MoveTime& time) const
+{
+    next.evidence.clear();
+    for (const auto& [cell, evidence] : this->stepEvidence)
+        next.evidence.push_back(evidence);
+    const MovePlanSettings& plan = this->settings.plan;
+    const StepVerdict verdict = judgeStep(next, plan, time.wall);
+    next.reason = verdict.reason;
+    const bool last = next.step + 1 >= plan.steps.size();
+    const bool settled = last && time.wall - next.stepStartedAt >= plan.settleTime
+        && judgeStep(next, plan, std::max(time.wall, next.pair.moveBy)).proceed;
+    if (!verdict.proceed && !settled)
+        return;
+    next.evidence.clear();
+    next.stepStartedAt = time.wall;
+    if (last) {
+        next.state = MoveState::Complete;
+        next.reason = fmt::format("all traffic moved; no fault in {}", verdict.reason);
+        return;
+    }
+    next.step++;
+    next.share = plan.steps[next.step].share;
+    next.reason = fmt::format("step {} of {}, after {}", next.step + 1, plan.steps.size(), verdict.reason);
+}
+
+void VersionMove::rollBack(MoveRecord& next, const std::string& reason) const
+{
+    next.state = MoveState::RolledBack;
+    next.reason = fmt::format("at share {:.1f}%: {}", next.share * 100, reason);
+    next.share = 0;
+    next.evidence.clear();
+}
+
+void VersionMove::adopt(const MoveRecord& record)
+{
+    this->stored = record;
+    if (!this->isCurrent())
+        return;
+    this->stepEvidence.clear();
+    for (const StepEvidence& entry : record.evidence)
+        this->stepEvidence.emplace(entry.cell, entry);
+}
+
+void VersionMove::adoptWritten(const MoveRecord& record)
+{
+    const bool sameStep = this->isCurrent() && this->stored->step == record.step;
+    this->stored = record;
+    // Outcomes that arrived during the write belong to the step only if the share stayed the same.
+    if (!sameStep)
+        this->stepEvidence.clear();
+}
+
+bool VersionMove::isCurrent() const { return this->pair && this->stored && this->stored->pair == *this->pair; }
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/control/version_rollout_test.cpp
@@ -0,0 +1,82 @@
+#include <gtest/gtest.h>
+
+#include <fmt/format.h>
+
+#include "teaselshore/control/rollout_simulation.hpp"
+
+namespace teaselshore {
+namespace {
+
+    constexpr std::uint64_t seeds = 100;
+
+    struct Case {
+        SimulatedFault fault;
+        const char* name;
+    };
+
+    /// A fault that shows within the first requests is found by this many of them, so that their share is left to
+    /// chance.
+    constexpr std::uint64_t fewRequests = 8;
+
+    class BadVersion : public testing::TestWithParam<Case> { };
+
+    // Guards against a bad version that stays in use, or that harms 1% or more of the requests before it is stopped.
+    TEST_P(BadVersion, IsRolledBackWithLittleHarm)
+    {
+        double sum = 0;
+        double worst = 0;
+        int few = 0;
+        for (std::uint64_t seed = 1; seed <= seeds; seed++) {
+            const SimulationResult result = RolloutSimulation(seed, GetParam().fault).run();
+            ASSERT_TRUE(result.record) << "seed " << seed;
+            EXPECT_EQ(moveStateName(result.record->state), "rolled_back") << "seed " << seed;
+            EXPECT_EQ(result.record->share, 0) << "seed " << seed;
+            EXPECT_NE(result.record->reason.find("old version"), std::string::npos) << result.record->reason;
+            const double harm = static_cast<double>(result.harmed) / static_cast<double>(result.requests);
+            EXPECT_TRUE(harm < 0.01 || result.harmed <= fewRequests)
+                << "seed " << seed << ": " << result.harmed << " of " << result.requests << ", "
+                << result.record->reason;
+            few += harm < 0.01 ? 0 : 1;
+            sum += harm;
+            worst = std::max(worst, harm);
+        }
+        EXPECT_LT(sum / static_cast<double>(seeds), 0.01);
+        fmt::print(
+            "{}: harmed until the rollback: mean {:.3f}%, worst seed {:.3f}%, {} seeds with 1% or more but at most "
+            "{} requests\n",
+            GetParam().name, 100 * sum / static_cast<double>(seeds), 100 * worst, few, fewRequests);
+    }
+
+    INSTANTIATE_TEST_SUITE_P(Faults, BadVersion,
+        testing::Values(Case { SimulatedFault::FailsAtOnce, "FailsAtOnce" },
+            Case { SimulatedFault::FailsLater, "FailsLater" }, Case { SimulatedFault::Slow, "Slow" },
+            Case { SimulatedFault::FailsUnderLoad, "FailsUnderLoad" },
+            Case { SimulatedFault::FailsOnOneRoute, "FailsOnOneRoute" }),
+        [](const testing::TestParamInfo<Case>& info) { return std::string(info.param.name); });
+
+    class GoodVersion : public testing::TestWithParam<Case> { };
+
+    // Guards against rollbacks of good versions by chance, by reclaims or by failures that both versions share, and
+    // against rollouts that miss their deadline.
+    TEST_P(GoodVersion, IsCompleteBeforeItsDeadline)
+    {
+        double latest = 0;
+        for (std::uint64_t seed = 1; seed <= seeds; seed++) {
+            const SimulationResult result = RolloutSimulation(seed, GetParam().fault).run();
+            ASSERT_TRUE(result.record) << "seed " << seed;
+            EXPECT_EQ(moveStateName(result.record->state), "complete")
+                << "seed " << seed << ": " << result.record->reason;
+            EXPECT_EQ(result.record->share, 1) << "seed " << seed;
+            EXPECT_LE(result.finishedAt, RolloutSimulation::deadline) << "seed " << seed;
+            latest = std::max(latest, result.finishedAt);
+        }
+        fmt::print("{}: latest completion {:.0f} s of {} s\n", GetParam().name, latest, RolloutSimulation::deadline);
+    }
+
+    INSTANTIATE_TEST_SUITE_P(Faults, GoodVersion,
+        testing::Values(Case { SimulatedFault::None, "None" }, Case { SimulatedFault::ReclaimWave, "ReclaimWave" },
+            Case { SimulatedFault::SharedFailure, "SharedFailure" }),
+        [](const testing::TestParamInfo<Case>& info) { return std::string(info.param.name); });
+
+} // namespace
+} // namespace teaselshore
