Start a caller's stream with its first complete event

Cause: the response head went out with the upstream's head. If the upstream then died before its first event and the retry failed, the error response met a started stream and the invariant check ended the daemon. Change: RequestRelay starts the stream with the first complete event. Notices are forgotten after 10 minutes; latency quantiles cover windows of 10 s. Conclusion: found by reading; request_relay_test.cpp guards it.

--- a/src/teaselshore/daemon/request_relay.cpp
+++ b/src/teaselshore/daemon/request_relay.cpp
@@ -217,14 +217,8 @@
     attempt.gotHead = true;
     attempt.status = status;
     attempt.headers = headers;
-    Caller* caller = this->findCaller(attempt.request);
-    attempt.relaying = attempt.relay && caller && status == statusOk && isEventStream(headers);
-    if (!attempt.relaying || caller->streaming)
-        return;
-    caller->streaming = true;
-    caller->exchange->startStream(status,
-        { { "content-type", std::string(eventStreamType) }, { "cache-control", "no-cache" },
-            { "x-request-id", attempt.request.value() } });
+    const bool streamable = attempt.relay && status == statusOk && isEventStream(headers);
+    attempt.relaying = streamable && this->findCaller(attempt.request);
 }
 
 void RequestRelay::Impl::onData(AttemptId id, std::string_view bytes)
@@ -252,6 +246,13 @@
     const std::string complete = caller->events.takeComplete(bytes);
     if (complete.empty())
         return;
+    // Not before the first complete event: until then the caller can still get another response.
+    if (!caller->streaming) {
+        caller->streaming = true;
+        caller->exchange->startStream(statusOk,
+            { { "content-type", std::string(eventStreamType) }, { "cache-control", "no-cache" },
+                { "x-request-id", attempt.request.value() } });
+    }
     this->counters.relayedBytes += complete.size();
     caller->exchange->write(complete);
     if (caller->exchange->pendingBytes() > this->settings.maxPendingStreamBytes) {
--- /dev/null
+++ b/src/teaselshore/daemon/request_relay_test.cpp
@@ -0,0 +1,164 @@
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "teaselshore/daemon/request_relay.hpp"
+
+namespace teaselshore {
+namespace {
+
+    constexpr Duration testLimit = std::chrono::seconds(5);
+
+    std::string event(int index) { return "id: " + std::to_string(index) + "\ndata: token\n\n"; }
+
+    /// A caller, a relay and scripted upstreams on one event loop.
+    class RequestRelayTest : public testing::Test {
+    protected:
+        RequestRelayTest()
+            : loop(EventLoop::create())
+            , relay(*loop, {}, [this](RelayEvent relayEvent) { this->onEvent(relayEvent); })
+            , client(HttpClient::create(*loop))
+        {
+            HttpError error;
+            this->entry = HttpServer::listen(
+                *this->loop, {}, [this](std::shared_ptr<ServerExchange> exchange) { this->onCaller(exchange); },
+                &error);
+            this->upstream = HttpServer::listen(
+                *this->loop, {}, [this](std::shared_ptr<ServerExchange> exchange) { this->onUpstream(exchange); },
+                &error);
+            this->loop->runAfter(testLimit, [this] { this->loop->stop(); });
+        }
+
+        void call()
+        {
+            HttpCallHandlers handlers;
+            handlers.onHead = [this](int code, const HttpHeaders&) { this->status = code; };
+            handlers.onData = [this](std::string_view bytes) { this->received.append(bytes); };
+            handlers.onEnd = [this] { this->end(true); };
+            handlers.onError = [this](const HttpError&) { this->end(false); };
+            this->client->start(
+                { "127.0.0.1:" + std::to_string(this->entry->port()), { "POST", "/", {}, "{}" } }, handlers);
+            this->loop->run();
+        }
+
+        void end(bool whole)
+        {
+            this->complete = whole;
+            this->loop->stop();
+        }
+
+        void onCaller(const std::shared_ptr<ServerExchange>& exchange)
+        {
+            this->relay.addCaller(this->request, exchange);
+            this->startAttempt();
+        }
+
+        void startAttempt()
+        {
+            StartAttempt start;
+            start.attempt = ++this->lastAttempt;
+            start.request = this->request;
+            start.authority = "127.0.0.1:" + std::to_string(this->upstream->port());
+            start.method = "POST";
+            start.path = "/v1/chat/completions";
+            start.connectTimeout = std::chrono::seconds(1);
+            start.idleTimeout = std::chrono::seconds(1);
+            start.relay = true;
+            this->relay.execute(std::move(start));
+        }
+
+        void onUpstream(const std::shared_ptr<ServerExchange>& exchange) { this->script(exchange); }
+
+        void onEvent(const RelayEvent& relayEvent)
+        {
+            if (const auto* failed = std::get_if<AttemptFailed>(&relayEvent))
+                this->failures.push_back(*failed);
+            if (this->onFailed && std::holds_alternative<AttemptFailed>(relayEvent))
+                this->onFailed();
+        }
+
+        std::unique_ptr<EventLoop> loop;
+        RequestRelay relay;
+        std::unique_ptr<HttpClient> client;
+        std::unique_ptr<HttpServer> entry;
+        std::unique_ptr<HttpServer> upstream;
+        std::function<void(std::shared_ptr<ServerExchange>)> script;
+        std::function<void()> onFailed;
+        std::vector<AttemptFailed> failures;
+        const RequestId request { "q-1" };
+        AttemptId lastAttempt = 0;
+        int status = 0;
+        std::string received;
+        bool complete = false;
+    };
+
+    // Guards against a daemon that aborts, because it had sent a response head, when the upstream dies before the first
+    // event and the request then ends with an error.
+    TEST_F(RequestRelayTest, ErrorAfterDeathBeforeFirstEvent)
+    {
+        this->script = [](const std::shared_ptr<ServerExchange>& exchange) {
+            exchange->startStream(200, { { "content-type", "text/event-stream" } });
+            exchange->write("id: 0\nda");
+            exchange->abort();
+        };
+        this->onFailed = [this] { this->relay.execute(Respond { this->request, 502, {}, "failed" }); };
+        this->call();
+        EXPECT_EQ(this->status, 502);
+        EXPECT_EQ(this->received, "failed");
+        ASSERT_EQ(this->failures.size(), 1u);
+        EXPECT_EQ(this->failures[0].relayedEvents, 0u);
+        EXPECT_TRUE(this->failures[0].connectionBroken);
+    }
+
+    // Guards against lost, repeated or partial events when a stream goes on at another upstream.
+    TEST_F(RequestRelayTest, StreamContinuesAtNextUpstreamWithoutGap)
+    {
+        this->script = [this](const std::shared_ptr<ServerExchange>& exchange) {
+            exchange->startStream(200, { { "content-type", "text/event-stream" } });
+            if (this->lastAttempt == 1) {
+                exchange->write(event(0) + event(1) + "id: 2\nda");
+                exchange->abort();
+                return;
+            }
+            exchange->write(event(2) + event(3) + "data: [DONE]\n\n");
+            exchange->finish();
+        };
+        this->onFailed = [this] { this->startAttempt(); };
+        this->call();
+        EXPECT_TRUE(this->complete);
+        EXPECT_EQ(this->received, event(0) + event(1) + event(2) + event(3) + "data: [DONE]\n\n");
+        ASSERT_EQ(this->failures.size(), 1u);
+        EXPECT_EQ(this->failures[0].relayedEvents, 2u);
+    }
+
+    // Guards against another request's response reaching this caller.
+    TEST_F(RequestRelayTest, MisdirectedResponseIsDropped)
+    {
+        this->script = [](const std::shared_ptr<ServerExchange>& exchange) {
+            exchange->startStream(200, { { "content-type", "text/event-stream" }, { "x-request-id", "q-2" } });
+            exchange->write(event(0) + "data: [DONE]\n\n");
+            exchange->finish();
+        };
+        this->onFailed = [this] { this->relay.execute(Respond { this->request, 502, {}, "failed" }); };
+        this->call();
+        EXPECT_EQ(this->received, "failed");
+        EXPECT_EQ(this->relay.counters().misdirectedResponses, 1u);
+    }
+
+    // Guards against a stream that ends early being taken for a complete response.
+    TEST_F(RequestRelayTest, StreamWithoutEndMarkIsNotComplete)
+    {
+        this->script = [](const std::shared_ptr<ServerExchange>& exchange) {
+            exchange->startStream(200, { { "content-type", "text/event-stream" } });
+            exchange->write(event(0));
+            exchange->finish();
+        };
+        this->onFailed = [this] { this->relay.execute(FailStream { this->request, "{}" }); };
+        this->call();
+        EXPECT_FALSE(this->complete);
+        EXPECT_EQ(this->received.substr(0, event(0).size()), event(0));
+    }
+
+} // namespace
+} // namespace teaselshore
--- a/src/teaselshore/daemon/serving_metrics.hpp
+++ b/src/teaselshore/daemon/serving_metrics.hpp
@@ -24,6 +24,9 @@
 
     std::string render();
 
+    /// @brief Ends the window of the latency quantiles; call it in a fixed interval.
+    void startWindow() { this->metrics.startWindow(); }
+
 private:
     void setCounter(const std::string& name, const std::string& help, std::uint64_t value);
 
--- a/src/teaselshore/daemon/serving_task.cpp
+++ b/src/teaselshore/daemon/serving_task.cpp
@@ -21,6 +21,7 @@
 
     constexpr std::size_t spanCapacity = 20'000;
     constexpr Duration shortestTick = std::chrono::milliseconds(1);
+    constexpr Duration metricsWindow = std::chrono::seconds(10);
     constexpr int statusNotFound = 404;
     constexpr int statusServiceUnavailable = 503;
     constexpr std::string_view readinessPath = "/readyz";
@@ -60,6 +61,7 @@
     void onRelay(RelayEvent event);
     void handle(NodeEvent event);
     void scheduleTick();
+    void scheduleMetricsWindow();
 
     void execute(StartAttempt& command) { this->relay.execute(std::move(command)); }
     void execute(CancelAttempt& command) { this->relay.execute(command); }
@@ -119,6 +121,7 @@
 void ServingTask::run()
 {
     this->impl->loop->post([impl = this->impl.get()] { impl->handle(Tick {}); });
+    this->impl->scheduleMetricsWindow();
     this->impl->loop->run();
 }
 
@@ -245,6 +248,14 @@
     });
 }
 
+void ServingTask::Impl::scheduleMetricsWindow()
+{
+    this->loop->runAfter(metricsWindow, [this] {
+        this->metrics.startWindow();
+        this->scheduleMetricsWindow();
+    });
+}
+
 void ServingTask::Impl::execute(StopProcess&)
 {
     this->stopped = true;
--- a/src/teaselshore/node/node.cpp
+++ b/src/teaselshore/node/node.cpp
@@ -17,8 +17,8 @@
 
     constexpr Duration housekeepingPeriod = std::chrono::milliseconds(20);
     constexpr Duration capacityPeriod = std::chrono::milliseconds(200);
+    constexpr Duration noticeRetention = std::chrono::minutes(10);
     constexpr Duration noConfigurationRetryAfter = std::chrono::seconds(1);
-    constexpr int statusNotFound = 404;
     constexpr std::size_t requestIdDigits = 20;
     constexpr std::string_view storedResponsePrefix = "/v1/requests/";
 
@@ -56,6 +56,7 @@
     void applyAdmissionChanges(Instant now);
     void applyCrashChecks(const std::vector<CrashCheckResult>& results, Instant now);
     void housekeeping(Instant now);
+    void moveFromLeaving(Instant now);
     void advanceStop(Instant now);
     std::size_t openRequests() const { return this->transient.open() + this->durable.openCallers(); }
 
@@ -67,8 +68,13 @@
 
     Instant nextHousekeeping {};
     Instant nextCapacity {};
-    /// Upstreams with a notice, and when their remaining attempts are moved.
-    std::map<UpstreamId, Instant> leaving;
+    struct Leaving {
+        /// When the remaining attempts are moved to other upstreams.
+        Instant moveAt {};
+        bool moved = false;
+    };
+    /// Upstreams with a notice; kept for a while, since the same notice arrives from several peers.
+    std::map<UpstreamId, Leaving> leaving;
     bool stopping = false;
     bool slotsReleasing = false;
     bool stopped = false;
@@ -258,7 +264,7 @@
     }
     const UpstreamId upstream(host);
     const Instant moveAt = now + std::max<Duration>(notice - this->state.settings.moveBeforeLeave, Duration::zero());
-    if (!this->leaving.emplace(upstream, moveAt).second)
+    if (!this->leaving.emplace(upstream, Leaving { moveAt, false }).second)
         return;
     if (tellPeers)
         this->state.broadcast(UpstreamLeaving { upstream, notice });
@@ -327,12 +333,7 @@
     this->state.admissionChanges.push_back(this->state.admission.onTick(now));
     for (QueryLoad& query : this->state.poller.onTick(now))
         this->state.commands.emplace_back(std::move(query));
-    for (auto& [upstream, moveAt] : this->leaving) {
-        if (moveAt > now)
-            continue;
-        moveAt = Instant::max();
-        this->transient.moveFrom(upstream);
-    }
+    this->moveFromLeaving(now);
     if (now >= this->nextCapacity) {
         this->nextCapacity = now + capacityPeriod;
         this->state.refreshCapacity(now);
@@ -340,6 +341,18 @@
     this->advanceStop(now);
 }
 
+void Node::Impl::moveFromLeaving(Instant now)
+{
+    for (auto position = this->leaving.begin(); position != this->leaving.end();) {
+        Leaving& entry = position->second;
+        if (!entry.moved && entry.moveAt <= now) {
+            entry.moved = true;
+            this->transient.moveFrom(position->first);
+        }
+        position = now - entry.moveAt > noticeRetention ? this->leaving.erase(position) : std::next(position);
+    }
+}
+
 void Node::Impl::applyAdmissionChanges(Instant now)
 {
     for (const RequestId& request : std::exchange(this->state.preemptions, {})) {
