--- /dev/null
+++ b/src/teaselshore/routing/upstream_table_configuration.cpp
@@ -0,0 +1,260 @@
+#include "upstream_table.hpp"
+
+#include <algorithm>
+
+namespace teaselshore {
+
+namespace {
+
+    /// Versions of a service that are not configured, or not yet, but keep their share and stop mark.
+    constexpr std::size_t rememberedVersions = 8;
+    constexpr double latencyTolerance = 3;
+    /// Part of the longest first-token target of a class that is never taken for overload.
+    constexpr double harmlessPart = 0.5;
+    constexpr Duration defaultHarmless = std::chrono::milliseconds(20);
+
+    double pricePerHour(const Configuration& configuration, const UpstreamConfiguration& upstream)
+    {
+        for (const PriceConfiguration& price : configuration.prices) {
+            if (price.zone == upstream.zone && price.hostClass == upstream.hostClass)
+                return upstream.reclaimable ? price.reclaimablePerHour : price.onDemandPerHour;
+        }
+        return 0;
+    }
+
+    double reclaimRisk(const Configuration& configuration, const UpstreamConfiguration& upstream)
+    {
+        if (!upstream.reclaimable)
+            return 0;
+        for (const PriceConfiguration& price : configuration.prices) {
+            if (price.zone == upstream.zone && price.hostClass == upstream.hostClass)
+                return price.reclaimRiskPerHour;
+        }
+        return 0;
+    }
+
+    Link linkOf(const Configuration& configuration, const AvailabilityZone& first, const AvailabilityZone& second)
+    {
+        if (first == second)
+            return {};
+        for (const LinkConfiguration& link : configuration.links) {
+            if ((link.first == first && link.second == second) || (link.first == second && link.second == first))
+                return link.link;
+        }
+        return configuration.defaultLink;
+    }
+
+} // namespace
+
+void UpstreamTable::configure(const Configuration& configuration, Instant now)
+{
+    this->replaced.clear();
+    this->classes.clear();
+    this->harmlessLatency = defaultHarmless;
+    for (const ClassConfiguration& latencyClass : configuration.classes) {
+        this->classes[latencyClass.name] = {};
+        if (!latencyClass.firstTokenTarget)
+            continue;
+        const double target = toSeconds(*latencyClass.firstTokenTarget);
+        this->classes[latencyClass.name] = { target };
+        this->harmlessLatency = std::max(this->harmlessLatency, fromSeconds(harmlessPart * target));
+    }
+    this->configureZones(configuration);
+
+    for (Pool& pool : this->pools) {
+        pool.configured = false;
+        pool.eligible.clear();
+        pool.idle.clear();
+        pool.byZone.assign(this->zones.size(), {});
+        pool.idleByZone.assign(this->zones.size(), {});
+        pool.byPrice.clear();
+        pool.preferred.clear();
+        pool.capacity = 0;
+        pool.inService = 0;
+        pool.outstanding = 0;
+    }
+    for (std::uint32_t index = 0; index < this->details.size(); index++) {
+        this->details[index].configured = false;
+        this->details[index].contribution = 0;
+        this->details[index].inService = false;
+        this->upstreams[index].positions.fill(noPosition);
+    }
+
+    this->prices.assign(this->details.size(), 0);
+    for (const ServiceConfiguration& service : configuration.services)
+        this->configureService(configuration, service);
+    this->recyclePools();
+    this->configurePrices();
+
+    for (std::uint32_t index = 0; index < this->details.size(); index++) {
+        if (this->details[index].configured) {
+            this->pools[this->upstreams[index].pool].outstanding += this->upstreams[index].load.ownOutstanding();
+            this->refresh(index, now);
+            continue;
+        }
+        if (this->details[index].id.empty())
+            continue;
+        this->indices.erase(this->details[index].id);
+        this->resetProcess(index, 1);
+        this->details[index].id = UpstreamId {};
+        this->freeIndices.push_back(index);
+    }
+}
+
+void UpstreamTable::configureZones(const Configuration& configuration)
+{
+    this->zones.clear();
+    for (const RegionConfiguration& region : configuration.regions) {
+        for (const AvailabilityZone& zone : region.zones)
+            this->zones.push_back({ zone, linkOf(configuration, this->settings.zone, zone) });
+    }
+    // Takes the upstreams whose zone is not listed.
+    this->zones.push_back({ AvailabilityZone {}, configuration.defaultLink });
+    for (ZoneView& zone : this->zones)
+        zone.delaySeconds = 2 * toSeconds(zone.link.delay);
+
+    this->nearestZones.clear();
+    for (std::uint32_t number = 0; number < this->zones.size(); number++)
+        this->nearestZones.push_back(number);
+    std::stable_sort(
+        this->nearestZones.begin(), this->nearestZones.end(), [&](std::uint32_t first, std::uint32_t second) {
+            return this->zones[first].link.delay < this->zones[second].link.delay;
+        });
+}
+
+void UpstreamTable::configureService(const Configuration& configuration, const ServiceConfiguration& service)
+{
+    const auto configurePool = [&](const VersionName& version, bool moving) {
+        Pool& pool = this->poolFor(service.name, version);
+        pool.configured = true;
+        pool.kind = service.kind;
+        if (!pool.shareSet)
+            pool.share = moving ? 0 : 1;
+        return static_cast<std::uint32_t>(&pool - this->pools.data());
+    };
+    for (const VersionConfiguration& version : service.versions)
+        configurePool(version.name, version.moveBy.has_value());
+    for (const UpstreamConfiguration& upstream : service.upstreams) {
+        const auto declared = std::find_if(service.versions.begin(), service.versions.end(),
+            [&](const VersionConfiguration& version) { return version.name == upstream.version; });
+        const bool moving = declared != service.versions.end() && declared->moveBy.has_value();
+        this->configureUpstream(upstream, configurePool(upstream.version, moving), configuration);
+    }
+    this->sortPools(service.name);
+}
+
+void UpstreamTable::configureUpstream(
+    const UpstreamConfiguration& upstream, std::uint32_t pool, const Configuration& configuration)
+{
+    const auto known = this->indices.find(upstream.id);
+    std::uint32_t index = 0;
+    if (known != this->indices.end()) {
+        index = known->second;
+        if (this->details[index].configured)
+            return;
+        if (this->details[index].address != upstream.address)
+            this->resetProcess(index, upstream.capacity);
+    } else {
+        if (this->freeIndices.empty()) {
+            index = static_cast<std::uint32_t>(this->upstreams.size());
+            this->upstreams.emplace_back();
+            this->details.emplace_back();
+            this->prices.push_back(0);
+        } else {
+            index = this->freeIndices.back();
+            this->freeIndices.pop_back();
+        }
+        this->indices[upstream.id] = index;
+        this->resetProcess(index, upstream.capacity);
+    }
+
+    UpstreamDetails& detail = this->details[index];
+    detail.id = upstream.id;
+    detail.address = upstream.address;
+    detail.salt = fingerprint(upstream.id.value());
+    detail.configured = true;
+    const double capacity = std::max(1U, upstream.capacity);
+
+    Upstream& entry = this->upstreams[index];
+    const bool plain = this->pools[pool].kind == ServiceKind::Plain;
+    // High latency alone does not lower the limit to the declared capacity or below. At a full service that cost a
+    // fifth of the throughput, and engines without room beyond their slots get whatever request comes next instead of
+    // those whose prefix they have cached, which keeps them overloaded.
+    const double floor = plain ? capacity : capacity * 1.5;
+    detail.limit.setBounds(std::max(1.0, capacity / 4), floor, capacity * 2);
+    entry.pool = pool;
+    entry.zone = this->zoneNumber(upstream.zone);
+    entry.shape = { std::max(1U, upstream.capacity), plain ? std::max(1U, upstream.capacity) : 1 };
+    entry.reclaimRiskPerHour = static_cast<float>(reclaimRisk(configuration, upstream));
+    this->prices[index] = pricePerHour(configuration, upstream) / capacity;
+    this->pools[pool].preferred.add(index, detail.salt);
+}
+
+void UpstreamTable::configurePrices()
+{
+    std::vector<std::vector<double>> tiers(this->pools.size());
+    for (std::uint32_t index = 0; index < this->details.size(); index++) {
+        if (this->details[index].configured)
+            tiers[this->upstreams[index].pool].push_back(this->prices[index]);
+    }
+    for (std::size_t pool = 0; pool < this->pools.size(); pool++) {
+        std::sort(tiers[pool].begin(), tiers[pool].end());
+        tiers[pool].erase(std::unique(tiers[pool].begin(), tiers[pool].end()), tiers[pool].end());
+        this->pools[pool].byPrice.assign(tiers[pool].size(), {});
+    }
+    for (std::uint32_t index = 0; index < this->details.size(); index++) {
+        if (!this->details[index].configured)
+            continue;
+        Upstream& entry = this->upstreams[index];
+        const std::vector<double>& prices = tiers[entry.pool];
+        const auto tier = std::lower_bound(prices.begin(), prices.end(), this->prices[index]);
+        entry.priceTier = static_cast<std::uint32_t>(tier - prices.begin());
+        const double span = prices.back() - prices.front();
+        entry.relativePrice = span > 0 ? static_cast<float>((this->prices[index] - prices.front()) / span) : 0;
+    }
+}
+
+void UpstreamTable::resetProcess(std::uint32_t index, std::uint32_t capacity)
+{
+    UpstreamDetails fresh;
+    UpstreamDetails& detail = this->details[index];
+    fresh.id = detail.id;
+    fresh.generation = detail.generation + 1;
+    // A pending recheck stays in the queue and must not be doubled.
+    fresh.recheckAt = detail.recheckAt;
+    fresh.breaker = CircuitBreaker(this->settings.circuitBreaker);
+    fresh.limit = ConcurrencyLimit({ .initial = static_cast<double>(std::max(1U, capacity)),
+        .minimum = 1,
+        .maximum = std::max(1.0, 2.0 * capacity),
+        .tolerance = latencyTolerance,
+        .harmless = this->harmlessLatency });
+    detail = std::move(fresh);
+    this->upstreams[index].load = LoadEstimate {};
+    this->replaced.push_back(index);
+}
+
+void UpstreamTable::recyclePools()
+{
+    for (auto& [service, pools] : this->services) {
+        const auto isUnused = [&](std::uint32_t pool) { return !this->pools[pool].configured; };
+        auto unused = static_cast<std::size_t>(std::count_if(pools.begin(), pools.end(), isUnused));
+        std::erase_if(pools, [&](std::uint32_t pool) {
+            if (unused <= rememberedVersions || !isUnused(pool))
+                return false;
+            unused--;
+            this->freePools.push_back(pool);
+            return true;
+        });
+    }
+}
+
+std::uint32_t UpstreamTable::zoneNumber(const AvailabilityZone& zone) const
+{
+    for (std::uint32_t number = 0; number + 1 < this->zones.size(); number++) {
+        if (this->zones[number].name == zone)
+            return number;
+    }
+    return static_cast<std::uint32_t>(this->zones.size() - 1);
+}
+
+} // namespace teaselshore
