--- a/include/teaselshore/node/node_settings.hpp
+++ b/include/teaselshore/node/node_settings.hpp
@@ -15,6 +15,21 @@
 
 namespace teaselshore {
 
+/// @brief Deliberate faults, so that tests can show that their checker finds them.
+struct NodeMutations {
+    /// Reclaim notices of upstreams are not passed to the router.
+    bool ignoreNotices = false;
+    /// Requests that crash their upstream are routed as usual.
+    bool skipCrashSuspects = false;
+    /// Any version of the configuration that is read replaces the one in effect.
+    bool acceptOldConfiguration = false;
+    /// A stream that goes on elsewhere starts again from its first event.
+    bool resumeFromZero = false;
+    /// A planned stop does not wait for open requests.
+    bool stopAtOnce = false;
+    SlotOwnerMutations slotOwner;
+};
+
 /// @brief Settings of all decisions of one node.
 struct NodeSettings {
     /// This process; its id must be new for each start.
@@ -50,6 +65,8 @@
     Duration balancerDelay = std::chrono::seconds(2);
     /// Longest time for open requests to finish at a planned stop.
     Duration drainTimeout = std::chrono::seconds(20);
+    /// Only for tests.
+    NodeMutations mutations;
 };
 
 } // namespace teaselshore
--- a/src/teaselshore/node/cluster_events.cpp
+++ b/src/teaselshore/node/cluster_events.cpp
@@ -49,6 +49,12 @@
 
 void ClusterEvents::onConfigurationRead(ConfigurationRead read, Instant now)
 {
+    if (this->state.settings.mutations.acceptOldConfiguration) {
+        std::vector<ConfigurationProblem> problems;
+        if (parseConfiguration(read.text, problems))
+            this->adopt({ read.version, std::move(read.text) }, now);
+        return;
+    }
     this->execute(this->state.distributor.onLocalVersion(read.version, std::move(read.text), now), now);
 }
 
@@ -156,7 +162,8 @@
     auto parsed = parseConfiguration(adopted.text, problems);
     TEASELSHORE_ASSERT(parsed.has_value(), "the distributor adopted a configuration that is not valid");
     TEASELSHORE_ASSERT(
-        adopted.version > this->state.configurationVersion, "a configuration may only be replaced by a newer one");
+        adopted.version > this->state.configurationVersion || this->state.settings.mutations.acceptOldConfiguration,
+        "a configuration may only be replaced by a newer one");
     this->state.configuration = std::make_shared<const Configuration>(std::move(*parsed));
     this->state.configurationVersion = adopted.version;
     this->state.refusedConfiguration.reset();
--- a/src/teaselshore/node/crash_checks.cpp
+++ b/src/teaselshore/node/crash_checks.cpp
@@ -88,7 +88,7 @@
 {
     const auto status = this->state.router.status(result.upstream, now);
     this->state.router.onUpstreamDead(result.upstream, now);
-    if (!status)
+    if (!status || this->state.settings.mutations.skipCrashSuspects)
         return;
 
     UpstreamCrash crash;
--- a/src/teaselshore/node/durable_requests.cpp
+++ b/src/teaselshore/node/durable_requests.cpp
@@ -18,6 +18,8 @@
     constexpr std::string_view requestPathPrefix = "/v1/requests/";
     constexpr std::string_view generatedKeyPrefix = "generated-";
     constexpr Duration runPollInterval = std::chrono::milliseconds(50);
+    /// Time after which a run that the journal did not dispatch gives its place back; its slot may have moved.
+    constexpr Duration dispatchPatience = std::chrono::seconds(10);
     constexpr Duration suspectPollInterval = std::chrono::milliseconds(500);
     /// Attempts of one durable request after which its failure is final.
     constexpr std::uint32_t maxDurableAttempts = 12;
@@ -42,7 +44,7 @@
 DurableRequests::DurableRequests(NodeState& state, CrashChecks& crashChecks)
     : state(state)
     , crashChecks(crashChecks)
-    , owner(state.settings.self.id, state.settings.slotOwner)
+    , owner(state.settings.self.id, state.settings.slotOwner, state.settings.mutations.slotOwner)
 {
 }
 
@@ -192,6 +194,7 @@
 void DurableRequests::execute(const DispatchUpstream& command, Instant now)
 {
     const JournalRequest& request = command.request;
+    this->awaitingDispatch.erase(request.id);
     auto choice = this->chosen.extract(request.id);
     const auto status = this->state.router.status(command.upstream, now);
     const bool available = status && status->state == UpstreamState::Available;
@@ -323,6 +326,9 @@
         this->deferRun(id, std::chrono::seconds(5), now);
         return;
     }
+    // A place is still held if the journal asks again for a run that it could not record.
+    this->awaitingDispatch.erase(id);
+    this->state.release(id, now);
     AdmissionRequest admission;
     admission.request = id;
     admission.service = classified->service;
@@ -357,6 +363,7 @@
         return;
     }
     this->waitingRuns.erase(found);
+    this->awaitingDispatch.insert_or_assign(id, now + dispatchPatience);
     this->handle(UpstreamChosen { id, *upstream }, now);
 }
 
@@ -503,6 +510,13 @@
         this->deferredRuns.erase(this->deferredRuns.begin());
         this->requestAdmission(id, now);
     }
+    std::erase_if(this->awaitingDispatch, [&](const auto& entry) {
+        if (entry.second > now)
+            return false;
+        this->chosen.erase(entry.first);
+        this->state.release(entry.first, now);
+        return true;
+    });
     this->handle(Tick {}, now);
 }
 
--- a/src/teaselshore/node/durable_requests.hpp
+++ b/src/teaselshore/node/durable_requests.hpp
@@ -126,6 +126,8 @@
     /// Accepted requests that wait for admission or for an upstream.
     std::unordered_map<RequestId, JournalRequest> waitingRuns;
     std::multimap<Instant, RequestId> deferredRuns;
+    /// Runs with a place and an upstream that the journal has not dispatched yet, and when their place is given back.
+    std::unordered_map<RequestId, Instant> awaitingDispatch;
     bool stopped = false;
 };
 
--- a/src/teaselshore/node/node.cpp
+++ b/src/teaselshore/node/node.cpp
@@ -52,6 +52,7 @@
     void handle(Tick& event, Instant now);
 
     void receive(const std::string& sender, const RequestMessage& message, Instant now);
+    std::string addressOf(const UpstreamId& id) const;
     void onUpstreamLeaving(const std::string& host, Duration notice, bool tellPeers, Instant now);
     void applyAdmissionChanges(Instant now);
     void applyCrashChecks(const std::vector<CrashCheckResult>& results, Instant now);
@@ -67,8 +68,14 @@
 
     Instant nextHousekeeping {};
     Instant nextCapacity {};
-    /// Upstreams with a notice, and when their remaining attempts are moved.
-    std::map<UpstreamId, Instant> leaving;
+    /// Notice of an upstream.
+    struct Leaving {
+        /// Configured address of the host that the notice is about; a replacement has another one.
+        std::string address;
+        /// Time to move the remaining attempts.
+        Instant moveAt {};
+    };
+    std::map<UpstreamId, Leaving> leaving;
     bool stopping = false;
     bool slotsReleasing = false;
     bool stopped = false;
@@ -249,6 +256,19 @@
         this->onUpstreamLeaving(notice.host, notice.notice, true, now);
 }
 
+std::string Node::Impl::addressOf(const UpstreamId& id) const
+{
+    if (!this->state.configuration)
+        return {};
+    for (const ServiceConfiguration& service : this->state.configuration->services) {
+        for (const UpstreamConfiguration& upstream : service.upstreams) {
+            if (upstream.id == id)
+                return upstream.address;
+        }
+    }
+    return {};
+}
+
 void Node::Impl::onUpstreamLeaving(const std::string& host, Duration notice, bool tellPeers, Instant now)
 {
     if (host == this->state.settings.hostName) {
@@ -256,10 +276,15 @@
         this->handle(stop, now);
         return;
     }
+    if (this->state.settings.mutations.ignoreNotices)
+        return;
     const UpstreamId upstream(host);
     const Instant moveAt = now + std::max<Duration>(notice - this->state.settings.moveBeforeLeave, Duration::zero());
-    if (!this->leaving.emplace(upstream, moveAt).second)
+    const std::string address = this->addressOf(upstream);
+    const auto known = this->leaving.find(upstream);
+    if (known != this->leaving.end() && known->second.address == address)
         return;
+    this->leaving.insert_or_assign(upstream, Leaving { address, moveAt });
     if (tellPeers)
         this->state.broadcast(UpstreamLeaving { upstream, notice });
     this->state.router.onUpstreamLeaving(upstream, now);
@@ -273,9 +298,10 @@
     if (event.report)
         this->state.router.onLoadReport(*event.report, now);
     this->state.poller.onQueried(event.upstream, event.report.has_value());
+    // The check has to see whether the upstream was leaving, which its death hides.
+    this->applyCrashChecks(this->crashChecks.onLoadQueried(event, now), now);
     if (event.refused)
         this->state.router.onUpstreamDead(event.upstream, now);
-    this->applyCrashChecks(this->crashChecks.onLoadQueried(event, now), now);
 }
 
 void Node::Impl::applyCrashChecks(const std::vector<CrashCheckResult>& results, Instant now)
@@ -327,10 +353,10 @@
     this->state.admissionChanges.push_back(this->state.admission.onTick(now));
     for (QueryLoad& query : this->state.poller.onTick(now))
         this->state.commands.emplace_back(std::move(query));
-    for (auto& [upstream, moveAt] : this->leaving) {
-        if (moveAt > now)
+    for (auto& [upstream, leave] : this->leaving) {
+        if (leave.moveAt > now)
             continue;
-        moveAt = Instant::max();
+        leave.moveAt = Instant::max();
         this->transient.moveFrom(upstream);
     }
     if (now >= this->nextCapacity) {
@@ -374,7 +400,7 @@
         this->durable.handle(PlannedStop { this->stopDeadline - now }, now);
     }
     const bool drained = this->slotsReleasing && this->durable.stopCompleted() && this->openRequests() == 0;
-    if (!drained && now < this->stopDeadline)
+    if (!drained && now < this->stopDeadline && !this->state.settings.mutations.stopAtOnce)
         return;
     this->stopped = true;
     if (!drained)
--- a/src/teaselshore/node/node_state.cpp
+++ b/src/teaselshore/node/node_state.cpp
@@ -41,9 +41,9 @@
     , router(settings.router)
     , admission(settings.admission)
     , suspects(settings.crashSuspects)
-    , poller(settings.loadPeriod, settings.loadQueriesPerTick)
     , membership(settings.self, settings.membership, RandomSource(settings.seed + 1))
     , distributor(settings.self, settings.distributor, configurationFault, RandomSource(settings.seed + 2))
+    , poller(settings.loadPeriod, settings.loadQueriesPerTick)
 {
 }
 
--- a/src/teaselshore/node/transient_requests.cpp
+++ b/src/teaselshore/node/transient_requests.cpp
@@ -154,7 +154,7 @@
     outgoing.start.path = request.arrived.path;
     outgoing.start.headers = upstreamHeaders(request.arrived.headers);
     outgoing.start.headers.emplace_back("x-priority", std::to_string(request.classified.priority));
-    if (request.relayedEvents > 0)
+    if (request.relayedEvents > 0 && !this->state.settings.mutations.resumeFromZero)
         outgoing.start.headers.emplace_back("x-resume-from", std::to_string(request.relayedEvents));
     outgoing.start.body = request.arrived.body;
     outgoing.start.relay = request.classified.stream;
