--- a/src/teaselshore/node/node.cpp
+++ b/src/teaselshore/node/node.cpp
@@ -16,7 +16,7 @@
 namespace {
 
     constexpr Duration housekeepingPeriod = std::chrono::milliseconds(20);
-    constexpr Duration capacityPeriod = std::chrono::milliseconds(200);
+    constexpr Duration capacityPeriod = std::chrono::milliseconds(100);
     constexpr Duration noticeRetention = std::chrono::minutes(10);
     constexpr Duration noConfigurationRetryAfter = std::chrono::seconds(1);
     constexpr std::size_t requestIdDigits = 20;
@@ -52,6 +52,7 @@
     void handle(Tick& event, Instant now);
 
     void receive(const std::string& sender, const RequestMessage& message, Instant now);
+    std::string addressOf(const UpstreamId& id) const;
     void onUpstreamLeaving(const std::string& host, Duration notice, bool tellPeers, Instant now);
     void applyAdmissionChanges(Instant now);
     void applyCrashChecks(const std::vector<CrashCheckResult>& results, Instant now);
@@ -68,12 +69,14 @@
 
     Instant nextHousekeeping {};
     Instant nextCapacity {};
+    /// Notice of an upstream.
     struct Leaving {
-        /// When the remaining attempts are moved to other upstreams.
+        /// Configured address of the host that the notice is about; a replacement has another one.
+        std::string address;
+        /// Time to move the remaining attempts.
         Instant moveAt {};
         bool moved = false;
     };
-    /// Upstreams with a notice; kept for a while, since the same notice arrives from several peers.
     std::map<UpstreamId, Leaving> leaving;
     bool stopping = false;
     bool slotsReleasing = false;
@@ -255,6 +258,19 @@
         this->onUpstreamLeaving(notice.host, notice.notice, true, now);
 }
 
+std::string Node::Impl::addressOf(const UpstreamId& id) const
+{
+    if (!this->state.configuration)
+        return {};
+    for (const ServiceConfiguration& service : this->state.configuration->services) {
+        for (const UpstreamConfiguration& upstream : service.upstreams) {
+            if (upstream.id == id)
+                return upstream.address;
+        }
+    }
+    return {};
+}
+
 void Node::Impl::onUpstreamLeaving(const std::string& host, Duration notice, bool tellPeers, Instant now)
 {
     if (host == this->state.settings.hostName) {
@@ -262,10 +278,15 @@
         this->handle(stop, now);
         return;
     }
+    if (this->state.settings.mutations.ignoreNotices)
+        return;
     const UpstreamId upstream(host);
     const Instant moveAt = now + std::max<Duration>(notice - this->state.settings.moveBeforeLeave, Duration::zero());
-    if (!this->leaving.emplace(upstream, Leaving { moveAt, false }).second)
+    const std::string address = this->addressOf(upstream);
+    const auto known = this->leaving.find(upstream);
+    if (known != this->leaving.end() && known->second.address == address)
         return;
+    this->leaving.insert_or_assign(upstream, Leaving { address, moveAt });
     if (tellPeers)
         this->state.broadcast(UpstreamLeaving { upstream, notice });
     this->state.router.onUpstreamLeaving(upstream, now);
@@ -279,9 +300,10 @@
     if (event.report)
         this->state.router.onLoadReport(*event.report, now);
     this->state.poller.onQueried(event.upstream, event.report.has_value());
+    // The check has to see whether the upstream was leaving, which its death hides.
+    this->applyCrashChecks(this->crashChecks.onLoadQueried(event, now), now);
     if (event.refused)
         this->state.router.onUpstreamDead(event.upstream, now);
-    this->applyCrashChecks(this->crashChecks.onLoadQueried(event, now), now);
 }
 
 void Node::Impl::applyCrashChecks(const std::vector<CrashCheckResult>& results, Instant now)
@@ -336,6 +358,7 @@
     this->moveFromLeaving(now);
     if (now >= this->nextCapacity) {
         this->nextCapacity = now + capacityPeriod;
+        this->state.router.onTick(now);
         this->state.refreshCapacity(now);
     }
     this->advanceStop(now);
@@ -387,7 +410,7 @@
         this->durable.handle(PlannedStop { this->stopDeadline - now }, now);
     }
     const bool drained = this->slotsReleasing && this->durable.stopCompleted() && this->openRequests() == 0;
-    if (!drained && now < this->stopDeadline)
+    if (!drained && now < this->stopDeadline && !this->state.settings.mutations.stopAtOnce)
         return;
     this->stopped = true;
     if (!drained)
