--- a/include/teaselshore/control/lease.hpp
+++ b/include/teaselshore/control/lease.hpp
@@ -86,7 +86,7 @@
 
     bool preferred() const;
     std::vector<ObjectCommand> read(Instant now, ObjectCallIds& ids);
-    std::vector<ObjectCommand> write(Lease lease, Instant now, ObjectCallIds& ids);
+    std::vector<ObjectCommand> write(const Lease& lease, Instant now, ObjectCallIds& ids);
     std::vector<ObjectCommand> onRead(const ObjectResult& result, Instant now, ObjectCallIds& ids);
     std::vector<ObjectCommand> onWritten(
         const Pending& call, const ObjectResult& result, Instant now, ObjectCallIds& ids);
--- a/include/teaselshore/journal/journal_writer.hpp
+++ b/include/teaselshore/journal/journal_writer.hpp
@@ -119,6 +119,8 @@
     std::optional<ObjectCallId> call;
     std::deque<QueuedGroup> queue;
     std::size_t queuedSize = 0;
+    /// Earliest due time of the queued groups; meaningless while there are none.
+    Instant earliestDue {};
     /// Groups of the open batch; they keep their content while the batch may have been applied.
     std::vector<QueuedGroup> open;
     std::string openBytes;
--- a/src/teaselshore/control/lease.cpp
+++ b/src/teaselshore/control/lease.cpp
@@ -118,7 +118,7 @@
     return { ObjectRead { this->pending->id, leaseKey(this->service) } };
 }
 
-std::vector<ObjectCommand> LeaseHolder::write(Lease lease, Instant now, ObjectCallIds& ids)
+std::vector<ObjectCommand> LeaseHolder::write(const Lease& lease, Instant now, ObjectCallIds& ids)
 {
     this->pending = Pending { Call::Write, ids.next(), now, lease };
     if (this->version == 0)
--- a/src/teaselshore/journal/journal_writer.cpp
+++ b/src/teaselshore/journal/journal_writer.cpp
@@ -46,6 +46,7 @@
     TEASELSHORE_ASSERT(fitsBatch(group.size()), "record group exceeds the batch limit");
     TEASELSHORE_ASSERT(!this->lost(), "append to a journal whose ownership is lost");
     this->queuedSize += group.size();
+    this->earliestDue = this->queue.empty() ? due : std::min(this->earliestDue, due);
     this->queue.push_back({ ++this->issued, std::move(group), due });
     return this->issued;
 }
@@ -67,11 +68,7 @@
 {
     if (this->queue.empty())
         return std::nullopt;
-    if (this->queuedSize > batchLimit / 2)
-        return Instant {};
-    const auto earliest = std::min_element(this->queue.begin(), this->queue.end(),
-        [](const QueuedGroup& first, const QueuedGroup& second) { return first.due < second.due; });
-    return earliest->due;
+    return this->queuedSize > batchLimit / 2 ? Instant {} : this->earliestDue;
 }
 
 void JournalWriter::openBatch()
@@ -88,6 +85,8 @@
         this->open.push_back(std::move(next));
         this->queue.pop_front();
     }
+    // Groups that did not fit are overdue: they waited for a full batch.
+    this->earliestDue = {};
     this->openBytes = encodeBatch(batch);
     this->openWriter = this->writer;
     this->mayBeApplied = false;
@@ -137,6 +136,7 @@
             this->queue.push_front(std::move(*group));
         }
         this->open.clear();
+        this->earliestDue = {};
         this->fail(Phase::Idle, now);
         return AppendProgress::NotApplied;
     }
