End broken streams with an error event; close connections to peers that are gone

Cause: aborting the connection dropped the error event and events that were not yet sent. The peers task kept the connections of dead members. Change: FailStream finishes the response after its error event; ForgetPeer. Conclusion: a caller always sees why its stream ended.

--- a/include/teaselshore/daemon/serving_task.hpp
+++ b/include/teaselshore/daemon/serving_task.hpp
@@ -16,6 +16,7 @@
 /// @brief Ways out of the serving task to the other tasks. They are called in its thread and must not block.
 struct ServingOutlets {
     std::function<void(const std::string& address, PeerContent content)> sendToPeer;
+    std::function<void(const std::string& address)> forgetPeer;
     std::function<void(ObjectCommand call)> callObjectApi;
     std::function<void(bool enabled)> watchConfiguration;
     std::function<void()> readHostList;
--- a/include/teaselshore/node/node_command.hpp
+++ b/include/teaselshore/node/node_command.hpp
@@ -20,6 +20,13 @@
     auto operator<=>(const SendToPeer&) const = default;
 };
 
+/// @brief Closes the connection to a peer that is gone.
+struct ForgetPeer {
+    std::string address;
+
+    auto operator<=>(const ForgetPeer&) const = default;
+};
+
 /// @brief Calls the platform's object API; the reply is an ObjectResult.
 struct CallObjectApi {
     ObjectCommand call;
@@ -83,9 +90,9 @@
     auto operator<=>(const LogEvent&) const = default;
 };
 
-using NodeCommand
-    = std::variant<StartAttempt, CancelAttempt, InterruptAttempt, Respond, FailStream, SendToPeer, CallObjectApi,
-        WatchConfiguration, ReadHostList, ReadNotices, QueryLoad, QueryOutcome, SetReady, StopProcess, LogEvent, Span>;
+using NodeCommand = std::variant<StartAttempt, CancelAttempt, InterruptAttempt, Respond, FailStream, SendToPeer,
+    ForgetPeer, CallObjectApi, WatchConfiguration, ReadHostList, ReadNotices, QueryLoad, QueryOutcome, SetReady,
+    StopProcess, LogEvent, Span>;
 
 using NodeCommands = std::vector<NodeCommand>;
 
--- a/include/teaselshore/node/request_command.hpp
+++ b/include/teaselshore/node/request_command.hpp
@@ -55,7 +55,7 @@
     auto operator<=>(const Respond&) const = default;
 };
 
-/// @brief Ends a relayed stream with an error event, then breaks the connection off: the response is incomplete.
+/// @brief Ends a relayed stream with an error event in place of the final one: the response is incomplete.
 struct FailStream {
     RequestId request;
     std::string errorBody;
--- a/src/teaselshore/daemon/request_relay.cpp
+++ b/src/teaselshore/daemon/request_relay.cpp
@@ -151,8 +151,9 @@
         return;
     const auto exchange = std::move(found->second.exchange);
     this->impl->callers.erase(found);
+    // An abort would also drop events that wait to be sent, and the error event with them.
     exchange->write("event: error\ndata: " + command.errorBody + "\n\n");
-    exchange->abort();
+    exchange->finish();
 }
 
 std::size_t RequestRelay::openCallers() const { return this->impl->callers.size(); }
--- a/src/teaselshore/daemon/request_relay_test.cpp
+++ b/src/teaselshore/daemon/request_relay_test.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr Duration testLimit = std::chrono::seconds(5);
+    /// Time for written bytes to leave before the connection is broken off.
+    constexpr Duration flushTime = std::chrono::milliseconds(30);
 
     std::string event(int index) { return "id: " + std::to_string(index) + "\ndata: token\n\n"; }
 
@@ -118,7 +120,7 @@
             exchange->startStream(200, { { "content-type", "text/event-stream" } });
             if (this->lastAttempt == 1) {
                 exchange->write(event(0) + event(1) + "id: 2\nda");
-                exchange->abort();
+                this->loop->runAfter(flushTime, [exchange] { exchange->abort(); });
                 return;
             }
             exchange->write(event(2) + event(3) + "data: [DONE]\n\n");
@@ -146,8 +148,8 @@
         EXPECT_EQ(this->relay.counters().misdirectedResponses, 1u);
     }
 
-    // Guards against a stream that ends early being taken for a complete response.
-    TEST_F(RequestRelayTest, StreamWithoutEndMarkIsNotComplete)
+    // Guards against a stream that ends early being taken for a complete response, and against a lost error event.
+    TEST_F(RequestRelayTest, StreamWithoutEndMarkEndsWithErrorEvent)
     {
         this->script = [](const std::shared_ptr<ServerExchange>& exchange) {
             exchange->startStream(200, { { "content-type", "text/event-stream" } });
@@ -156,8 +158,8 @@
         };
         this->onFailed = [this] { this->relay.execute(FailStream { this->request, "{}" }); };
         this->call();
-        EXPECT_FALSE(this->complete);
-        EXPECT_EQ(this->received.substr(0, event(0).size()), event(0));
+        EXPECT_EQ(this->failures.size(), 1u);
+        EXPECT_EQ(this->received, event(0) + "event: error\ndata: {}\n\n");
     }
 
 } // namespace
--- a/src/teaselshore/daemon/serving_task.cpp
+++ b/src/teaselshore/daemon/serving_task.cpp
@@ -69,6 +69,7 @@
     void execute(Respond& command) { this->relay.execute(std::move(command)); }
     void execute(FailStream& command) { this->relay.execute(command); }
     void execute(SendToPeer& command) { this->outlets.sendToPeer(command.address, std::move(command.content)); }
+    void execute(ForgetPeer& command) { this->outlets.forgetPeer(command.address); }
     void execute(CallObjectApi& command) { this->outlets.callObjectApi(std::move(command.call)); }
     void execute(WatchConfiguration& command) { this->outlets.watchConfiguration(command.enabled); }
     void execute(ReadHostList&) { this->outlets.readHostList(); }
--- a/src/teaselshore/daemon/teaselshored_main.cpp
+++ b/src/teaselshore/daemon/teaselshored_main.cpp
@@ -89,6 +89,7 @@
         if (!peers->send(address, content))
             serving->deliver(PeerMessageNotSent { address, std::move(content) });
     };
+    outlets.forgetPeer = [&peers](const std::string& address) { peers->forget(address); };
     outlets.callObjectApi = [&platform](ObjectCommand call) { platform->call(std::move(call)); };
     outlets.watchConfiguration = [&platform](bool enabled) { platform->watchConfiguration(enabled); };
     outlets.readHostList = [&platform] { platform->readHostList(); };
--- a/src/teaselshore/node/cluster_events.cpp
+++ b/src/teaselshore/node/cluster_events.cpp
@@ -122,6 +122,9 @@
     this->state.log(LogLevel::Info, live ? "member joined" : "member left",
         { { "member", change.member.id.value() }, { "address", change.member.address } });
     if (!live) {
+        // A restarted process may already be live at the same address.
+        if (!this->state.membership.findLiveAt(change.member.address))
+            this->state.commands.emplace_back(ForgetPeer { change.member.address });
         this->durable.handle(MemberDead { change.member.id }, now);
         return;
     }
