Tell a suspicion only once per probe

A peer that answers but does not refute was told again with each answer, an endless exchange at the speed of the link. A trial with refutation removed did not end; a test now bounds the number of messages.

--- a/src/teaselshore/membership/membership.cpp
+++ b/src/teaselshore/membership/membership.cpp
@@ -105,8 +105,9 @@
     } else if (!probe.target.empty() && state.health > 0) {
         state.health -= 1;
     }
-    // It answers, but counts as suspect or dead here: it has to hear of that to refute it.
-    if (state.needsRefutation(ack.responder))
+    // It answers, but counts as suspect or dead here: it has to hear of that to refute it. Telling it once per probe
+    // bounds the messages to a peer that does not refute.
+    if (!probe.toldDoubt && state.needsRefutation(ack.responder))
         state.sendProbe(ack.responder.id, ack.responder.address, false, now, commands);
     if (returned && isLive(ack.responder) && state.mayFetchList(now))
         state.fetchList(ack.responder, now, commands);
--- a/src/teaselshore/membership/membership_probes.cpp
+++ b/src/teaselshore/membership/membership_probes.cpp
@@ -22,7 +22,9 @@
     const std::uint64_t sequence = this->nextSequence++;
     const Instant askOthersAt = now + this->scaled(this->settings.directTimeout);
     const Instant failsAt = now + this->scaled(this->settings.probePeriod);
-    this->probes.emplace(sequence, Probe { target, address, askOthersAt, failsAt, false });
+    const MemberTable::Record* record = this->table.find(target);
+    const bool toldDoubt = record && record->member.state != MemberState::Alive;
+    this->probes.emplace(sequence, Probe { target, address, askOthersAt, failsAt, false, toldDoubt });
     commands.emplace_back(SendPing { address,
         Ping { sequence, this->self(), wantsMembers, this->table.digest(), this->updatesFor(target, false) } });
     return sequence;
--- a/src/teaselshore/membership/membership_state.hpp
+++ b/src/teaselshore/membership/membership_state.hpp
@@ -25,6 +25,8 @@
         Instant askOthersAt {};
         Instant failsAt {};
         bool askedOthers = false;
+        /// True if the probe told the target that it counts as suspect or dead.
+        bool toldDoubt = false;
     };
 
     /// @brief Probe sent on behalf of another member.
--- a/src/teaselshore/membership/membership_test.cpp
+++ b/src/teaselshore/membership/membership_test.cpp
@@ -199,6 +199,34 @@
         EXPECT_EQ(membership.self().state, MemberState::Alive);
     }
 
+    // Guards against an endless exchange at the speed of the link with a peer that does not refute its suspicion.
+    TEST(Membership, TellsSuspicionOnceToPeerThatDoesNotRefute)
+    {
+        const Instant now { 1h };
+        const Member self { NodeId("a"), {}, {}, "127.0.0.1:1", 1, MemberState::Alive };
+        const Member other { NodeId("b"), {}, {}, "127.0.0.1:2", 1, MemberState::Alive };
+        Member claim = other;
+        claim.state = MemberState::Suspect;
+        Membership membership(self, {}, RandomSource(1));
+        membership.onPing({ 0, other, false, 0, { claim } }, now);
+        int pings = 0;
+        std::vector<MembershipCommand> commands = membership.onTick(now);
+        while (!commands.empty() && pings < 100) {
+            std::vector<MembershipCommand> next;
+            for (const MembershipCommand& command : commands) {
+                const SendPing* sent = std::get_if<SendPing>(&command);
+                if (!sent || sent->ping.sequence == 0)
+                    continue;
+                pings += 1;
+                for (MembershipCommand& reaction : membership.onAck({ sent->ping.sequence, other, 0, false, {} }, now))
+                    next.push_back(std::move(reaction));
+            }
+            commands = std::move(next);
+        }
+        EXPECT_GT(pings, 0);
+        EXPECT_LT(pings, 5);
+    }
+
     enum class Fault {
         Crash,
         Restart,
