Make tests of pauses and one-way cuts strict

Trials without pause detection and without indirect probes passed the earlier tests: refutation alone repaired both faults. The tests now also fail when a suspicion runs out during a pause and when a one-way cut causes a suspicion.

--- a/src/teaselshore/membership/cluster_simulation.hpp
+++ b/src/teaselshore/membership/cluster_simulation.hpp
@@ -47,6 +47,7 @@
     Instant pausedUntil {};
     /// Ids that it declared dead, with the time.
     std::vector<std::pair<Instant, NodeId>> declaredDead;
+    std::size_t suspicions = 0;
     std::vector<ConfigurationVersion> adopted;
     std::vector<ConfigurationVersion> invalid;
     /// Sent by the failure detector and by the distributor.
@@ -335,6 +336,8 @@
     void perform(std::size_t index, SendConfiguration& command) { this->send(index, command.address, command.text); }
     void perform(std::size_t index, MemberChanged& command)
     {
+        if (command.member.state == MemberState::Suspect)
+            this->nodes[index].suspicions += 1;
         if (command.member.state == MemberState::Dead)
             this->nodes[index].declaredDead.emplace_back(this->now, command.member.id);
     }
--- a/src/teaselshore/membership/membership_test.cpp
+++ b/src/teaselshore/membership/membership_test.cpp
@@ -96,6 +96,21 @@
         }
     }
 
+    // Guards against a suspicion whose time passed during a pause, in which its refutation could not arrive.
+    TEST(Membership, PauseDoesNotCountAsSuspicionTime)
+    {
+        const Instant now { 1h };
+        const Member self { NodeId("a"), {}, {}, "127.0.0.1:1", 1, MemberState::Alive };
+        const Member other { NodeId("b"), {}, {}, "127.0.0.1:2", 1, MemberState::Alive };
+        Member claim = other;
+        claim.state = MemberState::Suspect;
+        Membership membership(self, {}, RandomSource(1));
+        membership.onPing({ 0, other, false, 0, { claim } }, now);
+        membership.onTick(now + 100ms);
+        membership.onTick(now + 10min);
+        EXPECT_EQ(membership.find(other.id)->state, MemberState::Suspect);
+    }
+
     // Guards against members that die although others can reach them: one direction of one link is cut.
     TEST(Membership, OneWayCutKillsNobody)
     {
@@ -107,6 +122,8 @@
         cluster.run(10min);
         EXPECT_TRUE(cluster.agrees());
         EXPECT_EQ(totalDeclaredDead(cluster), 0u);
+        for (const SimulatedNode& node : cluster.nodes)
+            EXPECT_EQ(node.suspicions, 0u);
     }
 
     // Guards against two halves that declared each other dead and never meet again, also without a host list and when
