--- a/src/teaselshore/membership/membership_test.cpp
+++ b/src/teaselshore/membership/membership_test.cpp
@@ -96,6 +96,21 @@
         }
     }
 
+    // Guards against a suspicion whose time passed during a pause, in which its refutation could not arrive.
+    TEST(Membership, PauseDoesNotCountAsSuspicionTime)
+    {
+        const Instant now { 1h };
+        const Member self { NodeId("a"), {}, {}, "127.0.0.1:1", 1, MemberState::Alive };
+        const Member other { NodeId("b"), {}, {}, "127.0.0.1:2", 1, MemberState::Alive };
+        Member claim = other;
+        claim.state = MemberState::Suspect;
+        Membership membership(self, {}, RandomSource(1));
+        membership.onPing({ 0, other, false, 0, { claim } }, now);
+        membership.onTick(now + 100ms);
+        membership.onTick(now + 10min);
+        EXPECT_EQ(membership.find(other.id)->state, MemberState::Suspect);
+    }
+
     // Guards against members that die although others can reach them: one direction of one link is cut.
     TEST(Membership, OneWayCutKillsNobody)
     {
@@ -107,6 +122,8 @@
         cluster.run(10min);
         EXPECT_TRUE(cluster.agrees());
         EXPECT_EQ(totalDeclaredDead(cluster), 0u);
+        for (const SimulatedNode& node : cluster.nodes)
+            EXPECT_EQ(node.suspicions, 0u);
     }
 
     // Guards against two halves that declared each other dead and never meet again, also without a host list and when
@@ -199,6 +216,34 @@
         EXPECT_EQ(membership.self().state, MemberState::Alive);
     }
 
+    // Guards against an endless exchange at the speed of the link with a peer that does not refute its suspicion.
+    TEST(Membership, TellsSuspicionOnceToPeerThatDoesNotRefute)
+    {
+        const Instant now { 1h };
+        const Member self { NodeId("a"), {}, {}, "127.0.0.1:1", 1, MemberState::Alive };
+        const Member other { NodeId("b"), {}, {}, "127.0.0.1:2", 1, MemberState::Alive };
+        Member claim = other;
+        claim.state = MemberState::Suspect;
+        Membership membership(self, {}, RandomSource(1));
+        membership.onPing({ 0, other, false, 0, { claim } }, now);
+        int pings = 0;
+        std::vector<MembershipCommand> commands = membership.onTick(now);
+        while (!commands.empty() && pings < 100) {
+            std::vector<MembershipCommand> next;
+            for (const MembershipCommand& command : commands) {
+                const SendPing* sent = std::get_if<SendPing>(&command);
+                if (!sent || sent->ping.sequence == 0)
+                    continue;
+                pings += 1;
+                for (MembershipCommand& reaction : membership.onAck({ sent->ping.sequence, other, 0, false, {} }, now))
+                    next.push_back(std::move(reaction));
+            }
+            commands = std::move(next);
+        }
+        EXPECT_GT(pings, 0);
+        EXPECT_LT(pings, 5);
+    }
+
     enum class Fault {
         Crash,
         Restart,
