Drive version rollouts in the node

Each node judges its attempts, sends reports to the controller and evidence to its peers, and applies the shares at its router; the holder of the service's lease drives the rollout over the object API. The state is shown by status as services[].move.

--- a/include/teaselshore/node/attempt_table.hpp
+++ b/include/teaselshore/node/attempt_table.hpp
@@ -34,6 +34,8 @@
     Fingerprint suspect = 0;
     bool alone = false;
     Instant startedAt {};
+    /// Set once the first bytes of a streamed response arrived.
+    std::optional<Instant> firstByteAt;
     TraceContext trace;
     SpanId parentSpan;
 };
@@ -44,6 +46,9 @@
     /// @brief Adds an attempt under a new id and returns the id.
     AttemptId add(RunningAttempt attempt);
 
+    /// @brief Records the first bytes of the response; ignored if the attempt has ended.
+    void onFirstByte(AttemptId id, Instant now);
+
     const RunningAttempt* find(AttemptId id) const;
 
     /// @brief Removes and returns an attempt; nothing if it ended before.
--- a/include/teaselshore/node/node_settings.hpp
+++ b/include/teaselshore/node/node_settings.hpp
@@ -4,6 +4,10 @@
 #include <string>
 
 #include "teaselshore/base/time.hpp"
+#include "teaselshore/configuration/configuration.hpp"
+#include "teaselshore/control/lease.hpp"
+#include "teaselshore/control/version_guard.hpp"
+#include "teaselshore/control/version_move.hpp"
 #include "teaselshore/journal/slot_owner.hpp"
 #include "teaselshore/membership/configuration_distributor.hpp"
 #include "teaselshore/membership/membership.hpp"
@@ -22,6 +26,8 @@
     /// Name of the host in the platform's notices.
     std::string hostName;
     std::uint64_t seed = 1;
+    /// Calendar time at Instant zero, for deadlines of version rollouts.
+    WallTime wallAtZero;
 
     RouterSettings router;
     AdmissionSettings admission;
@@ -31,6 +37,9 @@
     SlotOwnerSettings slotOwner;
     MembershipSettings membership;
     DistributorSettings distributor;
+    LeaseSettings lease;
+    VersionGuardSettings versionGuard;
+    VersionMoveSettings versionMove;
 
     Duration connectTimeout = std::chrono::milliseconds(500);
     Duration idleTimeout = std::chrono::seconds(30);
--- a/include/teaselshore/node/peer_message.hpp
+++ b/include/teaselshore/node/peer_message.hpp
@@ -8,6 +8,8 @@
 
 #include "teaselshore/base/name.hpp"
 #include "teaselshore/base/time.hpp"
+#include "teaselshore/control/move_record.hpp"
+#include "teaselshore/control/version_evidence.hpp"
 #include "teaselshore/journal/slot_messages.hpp"
 #include "teaselshore/reliability/crash_suspects.hpp"
 
@@ -50,15 +52,12 @@
     auto operator<=>(const SuspectReports&) const = default;
 };
 
-/// @brief The sender stopped sending work to a version on its own evidence.
-struct VersionEvidence {
-    ServiceName service;
-    VersionName version;
-    std::string reason;
-    std::uint64_t requests = 0;
-    std::uint64_t failures = 0;
+/// @brief State of a version rollout, told by its controller.
+struct MoveUpdate {
+    /// Without evidence.
+    MoveRecord record;
 
-    auto operator<=>(const VersionEvidence&) const = default;
+    auto operator<=>(const MoveUpdate&) const = default;
 };
 
 /// @brief An upstream was announced to leave.
@@ -79,6 +78,6 @@
 
 /// @brief Messages between the request paths of two nodes.
 using RequestMessage = std::variant<ForwardedRequest, ForwardedRead, ForwardedAnswer, SuspectReports, VersionEvidence,
-    UpstreamLeaving, HandOver, HandOverAck>;
+    VersionReport, MoveUpdate, UpstreamLeaving, HandOver, HandOverAck>;
 
 } // namespace teaselshore
--- a/src/teaselshore/daemon/admin_replies.cpp
+++ b/src/teaselshore/daemon/admin_replies.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -59,7 +60,17 @@
     /// Node ids are "<node>-<start>", see makeNodeId().
     std::string nodeName(const NodeId& id) { return id.value().substr(0, id.value().rfind('-')); }
 
-    Json serviceJson(const ServiceConfiguration& service, const std::vector<UpstreamStatus>& statuses)
+    Json moveJson(const MoveRecord* move)
+    {
+        if (!move)
+            return nullptr;
+        return { { "from", move->pair.from.value() }, { "to", move->pair.to.value() },
+            { "state", moveStateName(move->state) }, { "share", move->share },
+            { "moveBy", fmt::format("{:%Y-%m-%dT%H:%M:%SZ}", move->pair.moveBy) }, { "reason", move->reason } };
+    }
+
+    Json serviceJson(
+        const ServiceConfiguration& service, const std::vector<UpstreamStatus>& statuses, const MoveRecord* move)
     {
         std::size_t total = 0;
         std::size_t available = 0;
@@ -77,7 +88,7 @@
         Json result { { "name", service.name.value() } };
         result["upstreams"] = { { "total", total }, { "available", available }, { "draining", leaving },
             { "circuitOpen", circuitOpen } };
-        result["move"] = nullptr;
+        result["move"] = moveJson(move);
         return result;
     }
 
@@ -126,7 +137,7 @@
     if (const auto configuration = node.configuration()) {
         const auto statuses = node.router().statuses(context.now);
         for (const ServiceConfiguration& service : configuration->services)
-            body["services"].push_back(serviceJson(service, statuses));
+            body["services"].push_back(serviceJson(service, statuses, node.move(service.name)));
     }
     return jsonReply(statusOk, body);
 }
--- a/src/teaselshore/daemon/node_settings_from.cpp
+++ b/src/teaselshore/daemon/node_settings_from.cpp
@@ -40,4 +40,11 @@
     return node;
 }
 
+NodeSettings withCalendarTime(NodeSettings settings, Instant now)
+{
+    const auto passed = std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch());
+    settings.wallAtZero = std::chrono::floor<std::chrono::seconds>(std::chrono::system_clock::now()) - passed;
+    return settings;
+}
+
 } // namespace teaselshore
--- a/src/teaselshore/daemon/node_settings_from.hpp
+++ b/src/teaselshore/daemon/node_settings_from.hpp
@@ -11,4 +11,7 @@
 /// @brief Returns the settings of the decisions that follow from the daemon's settings file.
 NodeSettings nodeSettingsFrom(const DaemonSettings& settings, const NodeId& id, std::uint64_t seed);
 
+/// @brief Sets the calendar time of Instant zero by the system clock; now is the current time of the node's events.
+NodeSettings withCalendarTime(NodeSettings settings, Instant now);
+
 } // namespace teaselshore
--- a/src/teaselshore/daemon/serving_task.cpp
+++ b/src/teaselshore/daemon/serving_task.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "admin_replies.hpp"
+#include "node_settings_from.hpp"
 #include "serving_metrics.hpp"
 #include "teaselshore/base/log.hpp"
 #include "teaselshore/daemon/request_relay.hpp"
@@ -43,7 +44,7 @@
     Impl(const DaemonSettings& settings, NodeSettings nodeSettings)
         : settings(settings)
         , loop(EventLoop::create())
-        , node(std::move(nodeSettings))
+        , node(withCalendarTime(std::move(nodeSettings), loop->now()))
         , relay(*loop, { settings.limits.maxPendingStreamBytes },
               [this](RelayEvent event) { this->onRelay(std::move(event)); })
         , queries(*loop, [this](NodeEvent event) { this->handle(std::move(event)); })
--- a/src/teaselshore/node/attempt_table.cpp
+++ b/src/teaselshore/node/attempt_table.cpp
@@ -12,6 +12,13 @@
     return this->last;
 }
 
+void AttemptTable::onFirstByte(AttemptId id, Instant now)
+{
+    const auto found = this->attempts.find(id);
+    if (found != this->attempts.end() && !found->second.firstByteAt)
+        found->second.firstByteAt = now;
+}
+
 const RunningAttempt* AttemptTable::find(AttemptId id) const
 {
     const auto found = this->attempts.find(id);
--- a/src/teaselshore/node/durable_requests.cpp
+++ b/src/teaselshore/node/durable_requests.cpp
@@ -440,9 +440,9 @@
     return this->choose(request->second.request, { attempt.upstream }, attempt.alone, now);
 }
 
-void DurableRequests::notRun(const RunningAttempt& attempt, Instant now)
+void DurableRequests::notRun(const RunningAttempt& attempt, int status, Instant now)
 {
-    this->state.endAttempt(attempt, AttemptOutcome::Refused, 0, now);
+    this->state.endAttempt(attempt, AttemptOutcome::Refused, 0, now, status);
     const auto next = this->chooseNext(attempt, now);
     this->dispatched.erase(attempt.request);
     this->handle(UpstreamNotRun { attempt.request, attempt.journalAttempt, next }, now);
@@ -452,11 +452,12 @@
 {
     this->state.release(attempt.request, now);
     if (saysNotRun(finished)) {
-        this->notRun(attempt, now);
+        this->notRun(attempt, finished.status, now);
         return;
     }
     const bool serverError = finished.status >= firstServerError;
-    this->state.endAttempt(attempt, serverError ? AttemptOutcome::Failed : AttemptOutcome::Completed, 0, now);
+    this->state.endAttempt(
+        attempt, serverError ? AttemptOutcome::Failed : AttemptOutcome::Completed, 0, now, finished.status);
     if (attempt.alone && serverError)
         this->state.broadcastSuspects(this->state.suspects.clear(attempt.suspect, now));
     const auto request = this->dispatched.extract(attempt.request);
@@ -474,7 +475,7 @@
     this->state.release(attempt.request, now);
     if (!failed.mayHaveRun) {
         this->crashChecks.onRefused(attempt.upstream, now);
-        this->notRun(attempt, now);
+        this->notRun(attempt, 0, now);
         return;
     }
     this->dispatched.erase(attempt.request);
--- a/src/teaselshore/node/durable_requests.hpp
+++ b/src/teaselshore/node/durable_requests.hpp
@@ -99,7 +99,7 @@
     std::optional<UpstreamId> choose(
         const JournalRequest& request, std::vector<UpstreamId> excluded, bool alone, Instant now);
     std::optional<UpstreamId> chooseNext(const RunningAttempt& attempt, Instant now);
-    void notRun(const RunningAttempt& attempt, Instant now);
+    void notRun(const RunningAttempt& attempt, int status, Instant now);
     std::optional<ClassifiedRequest> classify(const JournalRequest& request) const;
     std::string addressOf(const NodeId& node) const;
 
--- a/src/teaselshore/node/node.cpp
+++ b/src/teaselshore/node/node.cpp
@@ -10,6 +10,7 @@
 #include "node_state.hpp"
 #include "teaselshore/base/assert.hpp"
 #include "transient_requests.hpp"
+#include "version_rollouts.hpp"
 
 namespace teaselshore {
 
@@ -31,6 +32,7 @@
         , durable(state, crashChecks)
         , transient(state, crashChecks)
         , cluster(state, durable)
+        , rollouts(state)
     {
     }
 
@@ -64,6 +66,7 @@
     DurableRequests durable;
     TransientRequests transient;
     ClusterEvents cluster;
+    VersionRollouts rollouts;
 
     Instant nextHousekeeping {};
     Instant nextCapacity {};
@@ -91,6 +94,7 @@
 {
     std::visit([&](auto& content) { this->impl->handle(content, now); }, event);
     this->impl->applyAdmissionChanges(now);
+    this->impl->rollouts.onEvent(now);
     return std::exchange(this->impl->state.commands, {});
 }
 
@@ -108,6 +112,7 @@
 const Router& Node::router() const { return this->impl->state.router; }
 const SlotOwner& Node::slotOwner() const { return this->impl->durable.slotOwner(); }
 const NodeStatistics& Node::statistics() const { return this->impl->state.statistics; }
+const MoveRecord* Node::move(const ServiceName& service) const { return this->impl->rollouts.move(service); }
 std::size_t Node::openRequests() const { return this->impl->openRequests(); }
 
 std::size_t Node::queuedRequests() const
@@ -166,6 +171,7 @@
         ++this->state.statistics.lateEvents;
         return;
     }
+    this->state.attempts.onFirstByte(event.attempt, now);
     this->transient.onAttemptStarted(*attempt, now);
 }
 
@@ -215,6 +221,12 @@
         this->durable.handle(ForwardAnswered { answer->caller, answer->attempt, answer->answer }, now);
     else if (const auto* suspects = std::get_if<SuspectReports>(&message))
         this->state.suspects.onPeerReports(suspects->reports, now);
+    else if (const auto* evidence = std::get_if<VersionEvidence>(&message))
+        this->rollouts.onEvidence(*evidence, now);
+    else if (const auto* report = std::get_if<VersionReport>(&message))
+        this->rollouts.onReport(*report, now);
+    else if (const auto* update = std::get_if<MoveUpdate>(&message))
+        this->rollouts.onUpdate(sender, *update, now);
     else if (const auto* leave = std::get_if<UpstreamLeaving>(&message))
         this->onUpstreamLeaving(leave->upstream.value(), leave->notice, false, now);
     else if (const auto* handOver = std::get_if<HandOver>(&message))
@@ -234,7 +246,13 @@
         this->durable.onForwardNotSent(read->caller, read->attempt, now);
 }
 
-void Node::Impl::handle(ObjectResult& event, Instant now) { this->durable.handle(event, now); }
+void Node::Impl::handle(ObjectResult& event, Instant now)
+{
+    if (VersionRollouts::owns(event.id))
+        this->rollouts.onObjectResult(event, now);
+    else
+        this->durable.handle(event, now);
+}
 
 void Node::Impl::handle(ConfigurationRead& event, Instant now)
 {
@@ -263,6 +281,7 @@
     if (tellPeers)
         this->state.broadcast(UpstreamLeaving { upstream, notice });
     this->state.router.onUpstreamLeaving(upstream, now);
+    this->rollouts.onUpstreamLost(upstream);
     this->state.broadcastSuspects(this->state.suspects.onReclaimNotice(upstream, now));
     this->state.log(LogLevel::Info, "host will be reclaimed; it gets no new work",
         { { "host", host }, { "noticeMs", std::to_string(notice.count() / 1000) } });
@@ -281,6 +300,8 @@
 void Node::Impl::applyCrashChecks(const std::vector<CrashCheckResult>& results, Instant now)
 {
     for (const CrashCheckResult& result : results) {
+        if (result.crashed)
+            this->rollouts.onUpstreamLost(result.upstream);
         this->transient.onCrashCheck(result, now);
         this->durable.onCrashCheck(result, now);
     }
@@ -302,6 +323,7 @@
     if (this->stopping)
         return;
     this->stopping = true;
+    this->rollouts.stop();
     const Duration limit
         = std::min(event.notice.value_or(this->state.settings.drainTimeout), this->state.settings.drainTimeout);
     this->stopDeadline = now + limit;
@@ -324,6 +346,7 @@
     this->cluster.onTick(now);
     this->applyCrashChecks(this->crashChecks.onTick(now), now);
     this->state.suspects.onTick(now);
+    this->rollouts.onTick(now);
     this->state.admissionChanges.push_back(this->state.admission.onTick(now));
     for (QueryLoad& query : this->state.poller.onTick(now))
         this->state.commands.emplace_back(std::move(query));
--- a/src/teaselshore/node/node_state.cpp
+++ b/src/teaselshore/node/node_state.cpp
@@ -99,8 +99,9 @@
 }
 
 void NodeState::endAttempt(
-    const RunningAttempt& attempt, AttemptOutcome outcome, std::uint32_t outputTokens, Instant now)
+    const RunningAttempt& attempt, AttemptOutcome outcome, std::uint32_t outputTokens, Instant now, int status)
 {
+    this->endedAttempts.push_back({ attempt, outcome, status, this->router.status(attempt.upstream, now) });
     this->router.onFinished(attempt.dispatch, outcome, outputTokens, now);
     if (attempt.alone && outcome == AttemptOutcome::Completed)
         this->broadcastSuspects(this->suspects.clear(attempt.suspect, now));
--- a/src/teaselshore/node/node_state.hpp
+++ b/src/teaselshore/node/node_state.hpp
@@ -24,6 +24,14 @@
 
 namespace teaselshore {
 
+/// @brief Attempt as it ended, with what is known of its upstream at that time.
+struct EndedAttempt {
+    RunningAttempt attempt;
+    AttemptOutcome outcome = AttemptOutcome::Completed;
+    int status = 0;
+    std::optional<UpstreamStatus> upstream;
+};
+
 /// @brief State that the parts of a Node share, and the commands of the event that is being handled.
 struct NodeState {
     explicit NodeState(NodeSettings nodeSettings);
@@ -48,7 +56,10 @@
         const RoutingRequest& routing, const RoutingDecision& decision, Outgoing outgoing, Instant now);
 
     /// @brief Reports the end of an attempt to router and traces. Precondition: it was taken out of the table.
-    void endAttempt(const RunningAttempt& attempt, AttemptOutcome outcome, std::uint32_t outputTokens, Instant now);
+    ///
+    /// status is that of the upstream's response, 0 without one.
+    void endAttempt(
+        const RunningAttempt& attempt, AttemptOutcome outcome, std::uint32_t outputTokens, Instant now, int status = 0);
 
     /// @brief Records a finished hop of a request.
     void recordSpan(const TraceContext& trace, const SpanId& parent, std::string name, Instant start, Instant now,
@@ -82,6 +93,8 @@
     NodeCommands commands;
     /// Changes of admission that the node still has to pass to the requests.
     std::vector<AdmissionChanges> admissionChanges;
+    /// Ended attempts that the node still has to pass to the version rollouts.
+    std::vector<EndedAttempt> endedAttempts;
     /// Running requests that have to make room for more urgent ones.
     std::vector<RequestId> preemptions;
 
--- a/src/teaselshore/node/transient_requests.cpp
+++ b/src/teaselshore/node/transient_requests.cpp
@@ -188,7 +188,7 @@
     const AttemptOutcome outcome = refused ? AttemptOutcome::Refused
         : failed                           ? AttemptOutcome::Failed
                                            : AttemptOutcome::Completed;
-    this->state.endAttempt(attempt, outcome, tokensOf(finished), now);
+    this->state.endAttempt(attempt, outcome, tokensOf(finished), now, finished.status);
     if (attempt.alone && failed)
         this->state.broadcastSuspects(this->state.suspects.clear(attempt.suspect, now));
     if (!request)
--- a/src/teaselshore/peers/peers_task_test.cpp
+++ b/src/teaselshore/peers/peers_task_test.cpp
@@ -18,13 +18,15 @@
 
     PeerMessage numbered(std::uint64_t number, std::size_t size = 0)
     {
-        return RequestMessage(
-            VersionEvidence { ServiceName("s"), VersionName("v"), std::string(size, 'x'), number, 0 });
+        VersionEvidence evidence;
+        evidence.pair.service = ServiceName(std::string(size, 'x'));
+        evidence.fault.to.samples = number;
+        return RequestMessage(evidence);
     }
 
     std::uint64_t numberOf(const PeerMessage& message)
     {
-        return std::get<VersionEvidence>(std::get<RequestMessage>(message)).requests;
+        return std::get<VersionEvidence>(std::get<RequestMessage>(message)).fault.to.samples;
     }
 
     /// @brief Peers task that records what it receives and what it could not send.
--- a/src/teaselshore/protocol/codec_test.cpp
+++ b/src/teaselshore/protocol/codec_test.cpp
@@ -94,6 +94,27 @@
             return result;
         }
 
+        VersionPair pair()
+        {
+            return { ServiceName(this->text()), VersionName(this->text()), VersionName(this->text()),
+                WallTime(std::chrono::seconds(this->below(1U << 31U))) };
+        }
+        EvidenceCounts counts()
+        {
+            return { this->number(), this->number(), this->number(), this->random.uniform(), -this->random.uniform() };
+        }
+        EvidenceCell cell()
+        {
+            return { RouteName(this->text()), ClassName(this->text()), static_cast<LoadBand>(this->below(3)) };
+        }
+        VersionEvidence evidence()
+        {
+            const EvidenceCell at = this->cell();
+            const FaultScope scope { at.route, at.latencyClass, this->flag() ? std::optional(at.load) : std::nullopt };
+            return { this->pair(), NodeId(this->text()),
+                { static_cast<FaultKind>(this->below(2)), scope, this->counts(), this->counts() } };
+        }
+
     private:
         RandomSource random;
     };
@@ -119,8 +140,14 @@
             RequestMessage(ForwardedRead { fields.number(), fields.smallNumber(), RequestId(fields.text()) }),
             RequestMessage(ForwardedAnswer { fields.number(), fields.smallNumber(), fields.answer() }),
             RequestMessage(SuspectReports { fields.reports() }),
-            RequestMessage(VersionEvidence { ServiceName(fields.text()), VersionName(fields.text()), fields.text(),
-                fields.number(), fields.number() }),
+            RequestMessage(fields.evidence()),
+            RequestMessage(VersionReport { fields.pair(), NodeId(fields.text()), fields.number(),
+                { { fields.cell(), VersionName(fields.text()), fields.counts() },
+                    { fields.cell(), VersionName(fields.text()), fields.counts() } },
+                fields.flag() ? std::optional(fields.evidence()) : std::nullopt }),
+            RequestMessage(MoveUpdate {
+                { { ServiceName("s"), VersionName("a"), VersionName("b"), WallTime() }, MoveState::RolledBack, "reason",
+                    fields.smallNumber(), 0.25, WallTime(), WallTime(), fields.number(), {} } }),
             RequestMessage(UpstreamLeaving { UpstreamId(fields.text()), fields.duration() }),
             RequestMessage(HandOver { NodeId(fields.text()), OwnerInstance(fields.text()), fields.number(),
                 fields.optionalText(), { fields.text(), fields.text() } }),
--- a/src/teaselshore/protocol/request_conversions.cpp
+++ b/src/teaselshore/protocol/request_conversions.cpp
@@ -175,12 +175,17 @@
 
     void fill(const VersionEvidence& evidence, wire::Envelope& envelope)
     {
-        wire::VersionEvidence& result = *envelope.mutable_version_evidence();
-        result.set_service(evidence.service.value());
-        result.set_version(evidence.version.value());
-        result.set_reason(evidence.reason);
-        result.set_requests(evidence.requests);
-        result.set_failures(evidence.failures);
+        toWire(evidence, *envelope.mutable_version_evidence());
+    }
+
+    void fill(const VersionReport& report, wire::Envelope& envelope)
+    {
+        toWire(report, *envelope.mutable_version_report());
+    }
+
+    void fill(const MoveUpdate& update, wire::Envelope& envelope)
+    {
+        envelope.mutable_move_update()->set_record(update.record.encode());
     }
 
     void fill(const UpstreamLeaving& leaving, wire::Envelope& envelope)
@@ -237,10 +242,19 @@
         return result;
     }
 
-    RequestMessage fromWire(const wire::VersionEvidence& evidence)
+    template <typename T> std::optional<RequestMessage> asMessage(std::optional<T> content)
     {
-        return VersionEvidence { ServiceName(evidence.service()), VersionName(evidence.version()), evidence.reason(),
-            evidence.requests(), evidence.failures() };
+        if (!content)
+            return std::nullopt;
+        return RequestMessage(*std::move(content));
+    }
+
+    std::optional<RequestMessage> fromWire(const wire::MoveUpdate& update)
+    {
+        const auto record = MoveRecord::decode(update.record());
+        if (!record)
+            return std::nullopt;
+        return MoveUpdate { *record };
     }
 
     RequestMessage fromWire(const wire::HandOver& handOver)
@@ -272,7 +286,11 @@
     case wire::Envelope::kSuspectReports:
         return fromWire(envelope.suspect_reports());
     case wire::Envelope::kVersionEvidence:
-        return fromWire(envelope.version_evidence());
+        return asMessage(versionEvidenceFromWire(envelope.version_evidence()));
+    case wire::Envelope::kVersionReport:
+        return asMessage(versionReportFromWire(envelope.version_report()));
+    case wire::Envelope::kMoveUpdate:
+        return fromWire(envelope.move_update());
     case wire::Envelope::kUpstreamLeaving:
         return UpstreamLeaving { UpstreamId(envelope.upstream_leaving().upstream()),
             Duration(envelope.upstream_leaving().notice_microseconds()) };
