Keep crash suspects across late discoveries of a death; start streams with their first event

A node that discovered dead upstreams late, through refused connections, counted them as one zone loss and excused a poison request. An excused death left its lone retry marked as running, so that the request waited until its deadline. The relay sent the head of a stream before the node knew of it, so a complete error response could follow, which violates an assertion in the daemon. Requests that came before the first configuration dereferenced a null pointer. Notices that came before the configuration were not applied.

--- a/include/teaselshore/reliability/crash_suspects.hpp
+++ b/include/teaselshore/reliability/crash_suspects.hpp
@@ -140,6 +140,17 @@
         std::size_t upstreams = 0;
     };
 
+    /// Death that is known from the crash of a request.
+    struct KnownDeath {
+        Instant at;
+        /// True if the request had crashed another upstream before.
+        bool explained = false;
+    };
+
+    std::optional<KnownDeath> findKnownDeath(const UpstreamId& upstream, Instant now) const;
+    /// @brief Adds that lone retries which an excused death ended may start again.
+    std::vector<SuspectReport> withReturnedRetries(
+        std::vector<SuspectReport> reports, const std::vector<Fingerprint>& requests, Instant now);
     bool isRejected(const Suspect& suspect) const { return suspect.crashes.size() >= 2; }
     bool isKnownSuspect(Fingerprint request) const;
     bool isExcused(const UpstreamId& upstream, Instant at) const;
--- a/src/teaselshore/daemon/request_relay.cpp
+++ b/src/teaselshore/daemon/request_relay.cpp
@@ -219,12 +219,6 @@
     attempt.headers = headers;
     Caller* caller = this->findCaller(attempt.request);
     attempt.relaying = attempt.relay && caller && status == statusOk && isEventStream(headers);
-    if (!attempt.relaying || caller->streaming)
-        return;
-    caller->streaming = true;
-    caller->exchange->startStream(status,
-        { { "content-type", std::string(eventStreamType) }, { "cache-control", "no-cache" },
-            { "x-request-id", attempt.request.value() } });
 }
 
 void RequestRelay::Impl::onData(AttemptId id, std::string_view bytes)
@@ -252,6 +246,14 @@
     const std::string complete = caller->events.takeComplete(bytes);
     if (complete.empty())
         return;
+    // Not before the first complete event, which AttemptStarted reports: until then the node may still answer with a
+    // complete error response.
+    if (!caller->streaming) {
+        caller->streaming = true;
+        caller->exchange->startStream(statusOk,
+            { { "content-type", std::string(eventStreamType) }, { "cache-control", "no-cache" },
+                { "x-request-id", attempt.request.value() } });
+    }
     this->counters.relayedBytes += complete.size();
     caller->exchange->write(complete);
     if (caller->exchange->pendingBytes() > this->settings.maxPendingStreamBytes) {
--- a/src/teaselshore/node/durable_requests.cpp
+++ b/src/teaselshore/node/durable_requests.cpp
@@ -56,6 +56,8 @@
 
 std::optional<ClassifiedRequest> DurableRequests::classify(const JournalRequest& request) const
 {
+    if (!this->state.configuration)
+        return std::nullopt;
     const RequestArrived arrived { request.id, request.method, request.path, request.headers, request.body };
     auto result = classifyRequest(arrived, *this->state.configuration, this->state.settings.defaultOutputTokens);
     if (auto* classified = std::get_if<ClassifiedRequest>(&result))
@@ -294,7 +296,8 @@
 
 void DurableRequests::execute(const LookUpOutcome& command, Instant now)
 {
-    const ServiceConfiguration* service = this->state.configuration->findService(command.service);
+    const auto configuration = this->state.configuration;
+    const ServiceConfiguration* service = configuration ? configuration->findService(command.service) : nullptr;
     if (!service || service->outcomeLookup.empty()) {
         this->handle(OutcomeLookedUp { command.request, std::nullopt }, now);
         return;
--- a/src/teaselshore/node/node.cpp
+++ b/src/teaselshore/node/node.cpp
@@ -53,6 +53,8 @@
 
     void receive(const std::string& sender, const RequestMessage& message, Instant now);
     std::string addressOf(const UpstreamId& id) const;
+    /// @brief Applies notices that came before the configuration that names their upstream.
+    void applyEarlyNotices(Instant now);
     void onUpstreamLeaving(const std::string& host, Duration notice, bool tellPeers, Instant now);
     void applyAdmissionChanges(Instant now);
     void applyCrashChecks(const std::vector<CrashCheckResult>& results, Instant now);
@@ -74,8 +76,11 @@
         std::string address;
         /// Time to move the remaining attempts.
         Instant moveAt {};
+        Instant stopsAt {};
     };
     std::map<UpstreamId, Leaving> leaving;
+    /// Configuration version up to which early notices were applied.
+    ConfigurationVersion noticesVersion = 0;
     bool stopping = false;
     bool slotsReleasing = false;
     bool stopped = false;
@@ -97,6 +102,7 @@
 NodeCommands Node::handle(NodeEvent event, Instant now)
 {
     std::visit([&](auto& content) { this->impl->handle(content, now); }, event);
+    this->impl->applyEarlyNotices(now);
     this->impl->applyAdmissionChanges(now);
     return std::exchange(this->impl->state.commands, {});
 }
@@ -269,6 +275,20 @@
     return {};
 }
 
+void Node::Impl::applyEarlyNotices(Instant now)
+{
+    if (this->noticesVersion == this->state.configurationVersion)
+        return;
+    this->noticesVersion = this->state.configurationVersion;
+    for (auto& [upstream, leave] : this->leaving) {
+        if (!leave.address.empty())
+            continue;
+        leave.address = this->addressOf(upstream);
+        if (!leave.address.empty() && now < leave.stopsAt)
+            this->state.router.onUpstreamLeaving(upstream, now);
+    }
+}
+
 void Node::Impl::onUpstreamLeaving(const std::string& host, Duration notice, bool tellPeers, Instant now)
 {
     if (host == this->state.settings.hostName) {
@@ -284,7 +304,7 @@
     const auto known = this->leaving.find(upstream);
     if (known != this->leaving.end() && known->second.address == address)
         return;
-    this->leaving.insert_or_assign(upstream, Leaving { address, moveAt });
+    this->leaving.insert_or_assign(upstream, Leaving { address, moveAt, now + notice });
     if (tellPeers)
         this->state.broadcast(UpstreamLeaving { upstream, notice });
     this->state.router.onUpstreamLeaving(upstream, now);
--- a/src/teaselshore/node/node_upstreams_test.cpp
+++ b/src/teaselshore/node/node_upstreams_test.cpp
@@ -242,8 +242,6 @@
     const auto caller = process.callers.find(attempt.request);
     const bool stream = findHeader(attempt.headers, "content-type") == "text/event-stream";
     attempt.relaying = attempt.relay && caller != process.callers.end() && status == statusOk && stream;
-    if (attempt.relaying)
-        caller->second->streaming = true;
 }
 
 void NodeCluster::onData(Process& process, AttemptId id, const std::string& bytes)
@@ -262,8 +260,11 @@
     if (caller == process.callers.end())
         return;
     const std::string complete = caller->second->events.takeComplete(bytes);
+    if (complete.empty())
+        return;
+    caller->second->streaming = true;
     caller->second->received += complete;
-    if (complete.empty() || attempt.announced)
+    if (attempt.announced)
         return;
     attempt.announced = true;
     this->emit(process, AttemptStarted { id, attempt.headers });
--- a/src/teaselshore/node/transient_requests.cpp
+++ b/src/teaselshore/node/transient_requests.cpp
@@ -176,6 +176,7 @@
     if (!request)
         return;
     request->mayHaveRun = true;
+    request->streaming = true;
     // Tokens of two versions must not be mixed in one response.
     request->version = attempt.version;
 }
@@ -356,7 +357,7 @@
     const RequestId id = request.arrived.request;
     TEASELSHORE_ASSERT(
         error.code != ErrorCode::NotRun || !request.mayHaveRun, "not_run after the request may have run");
-    if (request.relayedEvents > request.classified.deliveredEvents)
+    if (request.streaming)
         this->state.commands.emplace_back(FailStream { id, errorBody(id, error) });
     else
         this->state.commands.emplace_back(errorResponse(id, error));
--- a/src/teaselshore/node/transient_requests.hpp
+++ b/src/teaselshore/node/transient_requests.hpp
@@ -72,6 +72,8 @@
         std::uint64_t relayedEvents = 0;
         bool mayHaveRun = false;
         bool preempting = false;
+        /// The caller has got the head of the stream.
+        bool streaming = false;
         std::vector<UpstreamId> excluded;
         std::optional<VersionName> version;
         Backoff backoff;
--- a/src/teaselshore/reliability/crash_suspects.cpp
+++ b/src/teaselshore/reliability/crash_suspects.cpp
@@ -30,7 +30,16 @@
 std::vector<SuspectReport> CrashSuspects::onUpstreamCrashed(const UpstreamCrash& crash, Instant now)
 {
     if (crash.hadReclaimNotice || this->isExcused(crash.upstream, now))
-        return this->onReclaimNotice(crash.upstream, now);
+        return this->withReturnedRetries(this->onReclaimNotice(crash.upstream, now), crash.running, now);
+
+    Instant at = now;
+    if (crash.running.empty()) {
+        // A refused connection shows a death that another node may have reported earlier.
+        const auto known = this->findKnownDeath(crash.upstream, now);
+        if (known && known->explained)
+            return {};
+        at = known ? known->at : now;
+    }
 
     const bool alone = crash.running.size() == 1;
     // A crash that its suspects explain is no evidence for the loss of the zone.
@@ -40,11 +49,11 @@
     Zone& zone = this->zones[crash.zone];
     zone.upstreams = crash.upstreamsInZone;
     if (!explained)
-        this->addDeath(zone, crash.upstream, now);
+        this->addDeath(zone, crash.upstream, at);
 
-    if (this->isZoneLost(zone, now)) {
-        this->addDeath(zone, crash.upstream, now);
-        return this->excuseLostZone(crash.zone, now, now);
+    if (this->isZoneLost(zone, at)) {
+        this->addDeath(zone, crash.upstream, at);
+        return this->withReturnedRetries(this->excuseLostZone(crash.zone, at, now), crash.running, now);
     }
 
     std::vector<SuspectReport> reports;
@@ -55,6 +64,31 @@
     return reports;
 }
 
+std::vector<SuspectReport> CrashSuspects::withReturnedRetries(
+    std::vector<SuspectReport> reports, const std::vector<Fingerprint>& requests, Instant now)
+{
+    for (const Fingerprint request : requests) {
+        for (SuspectReport& report : this->onRetryReturned(request, now))
+            reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+std::optional<CrashSuspects::KnownDeath> CrashSuspects::findKnownDeath(const UpstreamId& upstream, Instant now) const
+{
+    std::optional<KnownDeath> result;
+    for (const auto& [request, suspect] : this->suspects) {
+        for (const Crash& crash : suspect.crashes) {
+            if (crash.upstream != upstream || distance(crash.at, now) > sameDeathWindow)
+                continue;
+            // Only the first crash of a request is no proof against the request itself.
+            const bool explained = &crash != &suspect.crashes.front();
+            result = KnownDeath { crash.at, explained && (!result || result->explained) };
+        }
+    }
+    return result;
+}
+
 std::vector<SuspectReport> CrashSuspects::onReclaimNotice(const UpstreamId& upstream, Instant now)
 {
     this->excuse(upstream, now);
