--- a/src/teaselshore/node/cluster_events.cpp
+++ b/src/teaselshore/node/cluster_events.cpp
@@ -122,6 +122,7 @@
     this->state.log(LogLevel::Info, live ? "member joined" : "member left",
         { { "member", change.member.id.value() }, { "address", change.member.address } });
     if (!live) {
+        this->state.onMemberDead(change.member.id, now);
         this->durable.handle(MemberDead { change.member.id }, now);
         return;
     }
--- a/src/teaselshore/node/node.cpp
+++ b/src/teaselshore/node/node.cpp
@@ -16,6 +16,8 @@
 namespace {
 
     constexpr Duration housekeepingPeriod = std::chrono::milliseconds(20);
+    /// A configuration that comes later than this after the end of a notice may name the replacement already.
+    constexpr Duration noticeGrace = std::chrono::seconds(2);
     constexpr Duration capacityPeriod = std::chrono::milliseconds(200);
     constexpr Duration noConfigurationRetryAfter = std::chrono::seconds(1);
     constexpr int statusNotFound = 404;
@@ -51,7 +53,7 @@
     void handle(StopRequested& event, Instant now);
     void handle(Tick& event, Instant now);
 
-    void receive(const std::string& sender, const RequestMessage& message, Instant now);
+    void receive(const NodeId& sender, const std::string& senderAddress, const RequestMessage& message, Instant now);
     std::string addressOf(const UpstreamId& id) const;
     /// @brief Applies notices that came before the configuration that names their upstream.
     void applyEarlyNotices(Instant now);
@@ -215,19 +217,20 @@
     else if (const auto* configuration = std::get_if<ConfigurationMessage>(&event.content))
         this->cluster.onConfigurationMessage(event.senderAddress, *configuration, now);
     else
-        this->receive(event.senderAddress, std::get<RequestMessage>(event.content), now);
+        this->receive(event.sender, event.senderAddress, std::get<RequestMessage>(event.content), now);
 }
 
-void Node::Impl::receive(const std::string& sender, const RequestMessage& message, Instant now)
+void Node::Impl::receive(
+    const NodeId& sender, const std::string& senderAddress, const RequestMessage& message, Instant now)
 {
     if (const auto* request = std::get_if<ForwardedRequest>(&message))
-        this->durable.onForwarded(sender, *request, now);
+        this->durable.onForwarded(senderAddress, *request, now);
     else if (const auto* read = std::get_if<ForwardedRead>(&message))
-        this->durable.onForwarded(sender, *read, now);
+        this->durable.onForwarded(senderAddress, *read, now);
     else if (const auto* answer = std::get_if<ForwardedAnswer>(&message))
         this->durable.handle(ForwardAnswered { answer->caller, answer->attempt, answer->answer }, now);
     else if (const auto* suspects = std::get_if<SuspectReports>(&message))
-        this->state.suspects.onPeerReports(suspects->reports, now);
+        this->state.onSuspectReports(sender, suspects->reports, now);
     else if (const auto* leave = std::get_if<UpstreamLeaving>(&message))
         this->onUpstreamLeaving(leave->upstream.value(), leave->notice, false, now);
     else if (const auto* handOver = std::get_if<HandOver>(&message))
@@ -284,7 +287,7 @@
         if (!leave.address.empty())
             continue;
         leave.address = this->addressOf(upstream);
-        if (!leave.address.empty() && now < leave.stopsAt)
+        if (!leave.address.empty() && now < leave.stopsAt + noticeGrace)
             this->state.router.onUpstreamLeaving(upstream, now);
     }
 }
--- a/src/teaselshore/node/node_cluster_test.cpp
+++ b/src/teaselshore/node/node_cluster_test.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-    constexpr std::size_t engineCount = 9;
-    constexpr std::size_t plainCount = 3;
+    constexpr std::size_t engineCount = 15;
+    constexpr std::size_t plainCount = 6;
     const std::vector<std::string> zones { "za", "zb", "zc" };
     constexpr std::string_view configurationKey = "configuration";
     constexpr std::string_view invalidText = "classes: [broken";
@@ -116,6 +116,8 @@
     node.router.zone = node.self.zone;
     node.router.seed = node.seed;
     node.idleTimeout = seconds(3);
+    // Several faults at once in the small zones must not look like the loss of a zone.
+    node.crashSuspects.zoneLossUpstreams = 5;
     node.slotOwner.maxOwners = 3;
     node.slotOwner.claimDelay = seconds(0.8);
     node.slotOwner.mapReadInterval = seconds(0.5);
--- a/src/teaselshore/node/node_state.cpp
+++ b/src/teaselshore/node/node_state.cpp
@@ -67,6 +67,27 @@
         this->broadcast(SuspectReports { std::move(reports) });
 }
 
+void NodeState::onSuspectReports(const NodeId& sender, const std::vector<SuspectReport>& reports, Instant now)
+{
+    for (const SuspectReport& report : reports) {
+        if (report.kind == SuspectReportKind::RetryStarted)
+            this->retryNodes.try_emplace(report.request, sender);
+        else if (report.kind != SuspectReportKind::Excused)
+            this->retryNodes.erase(report.request);
+    }
+    this->suspects.onPeerReports(reports, now);
+}
+
+void NodeState::onMemberDead(const NodeId& member, Instant now)
+{
+    std::erase_if(this->retryNodes, [&](const auto& entry) {
+        if (entry.second != member)
+            return false;
+        this->suspects.onRetryReturned(entry.first, now);
+        return true;
+    });
+}
+
 AttemptId NodeState::startAttempt(
     const RoutingRequest& routing, const RoutingDecision& decision, Outgoing outgoing, Instant now)
 {
--- a/src/teaselshore/node/node_state.hpp
+++ b/src/teaselshore/node/node_state.hpp
@@ -37,6 +37,12 @@
     /// @brief Tells all peers about crash suspects, if there is anything to tell.
     void broadcastSuspects(std::vector<SuspectReport> reports);
 
+    /// @brief Takes over a peer's crash suspects, and remembers which lone retries run at it.
+    void onSuspectReports(const NodeId& sender, const std::vector<SuspectReport>& reports, Instant now);
+
+    /// @brief Lets another node run the lone retries of a member that died.
+    void onMemberDead(const NodeId& member, Instant now);
+
     /// @brief Attempt that is about to be sent; startAttempt() fills in what follows from the decision.
     struct Outgoing {
         RunningAttempt attempt;
@@ -87,6 +93,8 @@
 
 private:
     std::map<ServiceName, RetryBudget> retryBudgets;
+    /// Nodes that first told of a lone retry, which is the node that runs it unless its message was lost.
+    std::map<Fingerprint, NodeId> retryNodes;
 };
 
 } // namespace teaselshore
--- a/src/teaselshore/reliability/crash_suspects.cpp
+++ b/src/teaselshore/reliability/crash_suspects.cpp
@@ -265,8 +265,12 @@
     const Instant at = now - report.age;
     switch (report.kind) {
     case SuspectReportKind::Crash: {
-        if (this->isExcused(report.upstream, at))
+        if (this->isExcused(report.upstream, at)) {
+            // The lone retry gave no evidence, so it may run again.
+            if (report.alone)
+                this->onRetryReturned(report.request, now);
             return;
+        }
         this->addCrash(report.request, Crash { report.upstream, report.zone, at, report.alone }, now);
         Zone& zone = this->zones[report.zone];
         if (report.alone)
