--- a/src/teaselshore/node/cluster_events.cpp
+++ b/src/teaselshore/node/cluster_events.cpp
@@ -125,6 +125,7 @@
         // A restarted process may already be live at the same address.
         if (!this->state.membership.findLiveAt(change.member.address))
             this->state.commands.emplace_back(ForgetPeer { change.member.address });
+        this->state.onMemberDead(change.member.id, now);
         this->durable.handle(MemberDead { change.member.id }, now);
         return;
     }
--- a/src/teaselshore/node/node.cpp
+++ b/src/teaselshore/node/node.cpp
@@ -19,6 +19,8 @@
     constexpr Duration housekeepingPeriod = std::chrono::milliseconds(20);
     constexpr Duration capacityPeriod = std::chrono::milliseconds(100);
     constexpr Duration noticeRetention = std::chrono::minutes(10);
+    /// A configuration that comes later than this after the end of a notice may name the replacement already.
+    constexpr Duration noticeGrace = std::chrono::seconds(2);
     constexpr Duration noConfigurationRetryAfter = std::chrono::seconds(1);
     constexpr std::size_t requestIdDigits = 20;
     constexpr std::string_view storedResponsePrefix = "/v1/requests/";
@@ -53,8 +55,10 @@
     void handle(StopRequested& event, Instant now);
     void handle(Tick& event, Instant now);
 
-    void receive(const std::string& sender, const RequestMessage& message, Instant now);
+    void receive(const NodeId& sender, const std::string& senderAddress, const RequestMessage& message, Instant now);
     std::string addressOf(const UpstreamId& id) const;
+    /// @brief Applies notices that came before the configuration that names their upstream.
+    void applyEarlyNotices(Instant now);
     void onUpstreamLeaving(const std::string& host, Duration notice, bool tellPeers, Instant now);
     void applyAdmissionChanges(Instant now);
     void applyCrashChecks(const std::vector<CrashCheckResult>& results, Instant now);
@@ -79,8 +83,11 @@
         /// Time to move the remaining attempts.
         Instant moveAt {};
         bool moved = false;
+        Instant stopsAt {};
     };
     std::map<UpstreamId, Leaving> leaving;
+    /// Configuration version up to which early notices were applied.
+    ConfigurationVersion noticesVersion = 0;
     bool stopping = false;
     bool slotsReleasing = false;
     bool stopped = false;
@@ -102,6 +109,7 @@
 NodeCommands Node::handle(NodeEvent event, Instant now)
 {
     std::visit([&](auto& content) { this->impl->handle(content, now); }, event);
+    this->impl->applyEarlyNotices(now);
     this->impl->applyAdmissionChanges(now);
     this->impl->rollouts.onEvent(now);
     return std::exchange(this->impl->state.commands, {});
@@ -217,19 +225,20 @@
     else if (const auto* configuration = std::get_if<ConfigurationMessage>(&event.content))
         this->cluster.onConfigurationMessage(event.senderAddress, *configuration, now);
     else
-        this->receive(event.senderAddress, std::get<RequestMessage>(event.content), now);
+        this->receive(event.sender, event.senderAddress, std::get<RequestMessage>(event.content), now);
 }
 
-void Node::Impl::receive(const std::string& sender, const RequestMessage& message, Instant now)
+void Node::Impl::receive(
+    const NodeId& sender, const std::string& senderAddress, const RequestMessage& message, Instant now)
 {
     if (const auto* request = std::get_if<ForwardedRequest>(&message))
-        this->durable.onForwarded(sender, *request, now);
+        this->durable.onForwarded(senderAddress, *request, now);
     else if (const auto* read = std::get_if<ForwardedRead>(&message))
-        this->durable.onForwarded(sender, *read, now);
+        this->durable.onForwarded(senderAddress, *read, now);
     else if (const auto* answer = std::get_if<ForwardedAnswer>(&message))
         this->durable.handle(ForwardAnswered { answer->caller, answer->attempt, answer->answer }, now);
     else if (const auto* suspects = std::get_if<SuspectReports>(&message))
-        this->state.suspects.onPeerReports(suspects->reports, now);
+        this->state.onSuspectReports(sender, suspects->reports, now);
     else if (const auto* evidence = std::get_if<VersionEvidence>(&message))
         this->rollouts.onEvidence(*evidence, now);
     else if (const auto* report = std::get_if<VersionReport>(&message))
@@ -289,6 +298,20 @@
     return {};
 }
 
+void Node::Impl::applyEarlyNotices(Instant now)
+{
+    if (this->noticesVersion == this->state.configurationVersion)
+        return;
+    this->noticesVersion = this->state.configurationVersion;
+    for (auto& [upstream, leave] : this->leaving) {
+        if (!leave.address.empty())
+            continue;
+        leave.address = this->addressOf(upstream);
+        if (!leave.address.empty() && now < leave.stopsAt + noticeGrace)
+            this->state.router.onUpstreamLeaving(upstream, now);
+    }
+}
+
 void Node::Impl::onUpstreamLeaving(const std::string& host, Duration notice, bool tellPeers, Instant now)
 {
     if (host == this->state.settings.hostName) {
@@ -304,7 +327,7 @@
     const auto known = this->leaving.find(upstream);
     if (known != this->leaving.end() && known->second.address == address)
         return;
-    this->leaving.insert_or_assign(upstream, Leaving { address, moveAt });
+    this->leaving.insert_or_assign(upstream, Leaving { address, moveAt, false, now + notice });
     if (tellPeers)
         this->state.broadcast(UpstreamLeaving { upstream, notice });
     this->state.router.onUpstreamLeaving(upstream, now);
