--- a/src/teaselshore/node/node.cpp
+++ b/src/teaselshore/node/node.cpp
@@ -244,7 +244,7 @@
     else if (const auto* report = std::get_if<VersionReport>(&message))
         this->rollouts.onReport(*report, now);
     else if (const auto* update = std::get_if<MoveUpdate>(&message))
-        this->rollouts.onUpdate(sender, *update, now);
+        this->rollouts.onUpdate(senderAddress, *update, now);
     else if (const auto* leave = std::get_if<UpstreamLeaving>(&message))
         this->onUpstreamLeaving(leave->upstream.value(), leave->notice, false, now);
     else if (const auto* handOver = std::get_if<HandOver>(&message))
--- a/src/teaselshore/node/node_test_support.hpp
+++ b/src/teaselshore/node/node_test_support.hpp
@@ -181,6 +181,8 @@
     void execute(Process& process, CallObjectApi& command);
     void execute(Process& process, WatchConfiguration& command);
     void execute(Process& process, ReadHostList& command);
+    /// Connections are not modelled.
+    void execute(Process&, ForgetPeer&) { }
     void execute(Process& process, ReadNotices& command);
     void execute(Process& process, QueryLoad& command);
     void execute(Process& process, QueryOutcome& command);
