Run callbacks of completed writes after timers of the event loop

Cause: timers run outside h2o's rounds. A write that completed in a timer left its socket registered for writing without a callback; when more than 256 sockets were ready, h2o reported it a round later and aborted the process (write_pending: Assertion sock->super._cb.write != NULL). The daemon aborted in scripts/bench with 400 streams.

Change: run h2o's pending callbacks after the timers. Test with 600 kept-alive connections, which aborts without it.

--- a/src/teaselshore/http/event_loop.cpp
+++ b/src/teaselshore/http/event_loop.cpp
@@ -63,9 +63,8 @@
 {
     this->entered = true;
     while (!this->stopping.load(std::memory_order_acquire)) {
-        // Socket callbacks that became due inside a timer wait for the next round, which must not block.
-        const bool ranTimer = this->runDueTimers();
-        h2o_evloop_run(this->loop, ranTimer ? 0 : this->waitMilliseconds());
+        this->runDueTimers();
+        h2o_evloop_run(this->loop, this->waitMilliseconds());
     }
     this->stopping.store(false, std::memory_order_release);
 }
@@ -115,6 +114,11 @@
         node.mapped()();
         ran = true;
     }
+    // h2o runs the callbacks of completed writes before each poll. It registers a socket whose write completed in a
+    // timer for writing otherwise, and aborts when more than 256 sockets are ready and that one is reported a round
+    // later.
+    if (ran)
+        h2o_timeout__do_post_callback(this->loop);
     return ran;
 }
 
--- a/src/teaselshore/http/http_client_test.cpp
+++ b/src/teaselshore/http/http_client_test.cpp
@@ -82,6 +82,32 @@
         }
     }
 
+    // Guards against an abort inside h2o when timers write on kept-alive connections while more sockets are ready than
+    // one poll reports (256).
+    TEST(HttpClient, WritesFromTimersWhileManySocketsAreReady)
+    {
+        constexpr std::size_t calls = 600;
+        constexpr std::size_t rounds = 6;
+        HttpFixture fixture([](const std::shared_ptr<ServerExchange>& exchange) {
+            exchange->reply({ 200, {}, "ok" });
+        });
+        std::size_t ended = 0;
+        std::size_t failed = 0;
+        for (std::size_t round = 1; round <= rounds; ++round) {
+            for (std::size_t index = 0; index < calls; ++index) {
+                // Timers of several rounds of the loop, so that some calls start while others are being answered.
+                fixture.loop->runAfter(std::chrono::milliseconds(index % 4), [&] {
+                    HttpCallHandlers handlers;
+                    handlers.onEnd = [&] { ++ended; };
+                    handlers.onError = [&](const HttpError&) { ++failed; };
+                    fixture.client->start(fixture.call("GET", "/"), std::move(handlers));
+                });
+            }
+            EXPECT_TRUE(fixture.runUntil([&] { return ended + failed == round * calls; }));
+        }
+        EXPECT_EQ(failed, 0U);
+    }
+
     // Guards against replies that two parsers would delimit differently, and against broken ones taken as valid.
     TEST(HttpClient, RefusesMalformedReplies)
     {
