Conclude crash checks only from their own load query

A regular load query sent just before a crash was answered with the state before it, so the check took the upstream for alive and its request did not become a crash suspect.

--- a/include/teaselshore/node/node_command.hpp
+++ b/include/teaselshore/node/node_command.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
@@ -49,6 +50,8 @@
     UpstreamId upstream;
     std::string authority;
     bool engine = false;
+    /// Number that LoadQueried repeats; 0 for regular queries.
+    std::uint64_t check = 0;
 
     auto operator<=>(const QueryLoad&) const = default;
 };
--- a/include/teaselshore/node/node_event.hpp
+++ b/include/teaselshore/node/node_event.hpp
@@ -76,6 +76,8 @@
     std::optional<LoadReport> report;
     /// True if the upstream's host refused the connection.
     bool refused = false;
+    /// Number of the QueryLoad.
+    std::uint64_t check = 0;
 
     auto operator<=>(const LoadQueried&) const = default;
 };
--- a/src/teaselshore/daemon/upstream_queries.cpp
+++ b/src/teaselshore/daemon/upstream_queries.cpp
@@ -158,7 +158,7 @@
             const auto self = weak.lock();
             if (!self)
                 return;
-            LoadQueried result { query.upstream, std::nullopt, false };
+            LoadQueried result { query.upstream, std::nullopt, false, query.check };
             if (response)
                 result.report = parseLoad(query.upstream, *response);
             else
--- a/src/teaselshore/node/crash_checks.cpp
+++ b/src/teaselshore/node/crash_checks.cpp
@@ -50,14 +50,16 @@
     if (!added)
         return position->second;
     position->second.startedAt = now;
+    position->second.number = ++this->lastNumber;
     if (const auto* found = findUpstream(*this->state.configuration, upstream))
-        this->state.commands.emplace_back(QueryLoad { upstream, found->address, false });
+        this->state.commands.emplace_back(QueryLoad { upstream, found->address, false, this->lastNumber });
     return position->second;
 }
 
 std::vector<CrashCheckResult> CrashChecks::onLoadQueried(const LoadQueried& result, Instant now)
 {
-    if (!this->checks.contains(result.upstream))
+    const auto found = this->checks.find(result.upstream);
+    if (found == this->checks.end() || found->second.number != result.check)
         return {};
     return { this->conclude(result.upstream, !result.report.has_value(), now) };
 }
--- a/src/teaselshore/node/crash_checks.hpp
+++ b/src/teaselshore/node/crash_checks.hpp
@@ -47,6 +47,9 @@
 private:
     struct Check {
         Instant startedAt {};
+        /// Tells the answer to the check's own query from the answer to an earlier one, which may show the upstream as
+        /// it was before its death.
+        std::uint64_t number = 0;
         std::vector<BrokenRequest> requests;
     };
 
@@ -56,6 +59,7 @@
 
     NodeState& state;
     std::map<UpstreamId, Check> checks;
+    std::uint64_t lastNumber = 0;
 };
 
 } // namespace teaselshore
--- a/src/teaselshore/node/node_test_support.hpp
+++ b/src/teaselshore/node/node_test_support.hpp
@@ -99,6 +99,8 @@
         std::map<RequestId, std::shared_ptr<Caller>> callers;
         std::map<std::string, Instant> noticeKnown;
         std::deque<std::function<void()>> inbox;
+        /// Callers that wait for a paused process.
+        std::set<std::shared_ptr<Caller>> connecting;
     };
 
     struct Upstream {
@@ -126,7 +128,9 @@
     struct Patient {
         std::string location;
         std::string expected;
+        bool order = false;
         bool finished = false;
+        bool unknown = false;
     };
 
     struct PoisonRecord {
