--- a/src/teaselshore/node/crash_checks.hpp
+++ b/src/teaselshore/node/crash_checks.hpp
@@ -41,6 +41,9 @@
     /// @brief Ends the check of the upstream, if one is running, and reports a crash to router, suspects and peers.
     std::vector<CrashCheckResult> onLoadQueried(const LoadQueried& result, Instant now);
 
+    /// @brief Returns whether a check of the upstream is running.
+    bool checking(const UpstreamId& upstream) const { return this->checks.contains(upstream); }
+
     /// @brief Ends checks without an answer; the upstream counts as dead.
     std::vector<CrashCheckResult> onTick(Instant now);
 
--- a/src/teaselshore/node/node.cpp
+++ b/src/teaselshore/node/node.cpp
@@ -323,7 +323,7 @@
     this->state.poller.onQueried(event.upstream, event.report.has_value());
     // The check has to see whether the upstream was leaving, which its death hides.
     this->applyCrashChecks(this->crashChecks.onLoadQueried(event, now), now);
-    if (event.refused)
+    if (event.refused && !this->crashChecks.checking(event.upstream))
         this->state.router.onUpstreamDead(event.upstream, now);
 }
 
--- a/src/teaselshore/node/node_faults_test.cpp
+++ b/src/teaselshore/node/node_faults_test.cpp
@@ -145,6 +145,7 @@
     if (upstream.stopsAt)
         return;
     this->note("upstream reclaim announced");
+    this->excuses.emplace_back(this->now, upstream.id);
     upstream.stopsAt = this->now + notice;
     this->after(notice, [this, &upstream] {
         this->crashUpstream(upstream, "reclaim");
@@ -171,6 +172,7 @@
     for (Upstream& upstream : this->upstreams) {
         if (upstream.zone != zone)
             continue;
+        this->excuses.emplace_back(this->now, upstream.id);
         if (announced)
             this->reclaimUpstream(upstream, notice);
         else
--- a/src/teaselshore/node/node_test_support.hpp
+++ b/src/teaselshore/node/node_test_support.hpp
@@ -134,7 +134,7 @@
     };
 
     struct PoisonRecord {
-        std::size_t crashes = 0;
+        std::vector<std::pair<Instant, UpstreamId>> crashes;
         std::size_t tries = 0;
         bool rejected = false;
         Instant startedAt {};
@@ -232,6 +232,7 @@
     void checkStream(const Caller& caller);
     void checkResponse(const Caller& caller);
     void checkConfigurations();
+    std::size_t countedCrashes(const PoisonRecord& poison) const;
     void checkEnd();
 
     ClusterSettings settings;
@@ -257,6 +258,8 @@
     std::uint64_t addresses = 0;
     /// Faults after which peers may miss a suspect report.
     std::vector<Instant> disturbances;
+    /// Notices and zone losses, which excuse crashes on the upstream at about the same time.
+    std::vector<std::pair<Instant, UpstreamId>> excuses;
 
     std::size_t callerCount = 0;
     std::map<RequestId, std::shared_ptr<Caller>> callers;
