--- a/src/teaselshore/node/crash_checks.hpp
+++ b/src/teaselshore/node/crash_checks.hpp
@@ -41,12 +41,18 @@
     /// @brief Ends the check of the upstream, if one is running, and reports a crash to router, suspects and peers.
     std::vector<CrashCheckResult> onLoadQueried(const LoadQueried& result, Instant now);
 
+    /// @brief Returns whether a check of the upstream is running.
+    bool checking(const UpstreamId& upstream) const { return this->checks.contains(upstream); }
+
     /// @brief Ends checks without an answer; the upstream counts as dead.
     std::vector<CrashCheckResult> onTick(Instant now);
 
 private:
     struct Check {
         Instant startedAt {};
+        /// Tells the answer to the check's own query from the answer to an earlier one, which may show the upstream as
+        /// it was before its death.
+        std::uint64_t number = 0;
         std::vector<BrokenRequest> requests;
     };
 
@@ -56,6 +62,7 @@
 
     NodeState& state;
     std::map<UpstreamId, Check> checks;
+    std::uint64_t lastNumber = 0;
 };
 
 } // namespace teaselshore
--- a/src/teaselshore/node/node_test_support.hpp
+++ b/src/teaselshore/node/node_test_support.hpp
@@ -99,6 +99,8 @@
         std::map<RequestId, std::shared_ptr<Caller>> callers;
         std::map<std::string, Instant> noticeKnown;
         std::deque<std::function<void()>> inbox;
+        /// Callers that wait for a paused process.
+        std::set<std::shared_ptr<Caller>> connecting;
     };
 
     struct Upstream {
@@ -126,11 +128,13 @@
     struct Patient {
         std::string location;
         std::string expected;
+        bool order = false;
         bool finished = false;
+        bool unknown = false;
     };
 
     struct PoisonRecord {
-        std::size_t crashes = 0;
+        std::vector<std::pair<Instant, UpstreamId>> crashes;
         std::size_t tries = 0;
         bool rejected = false;
         Instant startedAt {};
@@ -230,6 +234,7 @@
     void checkStream(const Caller& caller);
     void checkResponse(const Caller& caller);
     void checkConfigurations();
+    std::size_t countedCrashes(const PoisonRecord& poison) const;
     void checkEnd();
 
     ClusterSettings settings;
@@ -255,6 +260,8 @@
     std::uint64_t addresses = 0;
     /// Faults after which peers may miss a suspect report.
     std::vector<Instant> disturbances;
+    /// Notices and zone losses, which excuse crashes on the upstream at about the same time.
+    std::vector<std::pair<Instant, UpstreamId>> excuses;
 
     std::size_t callerCount = 0;
     std::map<RequestId, std::shared_ptr<Caller>> callers;
