Let short rollouts and rare routes proceed with less evidence at small shares

In a trial with real processes (scripts/rollout-trial good, 120 s, 150 status lookups/s and 15 orders/s) the first step never ended: a rare route needed 10 attempts at a share of 0.5%, and the exception for little traffic began only after the deadline. A rare route now needs 3 attempts below a share of 10%, and the exception begins after an eighth of the time.

--- a/include/teaselshore/control/move_plan.hpp
+++ b/include/teaselshore/control/move_plan.hpp
@@ -33,12 +33,16 @@
     std::chrono::seconds minStep { 5 };
     /// Longest wait at one share if the deadline is far away.
     std::chrono::seconds maxStep { 1800 };
-    /// Samples that suffice for a step with little traffic.
+    /// Samples that a route with less traffic than the busiest needs, and that suffice for a step with little traffic.
     std::uint64_t minSamples = 10;
-    /// Time from which on a step counts as one with little traffic; at least twice its planned time.
+    /// The same for a rare route at shares below smallShare.
+    std::uint64_t minSamplesAtSmallShare = 3;
+    /// Time after which a step counts as one with little traffic: this or an eighth of the time from start to deadline,
+    /// whichever is less, but at least twice the planned time of the step.
     std::chrono::seconds sparseTrafficWait { 120 };
-    /// Shares below it bring no evidence if traffic is very little, and a step at them may end without any.
-    double negligibleShare = 0.1;
+    /// Shares below it harm few requests and bring little evidence; a step at them may end without any if traffic is
+    /// very little.
+    double smallShare = 0.1;
     /// Time at the full share after which a rollout is complete, before its deadline.
     std::chrono::seconds settleTime { 3600 };
 
--- a/src/teaselshore/control/move_plan.cpp
+++ b/src/teaselshore/control/move_plan.cpp
@@ -44,23 +44,25 @@
     }
 
     // Routes with little traffic need fewer samples, so that one rare route does not stop a rollout.
-    std::uint64_t neededSamples(
-        const RouteEvidence& route, std::uint64_t busiest, const MoveStep& step, bool sparse, std::uint64_t minSamples)
+    std::uint64_t neededSamples(const RouteEvidence& route, std::uint64_t busiest, const MoveStep& step, bool sparse,
+        const MovePlanSettings& settings)
     {
         if (sparse) {
             const auto expected = static_cast<std::uint64_t>(static_cast<double>(route.total()) * step.share);
-            return std::min({ expected, minSamples, step.samples });
+            return std::min({ expected, settings.minSamples, step.samples });
         }
         const double part
             = static_cast<double>(route.total()) / static_cast<double>(std::max<std::uint64_t>(busiest, 1));
         const auto scaled = static_cast<std::uint64_t>(std::ceil(part * static_cast<double>(step.samples)));
-        return std::max(scaled, std::min(minSamples, step.samples));
+        const std::uint64_t least
+            = step.share < settings.smallShare ? settings.minSamplesAtSmallShare : settings.minSamples;
+        return std::max(scaled, std::min(least, step.samples));
     }
 
     std::uint64_t neededInAll(const MoveStep& step, std::uint64_t total, bool sparse, const MovePlanSettings& settings)
     {
         const std::uint64_t least = std::min(step.samples, settings.minSamples);
-        if (!sparse || step.share >= settings.negligibleShare || total < settings.minSamples)
+        if (!sparse || step.share >= settings.smallShare || total < settings.minSamples)
             return least;
         return std::min(least, static_cast<std::uint64_t>(static_cast<double>(total) * step.share / 2));
     }
@@ -106,11 +108,13 @@
     }
     const WallTime plannedEnd = plannedStepEnd(record, settings);
     const auto planned = std::min(plannedEnd - record.stepStartedAt, settings.maxStep);
-    const bool sparse = now >= record.stepStartedAt + std::max(2 * planned, settings.sparseTrafficWait);
+    const auto whole = std::max(record.pair.moveBy - record.startedAt, settings.minStep);
+    const auto sparseAfter = std::max(2 * planned, std::min(settings.sparseTrafficWait, whole / 8));
+    const bool sparse = now >= record.stepStartedAt + sparseAfter;
     if (samples < neededInAll(step, total, sparse, settings))
         return { false, fmt::format("{}, waiting for traffic: {} of {} samples", place, samples, step.samples) };
     for (const auto& [key, route] : routes) {
-        const std::uint64_t needed = neededSamples(route, busiest, step, sparse, settings.minSamples);
+        const std::uint64_t needed = neededSamples(route, busiest, step, sparse, settings);
         if (route.to < needed)
             return { false,
                 fmt::format("{}, route {} class {}: {} of {} samples", place, key.first.value(), key.second.value(),
