--- a/src/teaselshore/node/cluster_events.cpp
+++ b/src/teaselshore/node/cluster_events.cpp
@@ -49,7 +49,7 @@
 
 void ClusterEvents::onConfigurationRead(ConfigurationRead read, Instant now)
 {
-    if (this->state.settings.mutations.acceptOldConfiguration) {
+    if (this->state.settings.mutations.acceptOldConfiguration && read.version < this->state.configurationVersion) {
         std::vector<ConfigurationProblem> problems;
         if (parseConfiguration(read.text, problems))
             this->adopt({ read.version, std::move(read.text) }, now);
--- a/src/teaselshore/node/node_test_support.hpp
+++ b/src/teaselshore/node/node_test_support.hpp
@@ -27,6 +27,8 @@
     std::size_t phases = 2;
     /// Only announced events: reclaims, planned stops and configuration changes. Stricter checks hold.
     bool announcedOnly = false;
+    /// Whether nodes are killed, paused and cut off from each other.
+    bool peerFaults = true;
     /// Whether a poison request may crash at most 3 upstreams while peers are cut off from each other. Without it, the
     /// limit is 2 for each node instance.
     bool limitPoisonWithCut = false;
@@ -133,6 +135,12 @@
         bool unknown = false;
     };
 
+    struct ConfigurationWrite {
+        Instant at;
+        ConfigurationVersion version = 0;
+        bool valid = false;
+    };
+
     struct PoisonRecord {
         std::vector<std::pair<Instant, UpstreamId>> crashes;
         std::size_t tries = 0;
@@ -252,7 +260,7 @@
     FakeStore store;
     Outage outage = Outage::None;
     ConfigurationVersion highestValid = 0;
-    std::vector<std::pair<Instant, ConfigurationVersion>> validWrites;
+    std::vector<ConfigurationWrite> writes;
     std::vector<std::pair<ConfigurationVersion, std::string>> history;
     std::uint64_t revisions = 0;
     std::uint64_t addresses = 0;
