--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -22,8 +22,10 @@
     local name=$1 signal=${2:-TERM} pid=${PIDS[$1]:-}
     [ -n "$pid" ] || return 0
     kill -"$signal" "$pid" 2>/dev/null || echo "$name had already ended" >&2
+    # A killed program's status says nothing about the caller.
     wait "$pid" 2>/dev/null
     unset "PIDS[$name]"
+    return 0
 }
 
 # Kills all started programs, the daemons first.
@@ -32,6 +34,7 @@
     for name in "${!PIDS[@]}"; do kill -KILL "${PIDS[$name]}" 2>/dev/null; done
     for name in "${!PIDS[@]}"; do wait "${PIDS[$name]}" 2>/dev/null; done
     PIDS=()
+    return 0
 }
 
 # wait_for <seconds> <command...>: repeats a command until it succeeds.
