--- a/src/teaselshore/journal/slot_claims.cpp
+++ b/src/teaselshore/journal/slot_claims.cpp
@@ -264,6 +264,13 @@
     std::erase_if(this->observations, [&](const auto& seen) { return !this->mapOwners.contains(seen.first); });
 }
 
+bool SlotOwner::Impl::ownershipConfirmed() const
+{
+    // The journal of an owner is sealed only after claimDelay of silence; the rest covers the time of an append's
+    // answer.
+    return this->now - this->lastAppend < this->settings.claimDelay * 3 / 4;
+}
+
 void SlotOwner::Impl::heartbeat()
 {
     if (this->stopping || !this->storeUp() || !this->writer.drained())
--- a/src/teaselshore/journal/slot_owner_impl.hpp
+++ b/src/teaselshore/journal/slot_owner_impl.hpp
@@ -175,6 +175,9 @@
     bool mayTake(Slot slot) const;
     void observeOwners();
     void heartbeat();
+
+    /// @brief Returns whether the last append is so recent that no other node can have sealed this journal since.
+    bool ownershipConfirmed() const;
     void replayJournal(const JournalReader& reader);
     bool claimable(Slot slot) const;
     void advanceClaim();
--- a/src/teaselshore/journal/slot_requests.cpp
+++ b/src/teaselshore/journal/slot_requests.cpp
@@ -354,6 +354,9 @@
 void SlotOwner::Impl::readStored(CallerId caller, const RequestId& id)
 {
     const KeyEntry* const entry = this->ledger.find(id);
+    // After a pause another owner may have taken the slot and accepted the request.
+    if (!entry && !this->ownershipConfirmed())
+        return this->answerNotRun(caller, "ownership of the slot is not confirmed");
     if (!entry)
         return this->answer(caller, AnswerNotFound {});
     if (entry->state == KeyState::Finished)
