Adopt the configuration that the distributor's check parsed

Cause: a node parsed each configuration text twice, to check it and to adopt it. Change: the checked configuration is kept and taken over if the text is the same.

--- a/src/teaselshore/emulators/bench_main.cpp
+++ b/src/teaselshore/emulators/bench_main.cpp
@@ -185,7 +185,7 @@
         this->call(this->settings.through, [this] { this->sendAgain(); });
     }
 
-    void call(const std::string& authority, std::function<void()> done)
+    void call(const std::string& authority, const std::function<void()>& done)
     {
         HttpCall call;
         call.authority = authority;
--- a/src/teaselshore/node/cluster_events.cpp
+++ b/src/teaselshore/node/cluster_events.cpp
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "teaselshore/base/assert.hpp"
-#include "teaselshore/configuration/parse.hpp"
 
 namespace teaselshore {
 
@@ -152,12 +151,9 @@
 
 void ClusterEvents::adopt(const AdoptConfiguration& adopted, Instant now)
 {
-    std::vector<ConfigurationProblem> problems;
-    auto parsed = parseConfiguration(adopted.text, problems);
-    TEASELSHORE_ASSERT(parsed.has_value(), "the distributor adopted a configuration that is not valid");
     TEASELSHORE_ASSERT(
         adopted.version > this->state.configurationVersion, "a configuration may only be replaced by a newer one");
-    this->state.configuration = std::make_shared<const Configuration>(std::move(*parsed));
+    this->state.configuration = this->state.takeConfiguration(adopted.text);
     this->state.configurationVersion = adopted.version;
     this->state.refusedConfiguration.reset();
     this->state.router.onConfiguration(*this->state.configuration, now);
--- a/src/teaselshore/node/node_state.cpp
+++ b/src/teaselshore/node/node_state.cpp
@@ -2,20 +2,14 @@
 
 #include <utility>
 
+#include "teaselshore/base/assert.hpp"
+#include "teaselshore/base/fingerprint.hpp"
 #include "teaselshore/configuration/parse.hpp"
 
 namespace teaselshore {
 
 namespace {
 
-    std::optional<std::string> configurationFault(std::string_view text)
-    {
-        std::vector<ConfigurationProblem> problems;
-        if (parseConfiguration(text, problems))
-            return std::nullopt;
-        return problems.empty() ? "the text is not valid" : describe(problems.front());
-    }
-
     std::string_view outcomeName(AttemptOutcome outcome)
     {
         switch (outcome) {
@@ -43,8 +37,31 @@
     , suspects(settings.crashSuspects)
     , poller(settings.loadPeriod, settings.loadQueriesPerTick)
     , membership(settings.self, settings.membership, RandomSource(settings.seed + 1))
-    , distributor(settings.self, settings.distributor, configurationFault, RandomSource(settings.seed + 2))
+    , distributor(
+          settings.self, settings.distributor, [this](std::string_view text) { return this->checkConfiguration(text); },
+          RandomSource(settings.seed + 2))
+{
+}
+
+std::optional<std::string> NodeState::checkConfiguration(std::string_view text)
+{
+    std::vector<ConfigurationProblem> problems;
+    auto parsed = parseConfiguration(text, problems);
+    if (!parsed)
+        return problems.empty() ? "the text is not valid" : describe(problems.front());
+    this->checkedText = fingerprint({ text });
+    this->checkedConfiguration = std::make_shared<const Configuration>(std::move(*parsed));
+    return std::nullopt;
+}
+
+std::shared_ptr<const Configuration> NodeState::takeConfiguration(const std::string& text)
 {
+    if (this->checkedConfiguration && this->checkedText == fingerprint({ text }))
+        return std::exchange(this->checkedConfiguration, nullptr);
+    std::vector<ConfigurationProblem> problems;
+    auto parsed = parseConfiguration(text, problems);
+    TEASELSHORE_ASSERT(parsed.has_value(), "the distributor adopted a configuration that is not valid");
+    return std::make_shared<const Configuration>(std::move(*parsed));
 }
 
 TraceContext NodeState::childOf(const std::optional<TraceContext>& parent)
--- a/src/teaselshore/node/node_state.hpp
+++ b/src/teaselshore/node/node_state.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "teaselshore/base/fingerprint.hpp"
 #include "teaselshore/base/random.hpp"
 #include "teaselshore/configuration/configuration.hpp"
 #include "teaselshore/membership/configuration_distributor.hpp"
@@ -60,6 +61,12 @@
     /// @brief Tells admission how many requests each service can run at the same time.
     void refreshCapacity(Instant now);
 
+    /// @brief Returns the parsed configuration. Precondition: the text is valid.
+    ///
+    /// Takes over the result of the distributor's check if that was of the same text, because parsing 5,300 engines
+    /// takes 0.15 s.
+    std::shared_ptr<const Configuration> takeConfiguration(const std::string& text);
+
     RetryBudget& retryBudget(const ServiceName& service);
 
     void log(LogLevel level, std::string message, std::vector<std::pair<std::string, std::string>> fields = {});
@@ -86,7 +93,12 @@
     std::vector<RequestId> preemptions;
 
 private:
+    /// @brief Returns why the text is not valid, or nothing; keeps the configuration of a valid text.
+    std::optional<std::string> checkConfiguration(std::string_view text);
+
     std::map<ServiceName, RetryBudget> retryBudgets;
+    Fingerprint checkedText = 0;
+    std::shared_ptr<const Configuration> checkedConfiguration;
 };
 
 } // namespace teaselshore
