--- a/cmake/TeaselshoreModule.cmake
+++ b/cmake/TeaselshoreModule.cmake
@@ -30,7 +30,7 @@
         add_executable(${target}_test ${tests})
         target_include_directories(${target}_test PRIVATE ${CMAKE_SOURCE_DIR}/src)
         target_link_libraries(${target}_test PRIVATE ${target} ${RAPIDCHECK_LIBRARY} GTest::gmock_main)
-        gtest_discover_tests(${target}_test DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=7")
+        gtest_discover_tests(${target}_test NO_PRETTY_VALUES DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=7")
     endif()
 endfunction()
 
--- a/src/teaselshore/node/cluster_events.cpp
+++ b/src/teaselshore/node/cluster_events.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "teaselshore/base/assert.hpp"
+#include "teaselshore/configuration/parse.hpp"
 
 namespace teaselshore {
 
