--- a/src/teaselshore/node/cluster_events.cpp
+++ b/src/teaselshore/node/cluster_events.cpp
@@ -167,6 +167,8 @@
         "a configuration may only be replaced by a newer one");
     this->state.configuration = std::make_shared<const Configuration>(std::move(*parsed));
     this->state.configurationVersion = adopted.version;
+    // A notice may be about an address that only this configuration names.
+    this->nextNotices = now;
     this->state.refusedConfiguration.reset();
     this->state.router.onConfiguration(*this->state.configuration, now);
     this->state.admission.onConfiguration(*this->state.configuration, now);
--- a/src/teaselshore/node/crash_checks.cpp
+++ b/src/teaselshore/node/crash_checks.cpp
@@ -72,6 +72,7 @@
             expired.push_back(upstream);
     }
     std::vector<CrashCheckResult> results;
+    results.reserve(expired.size());
     for (const UpstreamId& upstream : expired)
         results.push_back(this->conclude(upstream, true, now));
     return results;
--- a/src/teaselshore/node/durable_requests.cpp
+++ b/src/teaselshore/node/durable_requests.cpp
@@ -45,6 +45,8 @@
     : state(state)
     , crashChecks(crashChecks)
     , owner(state.settings.self.id, state.settings.slotOwner, state.settings.mutations.slotOwner)
+    // A late answer for an earlier process at this address must not match a caller of this one.
+    , lastCaller(fingerprint({ state.settings.self.id.value() }))
 {
 }
 
--- a/src/teaselshore/node/durable_requests.hpp
+++ b/src/teaselshore/node/durable_requests.hpp
@@ -112,7 +112,7 @@
     NodeState& state;
     CrashChecks& crashChecks;
     SlotOwner owner;
-    CallerId lastCaller = 0;
+    CallerId lastCaller;
     std::unordered_map<CallerId, LocalCaller> localCallers;
     std::unordered_map<RequestId, CallerId> callerOfRequest;
     std::unordered_map<CallerId, RemoteCaller> remoteCallers;
--- a/src/teaselshore/node/node.cpp
+++ b/src/teaselshore/node/node.cpp
@@ -16,6 +16,8 @@
 namespace {
 
     constexpr Duration housekeepingPeriod = std::chrono::milliseconds(20);
+    /// Part of a notice that is kept for the last messages of the process.
+    constexpr Duration stopMargin = std::chrono::milliseconds(300);
     /// A configuration that comes later than this after the end of a notice may name the replacement already.
     constexpr Duration noticeGrace = std::chrono::seconds(2);
     constexpr Duration capacityPeriod = std::chrono::milliseconds(200);
@@ -351,8 +353,9 @@
     if (this->stopping)
         return;
     this->stopping = true;
-    const Duration limit
-        = std::min(event.notice.value_or(this->state.settings.drainTimeout), this->state.settings.drainTimeout);
+    // A request that fits in the notice is not cut off by the shorter limit of a stop without one.
+    const Duration limit = event.notice ? std::max<Duration>(*event.notice - stopMargin, Duration::zero())
+                                        : this->state.settings.drainTimeout;
     this->stopDeadline = now + limit;
     this->releaseAt = now + std::min(this->state.settings.balancerDelay, limit / 4);
     this->state.commands.emplace_back(SetReady { false });
--- a/src/teaselshore/node/node_callers_test.cpp
+++ b/src/teaselshore/node/node_callers_test.cpp
@@ -151,8 +151,9 @@
     caller.token = fmt::format("patient-{}", ++this->callerCount);
     caller.key = caller.token;
     caller.body = order ? "body of " + caller.key : chatBody(caller.token, false);
+    const std::string key = caller.key;
     this->send(*process, std::move(caller), "POST", order ? "/orders" : "/v1/chat/completions",
-        { { "idempotency-key", caller.key }, { "x-class", "patient" }, { "prefer", "respond-async" } });
+        { { "idempotency-key", key }, { "x-class", "patient" }, { "prefer", "respond-async" } });
 }
 
 void NodeCluster::pollPatient(std::size_t number)
--- a/src/teaselshore/node/node_cluster_test.cpp
+++ b/src/teaselshore/node/node_cluster_test.cpp
@@ -116,6 +116,8 @@
     node.router.zone = node.self.zone;
     node.router.seed = node.seed;
     node.idleTimeout = seconds(3);
+    // Shorter than many streams, so that a stop that ignores the longer notice cuts them off.
+    node.drainTimeout = seconds(2.5);
     // Several faults at once in the small zones must not look like the loss of a zone.
     node.crashSuspects.zoneLossUpstreams = 5;
     node.slotOwner.maxOwners = 3;
@@ -441,7 +443,7 @@
         return;
     std::string text = command.message;
     for (const auto& [name, value] : command.fields)
-        text += " " + name + "=" + value;
+        text.append(" ").append(name).append("=").append(value);
     this->trace(process.id.value() + ": " + text);
 }
 
--- a/src/teaselshore/node/node_test.cpp
+++ b/src/teaselshore/node/node_test.cpp
@@ -127,12 +127,15 @@
     /// Expects that the checker finds a switched-off mechanism by the named violation.
     void expectFound(ClusterSettings settings, const std::string& violation)
     {
-        const Totals totals = runSeeds(1, 20, settings);
-        const bool found = std::any_of(totals.violations.begin(), totals.violations.end(),
-            [&](const std::string& text) { return text.find(violation) != std::string::npos; });
-        EXPECT_TRUE(found) << (totals.violations.empty() ? "no violation" : totals.violations.front());
-        if (found)
-            fmt::print("{}\n", totals.violations.front());
+        // A run stops at its first violation, which may be another consequence of the same fault.
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            for (const std::string& text : runSeeds(seed, 1, settings).violations) {
+                fmt::print("{}\n", text);
+                if (text.find(violation) != std::string::npos)
+                    return;
+            }
+        }
+        ADD_FAILURE() << "no violation: " << violation;
     }
 
     // Guards against a checker that is blind to lost accepted requests and to stops that cut off callers (G1, G7).
--- a/src/teaselshore/node/node_test_support.hpp
+++ b/src/teaselshore/node/node_test_support.hpp
@@ -216,13 +216,13 @@
     void arriveAtUpstream(Process& process, const StartAttempt& command);
     void runEngine(Process& process, const StartAttempt& command, Upstream& upstream);
     void streamNext(Process& process, AttemptId attempt, UpstreamId upstream, std::uint64_t generation,
-        std::string token, std::uint64_t index, std::uint64_t count);
+        const std::string& token, std::uint64_t index, std::uint64_t count);
     void runPlain(Process& process, const StartAttempt& command, Upstream& upstream);
     void onHead(Process& process, AttemptId id, int status, HeaderList headers);
     void onData(Process& process, AttemptId id, const std::string& bytes);
     void onEnd(Process& process, AttemptId id);
     void fail(Process& process, AttemptId id, bool mayHaveRun, bool broken, const std::string& detail);
-    void emit(Process& process, NodeEvent event);
+    void emit(Process& process, const NodeEvent& event);
     void recordRun(const StartAttempt& command);
 
     // Callers and checks (node_callers_test.cpp).
--- a/src/teaselshore/node/node_upstreams_test.cpp
+++ b/src/teaselshore/node/node_upstreams_test.cpp
@@ -181,7 +181,7 @@
 }
 
 void NodeCluster::streamNext(Process& process, AttemptId attempt, UpstreamId upstream, std::uint64_t generation,
-    std::string token, std::uint64_t index, std::uint64_t count)
+    const std::string& token, std::uint64_t index, std::uint64_t count)
 {
     const auto found = std::find_if(
         this->upstreams.begin(), this->upstreams.end(), [&](const Upstream& other) { return other.id == upstream; });
@@ -316,7 +316,7 @@
     this->emit(process, AttemptFailed { id, mayHaveRun, broken, events, detail });
 }
 
-void NodeCluster::emit(Process& process, NodeEvent event)
+void NodeCluster::emit(Process& process, const NodeEvent& event)
 {
     this->deliver(process, event);
     if (this->quiet || this->settings.announcedOnly || !this->chance(0.01))
