--- a/src/teaselshore/node/node_callers_test.cpp
+++ b/src/teaselshore/node/node_callers_test.cpp
@@ -52,9 +52,9 @@
     headers.emplace_back("x-events", std::to_string(caller.eventCount));
     headers.emplace_back("x-workspace", "households");
     const auto shared = std::make_shared<Caller>(std::move(caller));
-    process.connecting.insert(shared);
+    process.connecting.emplace(shared->token, shared);
     this->onProcess(process, [this, &process, shared, method, path, headers] {
-        process.connecting.erase(shared);
+        process.connecting.erase(shared->token);
         const RequestId id = process.node->nextRequestId();
         process.callers.emplace(id, shared);
         this->callers.emplace(id, shared);
--- a/src/teaselshore/node/node_cluster_test.cpp
+++ b/src/teaselshore/node/node_cluster_test.cpp
@@ -138,8 +138,8 @@
         return;
     process.alive = false;
     for (auto& [id, caller] : process.callers)
-        process.connecting.insert(caller);
-    for (const std::shared_ptr<Caller>& caller : process.connecting) {
+        process.connecting.emplace(caller->token, caller);
+    for (const auto& [token, caller] : process.connecting) {
         caller->gone = true;
         if (caller->then)
             this->after(seconds(0.05), [caller = caller] { caller->then(*caller); });
--- a/src/teaselshore/node/node_test_support.hpp
+++ b/src/teaselshore/node/node_test_support.hpp
@@ -102,7 +102,7 @@
         std::map<std::string, Instant> noticeKnown;
         std::deque<std::function<void()>> inbox;
         /// Callers that wait for a paused process.
-        std::set<std::shared_ptr<Caller>> connecting;
+        std::map<std::string, std::shared_ptr<Caller>> connecting;
     };
 
     struct Upstream {
