--- a/include/teaselshore/daemon/request_relay.hpp
+++ b/include/teaselshore/daemon/request_relay.hpp
@@ -35,9 +35,9 @@
     /// @brief Limits of the relay.
     struct Settings {
         /// A caller that leaves more bytes unread than this is disconnected.
-        std::size_t maxPendingStreamBytes = 4 * 1024 * 1024;
+        std::size_t maxPendingStreamBytes = std::size_t { 4 } * 1024 * 1024;
         /// Longest response that is collected before it is passed on.
-        std::size_t maxCollectedBytes = 16 * 1024 * 1024;
+        std::size_t maxCollectedBytes = std::size_t { 16 } * 1024 * 1024;
 
         auto operator<=>(const Settings&) const = default;
     };
--- a/src/teaselshore/daemon/platform_task.cpp
+++ b/src/teaselshore/daemon/platform_task.cpp
@@ -142,13 +142,13 @@
 void PlatformTask::Impl::execute(const ObjectCreate& command)
 {
     this->client->createObject(command.key, command.value,
-        [this, id = command.id](PlatformResult<std::uint64_t> result) { this->onVersion(id, result); });
+        [this, id = command.id](const PlatformResult<std::uint64_t>& result) { this->onVersion(id, result); });
 }
 
 void PlatformTask::Impl::execute(const ObjectUpdate& command)
 {
     this->client->updateObject(command.key, command.value, command.expected,
-        [this, id = command.id](PlatformResult<std::uint64_t> result) { this->onVersion(id, result); });
+        [this, id = command.id](const PlatformResult<std::uint64_t>& result) { this->onVersion(id, result); });
 }
 
 void PlatformTask::Impl::onVersion(ObjectCallId id, const PlatformResult<std::uint64_t>& result)
--- a/src/teaselshore/daemon/request_relay_test.cpp
+++ b/src/teaselshore/daemon/request_relay_test.cpp
@@ -19,16 +19,16 @@
     protected:
         RequestRelayTest()
             : loop(EventLoop::create())
-            , relay(*loop, {}, [this](RelayEvent relayEvent) { this->onEvent(relayEvent); })
+            , relay(*loop, {}, [this](const RelayEvent& relayEvent) { this->onEvent(relayEvent); })
             , client(HttpClient::create(*loop))
         {
             HttpError error;
             this->entry = HttpServer::listen(
-                *this->loop, {}, [this](std::shared_ptr<ServerExchange> exchange) { this->onCaller(exchange); },
+                *this->loop, {}, [this](const std::shared_ptr<ServerExchange>& exchange) { this->onCaller(exchange); },
                 &error);
             this->upstream = HttpServer::listen(
-                *this->loop, {}, [this](std::shared_ptr<ServerExchange> exchange) { this->onUpstream(exchange); },
-                &error);
+                *this->loop, {},
+                [this](const std::shared_ptr<ServerExchange>& exchange) { this->onUpstream(exchange); }, &error);
             this->loop->runAfter(testLimit, [this] { this->loop->stop(); });
         }
 
--- a/src/teaselshore/daemon/upstream_queries.cpp
+++ b/src/teaselshore/daemon/upstream_queries.cpp
@@ -106,7 +106,7 @@
 
     using Done = std::function<void(const std::optional<Response>& response, const HttpError& error)>;
 
-    void get(const std::string& authority, const std::string& path, Duration idleTimeout, Done done)
+    void get(const std::string& authority, const std::string& path, Duration idleTimeout, const Done& done)
     {
         const auto response = std::make_shared<Response>();
         HttpCallHandlers handlers;
--- a/src/teaselshore/node/node.cpp
+++ b/src/teaselshore/node/node.cpp
@@ -19,6 +19,8 @@
     constexpr Duration housekeepingPeriod = std::chrono::milliseconds(20);
     constexpr Duration capacityPeriod = std::chrono::milliseconds(100);
     constexpr Duration noticeRetention = std::chrono::minutes(10);
+    /// Part of a notice that is kept for the last messages of the process.
+    constexpr Duration stopMargin = std::chrono::milliseconds(300);
     /// A configuration that comes later than this after the end of a notice may name the replacement already.
     constexpr Duration noticeGrace = std::chrono::seconds(2);
     constexpr Duration noConfigurationRetryAfter = std::chrono::seconds(1);
@@ -375,8 +377,9 @@
         return;
     this->stopping = true;
     this->rollouts.stop();
-    const Duration limit
-        = std::min(event.notice.value_or(this->state.settings.drainTimeout), this->state.settings.drainTimeout);
+    // A request that fits in the notice is not cut off by the shorter limit of a stop without one.
+    const Duration limit = event.notice ? std::max<Duration>(*event.notice - stopMargin, Duration::zero())
+                                        : this->state.settings.drainTimeout;
     this->stopDeadline = now + limit;
     this->releaseAt = now + std::min(this->state.settings.balancerDelay, limit / 4);
     this->state.commands.emplace_back(SetReady { false });
--- a/src/teaselshore/node/node_callers_test.cpp
+++ b/src/teaselshore/node/node_callers_test.cpp
@@ -52,9 +52,9 @@
     headers.emplace_back("x-events", std::to_string(caller.eventCount));
     headers.emplace_back("x-workspace", "households");
     const auto shared = std::make_shared<Caller>(std::move(caller));
-    process.connecting.insert(shared);
+    process.connecting.emplace(shared->token, shared);
     this->onProcess(process, [this, &process, shared, method, path, headers] {
-        process.connecting.erase(shared);
+        process.connecting.erase(shared->token);
         const RequestId id = process.node->nextRequestId();
         process.callers.emplace(id, shared);
         this->callers.emplace(id, shared);
@@ -151,8 +151,9 @@
     caller.token = fmt::format("patient-{}", ++this->callerCount);
     caller.key = caller.token;
     caller.body = order ? "body of " + caller.key : chatBody(caller.token, false);
+    const std::string key = caller.key;
     this->send(*process, std::move(caller), "POST", order ? "/orders" : "/v1/chat/completions",
-        { { "idempotency-key", caller.key }, { "x-class", "patient" }, { "prefer", "respond-async" } });
+        { { "idempotency-key", key }, { "x-class", "patient" }, { "prefer", "respond-async" } });
 }
 
 void NodeCluster::pollPatient(std::size_t number)
