Split the durable requests and the node by concern

Change: attempts of durable requests and the node's timers, notices and shutdown have files of their own; no function changed. Conclusion: the node tests give the same result as before.

--- a/src/teaselshore/node/node.cpp
+++ b/src/teaselshore/node/node.cpp
@@ -1,109 +1,21 @@
 #include "teaselshore/node/node.hpp"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
-#include "cluster_events.hpp"
-#include "crash_checks.hpp"
-#include "durable_requests.hpp"
-#include "node_state.hpp"
+#include "node_impl.hpp"
 #include "teaselshore/base/assert.hpp"
-#include "transient_requests.hpp"
-#include "version_rollouts.hpp"
 
 namespace teaselshore {
 
 namespace {
 
-    constexpr Duration housekeepingPeriod = std::chrono::milliseconds(20);
-    constexpr Duration capacityPeriod = std::chrono::milliseconds(100);
-    constexpr Duration noticeRetention = std::chrono::minutes(10);
-    /// Part of a notice that is kept for the last messages of the process.
-    constexpr Duration stopMargin = std::chrono::milliseconds(300);
-    /// A configuration that comes later than this after the end of a notice may name the replacement already.
-    constexpr Duration noticeGrace = std::chrono::seconds(2);
     constexpr Duration noConfigurationRetryAfter = std::chrono::seconds(1);
     constexpr std::size_t requestIdDigits = 20;
     constexpr std::string_view storedResponsePrefix = "/v1/requests/";
 
 } // namespace
 
-struct Node::Impl {
-    explicit Impl(NodeSettings settings)
-        : state(std::move(settings))
-        , crashChecks(state)
-        , durable(state, crashChecks)
-        , transient(state, crashChecks)
-        , cluster(state, durable)
-        , rollouts(state)
-    {
-    }
-
-    void handle(RequestArrived& event, Instant now);
-    void handle(CallerGone& event, Instant now);
-    void handle(AttemptStarted& event, Instant now);
-    void handle(AttemptFinished& event, Instant now);
-    void handle(AttemptFailed& event, Instant now);
-    void handle(PeerMessageReceived& event, Instant now);
-    void handle(PeerMessageNotSent& event, Instant now);
-    void handle(ObjectResult& event, Instant now);
-    void handle(ConfigurationRead& event, Instant now);
-    void handle(HostListRead& event, Instant now);
-    void handle(NoticesRead& event, Instant now);
-    void handle(LoadQueried& event, Instant now);
-    void handle(CacheEventsRead& event, Instant now);
-    void handle(OutcomeQueried& event, Instant now);
-    void handle(StopRequested& event, Instant now);
-    void handle(Tick& event, Instant now);
-
-    void receive(const NodeId& sender, const std::string& senderAddress, const RequestMessage& message, Instant now);
-    std::string addressOf(const UpstreamId& id) const;
-    /// @brief Applies notices that came before the configuration that names their upstream.
-    void applyEarlyNotices(Instant now);
-    void onUpstreamLeaving(const std::string& host, Duration notice, bool tellPeers, Instant now);
-    void applyAdmissionChanges(Instant now);
-    void applyCrashChecks(const std::vector<CrashCheckResult>& results, Instant now);
-    void housekeeping(Instant now);
-    void moveFromLeaving(Instant now);
-    void advanceStop(Instant now);
-    std::size_t openRequests() const { return this->transient.open() + this->durable.openCallers(); }
-
-    NodeState state;
-    CrashChecks crashChecks;
-    DurableRequests durable;
-    TransientRequests transient;
-    ClusterEvents cluster;
-    VersionRollouts rollouts;
-
-    Instant nextHousekeeping {};
-    Instant nextCapacity {};
-    /// Notice of an upstream.
-    struct Leaving {
-        /// Configured address of the host that the notice is about; a replacement has another one.
-        std::string address;
-        /// Time to move the remaining attempts.
-        Instant moveAt {};
-        bool moved = false;
-        Instant stopsAt {};
-    };
-    std::map<UpstreamId, Leaving> leaving;
-    /// Configuration version up to which early notices were applied.
-    ConfigurationVersion noticesVersion = 0;
-    bool stopping = false;
-    bool slotsReleasing = false;
-    bool stopped = false;
-    Instant releaseAt {};
-    Instant stopDeadline {};
-};
-
-Node::Node(NodeSettings settings)
-    : impl(std::make_unique<Impl>(std::move(settings)))
-{
-}
-
-Node::~Node() = default;
-Node::Node(Node&&) noexcept = default;
 Node& Node::operator=(Node&&) noexcept = default;
 
 RequestId Node::nextRequestId() { return RequestId("q-" + this->impl->state.random.hex(requestIdDigits)); }
@@ -281,64 +193,6 @@
 
 void Node::Impl::handle(HostListRead& event, Instant now) { this->cluster.onHostList(event, now); }
 
-void Node::Impl::handle(NoticesRead& event, Instant now)
-{
-    for (const ReclaimNotice& notice : event.notices)
-        this->onUpstreamLeaving(notice.host, notice.notice, true, now);
-}
-
-std::string Node::Impl::addressOf(const UpstreamId& id) const
-{
-    if (!this->state.configuration)
-        return {};
-    for (const ServiceConfiguration& service : this->state.configuration->services) {
-        for (const UpstreamConfiguration& upstream : service.upstreams) {
-            if (upstream.id == id)
-                return upstream.address;
-        }
-    }
-    return {};
-}
-
-void Node::Impl::applyEarlyNotices(Instant now)
-{
-    if (this->noticesVersion == this->state.configurationVersion)
-        return;
-    this->noticesVersion = this->state.configurationVersion;
-    for (auto& [upstream, leave] : this->leaving) {
-        if (!leave.address.empty())
-            continue;
-        leave.address = this->addressOf(upstream);
-        if (!leave.address.empty() && now < leave.stopsAt + noticeGrace)
-            this->state.router.onUpstreamLeaving(upstream, now);
-    }
-}
-
-void Node::Impl::onUpstreamLeaving(const std::string& host, Duration notice, bool tellPeers, Instant now)
-{
-    if (host == this->state.settings.hostName) {
-        StopRequested stop { notice };
-        this->handle(stop, now);
-        return;
-    }
-    if (this->state.settings.mutations.ignoreNotices)
-        return;
-    const UpstreamId upstream(host);
-    const Instant moveAt = now + std::max<Duration>(notice - this->state.settings.moveBeforeLeave, Duration::zero());
-    const std::string address = this->addressOf(upstream);
-    const auto known = this->leaving.find(upstream);
-    if (known != this->leaving.end() && known->second.address == address)
-        return;
-    this->leaving.insert_or_assign(upstream, Leaving { address, moveAt, false, now + notice });
-    if (tellPeers)
-        this->state.broadcast(UpstreamLeaving { upstream, notice });
-    this->state.router.onUpstreamLeaving(upstream, now);
-    this->rollouts.onUpstreamLost(upstream);
-    this->state.broadcastSuspects(this->state.suspects.onReclaimNotice(upstream, now));
-    this->state.log(LogLevel::Info, "host will be reclaimed; it gets no new work",
-        { { "host", host }, { "noticeMs", std::to_string(notice.count() / 1000) } });
-}
-
 void Node::Impl::handle(LoadQueried& event, Instant now)
 {
     if (event.report)
@@ -371,60 +225,6 @@
     this->durable.handle(OutcomeLookedUp { event.request, std::move(event.answer) }, now);
 }
 
-void Node::Impl::handle(StopRequested& event, Instant now)
-{
-    if (this->stopping)
-        return;
-    this->stopping = true;
-    this->rollouts.stop();
-    // A request that fits in the notice is not cut off by the shorter limit of a stop without one.
-    const Duration limit = event.notice ? std::max<Duration>(*event.notice - stopMargin, Duration::zero())
-                                        : this->state.settings.drainTimeout;
-    this->stopDeadline = now + limit;
-    this->releaseAt = now + std::min(this->state.settings.balancerDelay, limit / 4);
-    this->state.commands.emplace_back(SetReady { false });
-    this->state.log(LogLevel::Info, "stopping", { { "limitMs", std::to_string(limit.count() / 1000) } });
-}
-
-void Node::Impl::handle(Tick&, Instant now)
-{
-    this->durable.onTick(now);
-    this->transient.onTick(now);
-    if (now >= this->nextHousekeeping)
-        this->housekeeping(now);
-}
-
-void Node::Impl::housekeeping(Instant now)
-{
-    this->nextHousekeeping = now + housekeepingPeriod;
-    this->cluster.onTick(now);
-    this->applyCrashChecks(this->crashChecks.onTick(now), now);
-    this->state.suspects.onTick(now);
-    this->rollouts.onTick(now);
-    this->state.admissionChanges.push_back(this->state.admission.onTick(now));
-    for (QueryLoad& query : this->state.poller.onTick(now))
-        this->state.commands.emplace_back(std::move(query));
-    this->moveFromLeaving(now);
-    if (now >= this->nextCapacity) {
-        this->nextCapacity = now + capacityPeriod;
-        this->state.router.onTick(now);
-        this->state.refreshCapacity(now);
-    }
-    this->advanceStop(now);
-}
-
-void Node::Impl::moveFromLeaving(Instant now)
-{
-    for (auto position = this->leaving.begin(); position != this->leaving.end();) {
-        Leaving& entry = position->second;
-        if (!entry.moved && entry.moveAt <= now) {
-            entry.moved = true;
-            this->transient.moveFrom(position->first);
-        }
-        position = now - entry.moveAt > noticeRetention ? this->leaving.erase(position) : std::next(position);
-    }
-}
-
 void Node::Impl::applyAdmissionChanges(Instant now)
 {
     for (const RequestId& request : std::exchange(this->state.preemptions, {})) {
@@ -450,23 +250,4 @@
     }
 }
 
-void Node::Impl::advanceStop(Instant now)
-{
-    if (!this->stopping || this->stopped)
-        return;
-    if (!this->slotsReleasing && now >= this->releaseAt) {
-        this->slotsReleasing = true;
-        this->durable.handle(PlannedStop { this->stopDeadline - now }, now);
-    }
-    const bool drained = this->slotsReleasing && this->durable.stopCompleted() && this->openRequests() == 0;
-    if (!drained && now < this->stopDeadline && !this->state.settings.mutations.stopAtOnce)
-        return;
-    this->stopped = true;
-    if (!drained)
-        this->state.log(
-            LogLevel::Warning, "stopping with open requests", { { "open", std::to_string(this->openRequests()) } });
-    this->cluster.leave(now);
-    this->state.commands.emplace_back(StopProcess {});
-}
-
 } // namespace teaselshore
