--- a/src/teaselshore/node/node.cpp
+++ b/src/teaselshore/node/node.cpp
@@ -18,6 +18,15 @@
 
 Node& Node::operator=(Node&&) noexcept = default;
 
+Node::Node(NodeSettings settings)
+    : impl(std::make_unique<Impl>(std::move(settings)))
+{
+}
+
+Node::~Node() = default;
+Node::Node(Node&&) noexcept = default;
+Node& Node::operator=(Node&&) noexcept = default;
+
 RequestId Node::nextRequestId() { return RequestId("q-" + this->impl->state.random.hex(requestIdDigits)); }
 
 NodeCommands Node::handle(NodeEvent event, Instant now)
