--- a/src/teaselshore/node/node.cpp
+++ b/src/teaselshore/node/node.cpp
@@ -16,8 +16,6 @@
 
 } // namespace
 
-Node& Node::operator=(Node&&) noexcept = default;
-
 Node::Node(NodeSettings settings)
     : impl(std::make_unique<Impl>(std::move(settings)))
 {
