--- a/include/teaselshore/base/log.hpp
+++ b/include/teaselshore/base/log.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <initializer_list>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -70,6 +71,7 @@
 ///
 /// Thread-safe. Lines below the level set with setLogLevel() are dropped.
 void logLine(LogLevel level, std::string_view message, std::initializer_list<LogField> fields = {});
+void logLine(LogLevel level, std::string_view message, std::span<const LogField> fields);
 
 /// @brief Sets the lowest level that is written. Thread-safe; default LogLevel::Info.
 void setLogLevel(LogLevel level);
--- a/src/teaselshore/base/log.cpp
+++ b/src/teaselshore/base/log.cpp
@@ -45,6 +45,11 @@
 } // namespace
 
 void logLine(LogLevel level, std::string_view message, std::initializer_list<LogField> fields)
+{
+    logLine(level, message, std::span<const LogField>(fields.begin(), fields.size()));
+}
+
+void logLine(LogLevel level, std::string_view message, std::span<const LogField> fields)
 {
     if (level < lowestLevel.load(std::memory_order_relaxed))
         return;
--- a/src/teaselshore/daemon/serving_task.cpp
+++ b/src/teaselshore/daemon/serving_task.cpp
@@ -2,8 +2,7 @@
 
 #include <algorithm>
 #include <utility>
-
-#include <fmt/format.h>
+#include <vector>
 
 #include "admin_replies.hpp"
 #include "node_settings_from.hpp"
@@ -268,10 +267,11 @@
 
 void ServingTask::Impl::execute(LogEvent& command)
 {
-    std::string fields;
+    std::vector<LogField> fields;
+    fields.reserve(command.fields.size());
     for (const auto& [name, value] : command.fields)
-        fields += fmt::format("{}{}={}", fields.empty() ? "" : " ", name, value);
-    logLine(command.level, command.message, { { "fields", fields } });
+        fields.push_back({ name, value });
+    logLine(command.level, command.message, fields);
 }
 
 void ServingTask::Impl::execute(Span& command)
