Use the field's terms for batch and asynchronous work

Cause: code and comments spoke of patient requests and of patience of calls. Change: journalled requests that are answered with 202 are asynchronous (respondAsync); work without a first-token target is batch work; time limits of calls are timeouts. The wire format keeps its field numbers. Conclusion: no behaviour changed.

--- a/include/teaselshore/control/lease.hpp
+++ b/include/teaselshore/control/lease.hpp
@@ -38,7 +38,7 @@
     Duration renewEvery = std::chrono::seconds(3);
     Duration readEvery = std::chrono::seconds(2);
     /// Time after which a call without an answer counts as unknown.
-    Duration callPatience = std::chrono::seconds(2);
+    Duration callTimeout = std::chrono::seconds(2);
 };
 
 /// @brief Holds or follows the lease of one service.
--- a/include/teaselshore/control/version_move.hpp
+++ b/include/teaselshore/control/version_move.hpp
@@ -22,7 +22,7 @@
     MovePlanSettings plan;
     ComparisonSettings comparison;
     /// Time after which a call without an answer counts as unknown.
-    Duration callPatience = std::chrono::seconds(2);
+    Duration callTimeout = std::chrono::seconds(2);
     Duration retryEvery = std::chrono::seconds(1);
     Duration decideEvery = std::chrono::milliseconds(500);
     /// Period in which the step's evidence is saved for the next controller.
--- a/include/teaselshore/emulators/load_plan.hpp
+++ b/include/teaselshore/emulators/load_plan.hpp
@@ -18,7 +18,7 @@
 enum class RequestKind {
     /// Short streamed question.
     Question,
-    /// Patient summary or plan, answered asynchronously.
+    /// Long summary or plan, answered asynchronously.
     Plan,
     /// Order or booking with an idempotency key.
     Order,
--- a/include/teaselshore/journal/record.hpp
+++ b/include/teaselshore/journal/record.hpp
@@ -36,7 +36,7 @@
     /// True if running it twice has the effect of running it once.
     bool idempotent = false;
     /// True if the caller gets 202 and reads the answer later by request id.
-    bool patient = false;
+    bool respondAsync = false;
     std::string traceparent;
 
     auto operator<=>(const JournalRequest&) const = default;
@@ -78,7 +78,7 @@
     RequestId request;
     KeyId key;
     StoredAnswer answer;
-    bool patient = false;
+    bool respondAsync = false;
 
     auto operator<=>(const Finished&) const = default;
 };
--- a/include/teaselshore/journal/slot_messages.hpp
+++ b/include/teaselshore/journal/slot_messages.hpp
@@ -24,7 +24,7 @@
     auto operator<=>(const AnswerFinished&) const = default;
 };
 
-/// @brief The patient request is durable; its answer can be read by id (202).
+/// @brief The asynchronous request is durable; its answer can be read by id (202).
 struct AnswerAccepted {
     RequestId request;
 
@@ -53,11 +53,11 @@
 
 using Answer = std::variant<AnswerFinished, AnswerAccepted, AnswerNotRun, AnswerUnknown, AnswerNotFound>;
 
-/// @brief Non-idempotent or patient request from a caller, or forwarded by another node.
+/// @brief Non-idempotent or asynchronous request from a caller, or forwarded by another node.
 struct ClientRequest {
     CallerId caller = 0;
     JournalRequest request;
-    /// Upstream chosen for a request that is not patient.
+    /// Upstream chosen for a request that is answered on the connection.
     std::optional<UpstreamId> upstream;
     /// True if another node forwarded it; it is then not forwarded again.
     bool forwarded = false;
@@ -65,7 +65,7 @@
     auto operator<=>(const ClientRequest&) const = default;
 };
 
-/// @brief A caller asks for the answer of a patient request.
+/// @brief A caller asks for the answer of an asynchronous request.
 struct AnswerRead {
     CallerId caller = 0;
     RequestId request;
--- a/include/teaselshore/journal/slot_owner.hpp
+++ b/include/teaselshore/journal/slot_owner.hpp
@@ -26,11 +26,11 @@
     Duration claimDelay = std::chrono::seconds(2);
     Duration mapReadInterval = std::chrono::seconds(1);
     /// Time without an answer of the object API after which new requests get not_run.
-    Duration storePatience = std::chrono::milliseconds(500);
+    Duration storeTimeout = std::chrono::milliseconds(500);
     /// Retry-After of not_run answers.
     Duration retryAfter = std::chrono::seconds(1);
     /// Time after which a forwarded request without an answer gets outcome_unknown.
-    Duration forwardPatience = std::chrono::seconds(10);
+    Duration forwardTimeout = std::chrono::seconds(10);
     /// Time between two tries of an accepted request or a forward.
     Duration retryInterval = std::chrono::milliseconds(500);
     /// Own batches after which a checkpoint is written and older batches are deleted.
--- a/include/teaselshore/routing/router.hpp
+++ b/include/teaselshore/routing/router.hpp
@@ -44,7 +44,7 @@
     /// Classes with a first-token target.
     ScoreWeights interactive;
     /// Classes without one.
-    ScoreWeights patient {
+    ScoreWeights batch {
         .firstToken = 0.1, .overTarget = 0, .linkDelay = 1, .linkCost = 1000, .price = 0.5, .interference = 2
     };
 
--- a/include/teaselshore/routing/routing_decision.hpp
+++ b/include/teaselshore/routing/routing_decision.hpp
@@ -42,7 +42,7 @@
     double linkCost = 0;
     double price = 0;
     double reclaimRisk = 0;
-    /// Harm that a patient request does to interactive ones on a busy upstream.
+    /// Harm that a batch request does to interactive ones on a busy upstream.
     double interference = 0;
     /// Bonus (negative) for the preferred upstreams of the prefix.
     double affinity = 0;
--- a/src/teaselshore/configuration/parse.cpp
+++ b/src/teaselshore/configuration/parse.cpp
@@ -15,7 +15,7 @@
     constexpr NumberRange acceleratorRange { 0, 1024 };
     constexpr NumberRange priorityRange { 0, 9 };
     constexpr NumberRange targetMilliseconds { 1, 3'600'000 };
-    /// A patient request may wait for up to a week.
+    /// A batch request may wait for up to a week.
     constexpr NumberRange deadlineMilliseconds { 1, 604'800'000 };
     constexpr NumberRange shareRange { 0.001, 1'000'000 };
 
--- a/src/teaselshore/control/lease.cpp
+++ b/src/teaselshore/control/lease.cpp
@@ -72,7 +72,7 @@
 
 std::vector<ObjectCommand> LeaseHolder::tick(Instant now, ObjectCallIds& ids)
 {
-    if (this->pending && now - this->pending->sentAt < this->settings.callPatience)
+    if (this->pending && now - this->pending->sentAt < this->settings.callTimeout)
         return {};
     // The result of an abandoned call is ignored; a write among them is judged by the next read.
     if (this->pending)
--- a/src/teaselshore/control/version_move.cpp
+++ b/src/teaselshore/control/version_move.cpp
@@ -32,7 +32,7 @@
 std::vector<ObjectCommand> VersionMove::tick(
     const MoveTime& time, std::optional<std::uint64_t> fencingToken, ObjectCallIds& ids)
 {
-    if (this->pending && time.now - this->pending->sentAt >= this->settings.callPatience) {
+    if (this->pending && time.now - this->pending->sentAt >= this->settings.callTimeout) {
         this->pending.reset();
         this->known = false;
     }
--- a/src/teaselshore/emulators/engine_model_test.cpp
+++ b/src/teaselshore/emulators/engine_model_test.cpp
@@ -74,8 +74,8 @@
         RC_ASSERT(only<SequenceFinished>(events).size() == expected.size());
     }
 
-    // Guards against urgent work that waits behind patient work, and against patient work that is lost by preemption.
-    TEST(EngineModel, UrgentWorkPreemptsPatientWork)
+    // Guards against urgent work that waits behind batch work, and against batch work that is lost by preemption.
+    TEST(EngineModel, UrgentWorkPreemptsBatchWork)
     {
         EngineModel engine(smallEngine(1), 1, start);
         engine.onRequest(1, request("patient", "long summary", 50, 2), start);
--- a/src/teaselshore/journal/journal_test.cpp
+++ b/src/teaselshore/journal/journal_test.cpp
@@ -41,7 +41,7 @@
         request.key = { WorkspaceName("w"), IdempotencyKey(body) };
         request.headers = { { "name", header } };
         request.body = body;
-        request.patient = true;
+        request.respondAsync = true;
         const RecordGroup group { Accepted { request },
             Dispatching { request.id, request.key, ServiceName("s"), UpstreamId("u"), attempt },
             Finished { request.id, request.key, { 201, request.headers, body, false }, true },
--- a/src/teaselshore/journal/key_ledger.cpp
+++ b/src/teaselshore/journal/key_ledger.cpp
@@ -149,7 +149,7 @@
 void KeyLedger::apply(const Finished& record, Instant now)
 {
     KeyEntry& entry = this->entryFor(record.key, record.request);
-    entry.request.patient = record.patient;
+    entry.request.respondAsync = record.respondAsync;
     entry.answer = record.answer;
     this->settle(entry, KeyState::Finished, now);
 }
@@ -180,7 +180,7 @@
     const JournalRequest& request = entry.request;
     const bool accepted = entry.state == KeyState::Accepted || entry.state == KeyState::DispatchPending;
     // A request whose caller waits is never run by a later owner, because the caller may be told not_run meanwhile.
-    if (request.idempotent || (accepted && request.patient))
+    if (request.idempotent || (accepted && request.respondAsync))
         return { Accepted { request } };
     return { Accepted { withoutPayload(request) },
         Dispatching { request.id, request.key, request.service, entry.upstream, entry.attempt } };
@@ -203,7 +203,7 @@
             groups.push_back(this->openSnapshot(entry));
             break;
         case KeyState::Finished:
-            groups.push_back({ Finished { request.id, key, *entry.answer, request.patient } });
+            groups.push_back({ Finished { request.id, key, *entry.answer, request.respondAsync } });
             break;
         case KeyState::Unknown:
             groups.push_back({ OutcomeUnknown { request.id, key, request.service, entry.upstream, entry.attempt } });
--- a/src/teaselshore/journal/record.cpp
+++ b/src/teaselshore/journal/record.cpp
@@ -33,7 +33,7 @@
         const JournalRequest& request = record.request;
         return Json::array({ tag(Kind::Accepted), request.id.value(), request.key.workspace.value(),
             request.key.key.value(), request.service.value(), request.route.value(), request.method, request.path,
-            request.headers, request.body, request.idempotent, request.patient, request.traceparent });
+            request.headers, request.body, request.idempotent, request.respondAsync, request.traceparent });
     }
 
     Json encodeRecord(const Dispatching& record)
@@ -46,7 +46,7 @@
     {
         return Json::array({ tag(Kind::Finished), record.request.value(), record.key.workspace.value(),
             record.key.key.value(), record.answer.status, record.answer.headers, record.answer.body,
-            record.answer.bodyStored, record.patient });
+            record.answer.bodyStored, record.respondAsync });
     }
 
     Json encodeRecord(const NotRun& record)
@@ -87,7 +87,7 @@
         request.headers = field<JournalHeaders>(item, 8);
         request.body = field<std::string>(item, 9);
         request.idempotent = field<bool>(item, 10);
-        request.patient = field<bool>(item, 11);
+        request.respondAsync = field<bool>(item, 11);
         request.traceparent = field<std::string>(item, 12);
         return Accepted { std::move(request) };
     }
--- a/src/teaselshore/journal/slot_forwards.cpp
+++ b/src/teaselshore/journal/slot_forwards.cpp
@@ -21,7 +21,7 @@
     Forward& forward = this->forwards[event.caller];
     forward.request = event.request;
     forward.upstream = event.upstream;
-    forward.deadline = this->now + this->settings.forwardPatience;
+    forward.deadline = this->now + this->settings.forwardTimeout;
     this->sendForward(event.caller, forward);
 }
 
@@ -32,7 +32,7 @@
         return this->answerNotRun(event.caller, "owner of the slot is not reachable");
     Forward& forward = this->forwards[event.caller];
     forward.read = event.request;
-    forward.deadline = this->now + this->settings.forwardPatience;
+    forward.deadline = this->now + this->settings.forwardTimeout;
     this->sendForward(event.caller, forward);
 }
 
--- a/src/teaselshore/journal/slot_owner.cpp
+++ b/src/teaselshore/journal/slot_owner.cpp
@@ -173,11 +173,11 @@
     ++this->statistics.ownershipsLost;
     for (const KeyId& key : this->ledger.keys()) {
         KeyEntry& entry = *this->ledger.find(key);
-        // The lost journal can still hold a patient request of a batch in doubt; the next owner then runs it.
-        if (entry.state == KeyState::Pending && entry.request.patient && !this->writer.lost())
+        // The lost journal can still hold an asynchronous request of a batch in doubt; the next owner then runs it.
+        if (entry.state == KeyState::Pending && entry.request.respondAsync && !this->writer.lost())
             this->answerAll(entry.callers, AnswerUnknown { this->settings.retryAfter });
         else if (entry.state == KeyState::Pending
-            || (entry.state == KeyState::DispatchPending && !entry.request.patient))
+            || (entry.state == KeyState::DispatchPending && !entry.request.respondAsync))
             this->answerAll(entry.callers, AnswerNotRun { this->settings.retryAfter, "slot has a new owner" });
         else
             this->orphan(entry);
@@ -234,7 +234,7 @@
 void SlotOwner::Impl::flush()
 {
     const std::optional<Instant> waiting = this->writer.waitingSince();
-    if (waiting && this->now - *waiting > this->settings.storePatience && this->storeUp())
+    if (waiting && this->now - *waiting > this->settings.storeTimeout && this->storeUp())
         this->enterOutage();
     this->drainReleasing();
     this->advanceClaim();
--- a/src/teaselshore/journal/slot_owner_test.cpp
+++ b/src/teaselshore/journal/slot_owner_test.cpp
@@ -36,8 +36,9 @@
         ++totals.seeds;
     }
 
-    // Guards against double execution, false not_run, lost patient requests, missing or second answers, exceeded write
-    // budgets and slots without an owner, under every fault of the simulation. Requires each kind of fault to occur.
+    // Guards against double execution, false not_run, lost asynchronous requests, missing or second answers, exceeded
+    // write budgets and slots without an owner, under every fault of the simulation. Requires each kind of fault to
+    // occur.
     TEST(SlotOwner, KeepsGuaranteesUnderFaults)
     {
         Totals totals;
@@ -109,7 +110,7 @@
         EXPECT_TRUE(detects({ .rerunDispatching = true }, "key ran twice"));
     }
 
-    // Guards against a checker that does not miss a patient request that was confirmed before it was durable.
+    // Guards against a checker that does not miss an asynchronous request that was confirmed before it was durable.
     TEST(SlotOwnerMutation, AnswerBeforeCommitIsDetected)
     {
         EXPECT_TRUE(detects({ .answerBeforeCommit = true }, "accepted request did not finish"));
--- a/src/teaselshore/journal/slot_owner_test_support.hpp
+++ b/src/teaselshore/journal/slot_owner_test_support.hpp
@@ -57,7 +57,7 @@
         this->announceAll();
         this->runUntil(this->now + seconds(30));
         this->checkSlots();
-        this->readPatient();
+        this->readAsync();
         this->runUntil(this->now + seconds(15));
         this->checkAnswers();
         for (const std::unique_ptr<Node>& node : this->nodes) {
@@ -156,8 +156,8 @@
         result.writesPerSecond = 900;
         result.claimDelay = seconds(0.5);
         result.mapReadInterval = seconds(0.5);
-        result.storePatience = seconds(0.5);
-        result.forwardPatience = seconds(4);
+        result.storeTimeout = seconds(0.5);
+        result.forwardTimeout = seconds(4);
         result.retryInterval = seconds(0.3);
         result.checkpointEvery = 8;
         result.sweepInterval = seconds(4);
@@ -520,7 +520,7 @@
         }
         JournalRequest request;
         request.key = { WorkspaceName("w"), IdempotencyKey(fmt::format("k{}", number)) };
-        request.patient = number % 3 != 0;
+        request.respondAsync = number % 3 != 0;
         request.idempotent = number % 3 == 1;
         request.service = ServiceName("ordering");
         request.body = "body of " + request.key.key.value();
@@ -528,7 +528,7 @@
         request.id = makeRequestId(slotOf(request.key.workspace, request.key.key), std::to_string(caller));
         this->requests[caller] = { request, node, 0, false, false, std::nullopt };
         std::optional<UpstreamId> upstream;
-        if (!request.patient)
+        if (!request.respondAsync)
             upstream = UpstreamId("upstream");
         this->deliver(*node, ClientRequest { caller, request, upstream, false });
     }
@@ -623,7 +623,7 @@
         }
     }
 
-    void readPatient()
+    void readAsync()
     {
         for (auto& [caller, request] : this->requests) {
             if (!request.accepted)
--- a/src/teaselshore/journal/slot_requests.cpp
+++ b/src/teaselshore/journal/slot_requests.cpp
@@ -20,7 +20,7 @@
     const KeyId& key = event.request.key;
     TEASELSHORE_ASSERT(
         slotOfRequest(event.request.id) == this->slotOfKey(key), "request id does not carry the slot of its key");
-    TEASELSHORE_ASSERT(event.request.patient || !event.request.idempotent, "request needs no journal");
+    TEASELSHORE_ASSERT(event.request.respondAsync || !event.request.idempotent, "request needs no journal");
     const SlotPhase phase = this->phaseOf(key);
     if (phase == SlotPhase::Foreign)
         return this->route(event);
@@ -37,13 +37,13 @@
     const JournalRequest& request = event.request;
     if (!this->storeUp())
         return this->answerNotRun(event.caller, "object API is not available");
-    if (!request.patient && !event.upstream)
+    if (!request.respondAsync && !event.upstream)
         return this->answerNotRun(event.caller, "no upstream is available");
     RecordGroup group { Accepted { request } };
     KeyEntry entry;
     entry.request = request;
     entry.callers.push_back(event.caller);
-    if (!request.patient) {
+    if (!request.respondAsync) {
         entry.attempt = 1;
         entry.upstream = *event.upstream;
         group.emplace_back(Dispatching { request.id, request.key, request.service, entry.upstream, entry.attempt });
@@ -54,15 +54,15 @@
     entry.ticket = this->writer.append(std::move(bytes));
     this->actions.emplace(entry.ticket, RequestCommitted { request.id });
     KeyEntry& added = this->ledger.add(std::move(entry));
-    if (this->mutations.dispatchBeforeCommit && !request.patient)
+    if (this->mutations.dispatchBeforeCommit && !request.respondAsync)
         this->dispatch(added);
-    if (this->mutations.answerBeforeCommit && request.patient)
+    if (this->mutations.answerBeforeCommit && request.respondAsync)
         this->answerAll(added.callers, AnswerAccepted { request.id });
 }
 
 void SlotOwner::Impl::join(KeyEntry& entry, CallerId caller)
 {
-    if (entry.abandoned && !entry.request.patient)
+    if (entry.abandoned && !entry.request.respondAsync)
         return this->answerNotRun(caller, "object API is not available");
     if (entry.abandoned)
         return this->answer(caller, AnswerUnknown { this->settings.retryAfter });
@@ -79,7 +79,7 @@
     default:
         break;
     }
-    if (entry.request.patient)
+    if (entry.request.respondAsync)
         return this->answer(caller, AnswerAccepted { entry.request.id });
     entry.callers.push_back(caller);
 }
@@ -89,7 +89,7 @@
     KeyEntry* const entry = this->ledger.find(id);
     if (!entry || entry->state != KeyState::Pending)
         return;
-    if (entry->request.patient) {
+    if (entry->request.respondAsync) {
         entry->state = KeyState::Accepted;
         entry->abandoned = false;
         this->answerAll(entry->callers, AnswerAccepted { id });
@@ -206,7 +206,8 @@
         entry.answer->bodyStored = false;
     }
     if (this->mayAppend(entry.request.key))
-        this->appendLazily({ Finished { entry.request.id, entry.request.key, *entry.answer, entry.request.patient } });
+        this->appendLazily(
+            { Finished { entry.request.id, entry.request.key, *entry.answer, entry.request.respondAsync } });
     this->ledger.settle(entry, KeyState::Finished, this->now);
 }
 
@@ -227,7 +228,7 @@
     const bool appendable = this->mayAppend(entry->request.key);
     if (event.next && appendable && this->storeUp())
         return this->recordDispatch(*entry, *event.next);
-    if (!entry->request.patient)
+    if (!entry->request.respondAsync)
         return this->dropNotRun(*entry, "upstream refused the request");
     // The accepted record is repeated because a checkpoint may have dropped the body of a dispatched request.
     if (appendable)
@@ -320,13 +321,13 @@
         const bool removed = this->writer.withdraw(ticket);
         if (removed)
             this->actions.erase(ticket);
-        if (dispatching && entry->request.patient) {
+        if (dispatching && entry->request.respondAsync) {
             if (removed)
                 this->retryLater(*entry);
             continue;
         }
-        // A patient request in doubt can still become durable and is then run by this or a later owner.
-        if (entry->request.patient && !removed)
+        // An asynchronous request in doubt can still become durable and is then run by this or a later owner.
+        if (entry->request.respondAsync && !removed)
             this->answerAll(entry->callers, AnswerUnknown { this->settings.retryAfter });
         else
             this->answerAll(entry->callers, AnswerNotRun { this->settings.retryAfter, "object API is not available" });
--- a/src/teaselshore/membership/configuration_distributor.cpp
+++ b/src/teaselshore/membership/configuration_distributor.cpp
@@ -16,7 +16,7 @@
     constexpr std::size_t maximumOffers = 8;
     constexpr std::size_t rememberedRefusals = 16;
     /// A node without any configuration asks this many times as often.
-    constexpr int impatience = 4;
+    constexpr int startupDigestFactor = 4;
 
     /// @brief Chunks of a text that was in effect earlier.
     struct EarlierText {
@@ -252,7 +252,8 @@
     state.requestNext(now, commands);
     if (now < state.nextDigest)
         return commands;
-    const Duration period = state.version == 0 ? state.settings.digestPeriod / impatience : state.settings.digestPeriod;
+    const Duration period
+        = state.version == 0 ? state.settings.digestPeriod / startupDigestFactor : state.settings.digestPeriod;
     // Between half and one and a half periods, so that nodes that started together do not stay in step.
     state.nextDigest = now + fromSeconds(toSeconds(period) * (0.5 + state.random.uniform()));
     state.sendDigest(1, commands);
--- a/src/teaselshore/node/durable_attempts.cpp
+++ b/src/teaselshore/node/durable_attempts.cpp
@@ -12,7 +12,7 @@
     constexpr int firstServerError = 500;
     constexpr Duration runPollInterval = std::chrono::milliseconds(50);
     /// Time after which a run that the journal did not dispatch gives its place back; its slot may have moved.
-    constexpr Duration dispatchPatience = std::chrono::seconds(10);
+    constexpr Duration dispatchTimeout = std::chrono::seconds(10);
     constexpr Duration suspectPollInterval = std::chrono::milliseconds(500);
     /// Attempts of one durable request after which its failure is final.
     constexpr std::uint32_t maxDurableAttempts = 12;
@@ -148,7 +148,7 @@
         return;
     }
     this->waitingRuns.erase(found);
-    this->awaitingDispatch.insert_or_assign(id, now + dispatchPatience);
+    this->awaitingDispatch.insert_or_assign(id, now + dispatchTimeout);
     this->handle(UpstreamChosen { id, *upstream }, now);
 }
 
--- a/src/teaselshore/node/durable_requests.cpp
+++ b/src/teaselshore/node/durable_requests.cpp
@@ -81,7 +81,7 @@
         request.headers.emplace_back("idempotency-key", request.key.key.value());
     request.body = arrived.body;
     request.idempotent = classified.idempotent;
-    request.patient = classified.respondAsync;
+    request.respondAsync = classified.respondAsync;
     request.traceparent = formatTraceparent(caller.trace);
 
     if (this->state.suspects.verdict(classified.suspect, now) == SuspectVerdict::Rejected) {
@@ -95,7 +95,7 @@
     this->callerOfRequest.emplace(arrived.request, id);
     this->localCallers.emplace(id, std::move(caller));
     std::optional<UpstreamId> upstream;
-    if (!request.patient && this->owner.serves(slot))
+    if (!request.respondAsync && this->owner.serves(slot))
         upstream = this->choose(request, {}, false, now);
     this->handle(ClientRequest { id, std::move(request), std::move(upstream), false }, now);
 }
@@ -135,7 +135,7 @@
     }
     this->remoteCallers.emplace(id, std::move(caller));
     std::optional<UpstreamId> upstream;
-    if (!request.patient && this->owner.serves(slotOf(request.key.workspace, request.key.key)))
+    if (!request.respondAsync && this->owner.serves(slotOf(request.key.workspace, request.key.key)))
         upstream = this->choose(request, {}, false, now);
     this->handle(ClientRequest { id, std::move(request), std::move(upstream), true }, now);
 }
--- a/src/teaselshore/node/node_callers_test.cpp
+++ b/src/teaselshore/node/node_callers_test.cpp
@@ -83,7 +83,7 @@
     else if (kind < 0.9)
         this->newOrder();
     else
-        this->newPatient();
+        this->newAsync();
     if (this->now < Instant(seconds(4) + this->settings.phases * (this->settings.faultPhase + seconds(10))))
         this->after(seconds(0.06 * this->random.uniform()), [this] { this->nextCaller(); });
 }
@@ -140,14 +140,14 @@
     }
 }
 
-void NodeCluster::newPatient()
+void NodeCluster::newAsync()
 {
     Process* process = this->readyProcess();
     if (!process)
         return;
     const bool order = this->chance(0.3);
     Caller caller;
-    caller.kind = order ? Kind::PatientOrder : Kind::Patient;
+    caller.kind = order ? Kind::AsyncOrder : Kind::Async;
     caller.token = fmt::format("patient-{}", ++this->callerCount);
     caller.key = caller.token;
     caller.body = order ? "body of " + caller.key : chatBody(caller.token, false);
@@ -156,41 +156,41 @@
         { { "idempotency-key", key }, { "x-class", "patient" }, { "prefer", "respond-async" } });
 }
 
-void NodeCluster::pollPatient(std::size_t number)
+void NodeCluster::pollAsync(std::size_t number)
 {
-    if (this->patients[number].finished)
+    if (this->asyncRequests[number].finished)
         return;
     Process* process = this->readyProcess();
     if (!process) {
-        this->after(seconds(1), [this, number] { this->pollPatient(number); });
+        this->after(seconds(1), [this, number] { this->pollAsync(number); });
         return;
     }
     Caller caller;
     caller.kind = Kind::Read;
     caller.token = fmt::format("read-{}", ++this->callerCount);
     caller.then = [this, number](Caller& done) {
-        Patient& patient = this->patients[number];
-        this->trace(fmt::format("{} got {} {}", patient.expected, done.status, done.response.substr(0, 150)));
+        AsyncRequest& pending = this->asyncRequests[number];
+        this->trace(fmt::format("{} got {} {}", pending.expected, done.status, done.response.substr(0, 150)));
         if (!done.gone && done.status == statusOk) {
-            patient.finished = true;
+            pending.finished = true;
             this->note("patient finished");
-            if (done.response != "done " + patient.expected)
-                this->violation("wrong response for " + patient.expected + ": " + done.response);
+            if (done.response != "done " + pending.expected)
+                this->violation("wrong response for " + pending.expected + ": " + done.response);
             return;
         }
         // The outcome of an order may stay unknown, since it must not run again.
-        patient.unknown = !done.gone && done.status == statusGatewayTimeout;
+        pending.unknown = !done.gone && done.status == statusGatewayTimeout;
         const std::string code = errorCodeOf(done.response);
         if (!done.gone && code == "rejected" && done.status == statusUnprocessable) {
-            patient.finished = true;
+            pending.finished = true;
             this->note("suspect rejected");
         } else if (!done.gone && code == "rejected") {
-            this->violation("accepted request " + patient.expected + " was lost: " + done.response);
+            this->violation("accepted request " + pending.expected + " was lost: " + done.response);
         }
-        if (!patient.finished)
-            this->after(seconds(1), [this, number] { this->pollPatient(number); });
+        if (!pending.finished)
+            this->after(seconds(1), [this, number] { this->pollAsync(number); });
     };
-    this->send(*process, std::move(caller), "GET", this->patients[number].location, {});
+    this->send(*process, std::move(caller), "GET", this->asyncRequests[number].location, {});
 }
 
 void NodeCluster::newPoison()
@@ -245,10 +245,10 @@
     caller->response = command.body;
     if (command.status == statusAccepted && caller->kind != Kind::Read) {
         this->note("answered accepted");
-        const bool order = caller->kind == Kind::PatientOrder;
-        this->patients.push_back(
+        const bool order = caller->kind == Kind::AsyncOrder;
+        this->asyncRequests.push_back(
             { findHeader(command.headers, "location").value_or(""), order ? caller->key : caller->token, order });
-        this->after(seconds(0.5), [this, number = this->patients.size() - 1] { this->pollPatient(number); });
+        this->after(seconds(0.5), [this, number = this->asyncRequests.size() - 1] { this->pollAsync(number); });
     }
     this->closed(process, caller);
 }
@@ -299,7 +299,7 @@
 {
     if (caller.status == statusOk || (caller.status == statusAccepted)) {
         this->note(fmt::format("answered {}", caller.status));
-        const bool named = caller.kind == Kind::Order || caller.kind == Kind::PatientOrder;
+        const bool named = caller.kind == Kind::Order || caller.kind == Kind::AsyncOrder;
         if (caller.status == statusOk && caller.kind != Kind::Read
             && caller.response != "done " + (named ? caller.key : caller.token))
             this->violation(fmt::format("wrong response for {}: {}", caller.token, caller.response));
@@ -340,9 +340,9 @@
             this->violation(fmt::format("{} ({}) has {} responses, streaming {}", caller->token, id.value(),
                 caller->responses, caller->streaming));
     }
-    for (const Patient& patient : this->patients) {
-        if (!patient.finished && !(patient.order && patient.unknown))
-            this->violation("accepted request did not finish: " + patient.expected + " " + patient.location);
+    for (const AsyncRequest& pending : this->asyncRequests) {
+        if (!pending.finished && !(pending.order && pending.unknown))
+            this->violation("accepted request did not finish: " + pending.expected + " " + pending.location);
     }
     for (const auto& [token, poison] : this->poisons) {
         // A cut lasts at most 6 s, a pause 7 s, and the tries of one poison request fit in 15 s.
--- a/src/teaselshore/node/node_cluster_test.cpp
+++ b/src/teaselshore/node/node_cluster_test.cpp
@@ -123,7 +123,7 @@
     node.slotOwner.maxOwners = 3;
     node.slotOwner.claimDelay = seconds(0.8);
     node.slotOwner.mapReadInterval = seconds(0.5);
-    node.slotOwner.forwardPatience = seconds(5);
+    node.slotOwner.forwardTimeout = seconds(5);
     node.slotOwner.checkpointEvery = 16;
     node.mutations = this->settings.mutations;
     process->node = std::make_unique<Node>(std::move(node));
--- a/src/teaselshore/node/node_test_support.hpp
+++ b/src/teaselshore/node/node_test_support.hpp
@@ -50,7 +50,7 @@
 
 private:
     enum class Outage { None, Refusing, Hanging, Slow };
-    enum class Kind { Stream, Lookup, Order, Patient, PatientOrder, Read, Poison };
+    enum class Kind { Stream, Lookup, Order, Async, AsyncOrder, Read, Poison };
 
     /// Attempt as the daemon's relay holds it.
     struct RelayAttempt {
@@ -127,7 +127,7 @@
         }
     };
 
-    struct Patient {
+    struct AsyncRequest {
         std::string location;
         std::string expected;
         bool order = false;
@@ -234,8 +234,8 @@
     void newStream();
     void newLookup();
     void newOrder();
-    void newPatient();
-    void pollPatient(std::size_t number);
+    void newAsync();
+    void pollAsync(std::size_t number);
     void newPoison();
     void tryPoison(const std::string& token);
     void closed(Process& process, const std::shared_ptr<Caller>& caller);
@@ -273,7 +273,7 @@
 
     std::size_t callerCount = 0;
     std::map<RequestId, std::shared_ptr<Caller>> callers;
-    std::vector<Patient> patients;
+    std::vector<AsyncRequest> asyncRequests;
     std::map<std::string, std::size_t> tokenRuns;
     std::map<std::string, std::size_t> keyRuns;
     std::set<std::string> notRunTokens;
--- a/src/teaselshore/protocol/request_conversions.cpp
+++ b/src/teaselshore/protocol/request_conversions.cpp
@@ -69,7 +69,7 @@
         fillHeaders(request.headers, result);
         result.set_body(request.body);
         result.set_idempotent(request.idempotent);
-        result.set_patient(request.patient);
+        result.set_respond_async(request.respondAsync);
         result.set_traceparent(request.traceparent);
     }
 
@@ -85,7 +85,7 @@
             .headers = headersFromWire(request),
             .body = request.body(),
             .idempotent = request.idempotent(),
-            .patient = request.patient(),
+            .respondAsync = request.respond_async(),
             .traceparent = request.traceparent(),
         };
     }
--- a/src/teaselshore/routing/admission_controller_test.cpp
+++ b/src/teaselshore/routing/admission_controller_test.cpp
@@ -135,7 +135,7 @@
         EXPECT_GT(controller.queued(assistant), 5U);
     }
 
-    // Guards against interactive requests that wait behind patient ones, against patient requests that are named twice
+    // Guards against interactive requests that wait behind batch ones, against batch requests that are named twice
     // for one waiting request, and against a preempted one that is lost.
     TEST(AdmissionController, PreemptsLatestPatientRequest)
     {
--- a/src/teaselshore/routing/router_test.cpp
+++ b/src/teaselshore/routing/router_test.cpp
@@ -249,7 +249,7 @@
         EXPECT_TRUE(router.choose(makeRequest(), Instant(seconds(12))));
     }
 
-    // Guards against patient work on dear upstreams while cheap ones are idle, and interactive work in far zones while
+    // Guards against batch work on dear upstreams while cheap ones are idle, and interactive work in far zones while
     // the own one is.
     TEST(Router, PlacesByClass)
     {
--- a/src/teaselshore/routing/upstream_chooser.cpp
+++ b/src/teaselshore/routing/upstream_chooser.cpp
@@ -22,7 +22,7 @@
     constexpr double loadBound = 1.25;
     /// Part of the prefill of the prefix that a later request is expected to save on a preferred upstream.
     constexpr double affinityPart = 0.3;
-    /// Utilisation from which patient work delays interactive work.
+    /// Utilisation from which batch work delays interactive work.
     constexpr double interferenceFrom = 0.6;
     constexpr double bytesPerPromptToken = 4;
     constexpr double bytesPerOutputToken = 200;
@@ -59,7 +59,7 @@
     }
     const auto found = this->table.classes.find(request.latencyClass);
     this->latencyClass = found == this->table.classes.end() ? ClassView {} : found->second;
-    this->weights = this->latencyClass.firstTokenTargetSeconds ? &this->settings.interactive : &this->settings.patient;
+    this->weights = this->latencyClass.firstTokenTargetSeconds ? &this->settings.interactive : &this->settings.batch;
     this->gigabytes = (bytesPerPromptToken * request.promptTokens + bytesPerOutputToken * request.expectedOutputTokens)
         / bytesPerGigabyte;
     for (const UpstreamId& id : request.excluded) {
