--- a/src/teaselshore/configuration/parse_test.cpp
+++ b/src/teaselshore/configuration/parse_test.cpp
@@ -137,9 +137,11 @@
         EXPECT_EQ(bayanihan.findService(ServiceName("planning"))->upstreams.size(), 10u);
         EXPECT_EQ(bayanihan.findService(ServiceName("booking"))->upstreams.size(), 3u);
         for (int node = 1; node <= 9; ++node) {
-            std::vector<ConfigurationProblem> problems;
-            const std::string text = readFile(examples / fmt::format("portmore/node-{}.yaml", node));
-            EXPECT_TRUE(parseDaemonSettings(text, problems)) << describeFirst(fmt::format("node-{}", node), problems);
+            for (const char* example : { "portmore", "bayanihan" }) {
+                std::vector<ConfigurationProblem> problems;
+                const std::string file = fmt::format("{}/node-{}.yaml", example, node);
+                EXPECT_TRUE(parseDaemonSettings(readFile(examples / file), problems)) << describeFirst(file, problems);
+            }
         }
     }
 
