Date an owner's confirmation from the start of its append

Cause: a paused owner got the answer of an append from before its pause when it woke, took it for a fresh confirmation and answered 404 for a request that the next owner had accepted. Ruled out: a lost record, the next owner has it. Change: ownership counts as confirmed from the start of the last committed append.

--- a/src/teaselshore/journal/slot_claims.cpp
+++ b/src/teaselshore/journal/slot_claims.cpp
@@ -266,9 +266,9 @@
 
 bool SlotOwner::Impl::ownershipConfirmed() const
 {
-    // The journal of an owner is sealed only after claimDelay of silence; the rest covers the time of an append's
-    // answer.
-    return this->now - this->lastAppend < this->settings.claimDelay * 3 / 4;
+    // The journal of an owner is sealed only after claimDelay of silence. The answer of an append may have waited in
+    // this process during a pause, so the time counts from its start.
+    return this->now - this->confirmedAt < this->settings.claimDelay * 3 / 4;
 }
 
 void SlotOwner::Impl::heartbeat()
--- a/src/teaselshore/journal/slot_owner.cpp
+++ b/src/teaselshore/journal/slot_owner.cpp
@@ -105,8 +105,13 @@
 {
     if (event.outcome != ObjectOutcome::Unavailable && event.outcome != ObjectOutcome::Unknown)
         this->storeDown = false;
-    if (this->writer.awaits(event.id))
-        return this->onAppendProgress(this->writer.onResult(event, this->now));
+    if (this->writer.awaits(event.id)) {
+        const std::optional<Instant> sentAt = this->writer.waitingSince();
+        const AppendProgress progress = this->writer.onResult(event, this->now);
+        if (progress == AppendProgress::Committed && sentAt)
+            this->confirmedAt = *sentAt;
+        return this->onAppendProgress(progress);
+    }
     if (this->cleaner.awaits(event.id))
         return this->cleaner.onResult(event, this->writer, this->now);
     if (this->mapRead == event.id)
--- a/src/teaselshore/journal/slot_owner_impl.hpp
+++ b/src/teaselshore/journal/slot_owner_impl.hpp
@@ -249,6 +249,8 @@
     std::map<OwnerInstance, Observation> observations;
     std::unique_ptr<JournalReader> observer;
     Instant lastAppend {};
+    /// Start of the last append that was committed.
+    Instant confirmedAt {};
     /// True if the last write of this owner was a deletion, so that the next append goes first.
     bool deletedLast = false;
     /// True if the slot map may have to change: slots to take, or to mark as released.
