--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -17,24 +17,29 @@
     PIDS[$name]=$!
 }
 
+# wait_for_end <pid>: waits for a program that was told to stop. Its status is that of the signal and no failure, which
+# the condition keeps from ending a script that runs with "set -e".
+wait_for_end() {
+    if wait "$1" 2>/dev/null; then return 0; fi
+}
+
 # stop <name> [signal]: stops a started program and waits for its end.
 stop() {
     local name=$1 signal=${2:-TERM} pid=${PIDS[$1]:-}
     [ -n "$pid" ] || return 0
     kill -"$signal" "$pid" 2>/dev/null || echo "$name had already ended" >&2
-    # A killed program's status says nothing about the caller.
-    wait "$pid" 2>/dev/null
+    wait_for_end "$pid"
     unset "PIDS[$name]"
-    return 0
 }
 
 # Kills all started programs, the daemons first.
 stop_all() {
     local name
-    for name in "${!PIDS[@]}"; do kill -KILL "${PIDS[$name]}" 2>/dev/null; done
-    for name in "${!PIDS[@]}"; do wait "${PIDS[$name]}" 2>/dev/null; done
+    for name in "${!PIDS[@]}"; do
+        if ! kill -KILL "${PIDS[$name]}" 2>/dev/null; then echo "$name had already ended" >&2; fi
+    done
+    for name in "${!PIDS[@]}"; do wait_for_end "${PIDS[$name]}"; done
     PIDS=()
-    return 0
 }
 
 # wait_for <seconds> <command...>: repeats a command until it succeeds.
