Look up upstreams and convert headers in one place

Cause: the search for an upstream by id stood in crash checks and in the node's notices, and the conversion of headers in relay and serving task. Change: NodeState::findUpstream and header_conversion.hpp serve both; the crash check also no longer dereferences a configuration that may be absent.

--- a/src/teaselshore/daemon/request_relay.cpp
+++ b/src/teaselshore/daemon/request_relay.cpp
@@ -4,6 +4,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "header_conversion.hpp"
 #include "teaselshore/base/assert.hpp"
 #include "teaselshore/base/log.hpp"
 #include "teaselshore/node/event_stream_buffer.hpp"
@@ -34,15 +35,6 @@
         std::string body;
     };
 
-    HeaderList toHeaderList(const HttpHeaders& headers)
-    {
-        HeaderList list;
-        list.reserve(headers.all().size());
-        for (const HttpHeader& field : headers.all())
-            list.emplace_back(field.name, field.value);
-        return list;
-    }
-
     HttpHeaders toHttpHeaders(const HeaderList& list)
     {
         HttpHeaders headers;
--- a/src/teaselshore/daemon/serving_task.cpp
+++ b/src/teaselshore/daemon/serving_task.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "admin_replies.hpp"
+#include "header_conversion.hpp"
 #include "node_settings_from.hpp"
 #include "serving_metrics.hpp"
 #include "teaselshore/base/log.hpp"
@@ -29,15 +30,6 @@
     constexpr std::string_view tracePrefix = "/admin/trace/";
     constexpr std::string_view explainPrefix = "/admin/explain/";
 
-    HeaderList headerList(const HttpHeaders& headers)
-    {
-        HeaderList list;
-        list.reserve(headers.all().size());
-        for (const HttpHeader& field : headers.all())
-            list.emplace_back(field.name, field.value);
-        return list;
-    }
-
 } // namespace
 
 struct ServingTask::Impl {
@@ -171,7 +163,7 @@
             { refusal.status, { { "content-type", "application/json" }, { "retry-after", "1" } }, refusal.body });
         return;
     }
-    RequestArrived arrived { id, request.method, request.path, headerList(request.headers), request.body };
+    RequestArrived arrived { id, request.method, request.path, toHeaderList(request.headers), request.body };
     this->relay.addCaller(id, std::move(exchange));
     this->handle(std::move(arrived));
 }
--- a/src/teaselshore/node/crash_checks.cpp
+++ b/src/teaselshore/node/crash_checks.cpp
@@ -9,17 +9,6 @@
 
     constexpr Duration checkTimeout = std::chrono::milliseconds(1000);
 
-    const UpstreamConfiguration* findUpstream(const Configuration& configuration, const UpstreamId& id)
-    {
-        for (const ServiceConfiguration& service : configuration.services) {
-            for (const UpstreamConfiguration& upstream : service.upstreams) {
-                if (upstream.id == id)
-                    return &upstream;
-            }
-        }
-        return nullptr;
-    }
-
     std::size_t countInZone(const Configuration& configuration, const AvailabilityZone& zone)
     {
         std::size_t count = 0;
@@ -51,7 +40,7 @@
         return position->second;
     position->second.startedAt = now;
     position->second.number = ++this->lastNumber;
-    if (const auto* found = findUpstream(*this->state.configuration, upstream))
+    if (const auto* found = this->state.findUpstream(upstream))
         this->state.commands.emplace_back(QueryLoad { upstream, found->address, false, this->lastNumber });
     return position->second;
 }
--- a/src/teaselshore/node/node_lifecycle.cpp
+++ b/src/teaselshore/node/node_lifecycle.cpp
@@ -25,15 +25,8 @@
 
 std::string Node::Impl::addressOf(const UpstreamId& id) const
 {
-    if (!this->state.configuration)
-        return {};
-    for (const ServiceConfiguration& service : this->state.configuration->services) {
-        for (const UpstreamConfiguration& upstream : service.upstreams) {
-            if (upstream.id == id)
-                return upstream.address;
-        }
-    }
-    return {};
+    const UpstreamConfiguration* upstream = this->state.findUpstream(id);
+    return upstream ? upstream->address : std::string();
 }
 
 void Node::Impl::applyEarlyNotices(Instant now)
--- a/src/teaselshore/node/node_state.cpp
+++ b/src/teaselshore/node/node_state.cpp
@@ -173,6 +173,19 @@
     }
 }
 
+const UpstreamConfiguration* NodeState::findUpstream(const UpstreamId& id) const
+{
+    if (!this->configuration)
+        return nullptr;
+    for (const ServiceConfiguration& service : this->configuration->services) {
+        for (const UpstreamConfiguration& upstream : service.upstreams) {
+            if (upstream.id == id)
+                return &upstream;
+        }
+    }
+    return nullptr;
+}
+
 RetryBudget& NodeState::retryBudget(const ServiceName& service)
 {
     return this->retryBudgets.try_emplace(service, this->settings.retryBudget).first->second;
--- a/src/teaselshore/node/node_state.hpp
+++ b/src/teaselshore/node/node_state.hpp
@@ -84,6 +84,9 @@
     /// takes 0.15 s.
     std::shared_ptr<const Configuration> takeConfiguration(const std::string& text);
 
+    /// @brief Returns an upstream of the configuration in effect; null if it has none with this id.
+    const UpstreamConfiguration* findUpstream(const UpstreamId& id) const;
+
     RetryBudget& retryBudget(const ServiceName& service);
 
     void log(LogLevel level, std::string message, std::vector<std::pair<std::string, std::string>> fields = {});
