--- a/cmake/Programs.cmake
+++ b/cmake/Programs.cmake
@@ -6,6 +6,9 @@
 endfunction()
 
 teaselshore_program_if_present(teaselshored daemon teaselshored_main.cpp)
+teaselshore_program_if_present(teaselshore-entry daemon entry_main.cpp)
+# Leaves out the libraries of the other daemon, whose memory each process would pay for.
+target_link_options(teaselshore-entry PRIVATE -Wl,--as-needed)
 teaselshore_program_if_present(teaselshorectl ctl teaselshorectl_main.cpp)
 teaselshore_program_if_present(teaselshore-platform emulators platform_main.cpp)
 teaselshore_program_if_present(teaselshore-engine emulators engine_main.cpp)
--- a/include/teaselshore/base/log.hpp
+++ b/include/teaselshore/base/log.hpp
@@ -67,7 +67,14 @@
     LogValue value;
 };
 
-/// @brief Writes one JSON line to standard error: time (UTC), level, node if set, message, fields.
+/// @brief Where log lines go.
+enum class LogOutput {
+    StandardError,
+    StandardOutput,
+};
+
+/// @brief Writes one JSON line to the log output, standard error by default: time (UTC), level, node if set, message,
+/// fields.
 ///
 /// Thread-safe. Lines below the level set with setLogLevel() are dropped.
 void logLine(LogLevel level, std::string_view message, std::initializer_list<LogField> fields = {});
@@ -76,6 +83,9 @@
 /// @brief Sets the lowest level that is written. Thread-safe; default LogLevel::Info.
 void setLogLevel(LogLevel level);
 
+/// @brief Sets where lines go. Call it before other threads start.
+void setLogOutput(LogOutput output);
+
 /// @brief Sets the node name that each line carries. Call it before other threads start.
 void setLogNode(std::string node);
 
--- a/include/teaselshore/control/lease.hpp
+++ b/include/teaselshore/control/lease.hpp
@@ -52,6 +52,11 @@
     /// @brief Sets the live nodes, this one included.
     void setMembers(std::set<NodeId> alive);
 
+    /// @brief Lets this node take a free lease, or not, whichever node the hash prefers.
+    ///
+    /// A holder then keeps its lease until stop(): handing it back to a preferred node would let two nodes act in
+    /// turns.
+    void setContending(bool contending) { this->contending = contending; }
     /// @brief Makes due calls. Call it at least every 500 ms.
     std::vector<ObjectCommand> tick(Instant now, ObjectCallIds& ids);
 
@@ -101,6 +106,7 @@
     ServiceName service;
     LeaseSettings settings;
     std::set<NodeId> members;
+    std::optional<bool> contending;
     std::optional<Pending> pending;
     /// Writes without an answer, oldest first; a read decides which of them was applied.
     std::vector<Pending> unanswered;
--- a/include/teaselshore/daemon/request_relay.hpp
+++ b/include/teaselshore/daemon/request_relay.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <variant>
 
 #include "teaselshore/http/http_client.hpp"
@@ -26,6 +27,23 @@
     auto operator<=>(const RelayCounters&) const = default;
 };
 
+/// @brief Streams of upstreams that end with a `[DONE]` event. The caller gets a head of this system, and an error
+/// event in place of the final one if the stream cannot be completed.
+struct DoneEventStreams {
+    auto operator<=>(const DoneEventStreams&) const = default;
+};
+
+/// @brief Streams whose end is the end of the response's body. The caller gets the upstream's head unchanged, and a
+/// broken connection if the stream cannot be completed.
+struct FramedStreams {
+    /// Header field that the head of a usable response has.
+    std::string requiredField;
+
+    auto operator<=>(const FramedStreams&) const = default;
+};
+
+using StreamRules = std::variant<DoneEventStreams, FramedStreams>;
+
 /// @brief Carries out the request path's commands: starts calls to upstreams and answers callers.
 ///
 /// Streams go from the upstream to the caller without a decision per event. All methods belong to the event loop's
@@ -38,6 +56,7 @@
         std::size_t maxPendingStreamBytes = std::size_t { 4 } * 1024 * 1024;
         /// Longest response that is collected before it is passed on.
         std::size_t maxCollectedBytes = std::size_t { 16 } * 1024 * 1024;
+        StreamRules streams = DoneEventStreams {};
 
         auto operator<=>(const Settings&) const = default;
     };
--- /dev/null
+++ b/include/teaselshore/entry/entry_command.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "teaselshore/entry/caller_request.hpp"
+#include "teaselshore/entry/entry_configuration.hpp"
+#include "teaselshore/entry/registered_upstream.hpp"
+#include "teaselshore/journal/object_api.hpp"
+#include "teaselshore/node/node_command.hpp"
+#include "teaselshore/node/request_command.hpp"
+#include "teaselshore/platform/platform_types.hpp"
+
+namespace teaselshore {
+
+/// @brief Sends a request to an upstream. The headers are the caller's; the context tells what to add.
+struct ForwardRequest {
+    StartAttempt attempt;
+    ForwardingContext context;
+    /// Id that the upstream repeats in its response.
+    std::string callerAttemptId;
+};
+
+/// @brief Sets the limits on what callers may send.
+struct ApplyCallerLimits {
+    CallerLimits limits;
+};
+
+/// @brief Announces the end of callers' connections in each further answer.
+struct AnnounceClose { };
+
+/// @brief Closes idle connections of callers and accepts no new ones.
+struct StopAccepting { };
+
+/// @brief Reports the usage of one window; the reply is CloudCallEnded.
+struct SendUsage {
+    std::uint64_t call = 0;
+    UsageReport report;
+};
+
+/// @brief Orders upstreams; the reply is CloudCallEnded.
+struct SendUpstreamOrder {
+    std::uint64_t call = 0;
+    UpstreamOrder order;
+};
+
+/// @brief Writes the state of a rollout for the operator; the reply is CloudCallEnded.
+struct WriteRolloutState {
+    std::uint64_t call = 0;
+    RolloutOrder order;
+};
+
+/// @brief Writes this node's report, whatever stands there.
+struct WriteNodeReport {
+    std::string host;
+    std::string report;
+};
+
+/// @brief Reads the reports of all nodes; the reply is NodeReportsRead.
+struct ReadNodeReports { };
+
+using EntryCommand = std::variant<ForwardRequest, CancelAttempt, Respond, FailStream, SetReady, ApplyCallerLimits,
+    AnnounceClose, StopAccepting, StopProcess, SendUsage, SendUpstreamOrder, WriteRolloutState, WriteNodeReport,
+    ReadNodeReports, CallObjectApi, LogEvent>;
+
+using EntryCommands = std::vector<EntryCommand>;
+
+} // namespace teaselshore
--- /dev/null
+++ b/include/teaselshore/entry/entry_event.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "teaselshore/entry/caller_request.hpp"
+#include "teaselshore/entry/entry_configuration.hpp"
+#include "teaselshore/entry/registered_upstream.hpp"
+#include "teaselshore/journal/object_api.hpp"
+#include "teaselshore/journal/slot_messages.hpp"
+#include "teaselshore/node/request_event.hpp"
+
+namespace teaselshore {
+
+/// @brief A caller's request is complete.
+struct CallerRequestArrived {
+    RequestId id;
+    CallerRequest request;
+};
+
+/// @brief The upstream's response is complete, or its stream has ended with all events relayed.
+struct UpstreamResponded {
+    AttemptFinished response;
+    ResponseFacts facts;
+};
+
+/// @brief First events of a stream were relayed to the caller.
+struct UpstreamStreamStarted {
+    AttemptId attempt = 0;
+    ResponseFacts facts;
+};
+
+/// @brief The platform holds a configuration of the operator.
+struct EntryConfigurationRead {
+    EntryConfiguration configuration;
+};
+
+/// @brief The platform returned all registered upstreams.
+struct UpstreamsListed {
+    std::vector<RegisteredUpstream> upstreams;
+    /// Time since the platform answered again after an outage.
+    std::optional<Duration> sinceOutage;
+};
+
+/// @brief An upstream registered itself or changed its entry.
+struct UpstreamChanged {
+    RegisteredUpstream upstream;
+};
+
+/// @brief An upstream's entry was removed.
+struct UpstreamRemoved {
+    std::string instance;
+    /// Time since the platform answered again after an outage.
+    std::optional<Duration> sinceOutage;
+};
+
+/// @brief The platform returned all rollout orders.
+struct RolloutsListed {
+    std::vector<RolloutOrder> orders;
+};
+
+/// @brief The platform returned the reports of all nodes, each as its node wrote it.
+struct NodeReportsRead {
+    std::vector<std::string> reports;
+};
+
+/// @brief Outcome of a call to the cloud API.
+struct CloudCallEnded {
+    /// Number of the command that it answers.
+    std::uint64_t call = 0;
+    ObjectOutcome outcome = ObjectOutcome::Unavailable;
+};
+
+/// @brief The time of day, since 1970, as the host shows it.
+struct ClockRead {
+    Duration sinceEpoch {};
+};
+
+/// @brief The host asks the daemon to stop.
+struct EntryStopRequested { };
+
+/// @brief A timer is due.
+struct EntryTick { };
+
+using EntryEvent = std::variant<CallerRequestArrived, CallerGone, UpstreamStreamStarted, UpstreamResponded,
+    AttemptFailed, EntryConfigurationRead, UpstreamsListed, UpstreamChanged, UpstreamRemoved, RolloutsListed,
+    NodeReportsRead, CloudCallEnded, ObjectResult, ClockRead, EntryStopRequested, EntryTick>;
+
+} // namespace teaselshore
--- /dev/null
+++ b/include/teaselshore/entry/entry_statistics.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace teaselshore {
+
+/// @brief How a caller's request ended.
+enum class RequestOutcome {
+    /// The caller got an upstream's complete response.
+    Answered,
+    /// The node has no configuration or no list of upstreams yet.
+    NotReady,
+    UnknownRoute,
+    UnknownKey,
+    OverQuota,
+    /// No upstream could take it; it did not run.
+    NoCapacity,
+    /// It was sent, and its outcome is not known.
+    Failed,
+    /// The time limit passed.
+    TimedOut,
+    /// The caller closed its connection.
+    CallerLeft,
+};
+
+constexpr std::size_t requestOutcomes = 9;
+
+std::string_view outcomeName(RequestOutcome outcome);
+
+/// @brief Counters and gauges of an EntryNode.
+struct EntryStatistics {
+    std::uint64_t requests = 0;
+    std::array<std::uint64_t, requestOutcomes> outcomes {};
+    std::uint64_t attempts = 0;
+    std::uint64_t retries = 0;
+    /// Retries that the shared budget did not allow.
+    std::uint64_t deniedRetries = 0;
+    std::uint64_t resumes = 0;
+    std::uint64_t openRequests = 0;
+    std::uint64_t waitingRequests = 0;
+    std::uint64_t upstreams = 0;
+    std::uint64_t configurationVersion = 0;
+    std::uint64_t liveNodes = 0;
+    bool holdsLease = false;
+};
+
+} // namespace teaselshore
--- a/include/teaselshore/http/http_client.hpp
+++ b/include/teaselshore/http/http_client.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -24,6 +25,9 @@
     /// Accepts a reply without content length and without chunks, whose end is the end of the connection. Off by
     /// default, because such a reply cannot be told from one that was cut off. A connection reset is an error anyway.
     bool acceptUnframedReply = false;
+    /// Header field that the peer repeats from the request. A reply with another value is a late one to an earlier
+    /// request on the connection; it is skipped, and the next reply is awaited.
+    std::optional<HttpHeader> expectedEcho;
 };
 
 /// @brief Callbacks of one call. onError and onEnd exclude each other; exactly one of them runs, last, unless
--- a/include/teaselshore/http/http_server.hpp
+++ b/include/teaselshore/http/http_server.hpp
@@ -19,13 +19,30 @@
     std::string address = "127.0.0.1";
     /// 0 selects a free port; see HttpServer::port().
     std::uint16_t port = 0;
+    /// Request line and header fields.
+    std::size_t maxHeaderBytes = std::size_t { 64 } * 1024;
     std::size_t maxBodyBytes = std::size_t { 8 } * 1024 * 1024;
     /// Time a client may take to send a whole request.
     Duration requestTimeout = std::chrono::seconds(10);
+    /// Time a connection may wait for its next request.
+    Duration idleTimeout = std::chrono::seconds(10);
+    /// Refuses paths with "." or ".." segments, also encoded ones. For servers that pass requests on: an upstream might
+    /// resolve the segments and run the request under a path that its route does not cover.
+    bool refuseDotSegments = false;
 
     auto operator<=>(const HttpServerSettings&) const = default;
 };
 
+/// @brief Limits that may change while a server runs; see HttpServerSettings for their meaning.
+struct HttpServerLimits {
+    std::size_t maxHeaderBytes = 0;
+    std::size_t maxBodyBytes = 0;
+    Duration requestTimeout {};
+    Duration idleTimeout {};
+
+    auto operator<=>(const HttpServerLimits&) const = default;
+};
+
 /// @brief One request and the means to answer it. Lives until the answer is finished or the connection is closed.
 ///
 /// All methods belong to the event loop's thread. Calls after the connection was closed do nothing. Header fields that
@@ -50,6 +67,8 @@
 
     /// @brief Breaks the connection off, so that the caller sees that the answer is incomplete.
     virtual void abort() = 0;
+    /// @brief Like abort(), but first sends what was written.
+    virtual void finishIncomplete() = 0;
 
     /// @brief Bytes written but not yet handed to the connection; for back pressure.
     virtual std::size_t pendingBytes() const = 0;
@@ -60,7 +79,10 @@
 
 using HttpHandler = std::function<void(std::shared_ptr<ServerExchange>)>;
 
-/// @brief HTTP/1.1 and HTTP/2 (prior knowledge) server on h2o.
+/// @brief HTTP/1.1 and HTTP/2 (prior knowledge) server on h2o's event loop.
+///
+/// An HTTP/1.1 request whose framing is ambiguous or malformed is answered 400; one
+/// beyond the limits 431, 413 or 408. The connection is closed after each of these, and the handler never sees them.
 class HttpServer {
 public:
     /// @brief Starts to listen. Returns nothing and sets error if the address cannot be used.
@@ -72,6 +94,12 @@
 
     std::uint16_t port() const;
 
+    /// @brief Applies to requests and idle times that begin after the call.
+    void setLimits(const HttpServerLimits& limits);
+    /// @brief Closes each connection after its next answer, and tells the caller so in the answer.
+    void announceClose();
+    /// @brief Requests answered by the server itself since they were malformed, too large or too slow.
+    std::uint64_t refusedRequests() const;
     /// @brief Stops accepting connections and closes idle ones; open exchanges go on.
     void stopAccepting();
 
--- a/include/teaselshore/node/event_stream_buffer.hpp
+++ b/include/teaselshore/node/event_stream_buffer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -9,10 +10,11 @@
 /// @brief Splits a server-sent event stream into complete events, so that a caller never gets part of one.
 ///
 /// An upstream that dies in the middle of an event leaves a partial event; only complete ones count as delivered, and
-/// the stream resumes after the last of them. Bytes are passed on unchanged. Not thread-safe.
+/// the stream resumes after the last of them. Events are passed on unchanged, in the order of their ids. Not
+/// thread-safe.
 class EventStreamBuffer {
 public:
-    /// @brief Takes bytes as they arrive and returns the longest run of complete events.
+    /// @brief Takes bytes as they arrive and returns the complete events, without those that the caller has already.
     std::string takeComplete(std::string_view bytes);
 
     /// @brief Number of complete events with an id; each is one token. Events without id carry no part of the text.
@@ -20,16 +22,23 @@
 
     /// @brief True once the final "data: [DONE]" event was complete.
     bool done() const { return this->sawDone; }
+    /// @brief Id of the last complete event whose id is a number.
+    std::optional<std::uint64_t> lastId() const { return this->lastNumber; }
+    /// @brief True if bytes of an event arrived whose end did not.
+    bool hasPartial() const { return !this->partial.empty(); }
 
     /// @brief Forgets a partial event, before the stream continues from another upstream.
     void dropPartial() { this->partial.clear(); }
 
 private:
-    void countEvents(std::string_view complete);
+    std::string takeEvents(std::string_view complete);
+    /// @brief Counts one event; false if the caller has it already.
+    bool takeEvent(std::string_view event);
 
     std::string partial;
     std::uint64_t eventCount = 0;
     bool sawDone = false;
+    std::optional<std::uint64_t> lastNumber;
 };
 
 } // namespace teaselshore
--- a/include/teaselshore/node/request_command.hpp
+++ b/include/teaselshore/node/request_command.hpp
@@ -27,6 +27,8 @@
     Duration idleTimeout {};
     /// Relays a successful event stream to the caller while it arrives, instead of collecting the body.
     bool relay = false;
+    /// Header field that the upstream repeats in its response; a response with another value is not for this attempt.
+    std::optional<std::pair<std::string, std::string>> expectedEcho;
 
     auto operator<=>(const StartAttempt&) const = default;
 };
--- a/include/teaselshore/node/request_event.hpp
+++ b/include/teaselshore/node/request_event.hpp
@@ -64,6 +64,8 @@
     /// Complete events of a relayed stream, over all attempts of the request.
     std::uint64_t relayedEvents = 0;
     std::string detail;
+    /// Id of the last complete event that the caller got, if events have ids.
+    std::optional<std::uint64_t> lastEventId;
 
     auto operator<=>(const AttemptFailed&) const = default;
 };
--- /dev/null
+++ b/include/teaselshore/platform/kind_watcher.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "teaselshore/base/random.hpp"
+#include "teaselshore/http/event_loop.hpp"
+#include "teaselshore/platform/platform_client.hpp"
+
+namespace teaselshore {
+
+/// @brief Waiting times of a KindWatcher.
+struct KindWatcherSettings {
+    /// Longest time that one watch waits at the platform. A connection that went silent is noticed after this time and
+    /// the call timeout, and until then nothing is learnt.
+    Duration wait = std::chrono::milliseconds(1500);
+    Duration firstBackoff = std::chrono::milliseconds(60);
+    Duration longestBackoff = std::chrono::milliseconds(600);
+
+    auto operator<=>(const KindWatcherSettings&) const = default;
+};
+
+/// @brief Callbacks of a KindWatcher.
+struct KindWatcherHandlers {
+    /// Runs with all objects of the kind. sinceOutage is the time since the platform answered again after an outage.
+    std::function<void(std::vector<KindObject> objects, std::optional<Duration> sinceOutage)> onListed;
+    /// Runs for the objects that changed or were deleted.
+    std::function<void(std::vector<KindObject> objects, std::optional<Duration> sinceOutage)> onChanged;
+    /// Runs when the platform stops answering, and when it answers again.
+    std::function<void(bool reachable, const std::string& reason)> onReachable;
+};
+
+/// @brief Lists the objects of a kind, then keeps watching for changes.
+///
+/// Lists again if the platform no longer has the history since the last answer. Failed calls are repeated after an
+/// exponential delay with jitter. Belongs to the event loop's thread. Loop and client must outlive it; it stops on
+/// destruction, which must not happen inside its callbacks.
+class KindWatcher {
+public:
+    KindWatcher(EventLoop& loop, PlatformClient& client, std::string kind, KindWatcherSettings settings,
+        KindWatcherHandlers handlers, RandomSource random);
+    ~KindWatcher();
+    KindWatcher(const KindWatcher&) = delete;
+    KindWatcher& operator=(const KindWatcher&) = delete;
+
+private:
+    void list(const std::string& after);
+    void onPage(PlatformResult<KindPage> result);
+    void watch();
+    void onEvents(PlatformResult<KindPage> result);
+    void onSuccess();
+    void onFailure(const PlatformError& error);
+    std::optional<Duration> sinceOutage() const;
+
+    EventLoop& loop;
+    PlatformClient& client;
+    std::string kind;
+    KindWatcherSettings settings;
+    KindWatcherHandlers handlers;
+    RandomSource random;
+    /// Objects of the pages listed so far.
+    std::vector<KindObject> listed;
+    /// Version from which the watch goes on; nothing before the first complete list.
+    std::optional<std::uint64_t> at;
+    bool reachable = true;
+    /// When the platform answered again after the last outage.
+    std::optional<Instant> returnedAt;
+    Duration backoff {};
+    PlatformCallId call = 0;
+    TimerId timer = 0;
+};
+
+} // namespace teaselshore
--- a/include/teaselshore/platform/platform_client.hpp
+++ b/include/teaselshore/platform/platform_client.hpp
@@ -12,7 +12,9 @@
 #include "teaselshore/base/time.hpp"
 #include "teaselshore/http/event_loop.hpp"
 #include "teaselshore/platform/call_budget.hpp"
+#include "teaselshore/platform/object_api.hpp"
 #include "teaselshore/platform/platform_error.hpp"
+#include "teaselshore/platform/platform_request.hpp"
 #include "teaselshore/platform/platform_types.hpp"
 
 namespace teaselshore {
@@ -24,25 +26,10 @@
     /// Longest time from the call to its result, waiting for the budget included.
     Duration callTimeout = std::chrono::seconds(2);
     CallBudgetLimits budget;
+    /// How objects are addressed and encoded on the wire.
+    ObjectApi objects = KeyedObjects {};
     std::size_t maxReplyBytes = std::size_t { 32 } * 1024 * 1024;
-
-    auto operator<=>(const PlatformClientSettings&) const = default;
-};
-
-enum class PlatformCallKind {
-    ReadObject,
-    CreateObject,
-    UpdateObject,
-    DeleteObject,
-    ListObjects,
-    WatchObject,
-    ReadPrices,
-    ReadNotices,
-    ReadHosts,
-    StartHost,
-    StopHost,
 };
-constexpr std::size_t platformCallKinds = 11;
 
 /// @brief What happened to the calls of one kind.
 struct PlatformCallCounts {
@@ -93,6 +80,23 @@
     PlatformCallId watchObject(const std::string& key, std::uint64_t after, Duration wait,
         PlatformHandler<std::optional<StoredObject>> handler);
 
+    /// @name Calls of platforms that keep objects by kind; on others they end with Rejected.
+    /// @{
+    /// @brief Lists the objects of a kind, from the one after the name on.
+    PlatformCallId listKind(
+        const std::string& kind, const std::string& after, ReadFreshness freshness, PlatformHandler<KindPage> handler);
+    /// @brief Waits for changes after the version. NotFound means that the platform no longer has that history.
+    PlatformCallId watchKind(
+        const std::string& kind, std::uint64_t after, Duration wait, PlatformHandler<KindPage> handler);
+    /// @brief Replaces an object whatever its version; NotFound if it does not exist.
+    PlatformCallId replaceObject(const std::string& key, std::string value, PlatformHandler<std::uint64_t> handler);
+    /// @brief Replaces the status of an object that somebody else owns.
+    PlatformCallId writeStatus(const std::string& key, std::string status, std::optional<std::uint64_t> expected,
+        PlatformHandler<std::uint64_t> handler);
+    PlatformCallId reportUsage(const UsageReport& report, PlatformHandler<std::monostate> handler);
+    PlatformCallId orderUpstreams(const UpstreamOrder& order, PlatformHandler<std::monostate> handler);
+    /// @}
+
     PlatformCallId readPrices(PlatformHandler<std::vector<CloudPrice>> handler);
 
     /// @brief Reads the notices with a number above the given one.
--- a/include/teaselshore/platform/platform_types.hpp
+++ b/include/teaselshore/platform/platform_types.hpp
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <string>
 
 #include "teaselshore/base/name.hpp"
@@ -80,4 +81,42 @@
     auto operator<=>(const CloudNotice&) const = default;
 };
 
+/// @brief How current the result of a read must be.
+enum class ReadFreshness {
+    Current,
+    /// May be seconds old; costs the platform less.
+    MayBeStale,
+};
+
+/// @brief Proof of the right to carry out a task that one node at a time may do.
+struct FencedHolder {
+    std::string holder;
+    /// Grows with each new holder.
+    std::uint64_t fencingToken = 0;
+
+    auto operator<=>(const FencedHolder&) const = default;
+};
+
+/// @brief Requests of each workspace that began to run within one window of calendar time.
+struct UsageReport {
+    FencedHolder by;
+    /// Number of the window since 1970.
+    std::int64_t window = 0;
+    std::map<WorkspaceName, std::uint64_t> requests;
+
+    auto operator<=>(const UsageReport&) const = default;
+};
+
+/// @brief Declares how many upstreams of one kind a service should have in one availability zone.
+struct UpstreamOrder {
+    FencedHolder by;
+    ServiceName service;
+    AvailabilityZone zone;
+    std::uint32_t count = 0;
+    /// Reclaimable upstreams are counted apart from on-demand ones.
+    bool reclaimable = false;
+
+    auto operator<=>(const UpstreamOrder&) const = default;
+};
+
 } // namespace teaselshore
--- a/include/teaselshore/reliability/retry_budget.hpp
+++ b/include/teaselshore/reliability/retry_budget.hpp
@@ -28,6 +28,8 @@
     /// @brief Takes one retry from the budget; false if the budget is used up.
     bool tryRetry(Instant now);
 
+    /// @brief Changes the retries that are allowed however few requests there are.
+    void setFloor(double floor) { this->settings.floor = floor; }
     /// @brief Returns the number of retries that are left, at least 0.
     double remaining(Instant now) const;
 
--- a/src/teaselshore/base/log.cpp
+++ b/src/teaselshore/base/log.cpp
@@ -12,6 +12,7 @@
 namespace {
 
     std::atomic<LogLevel> lowestLevel { LogLevel::Info };
+    std::FILE* output = stderr;
 
     std::string& nodeName()
     {
@@ -65,11 +66,14 @@
 
     // A single write keeps lines of different threads apart.
     const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
-    fmt::print(stderr, "{}", text);
+    fmt::print(output, "{}", text);
+    std::fflush(output);
 }
 
 void setLogLevel(LogLevel level) { lowestLevel.store(level, std::memory_order_relaxed); }
 
+void setLogOutput(LogOutput target) { output = target == LogOutput::StandardOutput ? stdout : stderr; }
+
 void setLogNode(std::string node) { nodeName() = std::move(node); }
 
 std::optional<LogLevel> parseLogLevel(std::string_view text)
--- a/src/teaselshore/control/lease.cpp
+++ b/src/teaselshore/control/lease.cpp
@@ -57,6 +57,8 @@
 {
     if (this->stopping)
         return false;
+    if (this->contending)
+        return *this->contending || (this->current && this->current->holder == this->self);
     const std::vector<NodeId> nodes(this->members.begin(), this->members.end());
     return rendezvousChoice(leaseKey(this->service), nodes) == this->self;
 }
--- /dev/null
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -0,0 +1,71 @@
+#include "entry_metrics.hpp"
+
+#include <array>
+#include <utility>
+
+namespace teaselshore {
+
+void EntryMetrics::setCounter(
+    const std::string& name, const std::string& help, std::uint64_t value, const MetricLabels& labels)
+{
+    Counter& counter = this->metrics.counter(name, help, labels);
+    counter.add(value - counter.value());
+}
+
+void EntryMetrics::setGauge(const std::string& name, const std::string& help, double value)
+{
+    this->metrics.gauge(name, help).set(value);
+}
+
+void EntryMetrics::update(const EntryStatistics& statistics, const RelayCounters& relay, std::uint64_t refusedRequests)
+{
+    this->setCounter("teaselshore_requests_total", "Requests that arrived from callers.", statistics.requests);
+    for (std::size_t index = 0; index < requestOutcomes; ++index) {
+        const auto outcome = static_cast<RequestOutcome>(index);
+        this->setCounter("teaselshore_request_outcomes_total", "Ended requests by outcome.", statistics.outcomes[index],
+            { { "outcome", std::string(outcomeName(outcome)) } });
+    }
+    this->setCounter("teaselshore_refused_requests_total",
+        "Requests refused before they were read in full: malformed, too large or too slow.", refusedRequests);
+    this->setCounter("teaselshore_attempts_total", "Attempts at upstreams.", statistics.attempts);
+    this->setCounter("teaselshore_retries_total", "Attempts after the first one of a request.", statistics.retries);
+    this->setCounter(
+        "teaselshore_denied_retries_total", "Retries that the shared budget did not allow.", statistics.deniedRetries);
+    this->setCounter("teaselshore_resumes_total", "Streams continued at another upstream.", statistics.resumes);
+    this->setCounter("teaselshore_relayed_bytes_total", "Bytes of relayed streams.", relay.relayedBytes);
+    this->setCounter(
+        "teaselshore_slow_callers_total", "Callers disconnected for reading too slowly.", relay.slowCallers);
+    this->setGauge("teaselshore_open_requests", "Requests without a complete response.",
+        static_cast<double>(statistics.openRequests));
+    this->setGauge("teaselshore_waiting_requests", "Requests that wait for an upstream.",
+        static_cast<double>(statistics.waitingRequests));
+    this->setGauge("teaselshore_upstreams", "Upstreams that take new work.", static_cast<double>(statistics.upstreams));
+    this->setGauge("teaselshore_configuration_version", "Version of the configuration in effect.",
+        static_cast<double>(statistics.configurationVersion));
+    this->setGauge(
+        "teaselshore_live_nodes", "Nodes known to live, this one included.", static_cast<double>(statistics.liveNodes));
+    this->setGauge("teaselshore_lease_held", "1 while this node holds the lease of the fleet's duties.",
+        statistics.holdsLease ? 1 : 0);
+}
+
+void EntryMetrics::updatePlatformCalls(const PlatformClient& platform)
+{
+    constexpr std::array<std::pair<PlatformCallKind, const char*>, 7> kinds { {
+        { PlatformCallKind::ReadObject, "read" },
+        { PlatformCallKind::CreateObject, "create" },
+        { PlatformCallKind::UpdateObject, "update" },
+        { PlatformCallKind::DeleteObject, "delete" },
+        { PlatformCallKind::ListKind, "list" },
+        { PlatformCallKind::WatchKind, "watch" },
+        { PlatformCallKind::WriteStatus, "status" },
+    } };
+    for (const auto& [kind, name] : kinds) {
+        const PlatformCallCounts counts = platform.counts(kind);
+        this->setCounter("teaselshore_platform_calls_total", "Calls sent to the platform's object API.", counts.sent,
+            { { "kind", name } });
+        this->setCounter("teaselshore_platform_failures_total", "Calls to the object API that ended with an error.",
+            counts.failed, { { "kind", name } });
+    }
+}
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/daemon/entry_metrics.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "teaselshore/daemon/request_relay.hpp"
+#include "teaselshore/entry/entry_statistics.hpp"
+#include "teaselshore/platform/platform_client.hpp"
+#include "teaselshore/telemetry/metrics.hpp"
+
+namespace teaselshore {
+
+/// @brief Metrics of an EntryTask in the Prometheus text format. Not thread-safe.
+class EntryMetrics {
+public:
+    void update(const EntryStatistics& statistics, const RelayCounters& relay, std::uint64_t refusedRequests);
+    void updatePlatformCalls(const PlatformClient& platform);
+    void startWindow() { this->metrics.startWindow(); }
+    std::string render() const { return this->metrics.renderPrometheus(); }
+
+private:
+    void setCounter(
+        const std::string& name, const std::string& help, std::uint64_t value, const MetricLabels& labels = {});
+    void setGauge(const std::string& name, const std::string& help, double value);
+
+    Metrics metrics;
+};
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -0,0 +1,569 @@
+#include "teaselshore/daemon/entry_task.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "entry_metrics.hpp"
+#include "header_conversion.hpp"
+#include "platform/caller_codec.hpp"
+#include "platform/decode_objects.hpp"
+#include "platform/wire_names.hpp"
+#include "teaselshore/base/log.hpp"
+#include "teaselshore/daemon/request_relay.hpp"
+#include "teaselshore/entry/entry_node.hpp"
+#include "teaselshore/http/event_loop.hpp"
+#include "teaselshore/http/http_server.hpp"
+#include "teaselshore/platform/kind_watcher.hpp"
+#include "teaselshore/platform/platform_client.hpp"
+
+namespace teaselshore {
+
+namespace {
+
+    constexpr Duration shortestTick = std::chrono::milliseconds(1);
+    constexpr Duration clockPeriod = std::chrono::seconds(1);
+    constexpr Duration metricsWindow = std::chrono::seconds(10);
+    /// Kept for the last responses to leave.
+    constexpr Duration stopDelay = std::chrono::milliseconds(150);
+    /// Answers of the platform take some milliseconds, and some 60 times as long while it is slow.
+    constexpr Duration platformCallTimeout = std::chrono::milliseconds(1200);
+    /// Limits before the first configuration.
+    constexpr CallerLimits firstLimits { std::size_t { 16 } * 1024, std::size_t { 4 } * 1024 * 1024,
+        std::chrono::seconds(3), std::chrono::seconds(15) };
+    /// A caller that leaves more bytes of a stream unread is disconnected.
+    constexpr std::size_t maxPendingStreamBytes = std::size_t { 512 } * 1024;
+
+    /// Kind of the objects in which the nodes tell each other that they live.
+    constexpr std::string_view nodesKind = "nodes";
+
+    constexpr int statusOk = 200;
+    constexpr int statusNotFound = 404;
+    constexpr int statusUnavailable = 503;
+    constexpr std::string_view metricsPath = "/metrics";
+
+    PlatformClientSettings clientSettings(const EntrySettings& settings, const SocketAddress& address)
+    {
+        PlatformClientSettings client;
+        client.authority = formatSocketAddress(address);
+        client.callTimeout = platformCallTimeout;
+        client.objects = KindedObjects {};
+        // A part of the platform's rates that leaves room for some hundred nodes.
+        client.budget.readsPerSecond = std::max(10.0, settings.platformRates.readsPerSecond / 100);
+        client.budget.readBurst = 20;
+        client.budget.writesPerSecond = std::max(4.0, settings.platformRates.writesPerSecond / 100);
+        client.budget.writeBurst = 10;
+        return client;
+    }
+
+    HttpServerSettings serverSettings(const SocketAddress& address, const CallerLimits& limits)
+    {
+        HttpServerSettings server;
+        server.address = address.address;
+        server.port = address.port;
+        server.maxHeaderBytes = limits.maxHeaderBytes;
+        server.maxBodyBytes = limits.maxBodyBytes;
+        server.requestTimeout = limits.headerTimeout;
+        server.idleTimeout = limits.idleTimeout;
+        server.refuseDotSegments = true;
+        return server;
+    }
+
+    NodeId makeProcessId(const std::string& node)
+    {
+        const auto start = std::chrono::system_clock::now().time_since_epoch();
+        return NodeId(
+            node + "-" + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(start).count()));
+    }
+
+    ObjectOutcome outcomeOf(const PlatformError& error)
+    {
+        switch (error.kind) {
+        case PlatformError::Kind::Conflict:
+            return ObjectOutcome::Conflict;
+        case PlatformError::Kind::NotFound:
+            return ObjectOutcome::NotFound;
+        case PlatformError::Kind::OutcomeUnknown:
+            return ObjectOutcome::Unknown;
+        default:
+            return ObjectOutcome::Unavailable;
+        }
+    }
+
+} // namespace
+
+struct EntryTask::Impl {
+    Impl(const EntrySettings& settings, std::uint64_t seed)
+        : settings(settings)
+        , loop(EventLoop::create())
+        , node({ settings, makeProcessId(settings.node), seed })
+        , relay(*loop,
+              { .maxPendingStreamBytes = maxPendingStreamBytes,
+                  .streams = FramedStreams { std::string(responseMark()) } },
+              [this](RelayEvent event) { this->onRelay(std::move(event)); })
+        , platform(PlatformClient::create(*loop, clientSettings(settings, settings.platform)))
+        , random(seed + 1)
+    {
+        if (settings.cloud)
+            this->cloud = PlatformClient::create(*this->loop, clientSettings(settings, *settings.cloud));
+    }
+
+    bool listen(HttpError* error);
+    void watchKinds();
+    KindWatcherHandlers watcherHandlers(std::string_view kind);
+    std::unique_ptr<KindWatcher> watchKind(std::string_view kind, KindWatcherHandlers handlers);
+    void onConfigurationObjects(const std::vector<KindObject>& objects);
+    void onUpstreamsListed(const std::vector<KindObject>& objects, std::optional<Duration> sinceOutage);
+    void onUpstreamsChanged(const std::vector<KindObject>& objects, std::optional<Duration> sinceOutage);
+    void onRollouts(const std::vector<KindObject>& objects, bool complete);
+    void onCaller(std::shared_ptr<ServerExchange> exchange);
+    HttpReply adminReply(const HttpRequest& request);
+    void onRelay(RelayEvent event);
+    void handle(EntryEvent event);
+    void scheduleTick();
+    void readClock();
+    void startMetricsWindows();
+
+    void deliver(CallerGone& event) { this->handle(std::move(event)); }
+    void deliver(AttemptStarted& event);
+    void deliver(AttemptFinished& event);
+    void deliver(AttemptFailed& event) { this->handle(std::move(event)); }
+
+    void execute(ForwardRequest& command);
+    void execute(CancelAttempt& command) { this->relay.execute(command); }
+    void execute(Respond& command) { this->relay.execute(std::move(command)); }
+    void execute(FailStream& command) { this->relay.execute(command); }
+    void execute(SetReady& command) { this->ready = command.ready; }
+    void execute(ApplyCallerLimits& command);
+    void execute(AnnounceClose&) { this->callers->announceClose(); }
+    void execute(StopAccepting&) { this->callers->stopAccepting(); }
+    void execute(StopProcess&);
+    void execute(SendUsage& command);
+    void execute(SendUpstreamOrder& command);
+    void execute(WriteRolloutState& command);
+    void execute(WriteNodeReport& command);
+    void execute(ReadNodeReports&);
+    void execute(CallObjectApi& command);
+    void execute(LogEvent& command);
+
+    void run(const ObjectCreate& call);
+    void run(const ObjectUpdate& call);
+    void run(const ObjectRead& call);
+    void run(const ObjectList& call);
+    void run(const ObjectDelete& call);
+    template <typename Value, typename Fill> PlatformHandler<Value> objectHandler(ObjectCallId id, Fill fill);
+    template <typename Value> PlatformHandler<Value> cloudHandler(std::uint64_t call);
+
+    EntrySettings settings;
+    std::unique_ptr<EventLoop> loop;
+    EntryNode node;
+    RequestRelay relay;
+    std::unique_ptr<PlatformClient> platform;
+    std::unique_ptr<PlatformClient> cloud;
+    RandomSource random;
+    EntryMetrics metrics;
+    std::unique_ptr<HttpServer> callers;
+    std::unique_ptr<HttpServer> readiness;
+    std::unique_ptr<HttpServer> admin;
+    std::unique_ptr<KindWatcher> configurationWatcher;
+    std::unique_ptr<KindWatcher> upstreamWatcher;
+    std::unique_ptr<KindWatcher> rolloutWatcher;
+    std::map<std::string, RolloutOrder> rollouts;
+    bool ready = false;
+    bool stopped = false;
+    std::optional<TimerId> tickTimer;
+    Instant tickAt {};
+};
+
+std::unique_ptr<EntryTask> EntryTask::create(const EntrySettings& settings, std::uint64_t seed, HttpError* error)
+{
+    auto impl = std::make_unique<Impl>(settings, seed);
+    if (!impl->listen(error))
+        return nullptr;
+    return std::unique_ptr<EntryTask>(new EntryTask(std::move(impl)));
+}
+
+EntryTask::EntryTask(std::unique_ptr<Impl> impl)
+    : impl(std::move(impl))
+{
+}
+
+EntryTask::~EntryTask() = default;
+
+void EntryTask::run()
+{
+    this->impl->loop->post([impl = this->impl.get()] {
+        impl->readClock();
+        impl->startMetricsWindows();
+        impl->watchKinds();
+        impl->handle(EntryTick {});
+    });
+    this->impl->loop->run();
+}
+
+void EntryTask::requestStop()
+{
+    this->impl->loop->post([impl = this->impl.get()] { impl->handle(EntryStopRequested {}); });
+}
+
+void EntryTask::onSettingsChanged(EntrySettings settings)
+{
+    this->impl->loop->post([impl = this->impl.get(), settings = std::move(settings)] {
+        setLogLevel(settings.logLevel);
+        const bool needsRestart = settings != impl->settings;
+        logLine(LogLevel::Info, "settings read again", { { "differ", needsRestart } });
+    });
+}
+
+bool EntryTask::Impl::listen(HttpError* error)
+{
+    this->callers = HttpServer::listen(
+        *this->loop, serverSettings(this->settings.callers, firstLimits),
+        [this](std::shared_ptr<ServerExchange> exchange) { this->onCaller(std::move(exchange)); }, error);
+    if (!this->callers)
+        return false;
+    this->readiness = HttpServer::listen(
+        *this->loop, serverSettings(this->settings.readiness, firstLimits),
+        [this](const std::shared_ptr<ServerExchange>& exchange) {
+            exchange->reply(
+                { this->ready ? statusOk : statusUnavailable, {}, this->ready ? "ready\n" : "not ready\n" });
+        },
+        error);
+    if (!this->readiness)
+        return false;
+    this->admin = HttpServer::listen(
+        *this->loop, serverSettings(this->settings.admin, firstLimits),
+        [this](const std::shared_ptr<ServerExchange>& exchange) {
+            exchange->reply(this->adminReply(exchange->request()));
+        },
+        error);
+    return this->admin != nullptr;
+}
+
+HttpReply EntryTask::Impl::adminReply(const HttpRequest& request)
+{
+    if (request.path != metricsPath)
+        return { statusNotFound, {}, "no such page\n" };
+    this->metrics.update(this->node.statistics(), this->relay.counters(), this->callers->refusedRequests());
+    this->metrics.updatePlatformCalls(*this->platform);
+    return { statusOk, { { "content-type", "text/plain; version=0.0.4" } }, this->metrics.render() };
+}
+
+void EntryTask::Impl::watchKinds()
+{
+    KindWatcherHandlers configuration = this->watcherHandlers(wire::configKind);
+    configuration.onListed = [this](const std::vector<KindObject>& objects, std::optional<Duration>) {
+        this->onConfigurationObjects(objects);
+    };
+    configuration.onChanged = configuration.onListed;
+    this->configurationWatcher = this->watchKind(wire::configKind, std::move(configuration));
+
+    KindWatcherHandlers upstreams = this->watcherHandlers(wire::serversKind);
+    upstreams.onListed = [this](const std::vector<KindObject>& objects, std::optional<Duration> sinceOutage) {
+        this->onUpstreamsListed(objects, sinceOutage);
+    };
+    upstreams.onChanged = [this](const std::vector<KindObject>& objects, std::optional<Duration> sinceOutage) {
+        this->onUpstreamsChanged(objects, sinceOutage);
+    };
+    this->upstreamWatcher = this->watchKind(wire::serversKind, std::move(upstreams));
+
+    KindWatcherHandlers orders = this->watcherHandlers(wire::rolloutsKind);
+    orders.onListed
+        = [this](const std::vector<KindObject>& objects, std::optional<Duration>) { this->onRollouts(objects, true); };
+    orders.onChanged
+        = [this](const std::vector<KindObject>& objects, std::optional<Duration>) { this->onRollouts(objects, false); };
+    this->rolloutWatcher = this->watchKind(wire::rolloutsKind, std::move(orders));
+}
+
+KindWatcherHandlers EntryTask::Impl::watcherHandlers(std::string_view kind)
+{
+    KindWatcherHandlers handlers;
+    handlers.onReachable = [kind = std::string(kind)](bool reachable, const std::string& reason) {
+        logLine(reachable ? LogLevel::Info : LogLevel::Warning,
+            reachable ? "platform answers again" : "platform does not answer",
+            { { "kind", kind }, { "reason", reason } });
+    };
+    return handlers;
+}
+
+std::unique_ptr<KindWatcher> EntryTask::Impl::watchKind(std::string_view kind, KindWatcherHandlers handlers)
+{
+    return std::make_unique<KindWatcher>(*this->loop, *this->platform, std::string(kind), KindWatcherSettings {},
+        std::move(handlers), RandomSource(this->random.next()));
+}
+
+void EntryTask::Impl::onConfigurationObjects(const std::vector<KindObject>& objects)
+{
+    for (const KindObject& object : objects) {
+        if (object.name != wire::configName || object.deleted)
+            continue;
+        std::string reason;
+        if (auto configuration = decodeConfiguration(object.spec, reason))
+            this->handle(EntryConfigurationRead { std::move(*configuration) });
+        else
+            logLine(LogLevel::Error, "configuration cannot be understood; the last one stays in effect",
+                { { "objectVersion", object.version }, { "reason", reason } });
+    }
+}
+
+void EntryTask::Impl::onUpstreamsListed(const std::vector<KindObject>& objects, std::optional<Duration> sinceOutage)
+{
+    UpstreamsListed listed { {}, sinceOutage };
+    for (const KindObject& object : objects) {
+        std::string reason;
+        if (auto upstream = decodeUpstream(object, reason))
+            listed.upstreams.push_back(std::move(*upstream));
+        else
+            logLine(LogLevel::Warning, "entry names no upstream", { { "entry", object.name }, { "reason", reason } });
+    }
+    this->handle(std::move(listed));
+}
+
+void EntryTask::Impl::onUpstreamsChanged(const std::vector<KindObject>& objects, std::optional<Duration> sinceOutage)
+{
+    for (const KindObject& object : objects) {
+        std::string reason = "removed";
+        auto upstream = object.deleted ? std::nullopt : decodeUpstream(object, reason);
+        if (upstream) {
+            this->handle(UpstreamChanged { std::move(*upstream) });
+            continue;
+        }
+        if (!object.deleted)
+            logLine(LogLevel::Warning, "entry names no upstream", { { "entry", object.name }, { "reason", reason } });
+        this->handle(UpstreamRemoved { object.name, object.deleted ? sinceOutage : std::nullopt });
+    }
+}
+
+void EntryTask::Impl::onRollouts(const std::vector<KindObject>& objects, bool complete)
+{
+    if (complete)
+        this->rollouts.clear();
+    for (const KindObject& object : objects) {
+        std::string reason;
+        auto order = object.deleted ? std::nullopt : decodeRollout(object, reason);
+        if (order)
+            this->rollouts.insert_or_assign(object.name, std::move(*order));
+        else
+            this->rollouts.erase(object.name);
+        if (!reason.empty())
+            logLine(LogLevel::Warning, "entry is no rollout", { { "entry", object.name }, { "reason", reason } });
+    }
+    RolloutsListed listed;
+    for (const auto& [name, order] : this->rollouts)
+        listed.orders.push_back(order);
+    this->handle(std::move(listed));
+}
+
+void EntryTask::Impl::onCaller(std::shared_ptr<ServerExchange> exchange)
+{
+    const RequestId id = this->node.nextRequestId();
+    CallerRequestArrived arrived { id, decodeCallerRequest(exchange->request()) };
+    this->relay.addCaller(id, std::move(exchange));
+    this->handle(std::move(arrived));
+}
+
+void EntryTask::Impl::onRelay(RelayEvent event)
+{
+    std::visit([this](auto& content) { this->deliver(content); }, event);
+}
+
+void EntryTask::Impl::deliver(AttemptStarted& event)
+{
+    this->handle(UpstreamStreamStarted { event.attempt, decodeResponseFacts(statusOk, event.headers) });
+}
+
+void EntryTask::Impl::deliver(AttemptFinished& event)
+{
+    const ResponseFacts facts = decodeResponseFacts(event.status, event.headers);
+    this->handle(UpstreamResponded { std::move(event), facts });
+}
+
+void EntryTask::Impl::handle(EntryEvent event)
+{
+    if (this->stopped)
+        return;
+    for (EntryCommand& command : this->node.handle(std::move(event), this->loop->now()))
+        std::visit([this](auto& content) { this->execute(content); }, command);
+    this->scheduleTick();
+}
+
+void EntryTask::Impl::scheduleTick()
+{
+    const Instant now = this->loop->now();
+    const Instant due = std::max(this->node.nextTick(), now + shortestTick);
+    if (this->tickTimer && this->tickAt <= due)
+        return;
+    if (this->tickTimer)
+        this->loop->cancelTimer(*this->tickTimer);
+    this->tickAt = due;
+    this->tickTimer = this->loop->runAfter(due - now, [this] {
+        this->tickTimer.reset();
+        this->handle(EntryTick {});
+    });
+}
+
+void EntryTask::Impl::readClock()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    this->handle(ClockRead { std::chrono::duration_cast<Duration>(sinceEpoch) });
+    this->loop->runAfter(clockPeriod, [this] { this->readClock(); });
+}
+
+void EntryTask::Impl::startMetricsWindows()
+{
+    this->loop->runAfter(metricsWindow, [this] {
+        this->metrics.startWindow();
+        this->startMetricsWindows();
+    });
+}
+
+void EntryTask::Impl::execute(ForwardRequest& command)
+{
+    StartAttempt& attempt = command.attempt;
+    attempt.headers = encodeUpstreamHeaders(std::move(attempt.headers), command.context, this->loop->now());
+    if (!command.callerAttemptId.empty())
+        attempt.expectedEcho = expectedEcho(command.callerAttemptId);
+    this->relay.execute(std::move(attempt));
+}
+
+void EntryTask::Impl::execute(ApplyCallerLimits& command)
+{
+    const CallerLimits& limits = command.limits;
+    this->callers->setLimits({ limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout });
+}
+
+void EntryTask::Impl::execute(StopProcess&)
+{
+    this->stopped = true;
+    this->loop->runAfter(stopDelay, [this] { this->loop->stop(); });
+}
+
+template <typename Value> PlatformHandler<Value> EntryTask::Impl::cloudHandler(std::uint64_t call)
+{
+    return [this, call](const PlatformResult<Value>& result) {
+        const auto* error = std::get_if<PlatformError>(&result);
+        this->handle(CloudCallEnded { call, error ? outcomeOf(*error) : ObjectOutcome::Ok });
+    };
+}
+
+void EntryTask::Impl::execute(SendUsage& command)
+{
+    if (this->cloud)
+        this->cloud->reportUsage(command.report, this->cloudHandler<std::monostate>(command.call));
+}
+
+void EntryTask::Impl::execute(SendUpstreamOrder& command)
+{
+    if (this->cloud)
+        this->cloud->orderUpstreams(command.order, this->cloudHandler<std::monostate>(command.call));
+}
+
+void EntryTask::Impl::execute(WriteRolloutState& command)
+{
+    const std::string key = std::string(wire::rolloutsKind) + "/" + command.order.service.value();
+    this->platform->writeStatus(key, encodeRolloutStatus(command.order), command.order.objectVersion,
+        this->cloudHandler<std::uint64_t>(command.call));
+}
+
+void EntryTask::Impl::execute(WriteNodeReport& command)
+{
+    const std::string key = std::string(nodesKind) + "/" + command.host;
+    this->platform->replaceObject(
+        key, command.report, [this, key, report = command.report](const PlatformResult<std::uint64_t>& result) {
+            const auto* error = std::get_if<PlatformError>(&result);
+            if (!error)
+                return;
+            if (error->kind == PlatformError::Kind::NotFound)
+                this->platform->createObject(key, report, [](const PlatformResult<std::uint64_t>&) {});
+            else
+                logLine(LogLevel::Warning, "report of this node not written", { { "reason", error->detail } });
+        });
+}
+
+void EntryTask::Impl::execute(ReadNodeReports&)
+{
+    this->platform->listKind(
+        std::string(nodesKind), {}, ReadFreshness::Current, [this](const PlatformResult<KindPage>& result) {
+            const auto* page = std::get_if<KindPage>(&result);
+            if (!page)
+                return;
+            NodeReportsRead read;
+            for (const KindObject& object : page->objects)
+                read.reports.push_back(object.spec.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+            this->handle(std::move(read));
+        });
+}
+
+void EntryTask::Impl::execute(CallObjectApi& command)
+{
+    std::visit([this](const auto& call) { this->run(call); }, command.call);
+}
+
+template <typename Value, typename Fill>
+PlatformHandler<Value> EntryTask::Impl::objectHandler(ObjectCallId id, Fill fill)
+{
+    return [this, id, fill](const PlatformResult<Value>& result) {
+        ObjectResult event;
+        event.id = id;
+        if (const auto* error = std::get_if<PlatformError>(&result)) {
+            event.outcome = outcomeOf(*error);
+            event.version = error->currentVersion.value_or(0);
+        } else {
+            event.outcome = ObjectOutcome::Ok;
+            fill(event, std::get<Value>(result));
+        }
+        this->handle(std::move(event));
+    };
+}
+
+void EntryTask::Impl::run(const ObjectCreate& call)
+{
+    this->platform->createObject(call.key, call.value,
+        this->objectHandler<std::uint64_t>(
+            call.id, [](ObjectResult& event, std::uint64_t version) { event.version = version; }));
+}
+
+void EntryTask::Impl::run(const ObjectUpdate& call)
+{
+    this->platform->updateObject(call.key, call.value, call.expected,
+        this->objectHandler<std::uint64_t>(
+            call.id, [](ObjectResult& event, std::uint64_t version) { event.version = version; }));
+}
+
+void EntryTask::Impl::run(const ObjectRead& call)
+{
+    this->platform->readObject(
+        call.key, this->objectHandler<StoredObject>(call.id, [](ObjectResult& event, const StoredObject& object) {
+            event.value = object.value;
+            event.version = object.version;
+        }));
+}
+
+void EntryTask::Impl::run(const ObjectList& call)
+{
+    this->platform->listObjects(call.prefix,
+        this->objectHandler<std::vector<ListedObject>>(
+            call.id, [](ObjectResult& event, const std::vector<ListedObject>& objects) {
+                for (const ListedObject& object : objects)
+                    event.entries.push_back({ object.key, object.version });
+            }));
+}
+
+void EntryTask::Impl::run(const ObjectDelete& call)
+{
+    this->platform->deleteObject(
+        call.key, call.expected, this->objectHandler<std::monostate>(call.id, [](ObjectResult&, std::monostate) {}));
+}
+
+void EntryTask::Impl::execute(LogEvent& command)
+{
+    std::vector<LogField> fields;
+    fields.reserve(command.fields.size());
+    for (const auto& [name, value] : command.fields)
+        fields.push_back({ name, value });
+    logLine(command.level, command.message, fields);
+}
+
+} // namespace teaselshore
--- a/src/teaselshore/daemon/request_relay.cpp
+++ b/src/teaselshore/daemon/request_relay.cpp
@@ -67,6 +67,10 @@
     void onError(AttemptId id, const HttpError& error);
 
     bool belongsTo(AttemptId id, const Attempt& attempt, const HttpHeaders& headers) const;
+    bool isUsable(const HttpHeaders& headers) const;
+    /// @brief Returns whether the stream that just ended is complete.
+    bool isComplete(const Caller& caller) const;
+    HttpHeaders streamHead(const Attempt& attempt) const;
     void relayBytes(AttemptId id, Attempt& attempt, std::string_view bytes);
     void fail(AttemptId id, bool mayHaveRun, bool connectionBroken, std::string detail);
     Caller* findCaller(const RequestId& request);
@@ -144,6 +148,10 @@
     const auto exchange = std::move(found->second.exchange);
     this->impl->callers.erase(found);
     // An abort would also drop events that wait to be sent, and the error event with them.
+    if (std::holds_alternative<FramedStreams>(this->impl->settings.streams)) {
+        exchange->finishIncomplete();
+        return;
+    }
     exchange->write("event: error\ndata: " + command.errorBody + "\n\n");
     exchange->finish();
 }
@@ -182,6 +190,10 @@
         std::move(command.body) };
     call.connectTimeout = command.connectTimeout;
     call.idleTimeout = command.idleTimeout;
+    if (command.expectedEcho)
+        call.expectedEcho = HttpHeader { command.expectedEcho->first, command.expectedEcho->second };
+    // The end of the connection is the end of such a response, and a reset is told from it.
+    call.acceptUnframedReply = std::holds_alternative<FramedStreams>(this->settings.streams);
 
     Attempt attempt;
     attempt.request = std::move(command.request);
@@ -210,7 +222,7 @@
     attempt.gotHead = true;
     attempt.status = status;
     attempt.headers = headers;
-    const bool streamable = attempt.relay && status == statusOk && isEventStream(headers);
+    const bool streamable = attempt.relay && status == statusOk && isEventStream(headers) && this->isUsable(headers);
     attempt.relaying = streamable && this->findCaller(attempt.request);
 }
 
@@ -242,9 +254,7 @@
     // Not before the first complete event: until then the caller can still get another response.
     if (!caller->streaming) {
         caller->streaming = true;
-        caller->exchange->startStream(statusOk,
-            { { "content-type", std::string(eventStreamType) }, { "cache-control", "no-cache" },
-                { "x-request-id", attempt.request.value() } });
+        caller->exchange->startStream(statusOk, this->streamHead(attempt));
     }
     this->counters.relayedBytes += complete.size();
     caller->exchange->write(complete);
@@ -279,7 +289,7 @@
         this->attempts.erase(found);
         return;
     }
-    if (!caller->second.events.done()) {
+    if (!this->isComplete(caller->second)) {
         this->fail(id, true, true, "the stream ended without its final event");
         return;
     }
@@ -299,6 +309,33 @@
     this->fail(id, error.requestMayHaveBeenSent, broken, error.detail);
 }
 
+bool RequestRelay::Impl::isUsable(const HttpHeaders& headers) const
+{
+    const auto* framed = std::get_if<FramedStreams>(&this->settings.streams);
+    return !framed || headers.find(framed->requiredField).has_value();
+}
+
+bool RequestRelay::Impl::isComplete(const Caller& caller) const
+{
+    if (std::holds_alternative<FramedStreams>(this->settings.streams))
+        return caller.streaming && !caller.events.hasPartial();
+    return caller.events.done();
+}
+
+HttpHeaders RequestRelay::Impl::streamHead(const Attempt& attempt) const
+{
+    if (!std::holds_alternative<FramedStreams>(this->settings.streams))
+        return { { "content-type", std::string(eventStreamType) }, { "cache-control", "no-cache" },
+            { "x-request-id", attempt.request.value() } };
+    HttpHeaders head;
+    for (const HttpHeader& field : attempt.headers.all()) {
+        // Events may be dropped or added by a resume, so that the upstream's length does not hold.
+        if (field.name != "content-length")
+            head.add(field.name, field.value);
+    }
+    return head;
+}
+
 bool RequestRelay::Impl::belongsTo(AttemptId id, const Attempt& attempt, const HttpHeaders& headers) const
 {
     const auto request = headers.find("x-request-id");
@@ -315,9 +352,13 @@
         return;
     const RequestId request = found->second.request;
     this->attempts.erase(found);
-    if (Caller* caller = this->findCaller(request))
+    std::optional<std::uint64_t> lastEventId;
+    if (Caller* caller = this->findCaller(request)) {
         caller->events.dropPartial();
-    this->emit(AttemptFailed { id, mayHaveRun, connectionBroken, this->relayedEvents(request), std::move(detail) });
+        lastEventId = caller->events.lastId();
+    }
+    this->emit(AttemptFailed {
+        id, mayHaveRun, connectionBroken, this->relayedEvents(request), std::move(detail), lastEventId });
 }
 
 Caller* RequestRelay::Impl::findCaller(const RequestId& request)
--- a/src/teaselshore/daemon/serving_task.cpp
+++ b/src/teaselshore/daemon/serving_task.cpp
@@ -131,6 +131,7 @@
     server.address = this->settings.listen.address;
     server.port = this->settings.listen.port;
     server.maxBodyBytes = this->settings.limits.maxBodyBytes;
+    server.refuseDotSegments = true;
     this->callerServer = HttpServer::listen(
         *this->loop, server, [this](std::shared_ptr<ServerExchange> exchange) { this->onCaller(std::move(exchange)); },
         error);
--- a/src/teaselshore/daemon/signal_task.cpp
+++ b/src/teaselshore/daemon/signal_task.cpp
@@ -1,21 +1,21 @@
 #include "signal_task.hpp"
 
 #include <csignal>
-#include <ctime>
 #include <utility>
 
+#include <pthread.h>
+
 namespace teaselshore {
 
 namespace {
 
-    constexpr long waitNanoseconds = 100'000'000;
-
-    sigset_t stopSignals()
+    sigset_t handledSignals()
     {
         sigset_t signals;
         sigemptyset(&signals);
         sigaddset(&signals, SIGTERM);
         sigaddset(&signals, SIGINT);
+        sigaddset(&signals, SIGHUP);
         return signals;
     }
 
@@ -23,7 +23,7 @@
 
 SignalTask::SignalTask()
 {
-    const sigset_t signals = stopSignals();
+    const sigset_t signals = handledSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     // A peer or caller that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
@@ -32,17 +32,24 @@
 SignalTask::~SignalTask()
 {
     this->ended = true;
-    if (this->thread.joinable())
-        this->thread.join();
+    if (!this->thread.joinable())
+        return;
+    // Ends the wait of the thread.
+    pthread_kill(this->thread.native_handle(), SIGINT);
+    this->thread.join();
 }
 
-void SignalTask::start(std::function<void()> onStop)
+void SignalTask::start(std::function<void()> onStop, std::function<void()> onReload)
 {
-    this->thread = std::thread([this, onStop = std::move(onStop)] {
-        const sigset_t signals = stopSignals();
-        const timespec timeout { 0, waitNanoseconds };
+    this->thread = std::thread([this, onStop = std::move(onStop), onReload = std::move(onReload)] {
+        const sigset_t signals = handledSignals();
         while (!this->ended) {
-            if (sigtimedwait(&signals, nullptr, &timeout) > 0)
+            int signal = 0;
+            if (sigwait(&signals, &signal) != 0 || this->ended)
+                continue;
+            if (signal == SIGHUP)
+                onReload();
+            else
                 onStop();
         }
     });
--- a/src/teaselshore/daemon/signal_task.hpp
+++ b/src/teaselshore/daemon/signal_task.hpp
@@ -6,20 +6,18 @@
 
 namespace teaselshore {
 
-/// @brief Thread that waits for SIGTERM and SIGINT and calls a function for each.
+/// @brief Turns SIGTERM and SIGINT into a stop request, and SIGHUP into a request to read the settings again.
 ///
-/// Create it before any other thread, so that all threads inherit the blocked signals.
+/// Create it before any other thread: the signals are blocked in the creating thread and those it starts.
 class SignalTask {
 public:
     SignalTask();
-
-    /// @brief Stops waiting and joins the thread.
     ~SignalTask();
     SignalTask(const SignalTask&) = delete;
     SignalTask& operator=(const SignalTask&) = delete;
 
-    /// @brief Starts the thread. The function runs in it.
-    void start(std::function<void()> onStop);
+    /// @brief Starts to wait for signals. The functions run in the task's thread.
+    void start(std::function<void()> onStop, std::function<void()> onReload);
 
 private:
     std::atomic<bool> ended { false };
--- a/src/teaselshore/daemon/teaselshored_main.cpp
+++ b/src/teaselshore/daemon/teaselshored_main.cpp
@@ -96,7 +96,8 @@
     outlets.readNotices = [&platform] { platform->readNotices(); };
     serving->connect(std::move(outlets));
 
-    signals.start([&serving] { serving->requestStop(); });
+    signals.start(
+        [&serving] { serving->requestStop(); }, [] { logLine(LogLevel::Info, "settings apply at the next start"); });
     logLine(LogLevel::Info, "started",
         { { "listen", formatSocketAddress(settings.listen) }, { "admin", formatSocketAddress(settings.admin) },
             { "peer", peersSettings.address }, { "zone", settings.zone } });
--- /dev/null
+++ b/src/teaselshore/entry/entry_duties.cpp
@@ -0,0 +1,199 @@
+#include "entry_duties.hpp"
+
+#include <algorithm>
+
+#include "teaselshore/base/fingerprint.hpp"
+#include "teaselshore/entry/quota_shares.hpp"
+
+namespace teaselshore {
+
+namespace {
+
+    constexpr std::string_view dutyTask = "duties";
+    /// Nodes that take a free lease; more would read it without use.
+    constexpr std::size_t contenders = 3;
+    /// Added to the time in which one holder after the other may act.
+    constexpr Duration leaseExtra = std::chrono::seconds(1);
+    constexpr Duration leaseMargin = std::chrono::seconds(1);
+    constexpr Duration leaseRenewal = std::chrono::milliseconds(1200);
+    constexpr Duration leaseRead = std::chrono::seconds(1);
+    /// Time after the end of a window in which the nodes write their reports, spread by host.
+    constexpr Duration reportDelay = std::chrono::milliseconds(150);
+    constexpr Duration reportSpread = std::chrono::milliseconds(700);
+    /// Time after the end of a window at which the reports are read.
+    constexpr Duration readDelay = std::chrono::milliseconds(1100);
+    /// Time after the end of a window at which the shares follow the reports read.
+    constexpr Duration shareDelay = std::chrono::milliseconds(2200);
+    constexpr Duration holderReadPeriod = std::chrono::milliseconds(1500);
+    constexpr Duration readTimeout = std::chrono::seconds(3);
+    /// A node lives for this multiple of the report period after its last report.
+    constexpr double silentPeriods = 2.4;
+    /// Windows that a report carries.
+    constexpr std::int64_t reportedWindows = 3;
+    /// Part of its share that a node uses before its first report was seen; the others may not know it yet.
+    constexpr double newNodePart = 0.5;
+    /// Part of its share that a node uses while the others may take it for gone; the tolerance of the quotas covers it.
+    constexpr double silentPart = 0.1;
+    constexpr Duration silentMargin = std::chrono::seconds(3);
+
+    LeaseSettings leaseSettings(const EntrySettings& host)
+    {
+        LeaseSettings settings;
+        settings.length = host.leaseLength + leaseExtra;
+        settings.margin = leaseMargin;
+        settings.renewEvery = leaseRenewal;
+        settings.readEvery = leaseRead;
+        settings.callTimeout = std::chrono::seconds(2);
+        return settings;
+    }
+
+} // namespace
+
+EntryDuties::EntryDuties(EntryState& state)
+    : state(state)
+    , nodes(state.settings.host.node, fromSeconds(silentPeriods * toSeconds(state.settings.host.usageWindow)))
+    , lease(state.settings.id, ServiceName(std::string(dutyTask)), leaseSettings(state.settings.host))
+    , usage(state, ids)
+    , fleet(state, ids)
+{
+    this->lease.setContending(false);
+}
+
+void EntryDuties::onReports(const std::vector<std::string>& texts, Instant now)
+{
+    this->reading = false;
+    std::vector<NodeReport> reports;
+    for (const std::string& text : texts) {
+        if (auto report = NodeReport::decode(text))
+            reports.push_back(std::move(*report));
+        else
+            this->state.log(LogLevel::Warning, "report of a node cannot be understood", {});
+    }
+    if (!this->adoptedOwnReport) {
+        this->adoptedOwnReport = true;
+        for (const NodeReport& report : reports) {
+            if (report.host == this->state.settings.host.node && report.process != this->state.settings.id)
+                this->state.usage.adopt(report.usage);
+        }
+    }
+    this->nodes.onReports(reports, now);
+    this->lease.setContending(this->nodes.rank(dutyTask, now) < contenders);
+}
+
+void EntryDuties::applyShares(std::int64_t window, Instant now)
+{
+    this->sharedWindow = window;
+    const std::vector<NodeReport> reports = this->nodes.reports(now);
+    this->state.setLiveNodes(this->nodes.hosts(now).size());
+    if (!this->state.table)
+        return;
+    std::vector<WorkspaceName> workspaces;
+    for (const EntryWorkspace& workspace : this->state.table->configuration().workspaces)
+        workspaces.push_back(workspace.name);
+    for (const NodeReport& report : reports) {
+        if (report.host == this->state.settings.host.node && report.completeWindow >= window)
+            this->reportSeenAt = now;
+    }
+    // The others count on the part of a node that has been silent for long, and on half of that of a new one.
+    const bool isSilent = this->reportSeenAt && now - *this->reportSeenAt > this->nodes.silenceLimit() - silentMargin;
+    const double part = isSilent ? silentPart : this->reportSeenAt ? 1 : newNodePart;
+    for (const auto& [workspace, share] :
+        quotaShares({ this->state.settings.host.node, this->state.liveNodes, reports, window }, workspaces))
+        this->state.quotas.setShare(workspace, part * share, now);
+}
+
+std::optional<FencedHolder> EntryDuties::holder(Instant now) const
+{
+    const std::optional<std::uint64_t> token = this->lease.fencingToken(now);
+    if (!token || token == this->refusedToken)
+        return std::nullopt;
+    return FencedHolder { this->state.settings.host.node, *token };
+}
+
+void EntryDuties::execute(std::vector<ObjectCommand> commands)
+{
+    for (ObjectCommand& command : commands)
+        this->state.commands.emplace_back(CallObjectApi { std::move(command) });
+}
+
+void EntryDuties::onObjectResult(const ObjectResult& result, Instant now)
+{
+    if (this->usage.awaits(result.id))
+        this->usage.onObjectResult(result, now);
+    else if (this->fleet.awaits(result.id))
+        this->fleet.onObjectResult(result, now);
+    else
+        this->execute(this->lease.onResult(result, now, this->ids));
+}
+
+void EntryDuties::onCloudResult(const CloudCallEnded& result, Instant now)
+{
+    if (this->fleet.awaitsCloudCall(result.call)) {
+        this->fleet.onCloudResult(result, now);
+        return;
+    }
+    if (!this->usage.awaitsCloudCall(result.call) || this->usage.onCloudResult(result, now))
+        return;
+    this->refusedToken = this->lease.fencingToken(now);
+    this->state.log(LogLevel::Warning, "a newer holder has acted; this node stops until it gets a new lease", {});
+}
+
+void EntryDuties::onTick(Instant now)
+{
+    this->scheduleReports(now);
+    this->execute(this->lease.tick(now, this->ids));
+    const bool held = this->holdsLease(now);
+    if (held != this->state.statistics.holdsLease) {
+        this->state.statistics.holdsLease = held;
+        this->state.log(LogLevel::Info, held ? "lease of the fleet's tasks taken" : "lease of the fleet's tasks ended",
+            { { "fencingToken", std::to_string(this->lease.fencingToken(now).value_or(0)) } });
+    }
+    const std::optional<FencedHolder> by = this->holder(now);
+    this->usage.onTick(this->nodes.reports(now), by, now);
+    this->fleet.onTick(by, now);
+}
+
+void EntryDuties::scheduleReports(Instant now)
+{
+    if (this->reading && now - this->readStartedAt > readTimeout)
+        this->reading = false;
+    if (!this->reading && now >= this->nextRead) {
+        this->reading = true;
+        this->readStartedAt = now;
+        this->nextRead = now + (this->holdsLease(now) ? holderReadPeriod : this->state.settings.host.usageWindow);
+        this->state.commands.emplace_back(ReadNodeReports {});
+    }
+    const std::optional<Duration> calendar = this->state.calendarTime(now);
+    // An earlier process's counts must be read before its report is overwritten.
+    if (!calendar || !this->adoptedOwnReport)
+        return;
+    const std::int64_t current = this->state.usage.windowAt(*calendar);
+    const Duration sinceStart = *calendar - current * this->state.settings.host.usageWindow;
+    // All nodes take over the shares of one round of reports at the same time, also those that could not read it.
+    const bool isDue = sinceStart >= shareDelay && this->sharedWindow != current - 1;
+    if (this->nodes.isKnown() && (isDue || this->state.liveNodes == 0))
+        this->applyShares(current - 1, now);
+    const Fingerprint place = fingerprint(this->state.settings.host.node);
+    const Duration delay = reportDelay + Duration(static_cast<Duration::rep>(place % reportSpread.count()));
+    if (this->reportedWindow == current - 1 || (this->reportedWindow && sinceStart < delay))
+        return;
+    this->reportedWindow = current - 1;
+    this->writeReport(now);
+    // Reads follow the reports of all nodes.
+    this->nextRead = std::min(this->nextRead, now + std::max(Duration(0), readDelay - sinceStart));
+}
+
+void EntryDuties::writeReport(Instant now)
+{
+    NodeReport report;
+    report.host = this->state.settings.host.node;
+    report.process = this->state.settings.id;
+    report.number = ++this->reportNumber;
+    report.completeWindow = *this->reportedWindow;
+    this->state.usage.dropBefore(*this->reportedWindow - reportedWindows);
+    report.usage = this->state.usage.windows();
+    report.quotaDemand = this->state.quotas.takeDemand(now);
+    this->state.commands.emplace_back(WriteNodeReport { report.host, report.encode() });
+}
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/entry/entry_duties.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "entry_state.hpp"
+#include "fleet_controller.hpp"
+#include "teaselshore/control/lease.hpp"
+#include "teaselshore/entry/live_nodes.hpp"
+#include "usage_reporter.hpp"
+
+namespace teaselshore {
+
+/// @brief What a node does beside requests: it reports at the platform that it lives, follows the other nodes' reports,
+/// and carries out the tasks of the whole fleet while it holds their lease. Not thread-safe.
+class EntryDuties {
+public:
+    explicit EntryDuties(EntryState& state);
+
+    void onReports(const std::vector<std::string>& texts, Instant now);
+    void onObjectResult(const ObjectResult& result, Instant now);
+    void onCloudResult(const CloudCallEnded& result, Instant now);
+    void onTick(Instant now);
+    /// @brief Gives the lease up.
+    void stop() { this->lease.stop(); }
+    bool holdsLease(Instant now) const { return this->lease.fencingToken(now).has_value(); }
+
+private:
+    void scheduleReports(Instant now);
+    void writeReport(Instant now);
+    void execute(std::vector<ObjectCommand> commands);
+    std::optional<FencedHolder> holder(Instant now) const;
+    /// @brief Sets the shares of the quotas after the round of reports that the end of the window began.
+    void applyShares(std::int64_t window, Instant now);
+
+    EntryState& state;
+    ObjectCallIds ids;
+    LiveNodes nodes;
+    LeaseHolder lease;
+    UsageReporter usage;
+    FleetController fleet;
+    /// Counts of an earlier process of this host, which its last report holds.
+    bool adoptedOwnReport = false;
+    std::uint64_t reportNumber = 0;
+    std::optional<std::int64_t> reportedWindow;
+    Instant nextReport {};
+    Instant nextRead {};
+    bool reading = false;
+    /// Window whose round of reports gave the present shares of the quotas.
+    std::optional<std::int64_t> sharedWindow;
+    /// Last time that this node's own report was among those read in its round.
+    std::optional<Instant> reportSeenAt;
+    Instant readStartedAt {};
+    /// Fencing token that the platform refused since a newer holder acted.
+    std::optional<std::uint64_t> refusedToken;
+};
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -0,0 +1,247 @@
+#include "teaselshore/entry/entry_node.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "entry_duties.hpp"
+#include "entry_requests.hpp"
+#include "entry_state.hpp"
+#include "upstream_routing.hpp"
+
+namespace teaselshore {
+
+namespace {
+
+    constexpr std::size_t requestIdDigits = 20;
+    /// Longest time between two rounds of regular work.
+    constexpr Duration housekeepingPeriod = std::chrono::milliseconds(100);
+    /// Time from failing the readiness check until the load balancer sends no new connections: two checks a second
+    /// apart, and their answers.
+    constexpr Duration balancerDelay = std::chrono::milliseconds(2600);
+    /// Kept at the end of a planned stop for the last bytes to leave.
+    constexpr Duration stopMargin = std::chrono::milliseconds(300);
+    /// A reading of the clock that differs more than this from the expected time is not taken over at once.
+    constexpr Duration clockTolerance = std::chrono::milliseconds(300);
+    /// Time for which a changed clock must hold before it is believed; steps that are taken back last some seconds.
+    constexpr Duration clockTrust = std::chrono::seconds(20);
+
+} // namespace
+
+struct EntryNode::Impl {
+    explicit Impl(EntryNodeSettings settings)
+        : state(std::move(settings))
+        , requests(state)
+        , duties(state)
+    {
+    }
+
+    void handle(CallerRequestArrived& event, Instant now) { this->requests.onArrived(std::move(event), now); }
+    void handle(CallerGone& event, Instant now) { this->requests.onCallerGone(event.request, now); }
+    void handle(UpstreamStreamStarted& event, Instant now) { this->requests.onStreamStarted(event, now); }
+    void handle(UpstreamResponded& event, Instant now) { this->requests.onResponded(std::move(event), now); }
+    void handle(AttemptFailed& event, Instant now) { this->requests.onFailed(event, now); }
+    void handle(EntryConfigurationRead& event, Instant now);
+    void handle(UpstreamsListed& event, Instant now);
+    void handle(UpstreamChanged& event, Instant now);
+    void handle(UpstreamRemoved& event, Instant now);
+    void handle(RolloutsListed& event, Instant now);
+    void handle(NodeReportsRead& event, Instant now);
+    void handle(CloudCallEnded& event, Instant now);
+    void handle(ObjectResult& event, Instant now);
+    void handle(ClockRead& event, Instant now);
+    void handle(EntryStopRequested& event, Instant now);
+    void handle(EntryTick& event, Instant now);
+
+    void applyRouting(Instant now);
+    void updateReadiness();
+    void advanceStop(Instant now);
+
+    EntryState state;
+    EntryRequests requests;
+    EntryDuties duties;
+    std::vector<RolloutOrder> rollouts;
+    bool ready = false;
+    std::optional<Instant> stopRequestedAt;
+    bool acceptingStopped = false;
+    bool stopped = false;
+    Instant nextHousekeeping {};
+    /// Reading of the clock that differs from the believed time, and when it was first seen.
+    std::optional<std::pair<Duration, Instant>> doubtfulOffset;
+};
+
+EntryNode::EntryNode(EntryNodeSettings settings)
+    : impl(std::make_unique<Impl>(std::move(settings)))
+{
+}
+
+EntryNode::~EntryNode() = default;
+
+RequestId EntryNode::nextRequestId() { return RequestId("q-" + this->impl->state.random.hex(requestIdDigits)); }
+
+EntryCommands EntryNode::handle(EntryEvent event, Instant now)
+{
+    std::visit([&](auto& content) { this->impl->handle(content, now); }, event);
+    this->impl->updateReadiness();
+    this->impl->advanceStop(now);
+    return std::exchange(this->impl->state.commands, {});
+}
+
+Instant EntryNode::nextTick() const { return std::min(this->impl->nextHousekeeping, this->impl->requests.nextTick()); }
+
+EntryStatistics EntryNode::statistics() const
+{
+    EntryStatistics statistics = this->impl->state.statistics;
+    statistics.openRequests = this->impl->requests.open();
+    statistics.waitingRequests = this->impl->requests.waiting();
+    statistics.upstreams = this->impl->state.instances.size();
+    statistics.liveNodes = this->impl->state.liveNodes;
+    statistics.configurationVersion = this->impl->state.table ? this->impl->state.table->configuration().version : 0;
+    return statistics;
+}
+
+void EntryNode::Impl::handle(EntryConfigurationRead& event, Instant now)
+{
+    const std::uint64_t version = event.configuration.version;
+    const std::uint64_t current = this->state.table ? this->state.table->configuration().version : 0;
+    if (this->state.table && version <= current) {
+        if (version < current)
+            this->state.log(LogLevel::Warning, "older configuration ignored",
+                { { "version", std::to_string(version) }, { "inEffect", std::to_string(current) } });
+        return;
+    }
+    this->state.table = std::make_shared<const RouteTable>(std::move(event.configuration));
+    const EntryConfiguration& configuration = this->state.table->configuration();
+    this->state.quotas.onWorkspaces(configuration.workspaces, now);
+    this->state.commands.emplace_back(ApplyCallerLimits { configuration.limits });
+    this->state.log(LogLevel::Info, "configuration in effect",
+        { { "version", std::to_string(version) }, { "previous", std::to_string(current) },
+            { "routes", std::to_string(configuration.routes.size()) } });
+    this->applyRouting(now);
+}
+
+void EntryNode::Impl::handle(UpstreamsListed& event, Instant now)
+{
+    if (this->state.directory.onListed(event.upstreams, event.sinceOutage, now))
+        this->applyRouting(now);
+}
+
+void EntryNode::Impl::handle(UpstreamChanged& event, Instant now)
+{
+    if (!this->state.directory.onChanged(event.upstream))
+        return;
+    this->state.log(LogLevel::Info, "upstream changed",
+        { { "upstream", event.upstream.id().value() }, { "service", event.upstream.service.value() },
+            { "zone", event.upstream.zone.value() }, { "version", event.upstream.version.value() },
+            { "draining", event.upstream.draining ? "true" : "false" } });
+    this->applyRouting(now);
+}
+
+void EntryNode::Impl::handle(UpstreamRemoved& event, Instant now)
+{
+    if (!this->state.directory.onRemoved(event.instance, event.sinceOutage, now))
+        return;
+    this->state.log(LogLevel::Info, "upstream removed", { { "instance", event.instance } });
+    this->applyRouting(now);
+}
+
+void EntryNode::Impl::handle(RolloutsListed& event, Instant now)
+{
+    this->rollouts = std::move(event.orders);
+    this->applyRouting(now);
+}
+
+void EntryNode::Impl::handle(NodeReportsRead& event, Instant now) { this->duties.onReports(event.reports, now); }
+
+void EntryNode::Impl::handle(CloudCallEnded& event, Instant now) { this->duties.onCloudResult(event, now); }
+
+void EntryNode::Impl::handle(ObjectResult& event, Instant now) { this->duties.onObjectResult(event, now); }
+
+void EntryNode::Impl::handle(ClockRead& event, Instant now)
+{
+    const Duration offset = event.sinceEpoch - now.time_since_epoch();
+    const auto differs
+        = [offset](Duration other) { return offset > other + clockTolerance || other > offset + clockTolerance; };
+    if (!this->state.clockOffset || !differs(*this->state.clockOffset)) {
+        this->state.clockOffset = offset;
+        this->doubtfulOffset.reset();
+        return;
+    }
+    if (!this->doubtfulOffset || differs(this->doubtfulOffset->first)) {
+        this->doubtfulOffset = { offset, now };
+        return;
+    }
+    if (now - this->doubtfulOffset->second < clockTrust)
+        return;
+    this->state.log(LogLevel::Warning, "clock of the host was set",
+        { { "byMs", std::to_string((offset - *this->state.clockOffset).count() / 1000) } });
+    this->state.clockOffset = offset;
+    this->doubtfulOffset.reset();
+}
+
+void EntryNode::Impl::applyRouting(Instant now)
+{
+    if (!this->state.table)
+        return;
+    const std::vector<RegisteredUpstream> upstreams = this->state.directory.upstreams();
+    this->state.instances = usableInstances(upstreams);
+    this->state.router.onConfiguration(
+        routingConfiguration(this->state.table->configuration(), upstreams, this->state.settings.host), now);
+    for (const VersionShare& share : versionShares(upstreams, this->rollouts))
+        this->state.router.setVersionShare(share.service, share.version, share.share);
+    this->requests.onCapacityChanged(now);
+}
+
+void EntryNode::Impl::updateReadiness()
+{
+    const bool able = this->state.table && this->state.directory.isKnown() && !this->stopRequestedAt;
+    if (able == this->ready)
+        return;
+    this->ready = able;
+    this->state.commands.emplace_back(SetReady { able });
+    this->state.log(LogLevel::Info, able ? "ready for requests" : "not ready for requests", {});
+}
+
+void EntryNode::Impl::handle(EntryStopRequested&, Instant now)
+{
+    if (this->stopRequestedAt)
+        return;
+    this->stopRequestedAt = now;
+    this->duties.stop();
+    this->state.commands.emplace_back(AnnounceClose {});
+    this->state.log(LogLevel::Info, "stopping", { { "openRequests", std::to_string(this->requests.open()) } });
+}
+
+void EntryNode::Impl::advanceStop(Instant now)
+{
+    if (!this->stopRequestedAt || this->stopped)
+        return;
+    const Duration passed = now - *this->stopRequestedAt;
+    if (passed < balancerDelay)
+        return;
+    if (!this->acceptingStopped) {
+        this->acceptingStopped = true;
+        this->state.commands.emplace_back(StopAccepting {});
+        return;
+    }
+    const bool outOfTime = passed >= this->state.settings.host.stopGrace - stopMargin;
+    if (this->requests.open() > 0 && !outOfTime)
+        return;
+    this->stopped = true;
+    this->state.log(LogLevel::Info, "stopped", { { "openRequests", std::to_string(this->requests.open()) } });
+    this->state.commands.emplace_back(StopProcess {});
+}
+
+void EntryNode::Impl::handle(EntryTick&, Instant now)
+{
+    this->requests.onTick(now);
+    if (now < this->nextHousekeeping)
+        return;
+    this->nextHousekeeping = now + housekeepingPeriod;
+    this->state.router.onTick(now);
+    this->duties.onTick(now);
+    if (this->state.directory.onTick(now))
+        this->applyRouting(now);
+}
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -0,0 +1,486 @@
+#include "entry_requests.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "teaselshore/base/assert.hpp"
+#include "teaselshore/node/error_response.hpp"
+
+namespace teaselshore {
+
+namespace {
+
+    constexpr int badGateway = 502;
+    constexpr int gatewayTimeout = 504;
+    constexpr int notFound = 404;
+    constexpr int unauthorized = 401;
+    constexpr int tooManyRequests = 429;
+    constexpr int serviceUnavailable = 503;
+    constexpr int firstServerError = 500;
+    constexpr int statusOk = 200;
+    constexpr int firstRedirect = 300;
+
+    /// Time for an upstream to accept a connection; some 20 times the way between zones.
+    constexpr Duration connectTimeout = std::chrono::milliseconds(250);
+    /// Sends of one request, refused ones included.
+    constexpr std::uint32_t maxSends = 4;
+    /// Part of its latency target that a request may wait for a free upstream. A caller that is refused by then can
+    /// still be answered in time elsewhere.
+    constexpr int holdPart = 8;
+    /// Time between two tries to start waiting requests while no upstream reports a change.
+    constexpr Duration waitingPoll = std::chrono::milliseconds(15);
+    /// Least time left for another attempt to be of use.
+    constexpr Duration leastTimeForRetry = std::chrono::milliseconds(50);
+    constexpr Duration notReadyRetryAfter = std::chrono::milliseconds(500);
+    /// Bounds of the time after which a refused caller is asked to return; spread, so that callers do not return
+    /// together.
+    constexpr Duration shortestRetryAfter = std::chrono::milliseconds(300);
+    constexpr Duration longestRetryAfter = std::chrono::milliseconds(900);
+    constexpr std::uint32_t lowestPriority = 9;
+    constexpr Duration never = Duration::max();
+
+    std::string formatSeconds(Duration duration) { return fmt::format("{:.2f}", toSeconds(duration)); }
+
+    std::vector<Fingerprint> prefixBlocks(const std::vector<PromptPart>& parts, std::uint32_t tokensPerBlock)
+    {
+        std::vector<Fingerprint> blocks;
+        Fingerprint before = 0;
+        std::uint64_t tokens = 0;
+        for (const PromptPart& part : parts) {
+            const Fingerprint whole = combine(before, part.id);
+            const std::uint64_t end = tokens + part.tokens;
+            for (std::uint64_t next = (blocks.size() + 1) * tokensPerBlock; next <= end; next += tokensPerBlock)
+                blocks.push_back(combine(whole, next - tokens));
+            before = whole;
+            tokens = end;
+        }
+        return blocks;
+    }
+
+} // namespace
+
+EntryRequests::EntryRequests(EntryState& state)
+    : state(state)
+{
+}
+
+EntryRequests::Request* EntryRequests::find(const RequestId& id)
+{
+    const auto found = this->requests.find(id);
+    return found == this->requests.end() ? nullptr : &found->second;
+}
+
+void EntryRequests::onArrived(CallerRequestArrived arrived, Instant now)
+{
+    ++this->state.statistics.requests;
+    Request& request = this->requests[arrived.id];
+    request.id = arrived.id;
+    request.caller = std::move(arrived.request);
+    request.arrivedAt = now;
+    request.table = this->state.table;
+    if (!request.table || !this->state.directory.isKnown()) {
+        this->refuse(request, RequestOutcome::NotReady, serviceUnavailable, "this node has no configuration yet",
+            notReadyRetryAfter, now);
+        return;
+    }
+    request.route = request.table->match(request.caller.host, request.caller.path);
+    if (!request.route) {
+        this->refuse(request, RequestOutcome::UnknownRoute, notFound, "no route matches this host and path", {}, now);
+        return;
+    }
+    if (this->authorise(request)) {
+        this->refuse(request, RequestOutcome::UnknownKey, unauthorized, "the key is missing or unknown", {}, now);
+        return;
+    }
+    request.limit = now + std::min(request.caller.patience.value_or(never), request.route->timeout);
+    this->limits.emplace(request.limit, request.id);
+    if (request.workspace) {
+        const auto wait = this->state.quotas.take(*request.workspace, request.quotaCost, now);
+        if (wait) {
+            request.quotaCost = 0;
+            this->refuse(request, RequestOutcome::OverQuota, tooManyRequests, "the workspace is over its quota",
+                std::max(*wait, shortestRetryAfter), now);
+            return;
+        }
+    }
+    request.service = this->drawService(*request.route);
+    this->fillRouting(request);
+    this->state.retryBudget(request.service).onRequest(now);
+    this->dispatch(request, now);
+}
+
+std::optional<RequestOutcome> EntryRequests::authorise(Request& request)
+{
+    const EntryConfiguration& configuration = request.table->configuration();
+    if (configuration.workspaces.empty())
+        return std::nullopt;
+    const EntryWorkspace* workspace = request.caller.key ? request.table->findKey(*request.caller.key) : nullptr;
+    if (!workspace && request.route->isPublic)
+        return std::nullopt;
+    if (!workspace)
+        return RequestOutcome::UnknownKey;
+    request.workspace = workspace->name;
+    request.priority = workspace->priority.value_or(request.route->priority);
+    if (workspace->quota) {
+        std::optional<double> tokens;
+        if (const auto& size = request.caller.size)
+            tokens = static_cast<double>(size->promptTokens) + size->maxOutputTokens;
+        request.quotaCost = QuotaLimiter::cost(*workspace->quota, tokens);
+    }
+    return std::nullopt;
+}
+
+ServiceName EntryRequests::drawService(const EntryRoute& route)
+{
+    double sum = 0;
+    for (const WeightedService& target : route.targets)
+        sum += target.weight;
+    double drawn = this->state.random.uniform() * sum;
+    for (const WeightedService& target : route.targets) {
+        drawn -= target.weight;
+        if (drawn < 0)
+            return target.service;
+    }
+    return route.targets.back().service;
+}
+
+void EntryRequests::fillRouting(Request& request)
+{
+    if (!request.workspace)
+        request.priority = request.route->priority;
+    RoutingRequest& routing = request.routing;
+    routing.service = request.service;
+    routing.latencyClass = ClassName(request.route->name.value());
+    routing.idempotent = request.route->repeatable;
+    if (const auto& size = request.caller.size) {
+        routing.promptTokens = size->promptTokens;
+        routing.expectedOutputTokens = size->maxOutputTokens;
+    }
+    routing.prefixBlocks = prefixBlocks(request.caller.parts, EntryState::tokensPerBlock);
+}
+
+void EntryRequests::dispatch(Request& request, Instant now)
+{
+    if (!this->trySend(request, now))
+        this->hold(request, now);
+}
+
+bool EntryRequests::trySend(Request& request, Instant now)
+{
+    auto decision = this->state.router.choose(request.routing, now);
+    if (!decision)
+        return false;
+    if (request.waitUntil) {
+        this->waitingRequests.erase({ request.priority, request.arrivedAt, request.id });
+        request.waitUntil.reset();
+    }
+    const auto upstream = this->state.instances.find(decision->chosen.upstream);
+    TEASELSHORE_ASSERT(upstream != this->state.instances.end(), "the router chose an upstream that is not registered");
+
+    const AttemptId id = ++this->lastAttempt;
+    Attempt attempt { request.id, decision->chosen.upstream, {}, now };
+    attempt.dispatch = this->state.router.onDispatched(request.routing, *decision, now);
+    this->attempts.emplace(id, attempt);
+    request.attempt = id;
+    ++request.sends;
+    ++this->state.statistics.attempts;
+    if (request.streaming)
+        ++this->state.statistics.resumes;
+
+    ForwardRequest forward;
+    forward.attempt.attempt = id;
+    forward.attempt.request = request.id;
+    forward.attempt.upstream = attempt.upstream;
+    forward.attempt.authority = decision->address;
+    forward.attempt.method = request.caller.method;
+    forward.attempt.path = request.caller.path;
+    forward.attempt.headers = request.caller.passedHeaders;
+    forward.attempt.body = request.caller.body;
+    forward.attempt.connectTimeout = std::min(connectTimeout, request.limit - now);
+    forward.attempt.idleTimeout = request.limit - now + connectTimeout;
+    forward.attempt.relay = request.route->response == ResponseKind::EventStream;
+    forward.context.deadline = request.limit;
+    forward.context.instance = upstream->second;
+    forward.context.workspace = request.workspace;
+    forward.context.priority = std::min(request.priority, lowestPriority);
+    forward.context.resumeAfter = request.lastEventId ? request.lastEventId : request.caller.lastEventId;
+    forward.callerAttemptId = request.caller.attemptId;
+    this->state.commands.emplace_back(std::move(forward));
+    return true;
+}
+
+void EntryRequests::hold(Request& request, Instant now)
+{
+    const Duration longest = request.route->latencyTarget / holdPart;
+    const Instant until = std::min(request.waitUntil.value_or(request.arrivedAt + longest), request.limit);
+    if (now >= until) {
+        this->endUnanswered(request, "no upstream has room", now);
+        return;
+    }
+    request.waitUntil = until;
+    this->waitingRequests.emplace(request.priority, request.arrivedAt, request.id);
+}
+
+void EntryRequests::startWaiting(Instant now)
+{
+    this->lastTry = now;
+    // A request that finds no room leaves none for later ones of its service.
+    std::set<ServiceName> full;
+    const auto waiting = this->waitingRequests;
+    for (const auto& [priority, arrivedAt, id] : waiting) {
+        Request* request = this->find(id);
+        if (!request || full.contains(request->service))
+            continue;
+        if (this->trySend(*request, now))
+            continue;
+        full.insert(request->service);
+    }
+}
+
+void EntryRequests::onCapacityChanged(Instant now) { this->startWaiting(now); }
+
+std::optional<EntryRequests::Attempt> EntryRequests::takeAttempt(AttemptId id)
+{
+    const auto node = this->attempts.extract(id);
+    if (node.empty())
+        return std::nullopt;
+    return node.mapped();
+}
+
+void EntryRequests::applyLoad(const UpstreamId& upstream, const ResponseFacts& facts, Instant now)
+{
+    if (facts.load)
+        this->state.router.onLoadReport({ upstream, facts.load->waiting, facts.load->running, Duration::zero() }, now);
+}
+
+void EntryRequests::countStart(Request& request, Instant now)
+{
+    if (std::exchange(request.counted, true) || !request.workspace)
+        return;
+    if (const auto time = this->state.calendarTime(now))
+        this->state.usage.onStarted(*request.workspace, *time);
+}
+
+void EntryRequests::onStreamStarted(const UpstreamStreamStarted& event, Instant now)
+{
+    const auto found = this->attempts.find(event.attempt);
+    if (found == this->attempts.end())
+        return;
+    this->state.router.onFirstToken(found->second.dispatch, now);
+    this->applyLoad(found->second.upstream, event.facts, now);
+    if (Request* request = this->find(found->second.request)) {
+        request->streaming = true;
+        this->countStart(*request, now);
+    }
+}
+
+void EntryRequests::onResponded(UpstreamResponded event, Instant now)
+{
+    const auto attempt = this->takeAttempt(event.response.attempt);
+    if (!attempt)
+        return;
+    const int status = event.response.status;
+    const bool failed = !event.facts.notRun && status >= firstServerError;
+    const AttemptOutcome outcome = event.facts.notRun ? AttemptOutcome::Refused
+        : failed                                      ? AttemptOutcome::Failed
+                                                      : AttemptOutcome::Completed;
+    this->state.router.onFinished(
+        attempt->dispatch, outcome, static_cast<std::uint32_t>(event.response.relayedEvents), now);
+    this->applyLoad(attempt->upstream, event.facts, now);
+    Request* request = this->find(attempt->request);
+    if (!request)
+        return;
+    request->attempt.reset();
+    if (!event.facts.notRun) {
+        ++request->runs;
+        this->countStart(*request, now);
+    }
+    const bool success = status >= statusOk && status < firstRedirect;
+    if (!event.facts.notRun && !failed && (event.facts.isStamped || !success)) {
+        this->respond(*request, std::move(event.response), now);
+        return;
+    }
+    request->routing.excluded.push_back(attempt->upstream);
+    if (failed && event.facts.isStamped && !request->streaming)
+        request->failure = std::move(event.response);
+    const std::string reason = event.facts.notRun ? "the upstream did not run the request"
+                                                  : fmt::format("the upstream answered with status {}", status);
+    this->retryOrEnd(*request, !event.facts.notRun, reason, now);
+    this->startWaiting(now);
+}
+
+void EntryRequests::onFailed(const AttemptFailed& event, Instant now)
+{
+    const auto attempt = this->takeAttempt(event.attempt);
+    if (!attempt)
+        return;
+    const AttemptOutcome outcome = !event.mayHaveRun ? AttemptOutcome::Refused
+        : event.connectionBroken                     ? AttemptOutcome::Failed
+                                                     : AttemptOutcome::TimedOut;
+    this->state.router.onFinished(attempt->dispatch, outcome, 0, now);
+    Request* request = this->find(attempt->request);
+    if (!request)
+        return;
+    request->attempt.reset();
+    if (event.lastEventId)
+        request->lastEventId = event.lastEventId;
+    request->routing.excluded.push_back(attempt->upstream);
+    if (event.mayHaveRun)
+        ++request->runs;
+    this->state.log(LogLevel::Info, "attempt failed",
+        { { "request", request->caller.attemptId }, { "upstream", attempt->upstream.value() },
+            { "mayHaveRun", event.mayHaveRun ? "true" : "false" }, { "reason", event.detail } });
+    this->retryOrEnd(*request, event.mayHaveRun, event.detail, now);
+    this->startWaiting(now);
+}
+
+bool EntryRequests::mayRetry(Request& request, bool mayHaveRun, Instant now)
+{
+    if (request.sends >= maxSends || request.limit - now < leastTimeForRetry)
+        return false;
+    if (request.runs > 0 && !request.route->repeatable)
+        return false;
+    if (request.runs >= request.route->maxAttempts)
+        return false;
+    // A connection that was refused has brought nothing to any upstream.
+    if (mayHaveRun && !this->state.retryBudget(request.service).tryRetry(now)) {
+        ++this->state.statistics.deniedRetries;
+        return false;
+    }
+    return true;
+}
+
+void EntryRequests::retryOrEnd(Request& request, bool mayHaveRun, const std::string& reason, Instant now)
+{
+    if (!this->mayRetry(request, mayHaveRun, now)) {
+        this->endUnanswered(request, reason, now);
+        return;
+    }
+    ++this->state.statistics.retries;
+    this->dispatch(request, now);
+}
+
+void EntryRequests::endUnanswered(Request& request, const std::string& reason, Instant now)
+{
+    if (request.streaming) {
+        this->state.commands.emplace_back(FailStream { request.id, {} });
+        this->end(request, RequestOutcome::Failed, statusOk, reason, now);
+        return;
+    }
+    if (request.failure) {
+        this->respond(request, *std::exchange(request.failure, std::nullopt), now);
+        return;
+    }
+    if (request.runs > 0) {
+        this->refuse(request, RequestOutcome::Failed, badGateway, reason, {}, now);
+        return;
+    }
+    this->refuse(request, RequestOutcome::NoCapacity, serviceUnavailable, reason, this->retryAfter(request), now);
+}
+
+Duration EntryRequests::retryAfter(const Request&)
+{
+    const auto spread = static_cast<std::uint64_t>((longestRetryAfter - shortestRetryAfter).count());
+    return shortestRetryAfter + Duration(static_cast<Duration::rep>(this->state.random.below(spread)));
+}
+
+void EntryRequests::cancelAttempt(Request& request, Instant now)
+{
+    if (!request.attempt)
+        return;
+    const AttemptId id = *std::exchange(request.attempt, std::nullopt);
+    if (const auto attempt = this->takeAttempt(id))
+        this->state.router.onFinished(attempt->dispatch, AttemptOutcome::Cancelled, 0, now);
+    this->state.commands.emplace_back(CancelAttempt { id });
+}
+
+void EntryRequests::onCallerGone(const RequestId& id, Instant now)
+{
+    Request* request = this->find(id);
+    if (!request)
+        return;
+    this->cancelAttempt(*request, now);
+    this->end(*request, RequestOutcome::CallerLeft, 0, "the caller closed its connection", now);
+    this->startWaiting(now);
+}
+
+void EntryRequests::respond(Request& request, AttemptFinished response, Instant now)
+{
+    const int status = response.status;
+    if (!response.relayed) {
+        this->state.commands.emplace_back(
+            Respond { request.id, status, std::move(response.headers), std::move(response.body) });
+    }
+    this->end(request, RequestOutcome::Answered, status, {}, now);
+    this->startWaiting(now);
+}
+
+void EntryRequests::refuse(Request& request, RequestOutcome outcome, int status, const std::string& reason,
+    std::optional<Duration> retryAfter, Instant now)
+{
+    const ErrorCode code = outcome == RequestOutcome::TimedOut      ? ErrorCode::OutcomeUnknown
+        : outcome == RequestOutcome::Failed                         ? ErrorCode::Failed
+        : status == serviceUnavailable || status == tooManyRequests ? ErrorCode::NotRun
+                                                                    : ErrorCode::Rejected;
+    const CallerError error { code, status, reason, retryAfter };
+    Respond response { request.id, status, { { "content-type", "application/json" } }, errorBody(request.id, error) };
+    if (retryAfter)
+        response.headers.emplace_back("retry-after", formatSeconds(*retryAfter));
+    this->state.commands.emplace_back(std::move(response));
+    this->end(request, outcome, status, reason, now);
+}
+
+void EntryRequests::end(Request& request, RequestOutcome outcome, int status, const std::string& reason, Instant now)
+{
+    this->state.count(outcome);
+    if (request.workspace && request.quotaCost > 0 && request.runs == 0 && !request.streaming && !request.attempt
+        && outcome != RequestOutcome::CallerLeft)
+        this->state.quotas.giveBack(*request.workspace, request.quotaCost);
+    this->state.log(outcome == RequestOutcome::Answered ? LogLevel::Debug : LogLevel::Info, "request ended",
+        { { "request", request.caller.attemptId }, { "outcome", std::string(outcomeName(outcome)) },
+            { "status", std::to_string(status) }, { "reason", reason },
+            { "route", request.route ? request.route->name.value() : std::string() },
+            { "service", request.service.value() }, { "sends", std::to_string(request.sends) },
+            { "runs", std::to_string(request.runs) },
+            { "configuration", request.table ? std::to_string(request.table->configuration().version) : "none" },
+            { "ms", fmt::format("{:.1f}", toMilliseconds(now - request.arrivedAt)) } });
+    this->waitingRequests.erase({ request.priority, request.arrivedAt, request.id });
+    this->limits.erase({ request.limit, request.id });
+    this->requests.erase(RequestId(request.id));
+}
+
+void EntryRequests::onTick(Instant now)
+{
+    while (!this->limits.empty() && this->limits.begin()->first <= now) {
+        Request& request = this->requests.at(this->limits.begin()->second);
+        const bool wasSent = request.attempt.has_value() || request.runs > 0;
+        this->cancelAttempt(request, now);
+        if (request.streaming)
+            this->endUnanswered(request, "the time limit passed", now);
+        else if (wasSent)
+            this->refuse(request, RequestOutcome::TimedOut, gatewayTimeout, "the time limit passed", {}, now);
+        else
+            this->endUnanswered(request, "no upstream had room before the time limit", now);
+    }
+    this->startWaiting(now);
+    const auto waiting = this->waitingRequests;
+    for (const auto& [priority, arrivedAt, id] : waiting) {
+        Request* request = this->find(id);
+        if (request && request->waitUntil && *request->waitUntil <= now)
+            this->endUnanswered(*request, "no upstream has room", now);
+    }
+}
+
+Instant EntryRequests::nextTick() const
+{
+    Instant next = this->limits.empty() ? Instant::max() : this->limits.begin()->first;
+    for (const auto& [priority, arrivedAt, id] : this->waitingRequests) {
+        const Request& request = this->requests.at(id);
+        next = std::min(next, std::min(request.waitUntil.value_or(Instant::max()), this->lastTry + waitingPoll));
+    }
+    return next;
+}
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+#include "entry_state.hpp"
+
+namespace teaselshore {
+
+/// @brief Callers' requests from arrival to the end of the response.
+///
+/// A request that may not be repeated is sent again only after the upstream guaranteed that it did not run. A refusal
+/// with 429 or 503 is given only for a request that was never sent, or that each upstream it was sent to has not run.
+/// Not thread-safe.
+class EntryRequests {
+public:
+    explicit EntryRequests(EntryState& state);
+
+    void onArrived(CallerRequestArrived arrived, Instant now);
+    void onCallerGone(const RequestId& id, Instant now);
+    void onStreamStarted(const UpstreamStreamStarted& event, Instant now);
+    void onResponded(UpstreamResponded event, Instant now);
+    void onFailed(const AttemptFailed& event, Instant now);
+    /// @brief Starts waiting requests after upstreams joined or changed.
+    void onCapacityChanged(Instant now);
+    void onTick(Instant now);
+    Instant nextTick() const;
+    std::size_t open() const { return this->requests.size(); }
+    std::size_t waiting() const { return this->waitingRequests.size(); }
+
+private:
+    struct Request {
+        RequestId id;
+        CallerRequest caller;
+        /// Keeps the route alive while a newer configuration is in effect.
+        std::shared_ptr<const RouteTable> table;
+        const EntryRoute* route = nullptr;
+        std::optional<WorkspaceName> workspace;
+        double quotaCost = 0;
+        ServiceName service;
+        std::uint32_t priority = 0;
+        RoutingRequest routing;
+        Instant arrivedAt {};
+        /// The response must be complete by then.
+        Instant limit {};
+        std::optional<AttemptId> attempt;
+        /// Number of times it was sent.
+        std::uint32_t sends = 0;
+        /// Number of times it was sent and may have run.
+        std::uint32_t runs = 0;
+        bool counted = false;
+        bool streaming = false;
+        std::optional<std::uint64_t> lastEventId;
+        /// Failure that an upstream answered with; goes to the caller if no retry answers.
+        std::optional<AttemptFinished> failure;
+        std::optional<Instant> waitUntil;
+    };
+
+    struct Attempt {
+        RequestId request;
+        UpstreamId upstream;
+        DispatchId dispatch;
+        Instant startedAt {};
+    };
+
+    Request* find(const RequestId& id);
+    /// @brief Fills in the workspace; returns the outcome if the request is refused.
+    std::optional<RequestOutcome> authorise(Request& request);
+    void fillRouting(Request& request);
+    ServiceName drawService(const EntryRoute& route);
+    void dispatch(Request& request, Instant now);
+    bool trySend(Request& request, Instant now);
+    void hold(Request& request, Instant now);
+    void startWaiting(Instant now);
+    bool mayRetry(Request& request, bool mayHaveRun, Instant now);
+    void retryOrEnd(Request& request, bool mayHaveRun, const std::string& reason, Instant now);
+    std::optional<Attempt> takeAttempt(AttemptId id);
+    void applyLoad(const UpstreamId& upstream, const ResponseFacts& facts, Instant now);
+    void countStart(Request& request, Instant now);
+    void cancelAttempt(Request& request, Instant now);
+    void respond(Request& request, AttemptFinished response, Instant now);
+    void refuse(Request& request, RequestOutcome outcome, int status, const std::string& reason,
+        std::optional<Duration> retryAfter, Instant now);
+    void endUnanswered(Request& request, const std::string& reason, Instant now);
+    void end(Request& request, RequestOutcome outcome, int status, const std::string& reason, Instant now);
+    Duration retryAfter(const Request& request);
+
+    EntryState& state;
+    std::unordered_map<RequestId, Request> requests;
+    std::unordered_map<AttemptId, Attempt> attempts;
+    AttemptId lastAttempt = 0;
+    std::set<std::pair<Instant, RequestId>> limits;
+    /// Last time that waiting requests were tried.
+    Instant lastTry {};
+    /// By priority and time of arrival.
+    std::set<std::tuple<std::uint32_t, Instant, RequestId>> waitingRequests;
+};
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/entry/entry_state.cpp
@@ -0,0 +1,78 @@
+#include "entry_state.hpp"
+
+#include <algorithm>
+
+namespace teaselshore {
+
+namespace {
+
+    /// Part of the shared retry budget that the nodes use. The rest covers windows that begin between the steps of the
+    /// counter, and retries that arrive late.
+    constexpr double usedBudget = 0.75;
+    /// Nodes assumed before any other node is known; the part of each is then too small rather than too large.
+    constexpr std::size_t assumedNodes = 100;
+    /// Blocks in the prefix index: the prompts of some 40 s at 25 requests/s with 16 blocks each.
+    constexpr std::size_t indexedBlocks = 16384;
+
+    RouterSettings routerSettings(const EntryNodeSettings& settings)
+    {
+        RouterSettings router;
+        router.zone = settings.host.zone;
+        router.seed = settings.seed;
+        router.tokensPerBlock = EntryState::tokensPerBlock;
+        router.prefixIndex.maximumBlocks = indexedBlocks;
+        return router;
+    }
+
+} // namespace
+
+std::string_view outcomeName(RequestOutcome outcome)
+{
+    constexpr std::array<std::string_view, requestOutcomes> names { "answered", "not_ready", "unknown_route",
+        "unknown_key", "over_quota", "no_capacity", "failed", "timed_out", "caller_left" };
+    return names[static_cast<std::size_t>(outcome)];
+}
+
+EntryState::EntryState(EntryNodeSettings nodeSettings)
+    : settings(std::move(nodeSettings))
+    , random(settings.seed)
+    , router(routerSettings(settings))
+    , quotas(settings.host.quota)
+    , usage(settings.host.usageWindow)
+{
+}
+
+RetryBudgetSettings EntryState::retrySettings() const
+{
+    const std::size_t nodes = this->liveNodes == 0 ? assumedNodes : this->liveNodes;
+    const SharedRetryBudget& shared = this->settings.host.retries;
+    return { usedBudget * shared.ratio, usedBudget * shared.floor / static_cast<double>(nodes), shared.window };
+}
+
+RetryBudget& EntryState::retryBudget(const ServiceName& service)
+{
+    return this->retryBudgets.try_emplace(service, this->retrySettings()).first->second;
+}
+
+void EntryState::setLiveNodes(std::size_t count)
+{
+    if (count == this->liveNodes)
+        return;
+    this->liveNodes = count;
+    for (auto& [service, budget] : this->retryBudgets)
+        budget.setFloor(this->retrySettings().floor);
+}
+
+std::optional<Duration> EntryState::calendarTime(Instant now) const
+{
+    if (!this->clockOffset)
+        return std::nullopt;
+    return now.time_since_epoch() + *this->clockOffset;
+}
+
+void EntryState::log(LogLevel level, std::string message, std::vector<std::pair<std::string, std::string>> fields)
+{
+    this->commands.emplace_back(LogEvent { level, std::move(message), std::move(fields) });
+}
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/entry/live_nodes.cpp
@@ -0,0 +1,60 @@
+#include "teaselshore/entry/live_nodes.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "teaselshore/base/fingerprint.hpp"
+
+namespace teaselshore {
+
+LiveNodes::LiveNodes(std::string self, Duration silence)
+    : self(std::move(self))
+    , silence(silence)
+{
+}
+
+void LiveNodes::onReports(const std::vector<NodeReport>& reports, Instant now)
+{
+    this->known = true;
+    for (const NodeReport& report : reports) {
+        Entry& entry = this->entries[report.host];
+        if (entry.report.process == report.process && report.number <= entry.report.number)
+            continue;
+        entry = { report, now };
+    }
+}
+
+std::vector<std::string> LiveNodes::hosts(Instant now) const
+{
+    std::vector<std::string> result;
+    for (const auto& [host, entry] : this->entries) {
+        if (host != this->self && now - entry.changedAt < this->silence)
+            result.push_back(host);
+    }
+    result.push_back(this->self);
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+std::vector<NodeReport> LiveNodes::reports(Instant now) const
+{
+    std::vector<NodeReport> result;
+    for (const auto& [host, entry] : this->entries) {
+        if (now - entry.changedAt < this->silence)
+            result.push_back(entry.report);
+    }
+    return result;
+}
+
+std::size_t LiveNodes::rank(std::string_view task, Instant now) const
+{
+    const Fingerprint own = fingerprint({ task, this->self });
+    std::size_t before = 0;
+    for (const std::string& host : this->hosts(now)) {
+        if (fingerprint({ task, host }) > own)
+            ++before;
+    }
+    return before;
+}
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/entry/upstream_directory.cpp
@@ -0,0 +1,74 @@
+#include "teaselshore/entry/upstream_directory.hpp"
+
+#include <set>
+
+namespace teaselshore {
+
+namespace {
+
+    /// Upstreams whose entries lapsed during an outage of the platform register again within about two seconds after
+    /// it. An upstream that has really left must get nothing new later than that, hence a little less.
+    constexpr Duration returnGrace = std::chrono::milliseconds(1800);
+
+} // namespace
+
+bool UpstreamDirectory::onListed(
+    const std::vector<RegisteredUpstream>& upstreams, std::optional<Duration> sinceOutage, Instant now)
+{
+    bool changed = !this->known;
+    this->known = true;
+    std::set<std::string> listed;
+    for (const RegisteredUpstream& upstream : upstreams) {
+        listed.insert(upstream.instance);
+        changed = this->onChanged(upstream) || changed;
+    }
+    std::vector<std::string> missing;
+    for (const auto& [instance, entry] : this->entries) {
+        if (!listed.contains(instance))
+            missing.push_back(instance);
+    }
+    for (const std::string& instance : missing)
+        changed = this->onRemoved(instance, sinceOutage, now) || changed;
+    return changed;
+}
+
+bool UpstreamDirectory::onChanged(const RegisteredUpstream& upstream)
+{
+    Entry& entry = this->entries[upstream.instance];
+    entry.dropAt.reset();
+    if (entry.upstream == upstream)
+        return false;
+    entry.upstream = upstream;
+    return true;
+}
+
+bool UpstreamDirectory::onRemoved(const std::string& instance, std::optional<Duration> sinceOutage, Instant now)
+{
+    const auto found = this->entries.find(instance);
+    if (found == this->entries.end())
+        return false;
+    if (sinceOutage && *sinceOutage < returnGrace && !found->second.upstream.draining) {
+        found->second.dropAt = now + returnGrace - *sinceOutage;
+        return false;
+    }
+    this->entries.erase(found);
+    return true;
+}
+
+bool UpstreamDirectory::onTick(Instant now)
+{
+    return std::erase_if(this->entries, [now](const auto& entry) {
+        return entry.second.dropAt && *entry.second.dropAt <= now;
+    }) > 0;
+}
+
+std::vector<RegisteredUpstream> UpstreamDirectory::upstreams() const
+{
+    std::vector<RegisteredUpstream> result;
+    result.reserve(this->entries.size());
+    for (const auto& [instance, entry] : this->entries)
+        result.push_back(entry.upstream);
+    return result;
+}
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/entry/usage_reporter.cpp
@@ -0,0 +1,197 @@
+#include "usage_reporter.hpp"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace teaselshore {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    /// Part of the time until a report is due after which it is sent without the counts of silent nodes.
+    constexpr double collectPart = 0.45;
+    constexpr Duration retryDelay = std::chrono::milliseconds(400);
+    /// Windows that a new holder looks back at; earlier ones are past their due time.
+    constexpr std::int64_t windowsBack = 3;
+
+    std::string usageKey(std::int64_t window) { return "usage/" + std::to_string(window); }
+
+    std::string encodeCounts(const WorkspaceCounts& counts)
+    {
+        Json value = Json::object();
+        for (const auto& [workspace, count] : counts)
+            value[workspace.value()] = count;
+        return Json { { "counts", std::move(value) } }.dump();
+    }
+
+    std::optional<WorkspaceCounts> decodeCounts(const std::string& text)
+    {
+        const Json value = Json::parse(text, nullptr, false);
+        if (!value.is_object() || !value.contains("counts"))
+            return std::nullopt;
+        try {
+            WorkspaceCounts counts;
+            for (const auto& [workspace, count] : value.at("counts").items())
+                counts[WorkspaceName(workspace)] = count.get<std::uint64_t>();
+            return counts;
+        } catch (const Json::exception&) {
+            return std::nullopt;
+        }
+    }
+
+} // namespace
+
+UsageReporter::UsageReporter(EntryState& state, ObjectCallIds& ids)
+    : state(state)
+    , ids(ids)
+{
+}
+
+void UsageReporter::onTick(const std::vector<NodeReport>& reports, std::optional<FencedHolder> by, Instant now)
+{
+    const std::optional<Duration> calendar = this->state.calendarTime(now);
+    if (!by || !calendar)
+        return;
+    const std::int64_t current = this->state.usage.windowAt(*calendar);
+    const std::int64_t first = std::max(this->lastDone.value_or(current - windowsBack - 1) + 1, current - windowsBack);
+    for (std::int64_t number = first; number < current; ++number)
+        this->windows.try_emplace(number);
+    for (auto& [number, window] : this->windows) {
+        if (now >= window.nextTry)
+            this->advance(number, window, reports, *by, *calendar, now);
+    }
+    while (!this->windows.empty()
+        && (this->windows.begin()->second.phase == Phase::Done
+            || this->windows.begin()->first < current - windowsBack)) {
+        this->lastDone = this->windows.begin()->first;
+        this->windows.erase(this->windows.begin());
+    }
+}
+
+void UsageReporter::advance(std::int64_t number, Window& window, const std::vector<NodeReport>& reports,
+    const FencedHolder& by, Duration calendar, Instant now)
+{
+    switch (window.phase) {
+    case Phase::Collecting: {
+        const Duration sinceEnd = calendar - (number + 1) * this->state.settings.host.usageWindow;
+        const bool outOfTime = toSeconds(sinceEnd) > collectPart * toSeconds(this->state.settings.host.usageDue);
+        if (!this->isComplete(number, reports) && !outOfTime)
+            return;
+        window.counts = this->sum(number, reports);
+        this->store(number, window);
+        return;
+    }
+    case Phase::Stored:
+        this->send(number, window, by);
+        return;
+    case Phase::Storing:
+    case Phase::Reading:
+    case Phase::Sending:
+    case Phase::Done:
+        return;
+    }
+    (void)now;
+}
+
+bool UsageReporter::isComplete(std::int64_t number, const std::vector<NodeReport>& reports) const
+{
+    return std::all_of(
+        reports.begin(), reports.end(), [number](const NodeReport& report) { return report.completeWindow >= number; });
+}
+
+WorkspaceCounts UsageReporter::sum(std::int64_t number, const std::vector<NodeReport>& reports) const
+{
+    WorkspaceCounts counts;
+    // A workspace without requests is reported, too.
+    if (this->state.table) {
+        for (const EntryWorkspace& workspace : this->state.table->configuration().workspaces)
+            counts[workspace.name] = 0;
+    }
+    for (const NodeReport& report : reports) {
+        const auto found = report.usage.find(number);
+        if (found == report.usage.end())
+            continue;
+        for (const auto& [workspace, count] : found->second)
+            counts[workspace] += count;
+    }
+    return counts;
+}
+
+void UsageReporter::store(std::int64_t number, Window& window)
+{
+    window.phase = Phase::Storing;
+    const ObjectCallId id = this->ids.next();
+    this->calls.emplace(id, number);
+    this->state.commands.emplace_back(
+        CallObjectApi { ObjectCreate { id, usageKey(number), encodeCounts(window.counts) } });
+}
+
+void UsageReporter::read(std::int64_t number, Window& window)
+{
+    window.phase = Phase::Reading;
+    const ObjectCallId id = this->ids.next();
+    this->calls.emplace(id, number);
+    this->state.commands.emplace_back(CallObjectApi { ObjectRead { id, usageKey(number) } });
+}
+
+void UsageReporter::onObjectResult(const ObjectResult& result, Instant now)
+{
+    const auto call = this->calls.extract(result.id);
+    const auto found = this->windows.find(call.mapped());
+    if (found == this->windows.end())
+        return;
+    Window& window = found->second;
+    if (window.phase == Phase::Storing) {
+        if (result.outcome == ObjectOutcome::Ok) {
+            window.phase = Phase::Stored;
+        } else if (result.outcome == ObjectOutcome::Unavailable) {
+            window.phase = Phase::Collecting;
+            window.nextTry = now + retryDelay;
+        } else {
+            // Stored by an earlier holder, or by this call whose answer was lost.
+            this->read(found->first, window);
+        }
+        return;
+    }
+    const std::optional<WorkspaceCounts> stored
+        = result.outcome == ObjectOutcome::Ok ? decodeCounts(result.value) : std::nullopt;
+    if (stored) {
+        window.counts = *stored;
+        window.phase = Phase::Stored;
+        return;
+    }
+    window.phase = Phase::Collecting;
+    window.nextTry = now + retryDelay;
+}
+
+void UsageReporter::send(std::int64_t number, Window& window, const FencedHolder& by)
+{
+    window.phase = Phase::Sending;
+    const std::uint64_t call = this->ids.next();
+    this->cloudCalls.emplace(call, number);
+    this->state.log(LogLevel::Info, "usage of a window reported",
+        { { "window", std::to_string(number) }, { "fencingToken", std::to_string(by.fencingToken) },
+            { "counts", encodeCounts(window.counts) } });
+    this->state.commands.emplace_back(SendUsage { call, { by, number, window.counts } });
+}
+
+bool UsageReporter::onCloudResult(const CloudCallEnded& result, Instant now)
+{
+    const auto call = this->cloudCalls.extract(result.call);
+    const auto found = this->windows.find(call.mapped());
+    if (found == this->windows.end())
+        return true;
+    Window& window = found->second;
+    if (result.outcome == ObjectOutcome::Ok) {
+        window.phase = Phase::Done;
+        return true;
+    }
+    // A repeat bears the same counts, so that it does no harm if the first call took effect.
+    window.phase = Phase::Stored;
+    window.nextTry = now + retryDelay;
+    return result.outcome != ObjectOutcome::Conflict;
+}
+
+} // namespace teaselshore
--- a/src/teaselshore/http/client_call.hpp
+++ b/src/teaselshore/http/client_call.hpp
@@ -26,6 +26,10 @@
     TimerId timer = 0;
     /// Start of the call, later the last time bytes arrived.
     Instant lastProgress;
+    /// The reply that is being parsed belongs to an earlier request.
+    bool foreignReply = false;
+    /// Time for which the peer keeps the connection open without a request, if it said so.
+    std::optional<Duration> keepAlive;
     /// Set if the head of the reply is refused.
     std::optional<HttpError> refusal;
     /// The connection is established, so that the request may have been sent.
--- a/src/teaselshore/http/client_connection.cpp
+++ b/src/teaselshore/http/client_connection.cpp
@@ -40,21 +40,21 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-std::unique_ptr<ClientConnection> ConnectionPool::take(const std::string& authority)
+std::unique_ptr<ClientConnection> ConnectionPool::take(const std::string& authority, Instant now)
 {
     const auto found = this->idle.find(authority);
     while (found != this->idle.end() && !found->second.empty()) {
         std::unique_ptr<ClientConnection> connection = std::move(found->second.back());
         found->second.pop_back();
-        if (connection->isQuiet())
+        if (now < connection->usableUntil && connection->isQuiet())
             return connection;
     }
     return nullptr;
 }
 
-void ConnectionPool::put(std::unique_ptr<ClientConnection> connection, Instant now)
+void ConnectionPool::put(std::unique_ptr<ClientConnection> connection, Instant usableUntil)
 {
-    connection->idleSince = now;
+    connection->usableUntil = usableUntil;
     const std::string& authority = connection->authority();
     this->idle[authority].push_back(std::move(connection));
 }
@@ -66,11 +66,10 @@
         std::erase_if(found->second, [&connection](const auto& entry) { return entry.get() == &connection; });
 }
 
-void ConnectionPool::prune(Instant idleBefore)
+void ConnectionPool::prune(Instant now)
 {
     for (auto entry = this->idle.begin(); entry != this->idle.end();) {
-        std::erase_if(
-            entry->second, [idleBefore](const auto& connection) { return connection->idleSince < idleBefore; });
+        std::erase_if(entry->second, [now](const auto& connection) { return connection->usableUntil <= now; });
         entry = entry->second.empty() ? this->idle.erase(entry) : std::next(entry);
     }
 }
--- a/src/teaselshore/http/client_connection.hpp
+++ b/src/teaselshore/http/client_connection.hpp
@@ -37,7 +37,8 @@
     void* owner = nullptr;
     /// Null while the connection is idle.
     ClientCall* call = nullptr;
-    Instant idleSince;
+    /// The connection must not be used from then on.
+    Instant usableUntil;
 
 private:
     std::string peer;
@@ -48,12 +49,12 @@
 class ConnectionPool {
 public:
     /// @brief Returns the most recently used idle connection that is still quiet, or nothing.
-    std::unique_ptr<ClientConnection> take(const std::string& authority);
-    void put(std::unique_ptr<ClientConnection> connection, Instant now);
+    std::unique_ptr<ClientConnection> take(const std::string& authority, Instant now);
+    void put(std::unique_ptr<ClientConnection> connection, Instant usableUntil);
     /// @brief Closes one idle connection.
     void drop(const ClientConnection& connection);
-    /// @brief Closes connections that are idle since before the instant.
-    void prune(Instant idleBefore);
+    /// @brief Closes connections that must not be used any more.
+    void prune(Instant now);
     bool empty() const { return this->idle.empty(); }
 
 private:
--- a/src/teaselshore/http/h2o.hpp
+++ b/src/teaselshore/http/h2o.hpp
@@ -5,4 +5,5 @@
 
 extern "C" {
 #include <h2o.h>
+#include <h2o/http2.h>
 }
--- /dev/null
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -0,0 +1,452 @@
+#include "http1_connection.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+#include <sys/socket.h>
+
+#include "event_loop_impl.hpp"
+#include "request_text.hpp"
+#include "server_core.hpp"
+#include "status_text.hpp"
+#include "teaselshore/base/assert.hpp"
+
+namespace teaselshore {
+
+namespace {
+
+    constexpr std::string_view http2Preface = "PRI * HTTP/2.0\r\n";
+    /// Bytes of later requests that wait while an answer is open; more stay in the kernel.
+    constexpr std::size_t maxPipelinedBytes = std::size_t { 64 } * 1024;
+    /// Time for the client to read the last answer before the connection is closed.
+    constexpr Duration lingerTime = std::chrono::milliseconds(500);
+    /// Added to the idle time, so that a client that keeps to it never meets a close.
+    constexpr Duration idleMargin = std::chrono::seconds(2);
+
+    constexpr int statusContinue = 100;
+    constexpr int statusNoContent = 204;
+    constexpr int statusNotModified = 304;
+    constexpr int badRequest = 400;
+    constexpr int requestTimeout = 408;
+    constexpr int bodyTooLarge = 413;
+    constexpr int headerTooLarge = 431;
+
+    bool isFramingField(std::string_view name)
+    {
+        return name == "connection" || name == "keep-alive" || name == "transfer-encoding" || name == "content-length";
+    }
+
+    bool hasNoBody(int status) { return status / 100 == 1 || status == statusNoContent || status == statusNotModified; }
+
+} // namespace
+
+Http1Connection::Http1Connection(ServerCore& core, h2o_socket_t* socket)
+    : core(core)
+    , socket(socket)
+    , idleTime(core.limits().idleTimeout)
+{
+    this->socket->data = this;
+    this->deadline = monotonicNow() + this->idleTime + idleMargin;
+}
+
+Http1Connection::~Http1Connection()
+{
+    this->core.eventLoop().cancelTimer(this->timer);
+    this->core.eventLoop().cancelTimer(this->flushTimer);
+}
+
+void Http1Connection::start()
+{
+    this->armTimer(this->deadline);
+    h2o_socket_read_start(this->socket, onReadable);
+}
+
+void Http1Connection::onReadable(h2o_socket_t* socket, const char* error)
+{
+    auto* self = static_cast<Http1Connection*>(socket->data);
+    if (self->state == State::Lingering) {
+        h2o_buffer_consume(&socket->input, socket->input->size);
+        if (error != nullptr)
+            self->close();
+        return;
+    }
+    if (error != nullptr) {
+        self->breakOff();
+        return;
+    }
+    if (self->state == State::Answering) {
+        if (socket->input->size > maxPipelinedBytes)
+            h2o_socket_read_stop(socket);
+        return;
+    }
+    self->readRequests();
+}
+
+void Http1Connection::readRequests()
+{
+    // Each answered request may leave the next one in the buffer.
+    while ((this->state == State::Idle || this->state == State::Reading) && this->readRequest())
+        continue;
+}
+
+bool Http1Connection::handOverToHttp2()
+{
+    const std::string_view bytes { this->socket->input->bytes, this->socket->input->size };
+    if (!bytes.starts_with(http2Preface))
+        return false;
+    h2o_socket_read_stop(this->socket);
+    h2o_socket_t* handedOver = std::exchange(this->socket, nullptr);
+    this->state = State::Closed;
+    this->core.acceptHttp2(handedOver);
+    return true;
+}
+
+bool Http1Connection::readRequest()
+{
+    const std::string_view bytes { this->socket->input->bytes, this->socket->input->size };
+    if (bytes.empty())
+        return false;
+    if (this->first && http2Preface.starts_with(bytes.substr(0, http2Preface.size()))) {
+        if (bytes.size() < http2Preface.size())
+            return false;
+        this->handOverToHttp2();
+        return false;
+    }
+    this->first = false;
+    if (!this->parser) {
+        const HttpServerLimits& limits = this->core.limits();
+        this->parser.emplace(
+            RequestLimits { limits.maxHeaderBytes, limits.maxBodyBytes, this->core.refusesDotSegments() });
+        this->state = State::Reading;
+        this->sawContinue = false;
+        this->deadline = monotonicNow() + limits.requestTimeout;
+        this->armTimer(this->deadline);
+    }
+    std::size_t used = 0;
+    const RequestParser::Progress progress = this->parser->put(bytes, used);
+    h2o_buffer_consume(&this->socket->input, used);
+    switch (progress) {
+    case RequestParser::Progress::NeedsMore:
+        if (this->parser->hasHeader() && this->parser->expectsContinue() && !this->sawContinue) {
+            this->sawContinue = true;
+            this->pending += fmt::format("HTTP/1.1 {} Continue\r\n\r\n", statusContinue);
+            this->flush();
+        }
+        return false;
+    case RequestParser::Progress::Done:
+        this->dispatch();
+        return true;
+    case RequestParser::Progress::Malformed:
+        this->refuse(badRequest, "the request is malformed");
+        return false;
+    case RequestParser::Progress::HeaderTooLarge:
+        this->refuse(headerTooLarge, "the header fields are larger than the limit");
+        return false;
+    case RequestParser::Progress::BodyTooLarge:
+        this->refuse(bodyTooLarge, "the body is larger than the limit");
+        return false;
+    }
+    return false;
+}
+
+void Http1Connection::dispatch()
+{
+    this->state = State::Answering;
+    this->answerDone = false;
+    this->version10 = this->parser->isVersion10();
+    this->closeAfterAnswer = !this->parser->keepsAlive();
+    HttpRequest request = this->parser->take();
+    this->parser.reset();
+    this->headRequest = request.method == "HEAD";
+    this->exchange = std::make_shared<Http1Exchange>(*this, std::move(request));
+    this->core.exchangeOpened(this->exchange.get());
+    this->core.handle(this->exchange);
+}
+
+void Http1Connection::refuse(int status, std::string_view reason)
+{
+    this->state = State::Answering;
+    this->closeAfterAnswer = true;
+    this->parser.reset();
+    this->core.countRefused(status, reason);
+    this->version10 = false;
+    this->headRequest = false;
+    const std::string body = fmt::format(R"({{"error":{{"code":"rejected","message":"{}"}}}})", reason);
+    this->startAnswer(status, { { "content-type", "application/json" } }, body.size());
+    this->write(body);
+    this->answerDone = true;
+    this->flush();
+}
+
+void Http1Connection::startAnswer(int status, const HttpHeaders& headers, std::optional<std::size_t> length)
+{
+    const bool noBody = this->headRequest || hasNoBody(status);
+    this->framing = noBody ? Framing::NoBody
+        : length           ? Framing::Length
+        : this->version10  ? Framing::EndOfConnection
+                           : Framing::Chunked;
+    if (this->framing == Framing::EndOfConnection || this->core.closing())
+        this->closeAfterAnswer = true;
+    this->pending += fmt::format("HTTP/1.1 {} {}\r\n", status, statusText(status));
+    for (const HttpHeader& field : headers.all()) {
+        if (!isFramingField(field.name) && isValidField(field.name, field.value))
+            this->pending.append(field.name).append(": ").append(field.value).append("\r\n");
+    }
+    if (length && !hasNoBody(status))
+        this->pending += fmt::format("content-length: {}\r\n", *length);
+    else if (this->framing == Framing::Chunked)
+        this->pending += "transfer-encoding: chunked\r\n";
+    if (this->closeAfterAnswer)
+        this->pending += "connection: close\r\n";
+    else if (this->version10)
+        this->pending += "connection: keep-alive\r\n";
+    this->pending += "\r\n";
+}
+
+void Http1Connection::write(std::string_view bytes)
+{
+    if (this->framing == Framing::NoBody || bytes.empty())
+        return;
+    if (this->framing == Framing::Chunked)
+        this->pending += fmt::format("{:x}\r\n", bytes.size());
+    this->pending.append(bytes);
+    if (this->framing == Framing::Chunked)
+        this->pending += "\r\n";
+    this->flush();
+}
+
+void Http1Connection::finish()
+{
+    if (this->framing == Framing::Chunked)
+        this->pending += "0\r\n\r\n";
+    this->core.exchangeClosed(this->exchange.get());
+    this->exchange.reset();
+    this->answerDone = true;
+    this->flush();
+}
+
+void Http1Connection::abort(bool keepPending)
+{
+    this->core.exchangeClosed(this->exchange.get());
+    this->exchange.reset();
+    this->resetOnClose = this->framing == Framing::EndOfConnection;
+    this->closeAfterAnswer = true;
+    if (!keepPending || this->pendingBytes() == 0) {
+        this->close();
+        return;
+    }
+    this->answerDone = true;
+    this->flush();
+}
+
+void Http1Connection::flush()
+{
+    if (!this->sending.empty() || this->state == State::Closed)
+        return;
+    if (this->pending.empty()) {
+        this->onFlushed();
+        return;
+    }
+    this->sending.swap(this->pending);
+    h2o_iovec_t buffer = h2o_iovec_init(this->sending.data(), this->sending.size());
+    h2o_socket_write(this->socket, &buffer, 1, onWritten);
+}
+
+void Http1Connection::flushSoon()
+{
+    // The head leaves in one system call with what is written in the same round.
+    this->flushTimer = this->core.eventLoop().addTimer(Duration(0), [this] {
+        this->flushTimer = 0;
+        if (this->state == State::Answering && !this->answerDone && !this->pending.empty())
+            this->flush();
+    });
+}
+
+void Http1Connection::onWritten(h2o_socket_t* socket, const char* error)
+{
+    auto* self = static_cast<Http1Connection*>(socket->data);
+    self->sending.clear();
+    if (error != nullptr) {
+        self->breakOff();
+        return;
+    }
+    self->flush();
+}
+
+void Http1Connection::onFlushed()
+{
+    if (this->answerDone && this->state == State::Answering)
+        this->endAnswer();
+}
+
+void Http1Connection::endAnswer()
+{
+    this->answerDone = false;
+    if (this->resetOnClose)
+        this->close();
+    else if (this->closeAfterAnswer)
+        this->linger();
+    else
+        this->nextRequest();
+}
+
+void Http1Connection::nextRequest()
+{
+    this->state = State::Idle;
+    this->idleTime = this->core.limits().idleTimeout;
+    this->deadline = monotonicNow() + this->idleTime + idleMargin;
+    this->armTimer(this->deadline);
+    h2o_socket_read_start(this->socket, onReadable);
+    if (this->socket->input->size > 0)
+        this->readRequests();
+}
+
+void Http1Connection::linger()
+{
+    // Closing with unread bytes would reset the connection and could destroy the answer on its way.
+    this->state = State::Lingering;
+    shutdown(h2o_socket_get_fd(this->socket), SHUT_WR);
+    h2o_buffer_consume(&this->socket->input, this->socket->input->size);
+    this->deadline = monotonicNow() + lingerTime;
+    this->armTimer(this->deadline);
+    h2o_socket_read_start(this->socket, onReadable);
+}
+
+void Http1Connection::closeWhenIdle()
+{
+    this->closeAfterAnswer = true;
+    if (this->state == State::Idle && this->socket->input->size == 0)
+        this->linger();
+}
+
+void Http1Connection::breakOff()
+{
+    if (this->state == State::Closed)
+        return;
+    if (const std::shared_ptr<Http1Exchange> open = std::exchange(this->exchange, nullptr)) {
+        this->core.exchangeClosed(open.get());
+        this->state = State::Lingering;
+        open->connectionGone();
+    }
+    this->close();
+}
+
+void Http1Connection::close()
+{
+    if (this->state == State::Closed)
+        return;
+    this->state = State::Closed;
+    if (this->resetOnClose) {
+        // An orderly end would mark an HTTP/1.0 answer without length as complete.
+        const struct linger reset {
+            1, 0
+        };
+        setsockopt(h2o_socket_get_fd(this->socket), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
+    h2o_socket_t* closing = std::exchange(this->socket, nullptr);
+    this->core.connectionClosed(closing);
+    h2o_socket_close(closing);
+}
+
+void Http1Connection::armTimer(Instant due)
+{
+    if (this->timer != 0 && this->timerDue <= due)
+        return;
+    this->core.eventLoop().cancelTimer(this->timer);
+    this->timerDue = due;
+    const Duration delay = due - monotonicNow();
+    this->timer = this->core.eventLoop().addTimer(delay, [this] { this->onTimer(); });
+}
+
+void Http1Connection::onTimer()
+{
+    this->timer = 0;
+    if (this->state == State::Closed)
+        return;
+    if (this->state != State::Answering && monotonicNow() >= this->deadline) {
+        this->onDeadline();
+        return;
+    }
+    // While an answer is open the owner of the exchange watches the time.
+    if (this->state != State::Answering)
+        this->armTimer(this->deadline);
+}
+
+void Http1Connection::onDeadline()
+{
+    if (this->state == State::Reading) {
+        this->refuse(requestTimeout, "the request did not arrive in time");
+        return;
+    }
+    if (this->state == State::Idle && this->core.limits().idleTimeout > this->idleTime) {
+        // The limit was raised meanwhile, and clients may rely on the new one.
+        this->idleTime = this->core.limits().idleTimeout;
+        this->deadline += this->idleTime;
+        this->armTimer(this->deadline);
+        return;
+    }
+    this->close();
+}
+
+void Http1Exchange::reply(HttpReply reply)
+{
+    if (!this->connection)
+        return;
+    TEASELSHORE_ASSERT(!this->started, "an answer was already started");
+    this->started = true;
+    Http1Connection* target = std::exchange(this->connection, nullptr);
+    target->startAnswer(reply.status, reply.headers, reply.body.size());
+    target->write(reply.body);
+    target->finish();
+}
+
+void Http1Exchange::startStream(int status, HttpHeaders headers)
+{
+    if (!this->connection)
+        return;
+    TEASELSHORE_ASSERT(!this->started, "an answer was already started");
+    this->started = true;
+    std::optional<std::size_t> length;
+    if (const auto text = headers.find("content-length"))
+        length = static_cast<std::size_t>(std::strtoull(text->c_str(), nullptr, 10));
+    this->connection->startAnswer(status, headers, length);
+    this->connection->flushSoon();
+}
+
+void Http1Exchange::write(std::string_view bytes)
+{
+    if (!this->connection)
+        return;
+    TEASELSHORE_ASSERT(this->started, "write() needs a running stream");
+    this->connection->write(bytes);
+}
+
+void Http1Exchange::finish()
+{
+    if (!this->connection)
+        return;
+    TEASELSHORE_ASSERT(this->started, "finish() needs a running stream");
+    std::exchange(this->connection, nullptr)->finish();
+}
+
+void Http1Exchange::abort()
+{
+    if (this->connection)
+        std::exchange(this->connection, nullptr)->abort(false);
+}
+
+void Http1Exchange::finishIncomplete()
+{
+    if (this->connection)
+        std::exchange(this->connection, nullptr)->abort(true);
+}
+
+void Http1Exchange::connectionGone()
+{
+    this->connection = nullptr;
+    if (const auto handler = std::exchange(this->closedHandler, nullptr))
+        handler();
+}
+
+} // namespace teaselshore
--- /dev/null
+++ b/src/teaselshore/http/http1_connection.hpp
@@ -0,0 +1,134 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "h2o.hpp"
+#include "request_parser.hpp"
+#include "teaselshore/http/http_server.hpp"
+
+namespace teaselshore {
+
+class Http1Exchange;
+class ServerCore;
+
+/// @brief One caller's HTTP/1.x connection: reads a request, waits for its answer, then reads the next one.
+///
+/// A refused request is answered and the connection closed, since the bytes behind it cannot be told from a request.
+class Http1Connection {
+public:
+    Http1Connection(ServerCore& core, h2o_socket_t* socket);
+    ~Http1Connection();
+    Http1Connection(const Http1Connection&) = delete;
+    Http1Connection& operator=(const Http1Connection&) = delete;
+
+    /// @brief Starts to read. The socket may be handed over to h2o's HTTP/2 if the client begins with its preface.
+    void start();
+    /// @brief Closes the connection if no request is open and nothing arrived; otherwise after the open answer.
+    void closeWhenIdle();
+    /// @brief Closes the connection at once.
+    void breakOff();
+
+    /// @brief Methods of the open exchange.
+    void startAnswer(int status, const HttpHeaders& headers, std::optional<std::size_t> length);
+    /// @brief Sends the head at the end of this round of the loop.
+    void flushSoon();
+    void write(std::string_view bytes);
+    void finish();
+    /// @brief Ends the answer without its end: after the pending bytes have left, or at once.
+    void abort(bool keepPending);
+    std::size_t pendingBytes() const { return this->pending.size() + this->sending.size(); }
+
+private:
+    /// How the end of an answer's body is marked.
+    enum class Framing {
+        Length,
+        Chunked,
+        EndOfConnection,
+        NoBody,
+    };
+    enum class State {
+        /// No byte of the next request has arrived.
+        Idle,
+        Reading,
+        /// The handler has the request, or its answer is being sent.
+        Answering,
+        /// The last answer was sent; waits for the end of the client's bytes.
+        Lingering,
+        Closed,
+    };
+
+    static void onReadable(h2o_socket_t* socket, const char* error);
+    static void onWritten(h2o_socket_t* socket, const char* error);
+
+    void readRequests();
+    bool readRequest();
+    bool handOverToHttp2();
+    void dispatch();
+    void refuse(int status, std::string_view reason);
+    void flush();
+    void onFlushed();
+    void endAnswer();
+    void nextRequest();
+    void linger();
+    void close();
+    void armTimer(Instant due);
+    void onTimer();
+    void onDeadline();
+
+    ServerCore& core;
+    h2o_socket_t* socket;
+    State state = State::Idle;
+    std::optional<RequestParser> parser;
+    std::shared_ptr<Http1Exchange> exchange;
+    std::string pending;
+    std::string sending;
+    Framing framing = Framing::Length;
+    bool first = true;
+    bool sawContinue = false;
+    bool version10 = false;
+    bool headRequest = false;
+    bool answerDone = false;
+    bool closeAfterAnswer = false;
+    bool resetOnClose = false;
+    /// End of the time for the current state. A timer that fires before it is armed again.
+    Instant deadline {};
+    TimerId timer = 0;
+    Instant timerDue {};
+    TimerId flushTimer = 0;
+    /// Idle time that applied when the connection became idle; a client may still rely on it after a change.
+    Duration idleTime {};
+};
+
+/// @brief ServerExchange of one HTTP/1.x request.
+class Http1Exchange : public ServerExchange {
+public:
+    Http1Exchange(Http1Connection& connection, HttpRequest request)
+        : connection(&connection)
+        , content(std::move(request))
+    {
+    }
+
+    const HttpRequest& request() const override { return this->content; }
+    void reply(HttpReply reply) override;
+    void startStream(int status, HttpHeaders headers) override;
+    void write(std::string_view bytes) override;
+    void finish() override;
+    void abort() override;
+    void finishIncomplete() override;
+    std::size_t pendingBytes() const override { return this->connection ? this->connection->pendingBytes() : 0; }
+    void onClosed(std::function<void()> handler) override { this->closedHandler = std::move(handler); }
+
+    /// @brief Called by the connection when it ends before the answer is finished.
+    void connectionGone();
+
+private:
+    /// Null once the answer is finished or the connection is closed.
+    Http1Connection* connection;
+    HttpRequest content;
+    std::function<void()> closedHandler;
+    bool started = false;
+};
+
+} // namespace teaselshore
--- a/src/teaselshore/http/http_client.cpp
+++ b/src/teaselshore/http/http_client.cpp
@@ -14,6 +14,8 @@
 
     /// Below the usual keep-alive times of servers, so that the client is the one that closes idle connections.
     constexpr Duration idleConnectionTime = std::chrono::seconds(4);
+    /// Kept between the end of the peer's keep-alive time and the last request, for the way and for late timers.
+    constexpr Duration keepAliveMargin = std::chrono::milliseconds(700);
     constexpr Duration pruneInterval = std::chrono::seconds(1);
 
 } // namespace
@@ -88,7 +90,7 @@
 
 void HttpClient::Impl::launch(ClientCall& call, const sockaddr_in& address)
 {
-    call.connection = this->pool.take(call.call.authority);
+    call.connection = this->pool.take(call.call.authority, monotonicNow());
     if (call.connection) {
         call.connection->call = &call;
         this->send(call);
@@ -168,7 +170,7 @@
 void HttpClient::Impl::prune()
 {
     this->pruneTimer = 0;
-    this->pool.prune(monotonicNow() - idleConnectionTime);
+    this->pool.prune(monotonicNow());
     if (!this->pool.empty())
         this->pruneTimer = this->loop.addTimer(pruneInterval, [this] { this->prune(); });
 }
@@ -219,7 +221,8 @@
         call.connection->call = nullptr;
         // An idle connection is polled, so that its end is noticed at once.
         h2o_socket_read_start(socket, onReadable);
-        this->pool.put(std::move(call.connection), monotonicNow());
+        const Duration limit = std::min(idleConnectionTime, call.keepAlive.value_or(Duration::max()) - keepAliveMargin);
+        this->pool.put(std::move(call.connection), monotonicNow() + limit);
         if (this->pruneTimer == 0)
             this->pruneTimer = this->loop.addTimer(pruneInterval, [this] { this->prune(); });
     }
@@ -280,7 +283,12 @@
         impl->fail(call, { HttpError::Kind::ConnectionClosed, error, true });
         return;
     }
-    const ReplyParser::Progress progress = impl->parse(call, socket, error);
+    ReplyParser::Progress progress = impl->parse(call, socket, error);
+    while (progress == ReplyParser::Progress::Done && call.foreignReply) {
+        call.foreignReply = false;
+        call.parser.emplace(call, call.call.request.method == "HEAD");
+        progress = impl->parse(call, socket, error);
+    }
     impl->finish(call, progress, error != nullptr);
 }
 
--- a/src/teaselshore/http/http_client_test.cpp
+++ b/src/teaselshore/http/http_client_test.cpp
@@ -163,6 +163,69 @@
         EXPECT_EQ(next.body, "right");
     }
 
+    // Guards against a late second reply to an earlier request that is taken for the reply to the next one.
+    TEST(HttpClient, SkipsReplyToAnEarlierRequest)
+    {
+        HttpFixture fixture(ignore);
+        const RawServer server;
+        std::unique_ptr<RawConnection> connection;
+        const auto start = [&](const std::string& id, CallRecord& record) {
+            HttpCall call = fixture.call("POST", "/", "body");
+            call.authority = server.authority();
+            call.request.headers.add("x-id", id);
+            call.expectedEcho = HttpHeader { "x-id", id };
+            fixture.start(std::move(call), record);
+        };
+        const auto replyTo = [](const std::string& id) {
+            return "HTTP/1.1 200 OK\r\nx-id: " + id + "\r\ncontent-length: 1\r\n\r\n" + id;
+        };
+        bool ended = false;
+        CallRecord first;
+        start("a", first);
+        ASSERT_TRUE(fixture.runUntil([&] { return (connection = server.accept()) != nullptr; }));
+        ASSERT_TRUE(fixture.runUntil([&] { return !connection->receive(ended).empty(); }));
+        connection->send(replyTo("a"));
+        ASSERT_TRUE(fixture.runUntil([&] { return first.isDone(); }));
+
+        CallRecord second;
+        start("b", second);
+        ASSERT_TRUE(fixture.runUntil([&] { return !connection->receive(ended).empty(); }));
+        connection->send(replyTo("a"));
+        fixture.runUntil([] { return false; }, std::chrono::milliseconds(20));
+        EXPECT_FALSE(second.isDone());
+        connection->send(replyTo("b"));
+        ASSERT_TRUE(fixture.runUntil([&] { return second.isDone(); }));
+        EXPECT_EQ(second.body, "b");
+        EXPECT_EQ(second.headers.find("x-id"), "b");
+    }
+
+    // Guards against a request that crosses the close of an idle connection by the peer.
+    TEST(HttpClient, LeavesConnectionBeforeThePeersKeepAliveEnds)
+    {
+        HttpFixture fixture(ignore);
+        const RawServer server;
+        const auto exchange = [&](std::unique_ptr<RawConnection>& connection, const std::string& fields) {
+            HttpCall call = fixture.call("GET", "/");
+            call.authority = server.authority();
+            CallRecord record;
+            fixture.start(std::move(call), record);
+            bool ended = false;
+            EXPECT_TRUE(fixture.runUntil([&] {
+                if (auto accepted = server.accept())
+                    connection = std::move(accepted);
+                return connection && !connection->receive(ended).empty();
+            }));
+            connection->send("HTTP/1.1 200 OK\r\n" + fields + "content-length: 0\r\n\r\n");
+            EXPECT_TRUE(fixture.runUntil([&] { return record.isDone(); }));
+        };
+        std::unique_ptr<RawConnection> connection;
+        exchange(connection, "keep-alive: timeout=1\r\n");
+        const RawConnection* first = connection.get();
+        fixture.runUntil([] { return false; }, std::chrono::milliseconds(400));
+        exchange(connection, {});
+        EXPECT_NE(connection.get(), first);
+    }
+
     // Guards against a request on a connection that the upstream closed while it was idle.
     TEST(HttpClient, ReplacesIdleConnectionThatWasClosed)
     {
--- a/src/teaselshore/http/http_server.cpp
+++ b/src/teaselshore/http/http_server.cpp
@@ -90,6 +90,12 @@
 
 std::uint16_t HttpServer::port() const { return this->impl->port; }
 
+void HttpServer::setLimits(const HttpServerLimits& limits) { this->impl->core->setLimits(limits); }
+
+void HttpServer::announceClose() { this->impl->core->announceClose(); }
+
+std::uint64_t HttpServer::refusedRequests() const { return this->impl->core->refusedRequests(); }
+
 void HttpServer::stopAccepting() { this->impl->core->stopAccepting(); }
 
 std::size_t HttpServer::openExchanges() const { return this->impl->core->openExchanges(); }
--- a/src/teaselshore/http/http_server_test.cpp
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -197,6 +197,118 @@
         EXPECT_EQ(fixture.run(fixture.call("GET", "/")).status, 200);
     }
 
+    // Guards against request smuggling: bytes behind a request of ambiguous length must not run as a second request.
+    TEST(HttpServer, RefusesAmbiguousFramingAndClosesTheConnection)
+    {
+        const std::string second = "GET /smuggled HTTP/1.1\r\nhost: a\r\n\r\n";
+        for (const std::string head : {
+                 "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+                 "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\ncontent-length: 5\r\n\r\n0\r\n\r\n",
+                 "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\ncontent-length: 6\r\n\r\nabcde",
+                 "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5, 6\r\n\r\nabcde",
+                 "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: identity\r\n\r\n",
+                 "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+                 "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding : chunked\r\n\r\n0\r\n\r\n",
+                 "POST / HTTP/1.0\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+                 "GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n",
+                 "GET / HTTP/1.1\r\n\r\n",
+             }) {
+            int handled = 0;
+            HttpFixture fixture([&](const auto& exchange) { ++handled, echo(exchange); });
+            const std::string answer = exchangeRaw(fixture, head + second);
+            EXPECT_EQ(answer.rfind("HTTP/1.1 400", 0), 0u) << head << " -> " << answer;
+            EXPECT_NE(answer.find("connection: close"), std::string::npos) << head;
+            EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << head;
+            EXPECT_EQ(handled, 0) << head;
+        }
+    }
+
+    // Guards against a path that an upstream resolves to one outside of the route's prefix.
+    TEST(HttpServer, RefusesDotSegmentsAndForeignTargets)
+    {
+        int handled = 0;
+        HttpServerSettings settings;
+        settings.refuseDotSegments = true;
+        HttpFixture fixture([&](const auto& exchange) { ++handled, echo(exchange); }, settings);
+        for (const std::string path :
+            { "/orders/../../etc", "/orders/%2e%2E/x", "/orders/.", "/a/./b", "*", "http://other/orders", "orders" }) {
+            const std::string answer = exchangeRaw(fixture, "GET " + path + " HTTP/1.1\r\nhost: a\r\n\r\n");
+            EXPECT_EQ(answer.rfind("HTTP/1.1 400", 0), 0u) << path << " -> " << answer;
+        }
+        EXPECT_EQ(handled, 0);
+        EXPECT_EQ(fixture.run(fixture.call("GET", "/orders/..x/a.b?up=/../")).status, 200);
+    }
+
+    // Guards against header memory that callers control.
+    TEST(HttpServer, RefusesOversizedHeader)
+    {
+        HttpServerSettings settings;
+        settings.maxHeaderBytes = 16384;
+        int handled = 0;
+        HttpFixture fixture([&](const auto& exchange) { ++handled, echo(exchange); }, settings);
+        const std::string answer
+            = exchangeRaw(fixture, "GET / HTTP/1.1\r\nhost: a\r\nx-large: " + std::string(200'000, 'x') + "\r\n\r\n");
+        EXPECT_EQ(answer.rfind("HTTP/1.1 431", 0), 0u) << answer;
+        EXPECT_EQ(handled, 0);
+        HttpCall fits = fixture.call("GET", "/");
+        fits.request.headers.add("x-large", std::string(15'000, 'x'));
+        EXPECT_EQ(fixture.run(std::move(fits)).status, 200);
+    }
+
+    // Guards against a body that stops short and holds its connection without an answer.
+    TEST(HttpServer, AnswersBodyThatStopsShortWith408)
+    {
+        HttpServerSettings settings;
+        settings.requestTimeout = std::chrono::milliseconds(100);
+        HttpFixture fixture(echo, settings);
+        const std::string answer = exchangeRaw(fixture, "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc");
+        EXPECT_EQ(answer.rfind("HTTP/1.1 408", 0), 0u) << answer;
+    }
+
+    // Guards against a client that waits in vain for permission to send its body.
+    TEST(HttpServer, AnswersExpectContinue)
+    {
+        HttpFixture fixture(echo);
+        const RawConnection connection(fixture.server->port());
+        connection.send("POST / HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 3\r\n\r\n");
+        std::string answer;
+        bool ended = false;
+        ASSERT_TRUE(fixture.runUntil([&] { return !(answer += connection.receive(ended)).empty(); }));
+        EXPECT_EQ(answer, "HTTP/1.1 100 Continue\r\n\r\n");
+        connection.send("abc");
+        ASSERT_TRUE(fixture.runUntil([&] { return (answer += connection.receive(ended)).ends_with("abc"); }));
+    }
+
+    // Guards against a planned stop that closes a connection on which the caller may send the next request.
+    TEST(HttpServer, AnnouncesTheCloseInTheAnswer)
+    {
+        HttpFixture fixture(echo);
+        const RawConnection connection(fixture.server->port());
+        fixture.server->announceClose();
+        connection.send("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+        std::string answer;
+        bool ended = false;
+        ASSERT_TRUE(fixture.runUntil([&] {
+            answer += connection.receive(ended);
+            return ended;
+        }));
+        EXPECT_EQ(answer.rfind("HTTP/1.1 200", 0), 0u);
+        EXPECT_NE(answer.find("connection: close"), std::string::npos);
+    }
+
+    // Guards against events that a caller loses since its stream cannot be finished.
+    TEST(HttpServer, FinishIncompleteSendsWhatWasWritten)
+    {
+        HttpFixture fixture([&](const auto& exchange) {
+            exchange->startStream(200, {});
+            exchange->write(std::string(100'000, 'x'));
+            exchange->finishIncomplete();
+        });
+        const CallRecord record = fixture.run(fixture.call("GET", "/"));
+        EXPECT_EQ(record.body.size(), 100'000u);
+        EXPECT_FALSE(record.ended);
+    }
+
     // Guards against pipelined requests that are lost or answered out of order while an earlier one is open.
     TEST(HttpServer, AnswersPipelinedRequestsInOrder)
     {
--- a/src/teaselshore/http/server_core.cpp
+++ b/src/teaselshore/http/server_core.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include "server_exchange.hpp"
+#include "teaselshore/base/log.hpp"
 
 namespace teaselshore {
 
@@ -18,24 +19,6 @@
     constexpr Duration acceptPause = std::chrono::milliseconds(50);
     constexpr char serverName[] = "teaselshore";
 
-    enum class Pending {
-        Nothing,
-        Bytes,
-        End,
-    };
-
-    /// Looks at the socket without consuming what arrived.
-    Pending peek(h2o_socket_t* socket)
-    {
-        char byte = 0;
-        const ssize_t count = recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (count > 0)
-            return Pending::Bytes;
-        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
-            return Pending::Nothing;
-        return Pending::End;
-    }
-
     std::uint64_t toTimeout(Duration duration)
     {
         return static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(duration).count());
@@ -47,11 +30,12 @@
     EventLoop::Impl& loop, const HttpServerSettings& settings, HttpHandler handler, int listenDescriptor)
     : loop(loop)
     , handler(std::move(handler))
+    , serverLimits { settings.maxHeaderBytes, settings.maxBodyBytes, settings.requestTimeout, settings.idleTimeout }
+    , refuseDotSegments(settings.refuseDotSegments)
 {
     h2o_config_init(&this->configuration);
     this->configuration.server_name = h2o_iovec_init(serverName, sizeof(serverName) - 1);
     this->configuration.max_request_entity_size = settings.maxBodyBytes;
-    this->configuration.http1.req_timeout = toTimeout(settings.requestTimeout);
     this->configuration.http2.idle_timeout = toTimeout(settings.requestTimeout);
     h2o_hostconf_t* host = h2o_config_register_host(&this->configuration, h2o_iovec_init("default", 7), 65535);
     h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
@@ -83,18 +67,11 @@
     this->loop.cancelTimer(this->acceptTimer);
     h2o_socket_close(this->listener);
     this->listener = nullptr;
-    // From here on h2o announces "connection: close" in each answer.
+    this->isClosing = true;
+    // From here on h2o announces the end of HTTP/2 connections.
     h2o_context_request_shutdown(&this->context);
-    for (const auto& [socket, connection] : this->connections) {
-        if (connection->exchange == nullptr)
-            closeIfIdle(socket);
-    }
-}
-
-void ServerCore::closeIfIdle(h2o_socket_t* socket)
-{
-    if (socket->input->size == 0 && peek(socket) == Pending::Nothing)
-        shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+    for (const auto& [socket, connection] : this->connections)
+        connection->closeWhenIdle();
 }
 
 void ServerCore::abandon()
@@ -103,19 +80,25 @@
     this->handler = nullptr;
     this->abandoned = true;
     ++this->loop.lingeringServers;
-    const std::vector<H2oExchange*> open(this->exchanges.begin(), this->exchanges.end());
-    for (H2oExchange* exchange : open) {
+    const std::vector<ServerExchange*> open(this->exchanges.begin(), this->exchanges.end());
+    for (ServerExchange* exchange : open) {
         if (this->exchanges.contains(exchange))
             exchange->abort();
     }
+    std::vector<Http1Connection*> remaining;
+    remaining.reserve(this->connections.size());
     for (const auto& [socket, connection] : this->connections)
+        remaining.push_back(connection.get());
+    for (Http1Connection* connection : remaining)
+        connection->breakOff();
+    for (const auto& [socket, connection] : this->http2Connections)
         shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
     this->releaseIfUnused();
 }
 
 void ServerCore::releaseIfUnused()
 {
-    if (!this->abandoned || this->releasing || !this->connections.empty())
+    if (!this->abandoned || this->releasing || !this->connections.empty() || !this->http2Connections.empty())
         return;
     this->releasing = true;
     // Deferred, since h2o may still use the context further up the call stack.
@@ -125,35 +108,45 @@
     });
 }
 
-void ServerCore::exchangeOpened(H2oExchange& exchange, h2o_socket_t* socket)
+void ServerCore::handle(std::shared_ptr<ServerExchange> exchange)
+{
+    if (this->handler)
+        this->handler(std::move(exchange));
+    else
+        exchange->abort();
+}
+
+void ServerCore::countRefused(int status, std::string_view reason)
 {
-    this->exchanges.insert(&exchange);
-    if (socket != nullptr)
-        this->watch(socket, exchange);
+    ++this->refused;
+    logLine(
+        LogLevel::Info, "request refused before it was read in full", { { "status", status }, { "reason", reason } });
 }
 
-void ServerCore::exchangeClosed(H2oExchange& exchange) { this->exchanges.erase(&exchange); }
+void ServerCore::acceptHttp2(h2o_socket_t* socket)
+{
+    this->retire(std::move(this->connections.at(socket)));
+    this->connections.erase(socket);
+    auto connection = std::make_unique<Http2Connection>(Http2Connection { this, socket });
+    socket->on_close.cb = onConnectionReleased;
+    socket->on_close.data = connection.get();
+    this->http2Connections.emplace(socket, std::move(connection));
+    h2o_http2_accept(&this->acceptContext, socket, timeval {});
+}
 
-void ServerCore::watch(h2o_socket_t* socket, H2oExchange& exchange)
+void ServerCore::connectionClosed(h2o_socket_t* socket)
 {
     const auto found = this->connections.find(socket);
-    if (found == this->connections.end())
-        return;
-    found->second->exchange = &exchange;
-    // h2o does not read while an HTTP/1.1 request runs, and its parsed request points into the input buffer, which
-    // therefore must not grow: the socket is only polled.
-    h2o_socket_dont_read(socket, 1);
-    h2o_socket_read_start(socket, onWatchedSocket);
+    this->retire(std::move(found->second));
+    this->connections.erase(found);
+    this->releaseIfUnused();
 }
 
-void ServerCore::unwatch(h2o_socket_t* socket)
+void ServerCore::retire(std::unique_ptr<Http1Connection> connection)
 {
-    const auto found = this->connections.find(socket);
-    if (found == this->connections.end())
-        return;
-    found->second->exchange = nullptr;
-    h2o_socket_read_stop(socket);
-    h2o_socket_dont_read(socket, 0);
+    // Its methods may still be on the call stack.
+    const std::shared_ptr<Http1Connection> retired = std::move(connection);
+    this->loop.addTimer(Duration(0), [retired] {});
 }
 
 void ServerCore::onAccept(h2o_socket_t* listener, const char* error)
@@ -169,11 +162,8 @@
                 core->pauseAccepting();
             return;
         }
-        auto connection = std::make_unique<Connection>(Connection { core, socket });
-        socket->on_close.cb = onConnectionReleased;
-        socket->on_close.data = connection.get();
-        core->connections.emplace(socket, std::move(connection));
-        h2o_accept(&core->acceptContext, socket);
+        auto connection = std::make_unique<Http1Connection>(*core, socket);
+        core->connections.emplace(socket, std::move(connection)).first->second->start();
     }
 }
 
@@ -185,25 +175,12 @@
 
 void ServerCore::onConnectionReleased(void* data)
 {
-    auto* connection = static_cast<Connection*>(data);
+    auto* connection = static_cast<Http2Connection*>(data);
     ServerCore* core = connection->core;
-    core->connections.erase(connection->socket);
+    core->http2Connections.erase(connection->socket);
     core->releaseIfUnused();
 }
 
-void ServerCore::onWatchedSocket(h2o_socket_t* socket, const char* error)
-{
-    auto* connection = static_cast<Connection*>(socket->on_close.data);
-    H2oExchange* exchange = connection->exchange;
-    const Pending pending = error != nullptr ? Pending::End : peek(socket);
-    if (pending == Pending::Nothing)
-        return;
-    // A pipelined request stays in the kernel until its turn; polling on would return at once each time.
-    h2o_socket_read_stop(socket);
-    if (pending == Pending::End && exchange != nullptr)
-        exchange->callerGone();
-}
-
 int ServerCore::onRequest(h2o_handler_t* handler, h2o_req_t* request)
 {
     ServerCore* core = reinterpret_cast<Handler*>(handler)->core;
--- a/src/teaselshore/http/server_core.hpp
+++ b/src/teaselshore/http/server_core.hpp
@@ -7,6 +7,7 @@
 
 #include "event_loop_impl.hpp"
 #include "h2o.hpp"
+#include "http1_connection.hpp"
 #include "teaselshore/http/http_server.hpp"
 
 namespace teaselshore {
@@ -23,22 +24,34 @@
     ServerCore& operator=(const ServerCore&) = delete;
 
     void stopAccepting();
+    /// @brief Announces the end of the connection in each further answer.
+    void announceClose() { this->isClosing = true; }
+    bool closing() const { return this->isClosing; }
+    bool refusesDotSegments() const { return this->refuseDotSegments; }
+    const HttpServerLimits& limits() const { return this->serverLimits; }
+    void setLimits(const HttpServerLimits& limits) { this->serverLimits = limits; }
     /// @brief Closes all connections; the core deletes itself once they are released.
     void abandon();
     std::size_t openExchanges() const { return this->exchanges.size(); }
 
+    EventLoop::Impl& eventLoop() { return this->loop; }
     /// @brief Called by exchanges: an exchange without a finished answer begins or ends.
-    void exchangeOpened(H2oExchange& exchange, h2o_socket_t* socket);
-    void exchangeClosed(H2oExchange& exchange);
-    /// @brief Called by exchanges: watches the connection of an HTTP/1.1 request for its end.
-    void watch(h2o_socket_t* socket, H2oExchange& exchange);
-    void unwatch(h2o_socket_t* socket);
+    void exchangeOpened(ServerExchange* exchange) { this->exchanges.insert(exchange); }
+    void exchangeClosed(ServerExchange* exchange) { this->exchanges.erase(exchange); }
+    /// @brief Called by HTTP/1 connections.
+    void handle(std::shared_ptr<ServerExchange> exchange);
+    void countRefused(int status, std::string_view reason);
+    /// @brief Hands a connection whose first bytes are the HTTP/2 preface to h2o.
+    void acceptHttp2(h2o_socket_t* socket);
+    /// @brief The connection has let go of its socket; it is destroyed in a later round.
+    void connectionClosed(h2o_socket_t* socket);
+    std::uint64_t refusedRequests() const { return this->refused; }
 
 private:
-    struct Connection {
+    /// HTTP/2 connection, which h2o owns.
+    struct Http2Connection {
         ServerCore* core;
         h2o_socket_t* socket;
-        H2oExchange* exchange = nullptr;
     };
     struct Handler {
         h2o_handler_t super;
@@ -47,10 +60,9 @@
 
     static void onAccept(h2o_socket_t* listener, const char* error);
     static void onConnectionReleased(void* data);
-    static void onWatchedSocket(h2o_socket_t* socket, const char* error);
     static int onRequest(h2o_handler_t* handler, h2o_req_t* request);
-    static void closeIfIdle(h2o_socket_t* socket);
     void releaseIfUnused();
+    void retire(std::unique_ptr<Http1Connection> connection);
     void pauseAccepting();
 
     EventLoop::Impl& loop;
@@ -62,8 +74,13 @@
     TimerId acceptTimer = 0;
     bool abandoned = false;
     bool releasing = false;
-    std::unordered_map<h2o_socket_t*, std::unique_ptr<Connection>> connections;
-    std::unordered_set<H2oExchange*> exchanges;
+    std::unordered_map<h2o_socket_t*, std::unique_ptr<Http1Connection>> connections;
+    std::unordered_map<h2o_socket_t*, std::unique_ptr<Http2Connection>> http2Connections;
+    std::unordered_set<ServerExchange*> exchanges;
+    HttpServerLimits serverLimits;
+    bool refuseDotSegments;
+    bool isClosing = false;
+    std::uint64_t refused = 0;
 };
 
 } // namespace teaselshore
--- a/src/teaselshore/http/server_exchange.cpp
+++ b/src/teaselshore/http/server_exchange.cpp
@@ -58,7 +58,7 @@
     anchor->flushEntry.cb = onFlush;
     anchor->exchange = exchange;
     exchange->anchor = anchor;
-    core.exchangeOpened(*exchange, exchange->socket);
+    core.exchangeOpened(exchange.get());
     return exchange;
 }
 
@@ -68,8 +68,6 @@
     , h2oRequest(request)
     , isHead(this->content.method == "HEAD")
 {
-    if (this->isHttp1())
-        this->socket = request->conn->callbacks->get_socket(request->conn);
 }
 
 H2oExchange::~H2oExchange() = default;
@@ -123,15 +121,6 @@
     this->closeConnection();
 }
 
-void H2oExchange::callerGone()
-{
-    if (this->settled)
-        return;
-    const auto self = this->shared_from_this();
-    this->notifyClosed();
-    this->closeConnection();
-}
-
 void H2oExchange::startResponse(int status, HttpHeaders headers, std::size_t contentLength)
 {
     this->started = true;
@@ -179,8 +168,6 @@
     this->aborting = true;
     h2o_req_t* request = this->h2oRequest;
     h2o_timeout_unlink(&this->anchor->flushEntry);
-    if (this->socket != nullptr)
-        this->breakConnectionOff();
     if (this->inFlight)
         return;
     if (!this->started)
@@ -188,28 +175,12 @@
     h2o_send(request, nullptr, 0, H2O_SEND_STATE_ERROR);
 }
 
-void H2oExchange::breakConnectionOff()
-{
-    h2o_req_t* request = this->h2oRequest;
-    request->http1_is_persistent = 0;
-    const int descriptor = h2o_socket_get_fd(this->socket);
-    const bool endsWithConnection
-        = this->started && request->version < 0x101 && request->res.content_length == SIZE_MAX;
-    if (!endsWithConnection) {
-        shutdown(descriptor, SHUT_RDWR);
-        return;
-    }
-    // An orderly end would mark an HTTP/1.0 answer without length as complete.
-    const linger resetOnClose { 1, 0 };
-    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof(resetOnClose));
-}
-
 void H2oExchange::settle()
 {
     if (this->settled)
         return;
     this->settled = true;
-    this->core.exchangeClosed(*this);
+    this->core.exchangeClosed(this);
 }
 
 void H2oExchange::notifyClosed()
@@ -227,13 +198,10 @@
 {
     const auto self = this->shared_from_this();
     h2o_timeout_unlink(&this->anchor->flushEntry);
-    if (this->socket != nullptr)
-        this->core.unwatch(this->socket);
     this->notifyClosed();
     this->closedHandler = nullptr;
     this->pending.clear();
     this->sending.clear();
-    this->socket = nullptr;
     this->anchor = nullptr;
     this->h2oRequest = nullptr;
 }
--- a/src/teaselshore/http/server_exchange.hpp
+++ b/src/teaselshore/http/server_exchange.hpp
@@ -11,7 +11,8 @@
 
 class ServerCore;
 
-/// @brief ServerExchange over an h2o request. h2o's request pool holds one reference; detach() ends the use of h2o.
+/// @brief ServerExchange over a request of an HTTP/2 connection. h2o's request pool holds one reference; detach() ends
+/// the use of h2o.
 class H2oExchange : public ServerExchange, public std::enable_shared_from_this<H2oExchange> {
 public:
     /// @brief Copies the request and attaches the exchange to it.
@@ -27,11 +28,9 @@
     void finish() override;
     void abort() override;
     std::size_t pendingBytes() const override { return this->pending.size() + this->sending.size(); }
+    void finishIncomplete() override { this->abort(); }
     void onClosed(std::function<void()> handler) override { this->closedHandler = std::move(handler); }
 
-    /// @brief Called when the caller went away.
-    void callerGone();
-
 private:
     /// Object in h2o's request pool: links h2o's callbacks with the exchange.
     struct Anchor {
@@ -50,17 +49,14 @@
     void flush();
     void scheduleFlush();
     void closeConnection();
-    void breakConnectionOff();
     void detach();
     void settle();
     void notifyClosed();
-    bool isHttp1() const { return this->h2oRequest->version < 0x200; }
 
     ServerCore& core;
     HttpRequest content;
     h2o_req_t* h2oRequest;
     Anchor* anchor = nullptr;
-    h2o_socket_t* socket = nullptr;
     HttpHeaders replyHeaders;
     std::string pending;
     std::string sending;
--- a/src/teaselshore/http/status_text.cpp
+++ b/src/teaselshore/http/status_text.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr std::array<std::pair<int, const char*>, 27> texts { {
+    constexpr std::array<std::pair<int, const char*>, 30> texts { {
         { 200, "OK" },
         { 201, "Created" },
         { 202, "Accepted" },
@@ -30,9 +30,12 @@
         { 410, "Gone" },
         { 412, "Precondition Failed" },
         { 413, "Content Too Large" },
+        { 421, "Misdirected Request" },
         { 422, "Unprocessable Content" },
         { 429, "Too Many Requests" },
+        { 431, "Request Header Fields Too Large" },
         { 500, "Internal Server Error" },
+        { 501, "Not Implemented" },
         { 502, "Bad Gateway" },
         { 503, "Service Unavailable" },
         { 504, "Gateway Timeout" },
--- a/src/teaselshore/node/event_stream_buffer.cpp
+++ b/src/teaselshore/node/event_stream_buffer.cpp
@@ -1,46 +1,86 @@
 #include "teaselshore/node/event_stream_buffer.hpp"
 
+#include <charconv>
+
 namespace teaselshore {
 
 namespace {
 
     constexpr std::string_view eventEnd = "\n\n";
     constexpr std::string_view doneEvent = "data: [DONE]";
+    constexpr std::string_view idField = "id:";
+
+    /// Returns the value of the event's id line; nothing if it has none.
+    std::optional<std::string_view> idOf(std::string_view event)
+    {
+        while (!event.starts_with(idField)) {
+            const std::size_t lineEnd = event.find('\n');
+            if (lineEnd == std::string_view::npos)
+                return std::nullopt;
+            event.remove_prefix(lineEnd + 1);
+        }
+        std::string_view value = event.substr(idField.size(), event.find('\n') - idField.size());
+        if (value.starts_with(' '))
+            value.remove_prefix(1);
+        return value;
+    }
+
+    std::optional<std::uint64_t> toNumber(std::string_view text)
+    {
+        std::uint64_t number = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (error != std::errc() || end != text.data() + text.size())
+            return std::nullopt;
+        return number;
+    }
 
 } // namespace
 
 std::string EventStreamBuffer::takeComplete(std::string_view bytes)
 {
     // Most chunks hold whole events; then nothing needs to be joined with an earlier part.
-    if (this->partial.empty() && bytes.ends_with(eventEnd)) {
-        this->countEvents(bytes);
-        return std::string(bytes);
-    }
+    if (this->partial.empty() && bytes.ends_with(eventEnd))
+        return this->takeEvents(bytes);
 
     this->partial.append(bytes);
     const std::size_t end = this->partial.rfind(eventEnd);
     if (end == std::string::npos)
         return {};
-
-    std::string complete = this->partial.substr(0, end + eventEnd.size());
+    const std::string complete = this->partial.substr(0, end + eventEnd.size());
     this->partial.erase(0, complete.size());
-    this->countEvents(complete);
-    return complete;
+    return this->takeEvents(complete);
 }
 
-void EventStreamBuffer::countEvents(std::string_view complete)
+std::string EventStreamBuffer::takeEvents(std::string_view complete)
 {
+    std::string taken;
+    taken.reserve(complete.size());
     while (!complete.empty()) {
         const std::size_t end = complete.find(eventEnd);
-        const std::string_view event = complete.substr(0, end);
+        if (this->takeEvent(complete.substr(0, end)))
+            taken.append(complete.substr(0, end + eventEnd.size()));
         complete.remove_prefix(end + eventEnd.size());
-        if (event == doneEvent || event.ends_with("\ndata: [DONE]")) {
-            this->sawDone = true;
-            continue;
-        }
-        if (event.starts_with("id:") || event.find("\nid:") != std::string_view::npos)
-            ++this->eventCount;
     }
+    return taken;
+}
+
+bool EventStreamBuffer::takeEvent(std::string_view event)
+{
+    if (event == doneEvent || event.ends_with("\ndata: [DONE]")) {
+        this->sawDone = true;
+        return true;
+    }
+    const std::optional<std::string_view> id = idOf(event);
+    if (!id)
+        return true;
+    if (const std::optional<std::uint64_t> number = toNumber(*id)) {
+        // An upstream that continues a stream may begin before the event after the last one.
+        if (this->lastNumber && *number <= *this->lastNumber)
+            return false;
+        this->lastNumber = number;
+    }
+    ++this->eventCount;
+    return true;
 }
 
 } // namespace teaselshore
--- a/src/teaselshore/node/event_stream_buffer_test.cpp
+++ b/src/teaselshore/node/event_stream_buffer_test.cpp
@@ -48,5 +48,18 @@
         EXPECT_EQ(buffer.events(), 1u);
     }
 
+    // Guards against an event that the caller gets twice when an upstream continues a stream from too early an event.
+    TEST(EventStreamBuffer, DropsEventsThatTheCallerHas)
+    {
+        EventStreamBuffer buffer;
+        EXPECT_EQ(buffer.takeComplete(event(4) + event(7) + "id: 8\nda"), event(4) + event(7));
+        EXPECT_TRUE(buffer.hasPartial());
+        EXPECT_EQ(buffer.lastId(), 7u);
+        buffer.dropPartial();
+        EXPECT_EQ(buffer.takeComplete(event(4) + event(7) + event(8)), event(8));
+        EXPECT_EQ(buffer.lastId(), 8u);
+        EXPECT_EQ(buffer.events(), 3u);
+    }
+
 } // namespace
 } // namespace teaselshore
--- a/src/teaselshore/platform/call_runner.cpp
+++ b/src/teaselshore/platform/call_runner.cpp
@@ -53,6 +53,16 @@
     return id;
 }
 
+PlatformCallId CallRunner::refuse(PlatformError error, PlatformReplyHandler handler)
+{
+    const PlatformCallId id = ++this->lastCall;
+    auto call = std::make_unique<Call>();
+    call->timer = this->loop.runAfter(Duration(0), [this, id, error = std::move(error)] { this->fail(id, error); });
+    call->handler = std::move(handler);
+    this->calls.emplace(id, std::move(call));
+    return id;
+}
+
 CallRunner::Lane& CallRunner::lane(PlatformCallKind kind) { return isPlatformWrite(kind) ? this->writes : this->reads; }
 
 void CallRunner::pump(Lane& lane)
@@ -82,7 +92,7 @@
 {
     const PlatformCallKind kind = call.request.kind;
     ++this->statistics[static_cast<std::size_t>(kind)].sent;
-    if (kind == PlatformCallKind::WatchObject)
+    if (isPlatformWatch(kind))
         ++this->watches;
 
     HttpCall http;
@@ -132,7 +142,7 @@
     auto node = this->calls.extract(id);
     std::unique_ptr<Call> call = std::move(node.mapped());
     this->loop.cancelTimer(call->timer);
-    if (call->httpCall != 0 && call->request.kind == PlatformCallKind::WatchObject)
+    if (call->httpCall != 0 && isPlatformWatch(call->request.kind))
         --this->watches;
     return call;
 }
--- a/src/teaselshore/platform/call_runner.hpp
+++ b/src/teaselshore/platform/call_runner.hpp
@@ -12,14 +12,6 @@
 
 namespace teaselshore {
 
-/// @brief Request to the platform, before it is sent.
-struct PlatformRequest {
-    PlatformCallKind kind = PlatformCallKind::ReadObject;
-    HttpRequest request;
-    /// Time that the platform may wait before it answers, in addition to the call timeout.
-    Duration wait {};
-};
-
 using PlatformReplyHandler = std::function<void(std::variant<HttpReply, PlatformError>)>;
 
 /// @brief Sends requests within the call budget and collects the replies.
@@ -31,6 +23,8 @@
     CallRunner& operator=(const CallRunner&) = delete;
 
     PlatformCallId start(PlatformRequest request, PlatformReplyHandler handler);
+    /// @brief Fails a call that cannot be sent, in a later round of the loop.
+    PlatformCallId refuse(PlatformError error, PlatformReplyHandler handler);
     void cancel(PlatformCallId id);
     void setBudget(const CallBudgetLimits& limits);
     /// @brief Counts a call whose reply was an error.
--- /dev/null
+++ b/src/teaselshore/platform/kind_watcher.cpp
@@ -0,0 +1,115 @@
+#include "teaselshore/platform/kind_watcher.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace teaselshore {
+
+KindWatcher::KindWatcher(EventLoop& loop, PlatformClient& client, std::string kind, KindWatcherSettings settings,
+    KindWatcherHandlers handlers, RandomSource random)
+    : loop(loop)
+    , client(client)
+    , kind(std::move(kind))
+    , settings(settings)
+    , handlers(std::move(handlers))
+    , random(random)
+{
+    this->list({});
+}
+
+KindWatcher::~KindWatcher()
+{
+    this->client.cancel(this->call);
+    this->loop.cancelTimer(this->timer);
+}
+
+void KindWatcher::list(const std::string& after)
+{
+    if (after.empty())
+        this->listed.clear();
+    this->at.reset();
+    this->call = this->client.listKind(this->kind, after, ReadFreshness::Current,
+        [this](PlatformResult<KindPage> result) { this->onPage(std::move(result)); });
+}
+
+void KindWatcher::onPage(PlatformResult<KindPage> result)
+{
+    if (const auto* error = std::get_if<PlatformError>(&result)) {
+        this->onFailure(*error);
+        return;
+    }
+    this->onSuccess();
+    auto& page = std::get<KindPage>(result);
+    std::move(page.objects.begin(), page.objects.end(), std::back_inserter(this->listed));
+    if (page.hasMore && !this->listed.empty()) {
+        const std::string last = this->listed.back().name;
+        // What changes meanwhile on the earlier pages is learnt by watching from their version on.
+        const std::uint64_t first = this->at.value_or(page.at);
+        this->list(last);
+        this->at = first;
+        return;
+    }
+    this->at = this->at.value_or(page.at);
+    this->watch();
+    this->handlers.onListed(std::exchange(this->listed, {}), this->sinceOutage());
+}
+
+void KindWatcher::watch()
+{
+    this->call = this->client.watchKind(this->kind, *this->at, this->settings.wait,
+        [this](PlatformResult<KindPage> result) { this->onEvents(std::move(result)); });
+}
+
+void KindWatcher::onEvents(PlatformResult<KindPage> result)
+{
+    if (const auto* error = std::get_if<PlatformError>(&result)) {
+        if (error->kind == PlatformError::Kind::NotFound) {
+            // The history is gone, so that changes may have been missed.
+            this->list({});
+            return;
+        }
+        this->onFailure(*error);
+        return;
+    }
+    this->onSuccess();
+    auto& page = std::get<KindPage>(result);
+    this->at = page.at;
+    this->watch();
+    if (!page.objects.empty())
+        this->handlers.onChanged(std::move(page.objects), this->sinceOutage());
+}
+
+void KindWatcher::onSuccess()
+{
+    this->backoff = Duration(0);
+    if (std::exchange(this->reachable, true))
+        return;
+    this->returnedAt = this->loop.now();
+    this->handlers.onReachable(true, {});
+}
+
+void KindWatcher::onFailure(const PlatformError& error)
+{
+    if (std::exchange(this->reachable, false))
+        this->handlers.onReachable(false, error.detail);
+    const Duration doubled = std::max(this->backoff * 2, this->settings.firstBackoff);
+    this->backoff = std::min(doubled, this->settings.longestBackoff);
+    // Jitter over half of the delay keeps the watchers of a fleet from returning together after an outage.
+    const auto delay = Duration(
+        static_cast<Duration::rep>(static_cast<double>(this->backoff.count()) * (0.5 + 0.5 * this->random.uniform())));
+    this->timer = this->loop.runAfter(delay, [this] {
+        if (this->at && this->listed.empty())
+            this->watch();
+        else
+            this->list({});
+    });
+}
+
+std::optional<Duration> KindWatcher::sinceOutage() const
+{
+    if (!this->returnedAt)
+        return std::nullopt;
+    return this->loop.now() - *this->returnedAt;
+}
+
+} // namespace teaselshore
--- a/src/teaselshore/platform/platform_client.cpp
+++ b/src/teaselshore/platform/platform_client.cpp
@@ -6,6 +6,7 @@
 
 #include "call_runner.hpp"
 #include "platform_replies.hpp"
+#include "teaselshore/http/percent_encode.hpp"
 
 namespace teaselshore {
 
@@ -13,27 +14,17 @@
 
     using Kind = PlatformCallKind;
 
-    std::string objectPath(const std::string& key) { return "/objects/" + percentEncode(key, true); }
-
     PlatformRequest makeRequest(Kind kind, std::string method, std::string path)
     {
         return { kind, { std::move(method), std::move(path), {}, {} }, {} };
     }
 
-    std::optional<StoredObject> parseStoredObject(const HttpReply& reply)
-    {
-        const std::optional<std::uint64_t> version = parseObjectVersion(reply);
-        if (!version)
-            return std::nullopt;
-        return StoredObject { reply.body, *version };
-    }
-
     std::optional<std::optional<StoredObject>> parseWatched(const HttpReply& reply)
     {
         constexpr int noContent = 204;
         if (reply.status == noContent)
             return std::optional<StoredObject>();
-        const std::optional<StoredObject> object = parseStoredObject(reply);
+        const std::optional<StoredObject> object = KeyedObjects().parseObject(reply);
         if (!object)
             return std::nullopt;
         return object;
@@ -45,7 +36,8 @@
 
 struct PlatformClient::Impl {
     Impl(EventLoop& loop, const PlatformClientSettings& settings)
-        : runner(loop, settings)
+        : objects(settings.objects)
+        , runner(loop, settings)
     {
     }
 
@@ -56,7 +48,7 @@
         const Kind kind = request.kind;
         return this->runner.start(std::move(request),
             [this, kind, parse, handler = std::move(handler)](const std::variant<HttpReply, PlatformError>& outcome) {
-                PlatformResult<Value> result = convert<Value>(kind, parse, outcome);
+                PlatformResult<Value> result = this->convert<Value>(kind, parse, outcome);
                 if (std::holds_alternative<PlatformError>(result))
                     this->runner.countFailure(kind);
                 handler(std::move(result));
@@ -64,12 +56,12 @@
     }
 
     template <typename Value, typename Parse>
-    static PlatformResult<Value> convert(Kind kind, Parse parse, const std::variant<HttpReply, PlatformError>& outcome)
+    PlatformResult<Value> convert(Kind kind, Parse parse, const std::variant<HttpReply, PlatformError>& outcome) const
     {
         if (const auto* error = std::get_if<PlatformError>(&outcome))
             return *error;
         const HttpReply& reply = std::get<HttpReply>(outcome);
-        if (std::optional<PlatformError> error = replyError(kind, reply))
+        if (std::optional<PlatformError> error = replyError(this->objects, kind, reply))
             return *error;
         std::optional<Value> value = parse(reply);
         if (!value)
@@ -77,6 +69,30 @@
         return std::move(*value);
     }
 
+    /// @brief Starts an object call with the translation of this platform.
+    template <typename Value, typename Make, typename Parse>
+    PlatformCallId startObjectCall(Make make, Parse parse, PlatformHandler<Value> handler)
+    {
+        return std::visit(
+            [&](const auto& api) {
+                return this->start(
+                    make(api), [api, parse](const HttpReply& reply) { return parse(api, reply); }, std::move(handler));
+            },
+            this->objects);
+    }
+
+    /// @brief Starts a call that only platforms with kinds have.
+    template <typename Value, typename Make, typename Parse>
+    PlatformCallId startKindCall(Make make, Parse parse, PlatformHandler<Value> handler)
+    {
+        if (const auto* api = std::get_if<KindedObjects>(&this->objects))
+            return this->start(make(*api), parse, std::move(handler));
+        return this->runner.refuse({ PlatformError::Kind::Rejected, "the platform has no kinds", std::nullopt },
+            [handler = std::move(handler)](
+                const std::variant<HttpReply, PlatformError>& outcome) { handler(std::get<PlatformError>(outcome)); });
+    }
+
+    ObjectApi objects;
     CallRunner runner;
 };
 
@@ -94,43 +110,81 @@
 
 PlatformCallId PlatformClient::readObject(const std::string& key, PlatformHandler<StoredObject> handler)
 {
-    return this->impl->start(
-        makeRequest(Kind::ReadObject, "GET", objectPath(key)), parseStoredObject, std::move(handler));
+    return this->impl->startObjectCall<StoredObject>([&](const auto& api) { return api.read(key); },
+        [](const auto& api, const HttpReply& reply) { return api.parseObject(reply); }, std::move(handler));
 }
 
 PlatformCallId PlatformClient::createObject(
     const std::string& key, std::string value, PlatformHandler<std::uint64_t> handler)
 {
-    PlatformRequest request = makeRequest(Kind::CreateObject, "PUT", objectPath(key));
-    request.request.headers.add("if-none-match", "*");
-    request.request.body = std::move(value);
-    return this->impl->start(std::move(request), parseObjectVersion, std::move(handler));
+    return this->impl->startObjectCall<std::uint64_t>(
+        [&](const auto& api) { return api.create(key, std::move(value)); },
+        [](const auto& api, const HttpReply& reply) { return api.parseVersion(reply); }, std::move(handler));
 }
 
 PlatformCallId PlatformClient::updateObject(
     const std::string& key, std::string value, std::uint64_t expected, PlatformHandler<std::uint64_t> handler)
 {
-    PlatformRequest request = makeRequest(Kind::UpdateObject, "PUT", objectPath(key));
-    request.request.headers.add("if-match", std::to_string(expected));
-    request.request.body = std::move(value);
-    return this->impl->start(std::move(request), parseObjectVersion, std::move(handler));
+    return this->impl->startObjectCall<std::uint64_t>(
+        [&](const auto& api) { return api.update(key, std::move(value), expected); },
+        [](const auto& api, const HttpReply& reply) { return api.parseVersion(reply); }, std::move(handler));
 }
 
 PlatformCallId PlatformClient::deleteObject(
     const std::string& key, std::optional<std::uint64_t> expected, PlatformHandler<std::monostate> handler)
 {
-    PlatformRequest request = makeRequest(Kind::DeleteObject, "DELETE", objectPath(key));
-    if (expected)
-        request.request.headers.add("if-match", std::to_string(*expected));
-    return this->impl->start(std::move(request), parseNothing, std::move(handler));
+    return this->impl->startObjectCall<std::monostate>([&](const auto& api) { return api.remove(key, expected); },
+        [](const auto&, const HttpReply& reply) { return parseNothing(reply); }, std::move(handler));
 }
 
 PlatformCallId PlatformClient::listObjects(
     const std::string& prefix, PlatformHandler<std::vector<ListedObject>> handler)
 {
-    PlatformRequest request = makeRequest(Kind::ListObjects, "GET", "/objects?prefix=" + percentEncode(prefix, false));
-    return this->impl->start(
-        std::move(request), [](const HttpReply& reply) { return parseListedObjects(reply.body); }, std::move(handler));
+    return this->impl->startObjectCall<std::vector<ListedObject>>([&](const auto& api) { return api.list(prefix); },
+        [](const auto& api, const HttpReply& reply) { return api.parseList(reply); }, std::move(handler));
+}
+
+PlatformCallId PlatformClient::listKind(
+    const std::string& kind, const std::string& after, ReadFreshness freshness, PlatformHandler<KindPage> handler)
+{
+    return this->impl->startKindCall<KindPage>(
+        [&](const KindedObjects& api) { return api.listKind(kind, after, freshness); }, KindedObjects::parsePage,
+        std::move(handler));
+}
+
+PlatformCallId PlatformClient::watchKind(
+    const std::string& kind, std::uint64_t after, Duration wait, PlatformHandler<KindPage> handler)
+{
+    return this->impl->startKindCall<KindPage>(
+        [&](const KindedObjects& api) { return api.watchKind(kind, after, wait); }, KindedObjects::parseEvents,
+        std::move(handler));
+}
+
+PlatformCallId PlatformClient::replaceObject(
+    const std::string& key, std::string value, PlatformHandler<std::uint64_t> handler)
+{
+    return this->impl->startKindCall<std::uint64_t>([&](const KindedObjects& api) { return api.replace(key, value); },
+        [](const HttpReply& reply) { return KindedObjects().parseVersion(reply); }, std::move(handler));
+}
+
+PlatformCallId PlatformClient::writeStatus(const std::string& key, std::string status,
+    std::optional<std::uint64_t> expected, PlatformHandler<std::uint64_t> handler)
+{
+    return this->impl->startKindCall<std::uint64_t>(
+        [&](const KindedObjects& api) { return api.writeStatus(key, std::move(status), expected); },
+        [](const HttpReply& reply) { return KindedObjects().parseVersion(reply); }, std::move(handler));
+}
+
+PlatformCallId PlatformClient::reportUsage(const UsageReport& report, PlatformHandler<std::monostate> handler)
+{
+    return this->impl->startKindCall<std::monostate>(
+        [&](const KindedObjects& api) { return api.reportUsage(report); }, parseNothing, std::move(handler));
+}
+
+PlatformCallId PlatformClient::orderUpstreams(const UpstreamOrder& order, PlatformHandler<std::monostate> handler)
+{
+    return this->impl->startKindCall<std::monostate>(
+        [&](const KindedObjects& api) { return api.orderUpstreams(order); }, parseNothing, std::move(handler));
 }
 
 PlatformCallId PlatformClient::watchObject(
