--- a/src/teaselshore/platform/platform_replies.cpp
+++ b/src/teaselshore/platform/platform_replies.cpp
@@ -36,11 +36,6 @@
         });
     }
 
-    ListedObject toListedObject(const json& entry)
-    {
-        return { entry.at("key").get<std::string>(), entry.at("version").get<std::uint64_t>() };
-    }
-
     CloudPrice toPrice(const json& entry)
     {
         return { AvailabilityZone(entry.at("zone").get<std::string>()), HostClass(entry.at("class").get<std::string>()),
@@ -83,23 +78,15 @@
             : std::string();
     }
 
-    /// Returns whether the platform guarantees that a refused call had no effect. A bare 503 is no guarantee: a gateway
-    /// also sends it after it lost the connection to the server that ran the call.
-    bool hadNoEffect(const HttpReply& reply)
-    {
-        constexpr int tooManyRequests = 429;
-        return reply.status == tooManyRequests || reply.headers.find("x-not-run") == "true";
-    }
-
-    Kind errorKind(PlatformCallKind call, const HttpReply& reply)
+    Kind errorKind(const ObjectApi& objects, PlatformCallKind call, const HttpReply& reply)
     {
-        if (reply.status == 404)
+        if (reply.status == 404 || reply.status == 410)
             return Kind::NotFound;
         if (reply.status == 409 || reply.status == 412)
             return Kind::Conflict;
         if (call == PlatformCallKind::StartHost && errorCode(reply) == "start_refused")
             return Kind::StartRefused;
-        if (hadNoEffect(reply))
+        if (std::visit([&reply](const auto& api) { return api.hadNoEffect(reply); }, objects))
             return Kind::Unavailable;
         if (reply.status >= 500)
             return isPlatformWrite(call) ? Kind::OutcomeUnknown : Kind::Unavailable;
@@ -116,12 +103,20 @@
     case PlatformCallKind::DeleteObject:
     case PlatformCallKind::StartHost:
     case PlatformCallKind::StopHost:
+    case PlatformCallKind::WriteStatus:
+    case PlatformCallKind::ReportUsage:
+    case PlatformCallKind::OrderUpstreams:
         return true;
     default:
         return false;
     }
 }
 
+bool isPlatformWatch(PlatformCallKind kind)
+{
+    return kind == PlatformCallKind::WatchObject || kind == PlatformCallKind::WatchKind;
+}
+
 PlatformError convertPlatformError(PlatformCallKind kind, const HttpError& error)
 {
     const bool invalid = error.kind == HttpError::Kind::AddressInvalid || error.kind == HttpError::Kind::RequestInvalid;
@@ -131,13 +126,13 @@
     return { unknown ? Kind::OutcomeUnknown : Kind::Unavailable, error.detail, std::nullopt };
 }
 
-std::optional<PlatformError> replyError(PlatformCallKind kind, const HttpReply& reply)
+std::optional<PlatformError> replyError(const ObjectApi& objects, PlatformCallKind kind, const HttpReply& reply)
 {
     if (reply.status / 100 == 2)
         return std::nullopt;
-    PlatformError error { errorKind(kind, reply), fmt::format("status {}", reply.status), std::nullopt };
+    PlatformError error { errorKind(objects, kind, reply), fmt::format("status {}", reply.status), std::nullopt };
     if (error.kind == Kind::Conflict)
-        error.currentVersion = parseObjectVersion(reply);
+        error.currentVersion = std::visit([&reply](const auto& api) { return api.parseVersion(reply); }, objects);
     return error;
 }
 
@@ -146,40 +141,6 @@
     return { isPlatformWrite(kind) ? Kind::OutcomeUnknown : Kind::MalformedReply, std::move(detail), std::nullopt };
 }
 
-std::string percentEncode(std::string_view text, bool keepsSlashes)
-{
-    std::string result;
-    result.reserve(text.size());
-    for (const char letter : text) {
-        const bool isAlphanumeric
-            = (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') || (letter >= '0' && letter <= '9');
-        const bool isUnreserved = isAlphanumeric || std::string_view("-._~").find(letter) != std::string_view::npos;
-        if (isUnreserved || (keepsSlashes && letter == '/'))
-            result += letter;
-        else
-            result += fmt::format("%{:02X}", static_cast<unsigned char>(letter));
-    }
-    return result;
-}
-
-std::optional<std::uint64_t> parseObjectVersion(const HttpReply& reply)
-{
-    const std::optional<std::string> text = reply.headers.find("x-object-version");
-    if (!text)
-        return std::nullopt;
-    std::uint64_t version = 0;
-    const char* end = text->data() + text->size();
-    const auto parsed = std::from_chars(text->data(), end, version);
-    if (parsed.ec != std::errc() || parsed.ptr != end)
-        return std::nullopt;
-    return version;
-}
-
-std::optional<std::vector<ListedObject>> parseListedObjects(const std::string& body)
-{
-    return parseList(body, "objects", toListedObject);
-}
-
 std::optional<std::vector<CloudPrice>> parseCloudPrices(const std::string& body)
 {
     return parseList(body, "prices", toPrice);
--- a/src/teaselshore/platform/platform_replies.hpp
+++ b/src/teaselshore/platform/platform_replies.hpp
@@ -14,22 +14,19 @@
 /// @brief Returns whether a call of this kind changes state at the platform.
 bool isPlatformWrite(PlatformCallKind kind);
 
+/// @brief Returns whether a call of this kind waits at the platform for news.
+bool isPlatformWatch(PlatformCallKind kind);
 /// @brief Converts an error of the HTTP layer: a write whose request may have been sent has an unknown outcome.
 PlatformError convertPlatformError(PlatformCallKind kind, const HttpError& error);
 
 /// @brief Converts a reply that does not mean success; nothing for one that does.
-std::optional<PlatformError> replyError(PlatformCallKind kind, const HttpReply& reply);
+std::optional<PlatformError> replyError(const ObjectApi& objects, PlatformCallKind kind, const HttpReply& reply);
 
 /// @brief Error for a successful reply that cannot be understood.
 PlatformError malformedReply(PlatformCallKind kind, std::string detail);
 
-/// @brief Escapes all but unreserved characters; keepsSlashes for paths.
-std::string percentEncode(std::string_view text, bool keepsSlashes);
-
 /// @name Parsers of successful replies; nothing if the reply is malformed.
 /// @{
-std::optional<std::uint64_t> parseObjectVersion(const HttpReply& reply);
-std::optional<std::vector<ListedObject>> parseListedObjects(const std::string& body);
 std::optional<std::vector<CloudPrice>> parseCloudPrices(const std::string& body);
 std::optional<std::vector<CloudNotice>> parseCloudNotices(const std::string& body);
 std::optional<std::vector<CloudHost>> parseCloudHosts(const std::string& body);
