--- a/include/teaselshore/control/fleet_planner.hpp
+++ b/include/teaselshore/control/fleet_planner.hpp
@@ -31,8 +31,10 @@
     std::optional<double> reclaimablePrice;
     /// Upstreams that the operator started the service with, all zones together.
     std::uint32_t baseline = 0;
-    /// Demand as a multiple of what the baseline is meant for.
-    double demand = 1;
+    /// Upstreams that the measured demand keeps busy all the time; nothing before it was measured.
+    std::optional<double> busyUpstreams;
+    /// True while reclaimable upstreams were taken away or refused lately, so that more may go and none come.
+    bool reclaimableScarce = false;
 
     auto operator<=>(const FleetState&) const = default;
 };
@@ -49,7 +51,13 @@
 struct FleetPlannerSettings {
     /// Part of the baseline that must be left after any one zone has lost its reclaimable upstreams.
     double leftAfterLoss = 1.0;
-    /// On-demand upstreams per zone beside reclaimable ones, for the loss of all reclaimable ones at once.
+    /// Busy upstreams' worth of demand that one upstream may carry while reclaimable ones are scarce. The measured
+    /// reading speed includes the time that prompts wait for each other, so that an upstream can do more than it says.
+    /// With 0.35 and 1.2 the quiet days paid for on-demand upstreams that did not improve the response times.
+    double loadPerUpstream = 2;
+    /// On-demand upstreams per zone beside reclaimable ones, for the loss of all reclaimable ones at once. With one in
+    /// the cheapest zone only, the heaviest day of a deployment with few engines lost more than the prices that it
+    /// saved.
     std::uint32_t onDemandFloor = 1;
 
     auto operator<=>(const FleetPlannerSettings&) const = default;
--- a/include/teaselshore/daemon/request_relay.hpp
+++ b/include/teaselshore/daemon/request_relay.hpp
@@ -61,7 +61,7 @@
         auto operator<=>(const Settings&) const = default;
     };
 
-    RequestRelay(EventLoop& loop, Settings settings, std::function<void(RelayEvent)> emit);
+    RequestRelay(EventLoop& loop, const Settings& settings, std::function<void(RelayEvent)> emit);
     ~RequestRelay();
     RequestRelay(const RequestRelay&) = delete;
     RequestRelay& operator=(const RequestRelay&) = delete;
--- a/include/teaselshore/entry/node_report.hpp
+++ b/include/teaselshore/entry/node_report.hpp
@@ -5,30 +5,19 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "teaselshore/base/name.hpp"
+#include "teaselshore/control/version_evidence.hpp"
 #include "teaselshore/entry/usage_ledger.hpp"
 
 namespace teaselshore {
 
-/// @brief Responses of one version of a service, as one node saw them.
-struct VersionTally {
-    std::uint64_t responses = 0;
-    /// Responses with a server error, and attempts that broke off.
-    std::uint64_t failures = 0;
-    /// Sum of the times to the response or to the first event, milliseconds.
-    double totalMilliseconds = 0;
-
-    auto operator<=>(const VersionTally&) const = default;
-};
-
 /// @brief Requests for one service that one node got lately.
 struct ServiceDemand {
     double requestsPerSecond = 0;
-    /// Prompt tokens that no upstream had in memory, as far as this node knows.
+    /// Prompt tokens that upstreams had to read, as far as this node knows what they keep in memory.
     double promptTokensPerSecond = 0;
-    /// Mean number of requests of this node that run at upstreams.
-    double running = 0;
     /// Requests refused for lack of room.
     double refusedPerSecond = 0;
 
@@ -48,7 +37,8 @@
     /// Quota units per second that callers asked for, by workspace.
     std::map<WorkspaceName, double> quotaDemand;
     std::map<ServiceName, ServiceDemand> demand;
-    std::map<ServiceName, std::map<VersionName, VersionTally>> versions;
+    /// Outcomes of the versions of running rollouts.
+    std::vector<VersionReport> versions;
 
     auto operator<=>(const NodeReport&) const = default;
 
--- a/include/teaselshore/entry/registered_upstream.hpp
+++ b/include/teaselshore/entry/registered_upstream.hpp
@@ -47,6 +47,8 @@
         RolledBack,
     };
     State state = State::Ordered;
+    /// Part of the traffic that goes to the target.
+    double share = 0;
 
     auto operator<=>(const RolloutOrder&) const = default;
 };
--- a/include/teaselshore/routing/router.hpp
+++ b/include/teaselshore/routing/router.hpp
@@ -175,6 +175,9 @@
     /// service, for AdmissionController::onCapacity().
     std::uint32_t capacity(const ServiceName& service) const;
 
+    /// @brief Returns the measured work before the first byte that one upstream of the service gets done, token
+    /// equivalents per second.
+    double prefillRate(const ServiceName& service) const;
     /// @brief Returns the predicted mean time that a request occupies an upstream of the service.
     Duration meanHoldTime(const ServiceName& service) const;
 
--- /dev/null
+++ b/src/teaselshore/control/rollout_schedule_test.cpp
@@ -0,0 +1,84 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "teaselshore/control/rollout_schedule.hpp"
+
+namespace teaselshore {
+namespace {
+
+    using State = RolloutStep::State;
+
+    constexpr Duration total = std::chrono::seconds(12);
+
+    RolloutProgress at(double part, double share)
+    {
+        RolloutProgress progress;
+        progress.total = total;
+        progress.elapsed = fromSeconds(part * toSeconds(total));
+        progress.share = share;
+        progress.sinceChange = std::chrono::seconds(10);
+        progress.responses = 100;
+        progress.available = true;
+        return progress;
+    }
+
+    // Guards against a good version that is not complete by its deadline.
+    TEST(RolloutSchedule, GoodVersionIsCompleteBeforeItsDeadline)
+    {
+        double share = 0;
+        Duration changedAt {};
+        for (Duration now {}; now < total; now += std::chrono::milliseconds(200)) {
+            RolloutProgress progress = at(toSeconds(now) / toSeconds(total), share);
+            progress.sinceChange = now - changedAt;
+            const RolloutStep step = nextRolloutStep(progress);
+            if (step.state == State::Complete)
+                return;
+            if (step.share != share)
+                changedAt = now;
+            share = step.share;
+        }
+        FAIL() << "not complete, share " << share;
+    }
+
+    // Guards against a bad version that gets more than a tenth of the requests before it was judged.
+    TEST(RolloutSchedule, UnprovedVersionStaysAtTheTrialShare)
+    {
+        for (double part = 0; part < 1.5; part += 0.05) {
+            RolloutProgress progress = at(part, RolloutScheduleSettings {}.trialShare);
+            progress.responses = 5;
+            EXPECT_LT(nextRolloutStep(progress).share, 0.1) << part;
+        }
+    }
+
+    // Guards against a fault that is passed over at some share or time.
+    RC_GTEST_PROP(RolloutSchedule, FaultAlwaysRollsBack, ())
+    {
+        RolloutProgress progress = at(*rc::gen::inRange(0, 150) / 100.0, *rc::gen::inRange(0, 101) / 100.0);
+        progress.faulty = true;
+        progress.available = *rc::gen::arbitrary<bool>();
+        RC_ASSERT((nextRolloutStep(progress) == RolloutStep { State::RolledBack, 0 }));
+    }
+
+    // Guards against a jump over the check under load, and against an end right after the full share began, which would
+    // cut the streams at the old upstreams.
+    TEST(RolloutSchedule, GrowsStepByStepAndSettles)
+    {
+        EXPECT_EQ(nextRolloutStep(at(0.9, 0)).share, RolloutScheduleSettings {}.trialShare);
+        EXPECT_EQ(nextRolloutStep(at(0.9, 0.05)).share, RolloutScheduleSettings {}.middleShare);
+        EXPECT_EQ(nextRolloutStep(at(0.9, 0.25)).share, 1);
+        RolloutProgress fresh = at(0.95, 1);
+        fresh.sinceChange = std::chrono::seconds(1);
+        EXPECT_EQ(nextRolloutStep(fresh).state, State::Running);
+        EXPECT_EQ(nextRolloutStep(at(0.95, 1)).state, State::Complete);
+    }
+
+    // Guards against a share for a version that has no upstreams yet.
+    TEST(RolloutSchedule, WaitsForUpstreams)
+    {
+        RolloutProgress progress = at(0.1, 0);
+        progress.available = false;
+        EXPECT_EQ(nextRolloutStep(progress).share, 0);
+    }
+
+} // namespace
+} // namespace teaselshore
--- a/src/teaselshore/daemon/request_relay.cpp
+++ b/src/teaselshore/daemon/request_relay.cpp
@@ -52,7 +52,7 @@
 } // namespace
 
 struct RequestRelay::Impl : std::enable_shared_from_this<RequestRelay::Impl> {
-    Impl(EventLoop& eventLoop, Settings settings, std::function<void(RelayEvent)> emit)
+    Impl(EventLoop& eventLoop, const Settings& settings, std::function<void(RelayEvent)> emit)
         : loop(eventLoop)
         , settings(settings)
         , emit(std::move(emit))
@@ -86,7 +86,7 @@
     RelayCounters counters;
 };
 
-RequestRelay::RequestRelay(EventLoop& loop, Settings settings, std::function<void(RelayEvent)> emit)
+RequestRelay::RequestRelay(EventLoop& loop, const Settings& settings, std::function<void(RelayEvent)> emit)
     : impl(std::make_shared<Impl>(loop, settings, std::move(emit)))
 {
 }
--- a/src/teaselshore/entry/entry_duties.cpp
+++ b/src/teaselshore/entry/entry_duties.cpp
@@ -25,6 +25,8 @@
     /// Time after the end of a window at which the shares follow the reports read.
     constexpr Duration shareDelay = std::chrono::milliseconds(2200);
     constexpr Duration holderReadPeriod = std::chrono::milliseconds(1500);
+    /// Period of reports and reads while a rollout runs, whose decisions cannot wait for the end of a window.
+    constexpr Duration rolloutPeriod = std::chrono::seconds(1);
     constexpr Duration readTimeout = std::chrono::seconds(3);
     /// A node lives for this multiple of the report period after its last report.
     constexpr double silentPeriods = 2.4;
@@ -55,6 +57,7 @@
     , lease(state.settings.id, ServiceName(std::string(dutyTask)), leaseSettings(state.settings.host))
     , usage(state, ids)
     , fleet(state, ids)
+    , versions(state, ids)
 {
     this->lease.setContending(false);
 }
@@ -128,6 +131,10 @@
 
 void EntryDuties::onCloudResult(const CloudCallEnded& result, Instant now)
 {
+    if (this->versions.awaitsCloudCall(result.call)) {
+        this->versions.onCloudResult(result, now);
+        return;
+    }
     if (this->fleet.awaitsCloudCall(result.call)) {
         this->fleet.onCloudResult(result, now);
         return;
@@ -138,7 +145,7 @@
     this->state.log(LogLevel::Warning, "a newer holder has acted; this node stops until it gets a new lease", {});
 }
 
-void EntryDuties::onTick(Instant now)
+bool EntryDuties::onTick(Instant now)
 {
     this->scheduleReports(now);
     this->execute(this->lease.tick(now, this->ids));
@@ -149,8 +156,10 @@
             { { "fencingToken", std::to_string(this->lease.fencingToken(now).value_or(0)) } });
     }
     const std::optional<FencedHolder> by = this->holder(now);
-    this->usage.onTick(this->nodes.reports(now), by, now);
-    this->fleet.onTick(by, now);
+    const std::vector<NodeReport> reports = this->nodes.reports(now);
+    this->usage.onTick(reports, by, now);
+    this->fleet.onTick(by, reports, this->versions, now);
+    return this->versions.onTick(reports, by.has_value(), now);
 }
 
 void EntryDuties::scheduleReports(Instant now)
@@ -160,7 +169,10 @@
     if (!this->reading && now >= this->nextRead) {
         this->reading = true;
         this->readStartedAt = now;
-        this->nextRead = now + (this->holdsLease(now) ? holderReadPeriod : this->state.settings.host.usageWindow);
+        this->nextRead = now
+            + (!this->holdsLease(now)           ? this->state.settings.host.usageWindow
+                    : this->versions.isActive() ? rolloutPeriod
+                                                : holderReadPeriod);
         this->state.commands.emplace_back(ReadNodeReports {});
     }
     const std::optional<Duration> calendar = this->state.calendarTime(now);
@@ -175,16 +187,22 @@
         this->applyShares(current - 1, now);
     const Fingerprint place = fingerprint(this->state.settings.host.node);
     const Duration delay = reportDelay + Duration(static_cast<Duration::rep>(place % reportSpread.count()));
-    if (this->reportedWindow == current - 1 || (this->reportedWindow && sinceStart < delay))
+    const bool rolloutDue = this->versions.isActive() && now - this->reportedAt >= rolloutPeriod;
+    const bool windowDue = this->reportedWindow != current - 1 && (!this->reportedWindow || sinceStart >= delay);
+    if (!windowDue && !rolloutDue)
+        return;
+    if (windowDue)
+        this->reportedWindow = current - 1;
+    this->writeReport(now, windowDue);
+    if (!windowDue)
         return;
-    this->reportedWindow = current - 1;
-    this->writeReport(now);
     // Reads follow the reports of all nodes.
     this->nextRead = std::min(this->nextRead, now + std::max(Duration(0), readDelay - sinceStart));
 }
 
-void EntryDuties::writeReport(Instant now)
+void EntryDuties::writeReport(Instant now, bool endsWindow)
 {
+    this->reportedAt = now;
     NodeReport report;
     report.host = this->state.settings.host.node;
     report.process = this->state.settings.id;
@@ -192,7 +210,13 @@
     report.completeWindow = *this->reportedWindow;
     this->state.usage.dropBefore(*this->reportedWindow - reportedWindows);
     report.usage = this->state.usage.windows();
-    report.quotaDemand = this->state.quotas.takeDemand(now);
+    if (endsWindow) {
+        this->quotaDemand = this->state.quotas.takeDemand(now);
+        this->serviceDemand = this->state.demand.take(now);
+    }
+    report.quotaDemand = this->quotaDemand;
+    report.demand = this->serviceDemand;
+    report.versions = this->versions.reports();
     this->state.commands.emplace_back(WriteNodeReport { report.host, report.encode() });
 }
 
--- a/src/teaselshore/entry/entry_duties.hpp
+++ b/src/teaselshore/entry/entry_duties.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "entry_rollouts.hpp"
 #include "entry_state.hpp"
 #include "fleet_controller.hpp"
 #include "teaselshore/control/lease.hpp"
@@ -21,14 +23,16 @@
     void onReports(const std::vector<std::string>& texts, Instant now);
     void onObjectResult(const ObjectResult& result, Instant now);
     void onCloudResult(const CloudCallEnded& result, Instant now);
-    void onTick(Instant now);
+    /// @brief Returns whether the shares of versions changed.
+    bool onTick(Instant now);
+    EntryRollouts& rollouts() { return this->versions; }
     /// @brief Gives the lease up.
     void stop() { this->lease.stop(); }
     bool holdsLease(Instant now) const { return this->lease.fencingToken(now).has_value(); }
 
 private:
     void scheduleReports(Instant now);
-    void writeReport(Instant now);
+    void writeReport(Instant now, bool endsWindow);
     void execute(std::vector<ObjectCommand> commands);
     std::optional<FencedHolder> holder(Instant now) const;
     /// @brief Sets the shares of the quotas after the round of reports that the end of the window began.
@@ -40,11 +44,15 @@
     LeaseHolder lease;
     UsageReporter usage;
     FleetController fleet;
+    EntryRollouts versions;
     /// Counts of an earlier process of this host, which its last report holds.
     bool adoptedOwnReport = false;
     std::uint64_t reportNumber = 0;
     std::optional<std::int64_t> reportedWindow;
-    Instant nextReport {};
+    Instant reportedAt {};
+    /// Demand of the last window that ended.
+    std::map<WorkspaceName, double> quotaDemand;
+    std::map<ServiceName, ServiceDemand> serviceDemand;
     Instant nextRead {};
     bool reading = false;
     /// Window whose round of reports gave the present shares of the quotas.
--- /dev/null
+++ b/src/teaselshore/entry/entry_duties_test.cpp
@@ -0,0 +1,399 @@
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "entry_test_support.hpp"
+#include "teaselshore/entry/live_nodes.hpp"
+#include "teaselshore/entry/node_report.hpp"
+
+namespace teaselshore {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /// Platform of the duties' tests: objects with versions, reports of nodes, and a cloud that checks what it gets.
+    class FakePlatform {
+    public:
+        struct Object {
+            std::string value;
+            ObjectVersion version = 0;
+        };
+
+        ObjectResult run(const ObjectCommand& command)
+        {
+            return std::visit([this](const auto& call) { return this->carryOut(call); }, command);
+        }
+
+        std::map<std::string, Object> objects;
+        std::map<std::string, std::string> reports;
+        /// Reports that the cloud accepted, by window.
+        std::map<std::int64_t, std::set<WorkspaceCounts>> usage;
+        std::uint64_t highestToken = 0;
+        std::map<std::uint64_t, std::set<std::string>> holders;
+        std::vector<UpstreamOrder> orders;
+        ObjectVersion lastVersion = 0;
+
+    private:
+        ObjectResult result(ObjectCallId id, ObjectOutcome outcome, ObjectVersion version) const
+        {
+            ObjectResult event;
+            event.id = id;
+            event.outcome = outcome;
+            event.version = version;
+            return event;
+        }
+
+        ObjectResult carryOut(const ObjectCreate& call)
+        {
+            if (this->objects.contains(call.key))
+                return this->result(call.id, ObjectOutcome::Conflict, this->objects.at(call.key).version);
+            this->objects[call.key] = { call.value, ++this->lastVersion };
+            return this->result(call.id, ObjectOutcome::Ok, this->lastVersion);
+        }
+
+        ObjectResult carryOut(const ObjectUpdate& call)
+        {
+            const auto found = this->objects.find(call.key);
+            if (found == this->objects.end())
+                return this->result(call.id, ObjectOutcome::NotFound, 0);
+            if (found->second.version != call.expected)
+                return this->result(call.id, ObjectOutcome::Conflict, found->second.version);
+            found->second = { call.value, ++this->lastVersion };
+            return this->result(call.id, ObjectOutcome::Ok, this->lastVersion);
+        }
+
+        ObjectResult carryOut(const ObjectRead& call)
+        {
+            const auto found = this->objects.find(call.key);
+            if (found == this->objects.end())
+                return this->result(call.id, ObjectOutcome::NotFound, 0);
+            ObjectResult event = this->result(call.id, ObjectOutcome::Ok, found->second.version);
+            event.value = found->second.value;
+            return event;
+        }
+
+        ObjectResult carryOut(const ObjectList& call) { return this->result(call.id, ObjectOutcome::Ok, 0); }
+
+        ObjectResult carryOut(const ObjectDelete& call)
+        {
+            this->objects.erase(call.key);
+            return this->result(call.id, ObjectOutcome::Ok, 0);
+        }
+    };
+
+    /// Some nodes at one platform, in one passed time, with faults at random.
+    class Fleet {
+    public:
+        explicit Fleet(std::size_t size, std::uint64_t seed = 1)
+            : random(seed)
+        {
+            for (std::size_t index = 0; index < size; ++index)
+                this->add("host-" + std::to_string(index));
+        }
+
+        void add(const std::string& host)
+        {
+            EntryNodeSettings settings = EntryHarness::settings(this->random.next(), host);
+            settings.id = NodeId(host + "-" + std::to_string(++this->starts));
+            this->nodes[host] = std::make_unique<EntryNode>(settings);
+            this->handle(host, ClockRead { this->now.time_since_epoch() + calendarOffset });
+            EntryConfiguration configuration = EntryHarness::configuration();
+            ScaleLimits scale;
+            scale.minimum = 1;
+            scale.maximum = 12;
+            scale.bootTime = 4s;
+            scale.reclaimablePrice = 0.2;
+            configuration.services[0].scale = scale;
+            this->handle(host, EntryConfigurationRead { configuration });
+            UpstreamsListed listed;
+            for (int number = 1; number <= 4; ++number)
+                listed.upstreams.push_back(EntryHarness::upstream(number));
+            this->handle(host, listed);
+        }
+
+        void pass(Duration time)
+        {
+            const Instant end = this->now + time;
+            while (this->now < end) {
+                this->now += 100ms;
+                for (auto& [host, node] : this->nodes) {
+                    if (!this->frozen.contains(host))
+                        this->handle(host, EntryTick {});
+                }
+            }
+        }
+
+        void handle(const std::string& host, EntryEvent event)
+        {
+            std::vector<EntryEvent> events { std::move(event) };
+            while (!events.empty()) {
+                EntryEvent next = std::move(events.back());
+                events.pop_back();
+                for (EntryCommand& command : this->nodes.at(host)->handle(std::move(next), this->now))
+                    this->execute(host, command, events);
+            }
+        }
+
+        void execute(const std::string& host, EntryCommand& command, std::vector<EntryEvent>& events)
+        {
+            const bool answered = this->lossPercent == 0 || this->random.below(100) >= this->lossPercent;
+            const bool done = !this->cutOff.contains(host) && (answered || this->random.below(2) == 0);
+            if (auto* call = std::get_if<CallObjectApi>(&command)) {
+                ObjectResult result;
+                if (done)
+                    result = this->platform.run(call->call);
+                if (!done || !answered) {
+                    result = {};
+                    result.id = std::visit([](const auto& content) { return content.id; }, call->call);
+                    result.outcome = done ? ObjectOutcome::Unknown : ObjectOutcome::Unavailable;
+                }
+                events.emplace_back(std::move(result));
+            } else if (auto* report = std::get_if<WriteNodeReport>(&command)) {
+                if (done)
+                    this->platform.reports[report->host] = report->report;
+            } else if (std::get_if<ReadNodeReports>(&command)) {
+                if (!done)
+                    return;
+                NodeReportsRead read;
+                for (const auto& [name, text] : this->platform.reports)
+                    read.reports.push_back(text);
+                events.emplace_back(std::move(read));
+            } else if (auto* usage = std::get_if<SendUsage>(&command)) {
+                const bool accepted = done && this->accept(usage->report.by);
+                if (accepted)
+                    this->platform.usage[usage->report.window].insert(usage->report.requests);
+                events.emplace_back(CloudCallEnded { usage->call,
+                    !answered || !done ? ObjectOutcome::Unknown
+                        : accepted     ? ObjectOutcome::Ok
+                                       : ObjectOutcome::Conflict });
+            } else if (auto* order = std::get_if<SendUpstreamOrder>(&command)) {
+                const bool accepted = done && this->accept(order->order.by);
+                if (accepted)
+                    this->platform.orders.push_back(order->order);
+                events.emplace_back(CloudCallEnded { order->call,
+                    !answered || !done ? ObjectOutcome::Unknown
+                        : accepted     ? ObjectOutcome::Ok
+                                       : ObjectOutcome::Conflict });
+            } else if (std::get_if<ForwardRequest>(&command)) {
+                auto& forward = std::get<ForwardRequest>(command);
+                UpstreamResponded responded;
+                responded.response.attempt = forward.attempt.attempt;
+                responded.response.status = 200;
+                responded.facts.isStamped = true;
+                events.emplace_back(std::move(responded));
+            }
+        }
+
+        bool accept(const FencedHolder& by)
+        {
+            this->platform.holders[by.fencingToken].insert(by.holder);
+            if (by.fencingToken < this->platform.highestToken)
+                return false;
+            this->platform.highestToken = by.fencingToken;
+            return true;
+        }
+
+        void request(const std::string& host)
+        {
+            CallerRequestArrived arrived { this->nodes.at(host)->nextRequestId(), {} };
+            arrived.request.method = "POST";
+            arrived.request.path = "/order/x";
+            arrived.request.host = EntryHarness::hostName;
+            arrived.request.key = "key-n";
+            this->handle(host, std::move(arrived));
+        }
+
+        std::vector<std::string> leaseHolders() const
+        {
+            std::vector<std::string> holding;
+            for (const auto& [host, node] : this->nodes) {
+                if (node->statistics().holdsLease)
+                    holding.push_back(host);
+            }
+            return holding;
+        }
+
+        static constexpr Duration calendarOffset = 1'000'000s;
+
+        RandomSource random;
+        FakePlatform platform;
+        std::map<std::string, std::unique_ptr<EntryNode>> nodes;
+        std::set<std::string> cutOff;
+        std::set<std::string> frozen;
+        std::uint64_t lossPercent = 0;
+        Instant now { 1000s };
+        int starts = 0;
+    };
+
+    std::uint64_t total(const std::set<WorkspaceCounts>& reports)
+    {
+        return reports.empty() ? 0 : reports.begin()->at(WorkspaceName("north"));
+    }
+
+    // Guards against a usage window that is reported late, twice with different counts, or without some nodes' counts.
+    TEST(EntryDuties, ReportsEachWindowOnceWithTheCountsOfAllNodes)
+    {
+        Fleet fleet(5);
+        fleet.pass(7s);
+        std::uint64_t sent = 0;
+        for (int round = 0; round < 200; ++round) {
+            fleet.request("host-" + std::to_string(round % 5));
+            ++sent;
+            fleet.pass(100ms);
+        }
+        fleet.pass(12s);
+        std::uint64_t reported = 0;
+        for (const auto& [window, reports] : fleet.platform.usage) {
+            EXPECT_EQ(reports.size(), 1u) << window;
+            reported += total(reports);
+        }
+        EXPECT_EQ(reported, sent);
+        EXPECT_EQ(fleet.leaseHolders().size(), 1u);
+    }
+
+    // Guards against usage that is lost with a process that restarts within the window.
+    TEST(EntryDuties, KeepsReportedCountsOverARestart)
+    {
+        Fleet fleet(3);
+        fleet.pass(7s);
+        for (int round = 0; round < 30; ++round)
+            fleet.request("host-1");
+        fleet.pass(6s);
+        const std::size_t windowsBefore = fleet.platform.usage.size();
+        fleet.add("host-1");
+        fleet.pass(12s);
+        std::uint64_t reported = 0;
+        for (const auto& [window, reports] : fleet.platform.usage)
+            reported += total(reports);
+        EXPECT_EQ(reported, 30u);
+        EXPECT_GT(fleet.platform.usage.size(), windowsBefore);
+    }
+
+    // Guards against duties that nobody carries out after the holder of the lease was cut off, and against a holder
+    // that goes on with its old token.
+    TEST(EntryDuties, AnotherNodeTakesOverFromACutOffHolder)
+    {
+        Fleet fleet(5);
+        fleet.pass(15s);
+        ASSERT_EQ(fleet.leaseHolders().size(), 1u);
+        const std::string first = fleet.leaseHolders().front();
+        fleet.cutOff.insert(first);
+        fleet.pass(15s);
+        ASSERT_EQ(fleet.leaseHolders().size(), 1u);
+        EXPECT_NE(fleet.leaseHolders().front(), first);
+        fleet.cutOff.clear();
+        fleet.pass(10s);
+        EXPECT_EQ(fleet.leaseHolders().size(), 1u);
+        EXPECT_NE(fleet.leaseHolders().front(), first) << "a lease is not handed back";
+    }
+
+    // Guards against two holders with one token and against usage reports that differ, while answers are lost and nodes
+    // are cut off, frozen and restarted at random.
+    RC_GTEST_PROP(EntryDuties, OneHolderForEachTokenUnderFaults, ())
+    {
+        Fleet fleet(4, *rc::gen::inRange<std::uint64_t>(1, 100'000));
+        fleet.lossPercent = *rc::gen::inRange(0, 40);
+        const int steps = *rc::gen::inRange(5, 25);
+        for (int step = 0; step < steps; ++step) {
+            const std::string host = "host-" + std::to_string(*rc::gen::inRange(0, 4));
+            switch (*rc::gen::inRange(0, 6)) {
+            case 0:
+                fleet.cutOff.insert(host);
+                break;
+            case 1:
+                fleet.cutOff.clear();
+                break;
+            case 2:
+                fleet.frozen.insert(host);
+                break;
+            case 3:
+                fleet.frozen.clear();
+                break;
+            case 4:
+                fleet.frozen.erase(host);
+                fleet.add(host);
+                break;
+            default:
+                fleet.request(host);
+                break;
+            }
+            fleet.pass(std::chrono::milliseconds(*rc::gen::inRange(100, 3000)));
+        }
+        fleet.lossPercent = 0;
+        fleet.cutOff.clear();
+        fleet.frozen.clear();
+        fleet.pass(20s);
+        for (const auto& [token, hosts] : fleet.platform.holders)
+            RC_ASSERT(hosts.size() == 1u);
+        for (const auto& [window, reports] : fleet.platform.usage)
+            RC_ASSERT(reports.size() == 1u);
+        RC_ASSERT(fleet.leaseHolders().size() == 1u);
+    }
+
+    // Load pattern: the fleet as the operator started it, all on-demand. Guards against orders that give up on-demand
+    // upstreams before reclaimable ones serve.
+    TEST(EntryDuties, OrdersReclaimableUpstreamsBeforeGivingUpOthers)
+    {
+        Fleet fleet(3);
+        fleet.pass(15s);
+        ASSERT_FALSE(fleet.platform.orders.empty());
+        for (const UpstreamOrder& order : fleet.platform.orders) {
+            const bool givesUp = !order.reclaimable && order.zone == AvailabilityZone("zone-a");
+            EXPECT_FALSE(givesUp) << "no reclaimable upstream is registered yet";
+        }
+    }
+
+    // Guards against reports that lose a field on their way, and against texts that end the process.
+    RC_GTEST_PROP(NodeReport, SurvivesEncoding, ())
+    {
+        NodeReport report;
+        report.host = *rc::gen::arbitrary<std::string>();
+        report.process = NodeId("p-1");
+        report.number = *rc::gen::arbitrary<std::uint32_t>();
+        report.completeWindow = *rc::gen::arbitrary<std::int32_t>();
+        report.usage[*rc::gen::arbitrary<std::int32_t>()][WorkspaceName("w")] = *rc::gen::arbitrary<std::uint32_t>();
+        report.quotaDemand[WorkspaceName("w")] = *rc::gen::inRange(0, 1000);
+        VersionReport version;
+        version.pair = { ServiceName("s"), VersionName("v1"), VersionName("v2"), WallTime() };
+        version.node = report.process;
+        version.sequence = 3;
+        version.entries.push_back(
+            { { RouteName("r"), ClassName("c"), LoadBand::High }, VersionName("v2"), { 5, 2, 3, 1.5, 2.5 } });
+        report.versions.push_back(version);
+        const std::string text = report.encode();
+        const auto decoded = NodeReport::decode(text);
+        RC_ASSERT(decoded.has_value());
+        RC_ASSERT(decoded->encode() == text);
+        RC_ASSERT(decoded->usage == report.usage);
+        RC_ASSERT(decoded->versions == report.versions);
+        const auto cut = *rc::gen::inRange<std::size_t>(0, text.size());
+        RC_ASSERT(!NodeReport::decode(text.substr(0, cut)));
+        RC_ASSERT(!NodeReport::decode("{\"host\": 3}"));
+    }
+
+    // Guards against nodes that stay in the count after they are gone, and against a node that its own clock hides.
+    TEST(LiveNodes, LiveWhileTheirReportsChange)
+    {
+        LiveNodes nodes("self", 10s);
+        NodeReport report;
+        report.host = "other";
+        report.process = NodeId("other-1");
+        report.number = 1;
+        Instant now { 100s };
+        nodes.onReports({ report }, now);
+        EXPECT_EQ(nodes.hosts(now), (std::vector<std::string> { "other", "self" }));
+        now += 9s;
+        nodes.onReports({ report }, now);
+        now += 2s;
+        EXPECT_EQ(nodes.hosts(now), (std::vector<std::string> { "self" }));
+        report.number = 2;
+        nodes.onReports({ report }, now);
+        EXPECT_EQ(nodes.hosts(now).size(), 2u);
+    }
+
+} // namespace
+} // namespace teaselshore
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -31,8 +31,8 @@
 struct EntryNode::Impl {
     explicit Impl(EntryNodeSettings settings)
         : state(std::move(settings))
-        , requests(state)
         , duties(state)
+        , requests(state, duties.rollouts())
     {
     }
 
@@ -58,9 +58,8 @@
     void advanceStop(Instant now);
 
     EntryState state;
-    EntryRequests requests;
     EntryDuties duties;
-    std::vector<RolloutOrder> rollouts;
+    EntryRequests requests;
     bool ready = false;
     std::optional<Instant> stopRequestedAt;
     bool acceptingStopped = false;
@@ -147,7 +146,7 @@
 
 void EntryNode::Impl::handle(RolloutsListed& event, Instant now)
 {
-    this->rollouts = std::move(event.orders);
+    this->duties.rollouts().onOrders(std::move(event.orders));
     this->applyRouting(now);
 }
 
@@ -187,7 +186,8 @@
     this->state.instances = usableInstances(upstreams);
     this->state.router.onConfiguration(
         routingConfiguration(this->state.table->configuration(), upstreams, this->state.settings.host), now);
-    for (const VersionShare& share : versionShares(upstreams, this->rollouts))
+    this->duties.rollouts().onUpstreams();
+    for (const VersionShare& share : versionShares(upstreams, this->duties.rollouts().orders()))
         this->state.router.setVersionShare(share.service, share.version, share.share);
     this->requests.onCapacityChanged(now);
 }
@@ -239,8 +239,8 @@
         return;
     this->nextHousekeeping = now + housekeepingPeriod;
     this->state.router.onTick(now);
-    this->duties.onTick(now);
-    if (this->state.directory.onTick(now))
+    const bool sharesChanged = this->duties.onTick(now);
+    if (this->state.directory.onTick(now) || sharesChanged)
         this->applyRouting(now);
 }
 
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -61,8 +61,9 @@
 
 } // namespace
 
-EntryRequests::EntryRequests(EntryState& state)
+EntryRequests::EntryRequests(EntryState& state, EntryRollouts& rollouts)
     : state(state)
+    , rollouts(rollouts)
 {
 }
 
@@ -180,8 +181,10 @@
     TEASELSHORE_ASSERT(upstream != this->state.instances.end(), "the router chose an upstream that is not registered");
 
     const AttemptId id = ++this->lastAttempt;
-    Attempt attempt { request.id, decision->chosen.upstream, {}, now };
+    Attempt attempt { request.id, decision->chosen.upstream, {}, request.service, request.route->name, now, {} };
     attempt.dispatch = this->state.router.onDispatched(request.routing, *decision, now);
+    const std::uint32_t prompt = request.routing.promptTokens;
+    this->state.demand.onSent(request.service, prompt - std::min(prompt, decision->chosen.cachedTokens));
     this->attempts.emplace(id, attempt);
     request.attempt = id;
     ++request.sends;
@@ -255,6 +258,13 @@
         this->state.router.onLoadReport({ upstream, facts.load->waiting, facts.load->running, Duration::zero() }, now);
 }
 
+void EntryRequests::judge(const Attempt& attempt, AttemptEnd end, Instant now)
+{
+    this->rollouts.onAttempt({ attempt.service, attempt.upstream, attempt.route, end,
+                                 attempt.firstEventAfter.value_or(now - attempt.startedAt) },
+        now);
+}
+
 void EntryRequests::countStart(Request& request, Instant now)
 {
     if (std::exchange(request.counted, true) || !request.workspace)
@@ -268,6 +278,7 @@
     const auto found = this->attempts.find(event.attempt);
     if (found == this->attempts.end())
         return;
+    found->second.firstEventAfter = now - found->second.startedAt;
     this->state.router.onFirstToken(found->second.dispatch, now);
     this->applyLoad(found->second.upstream, event.facts, now);
     if (Request* request = this->find(found->second.request)) {
@@ -289,6 +300,8 @@
     this->state.router.onFinished(
         attempt->dispatch, outcome, static_cast<std::uint32_t>(event.response.relayedEvents), now);
     this->applyLoad(attempt->upstream, event.facts, now);
+    if (!event.facts.notRun)
+        this->judge(*attempt, failed ? AttemptEnd::Failed : AttemptEnd::Succeeded, now);
     Request* request = this->find(attempt->request);
     if (!request)
         return;
@@ -320,6 +333,8 @@
         : event.connectionBroken                     ? AttemptOutcome::Failed
                                                      : AttemptOutcome::TimedOut;
     this->state.router.onFinished(attempt->dispatch, outcome, 0, now);
+    if (event.mayHaveRun)
+        this->judge(*attempt, event.connectionBroken ? AttemptEnd::Failed : AttemptEnd::TimedOut, now);
     Request* request = this->find(attempt->request);
     if (!request)
         return;
@@ -377,6 +392,7 @@
         this->refuse(request, RequestOutcome::Failed, badGateway, reason, {}, now);
         return;
     }
+    this->state.demand.onRefused(request.service, request.routing.promptTokens);
     this->refuse(request, RequestOutcome::NoCapacity, serviceUnavailable, reason, this->retryAfter(request), now);
 }
 
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "entry_rollouts.hpp"
 #include "entry_state.hpp"
 
 namespace teaselshore {
@@ -20,7 +21,7 @@
 /// Not thread-safe.
 class EntryRequests {
 public:
-    explicit EntryRequests(EntryState& state);
+    EntryRequests(EntryState& state, EntryRollouts& rollouts);
 
     void onArrived(CallerRequestArrived arrived, Instant now);
     void onCallerGone(const RequestId& id, Instant now);
@@ -66,7 +67,11 @@
         RequestId request;
         UpstreamId upstream;
         DispatchId dispatch;
+        ServiceName service;
+        RouteName route;
         Instant startedAt {};
+        /// Time to the first event of a stream.
+        std::optional<Duration> firstEventAfter;
     };
 
     Request* find(const RequestId& id);
@@ -82,6 +87,8 @@
     void retryOrEnd(Request& request, bool mayHaveRun, const std::string& reason, Instant now);
     std::optional<Attempt> takeAttempt(AttemptId id);
     void applyLoad(const UpstreamId& upstream, const ResponseFacts& facts, Instant now);
+    /// @brief Passes an ended attempt on as evidence about its version.
+    void judge(const Attempt& attempt, AttemptEnd end, Instant now);
     void countStart(Request& request, Instant now);
     void cancelAttempt(Request& request, Instant now);
     void respond(Request& request, AttemptFinished response, Instant now);
@@ -92,6 +99,7 @@
     Duration retryAfter(const Request& request);
 
     EntryState& state;
+    EntryRollouts& rollouts;
     std::unordered_map<RequestId, Request> requests;
     std::unordered_map<AttemptId, Attempt> attempts;
     AttemptId lastAttempt = 0;
--- /dev/null
+++ b/src/teaselshore/entry/entry_requests_test.cpp
@@ -0,0 +1,431 @@
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "entry_test_support.hpp"
+
+namespace teaselshore {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    std::optional<std::string> field(const Respond& response, const std::string& name)
+    {
+        for (const auto& [key, value] : response.headers) {
+            if (key == name)
+                return value;
+        }
+        return std::nullopt;
+    }
+
+    // Guards against 401 or 404 from a node that does not know the configuration yet.
+    TEST(EntryRequests, NodeWithoutConfigurationSaysNotRun)
+    {
+        EntryHarness harness;
+        harness.request("order");
+        ASSERT_TRUE(harness.first<Respond>());
+        EXPECT_EQ(harness.first<Respond>()->status, 503);
+        harness.send(EntryConfigurationRead { EntryHarness::configuration() });
+        harness.request("order");
+        EXPECT_EQ(harness.first<Respond>()->status, 503) << "no list of upstreams yet";
+    }
+
+    // Guards against requests of unknown routes or keys that reach an upstream.
+    TEST(EntryRequests, RefusesUnknownRoutesAndKeys)
+    {
+        EntryHarness harness;
+        harness.start();
+        harness.request("nothing");
+        EXPECT_EQ(harness.first<Respond>()->status, 404);
+        harness.request("order", 3s, "key-of-nobody");
+        EXPECT_EQ(harness.first<Respond>()->status, 401);
+        EXPECT_FALSE(harness.first<ForwardRequest>());
+    }
+
+    // Guards against a key that stays in force after a configuration took it away.
+    TEST(EntryRequests, KeyTakenAwayIsRefusedAtOnce)
+    {
+        EntryHarness harness;
+        harness.start();
+        EntryConfiguration next = EntryHarness::configuration(2);
+        next.workspaces[0].keys = { "key-new" };
+        harness.send(EntryConfigurationRead { next });
+        harness.request("order");
+        EXPECT_EQ(harness.first<Respond>()->status, 401);
+        harness.request("order", 3s, "key-new");
+        EXPECT_TRUE(harness.first<ForwardRequest>());
+    }
+
+    // Guards against a configuration that goes back to an older version.
+    TEST(EntryRequests, IgnoresOlderConfiguration)
+    {
+        EntryHarness harness;
+        harness.start();
+        EntryConfiguration newer = EntryHarness::configuration(5);
+        newer.routes.erase(newer.routes.begin());
+        harness.send(EntryConfigurationRead { newer });
+        harness.send(EntryConfigurationRead { EntryHarness::configuration(4) });
+        harness.request("order");
+        EXPECT_EQ(harness.first<Respond>()->status, 404);
+        EXPECT_EQ(harness.node.statistics().configurationVersion, 5u);
+    }
+
+    // Guards against a non-idempotent request that runs twice: after it was sent, it may have run.
+    TEST(EntryRequests, UnsafeRequestIsNotRepeatedOnceItMayHaveRun)
+    {
+        EntryHarness harness;
+        harness.start();
+        harness.request("order");
+        const auto sent = harness.first<ForwardRequest>();
+        ASSERT_TRUE(sent);
+        harness.fail(sent->attempt.attempt, true);
+        EXPECT_FALSE(harness.first<ForwardRequest>());
+        ASSERT_TRUE(harness.first<Respond>());
+        EXPECT_EQ(harness.first<Respond>()->status, 502);
+    }
+
+    // Guards against giving up on a request that certainly did not run while other upstreams are there.
+    TEST(EntryRequests, UnsafeRequestGoesElsewhereIfItDidNotRun)
+    {
+        EntryHarness harness;
+        harness.start();
+        harness.request("order");
+        const auto refused = harness.first<ForwardRequest>();
+        harness.respond(refused->attempt.attempt, 503, true);
+        const auto second = harness.first<ForwardRequest>();
+        ASSERT_TRUE(second);
+        EXPECT_NE(second->attempt.upstream, refused->attempt.upstream);
+        harness.fail(second->attempt.attempt, false);
+        const auto third = harness.first<ForwardRequest>();
+        ASSERT_TRUE(third);
+        harness.respond(third->attempt.attempt, 200);
+        EXPECT_EQ(harness.first<Respond>()->status, 200);
+    }
+
+    // Guards against a promise that a request did not run, for one that did.
+    TEST(EntryRequests, NoPromiseOfNotRunAfterARun)
+    {
+        EntryHarness harness;
+        harness.start(2);
+        harness.request("status");
+        harness.fail(harness.first<ForwardRequest>()->attempt.attempt, true);
+        const auto second = harness.first<ForwardRequest>();
+        ASSERT_TRUE(second);
+        harness.respond(second->attempt.attempt, 503, true);
+        while (const auto again = harness.first<ForwardRequest>())
+            harness.respond(again->attempt.attempt, 503, true);
+        for (int round = 0; round < 200 && !harness.first<Respond>(); ++round)
+            harness.pass(20ms);
+        ASSERT_TRUE(harness.first<Respond>());
+        EXPECT_EQ(harness.first<Respond>()->status, 502);
+    }
+
+    // Guards against losing an upstream's own failure when the retry brings nothing better.
+    TEST(EntryRequests, FailureOfTheUpstreamIsPassedOnUnchanged)
+    {
+        EntryHarness harness;
+        harness.start(2);
+        harness.request("status");
+        const AttemptId failed = harness.first<ForwardRequest>()->attempt.attempt;
+        harness.respond(failed, 500);
+        const auto second = harness.first<ForwardRequest>();
+        ASSERT_TRUE(second) << "an idempotent request is tried again";
+        harness.fail(second->attempt.attempt, true);
+        ASSERT_TRUE(harness.first<Respond>());
+        EXPECT_EQ(harness.first<Respond>()->status, 500);
+        EXPECT_EQ(field(*harness.first<Respond>(), "x-stamp"), std::to_string(failed));
+    }
+
+    // Guards against more runs than the route allows.
+    TEST(EntryRequests, KeepsToTheAttemptsOfTheRoute)
+    {
+        EntryHarness harness;
+        harness.start(3);
+        harness.request("status");
+        int sends = 0;
+        while (const auto sent = harness.first<ForwardRequest>()) {
+            ++sends;
+            harness.respond(sent->attempt.attempt, 500);
+        }
+        EXPECT_EQ(sends, 2);
+    }
+
+    // Guards against a stream that goes on at a wrong event, or at all where the route does not allow it.
+    TEST(EntryRequests, ResumesStreamAfterItsLastEvent)
+    {
+        EntryHarness harness;
+        harness.start();
+        harness.request("query");
+        const auto sent = harness.first<ForwardRequest>();
+        harness.send(UpstreamStreamStarted { sent->attempt.attempt, {} });
+        harness.fail(sent->attempt.attempt, true, 17);
+        const auto resumed = harness.first<ForwardRequest>();
+        ASSERT_TRUE(resumed);
+        EXPECT_EQ(resumed->context.resumeAfter, 17u);
+
+        harness.request("digest");
+        const auto digest = harness.first<ForwardRequest>();
+        harness.send(UpstreamStreamStarted { digest->attempt.attempt, {} });
+        harness.fail(digest->attempt.attempt, true, 3);
+        EXPECT_FALSE(harness.first<ForwardRequest>());
+        EXPECT_TRUE(harness.first<FailStream>());
+    }
+
+    // Guards against requests that are held past the route's time, and against handing out more time than is left.
+    TEST(EntryRequests, AnswersWhenTheTimeOfTheRouteIsOver)
+    {
+        EntryHarness harness;
+        harness.start();
+        harness.request("order", 10s);
+        const auto sent = harness.first<ForwardRequest>();
+        EXPECT_EQ(sent->context.deadline, harness.now + 1500ms);
+        harness.pass(1499ms);
+        EXPECT_FALSE(harness.first<Respond>());
+        harness.pass(1ms);
+        ASSERT_TRUE(harness.first<Respond>());
+        EXPECT_EQ(harness.first<Respond>()->status, 504);
+        EXPECT_TRUE(harness.first<CancelAttempt>());
+
+        harness.request("order", 200ms);
+        EXPECT_EQ(harness.first<ForwardRequest>()->context.deadline, harness.now + 200ms);
+    }
+
+    // Load pattern: all upstreams are full. Guards against requests that wait until their deadline though it is known
+    // that they cannot be served, and against refusals without a time to come back.
+    TEST(EntryRequests, RefusesSoonWhenAllUpstreamsAreFull)
+    {
+        EntryHarness harness;
+        harness.start(1, 1);
+        std::vector<RequestId> sent;
+        while (true) {
+            harness.request("status");
+            if (!harness.first<ForwardRequest>())
+                break;
+            ASSERT_LT(sent.size(), 100u);
+            sent.emplace_back();
+        }
+        EXPECT_FALSE(harness.first<Respond>()) << "it may wait for a moment";
+        harness.pass(50ms);
+        ASSERT_TRUE(harness.first<Respond>());
+        const Respond refusal = *harness.first<Respond>();
+        EXPECT_EQ(refusal.status, 503);
+        ASSERT_TRUE(field(refusal, "retry-after"));
+        EXPECT_GT(std::stod(*field(refusal, "retry-after")), 0);
+    }
+
+    // Load pattern: a burst that upstreams work off. Guards against a place that stays empty while a request waits.
+    TEST(EntryRequests, StartsWaitingRequestWhenAPlaceBecomesFree)
+    {
+        EntryHarness harness;
+        harness.start(1, 1);
+        std::vector<AttemptId> running;
+        while (true) {
+            harness.request("status");
+            const auto sent = harness.first<ForwardRequest>();
+            if (!sent)
+                break;
+            running.push_back(sent->attempt.attempt);
+        }
+        harness.respond(running.front(), 200);
+        EXPECT_TRUE(harness.first<ForwardRequest>());
+    }
+
+    // Guards against work that goes on after its caller has left.
+    TEST(EntryRequests, CancelsTheAttemptWhenTheCallerLeaves)
+    {
+        EntryHarness harness;
+        harness.start();
+        const RequestId id = harness.request("query");
+        const AttemptId attempt = harness.first<ForwardRequest>()->attempt.attempt;
+        harness.send(CallerGone { id });
+        ASSERT_TRUE(harness.first<CancelAttempt>());
+        EXPECT_EQ(harness.first<CancelAttempt>()->attempt, attempt);
+        EXPECT_EQ(harness.node.statistics().openRequests, 0u);
+    }
+
+    // Guards against new work for an upstream that leaves, whether it says so or its entry is removed.
+    TEST(EntryRequests, LeavingUpstreamGetsNothingNew)
+    {
+        EntryHarness harness;
+        harness.start(3);
+        RegisteredUpstream draining = EntryHarness::upstream(1);
+        draining.draining = true;
+        harness.send(UpstreamChanged { draining });
+        harness.send(UpstreamRemoved { "i-2", std::nullopt });
+        for (int count = 0; count < 4; ++count) {
+            harness.request("order");
+            ASSERT_TRUE(harness.first<ForwardRequest>());
+            EXPECT_EQ(harness.first<ForwardRequest>()->context.instance, "i-3");
+        }
+    }
+
+    // Guards against retries that multiply the load of a failing service.
+    TEST(EntryRequests, RetriesKeepToTheSharedBudget)
+    {
+        EntryHarness harness;
+        harness.start(3, 64);
+        int retries = 0;
+        constexpr int requests = 400;
+        for (int count = 0; count < requests; ++count) {
+            harness.now += 10ms;
+            harness.request("status");
+            auto sent = harness.first<ForwardRequest>();
+            ASSERT_TRUE(sent);
+            // Few enough failures for the circuit breakers to stay closed.
+            harness.respond(sent->attempt.attempt, count % 3 == 0 ? 500 : 200);
+            sent = harness.first<ForwardRequest>();
+            if (!sent)
+                continue;
+            ++retries;
+            harness.respond(sent->attempt.attempt, 200);
+        }
+        EXPECT_LE(retries, 0.2 * requests + 20);
+        EXPECT_GT(harness.node.statistics().deniedRetries, 0u);
+    }
+
+    // Guards against a lost wave of requests during a planned stop: the readiness check fails first, requests that
+    // still come are served, and the process ends when none is open.
+    TEST(EntryRequests, PlannedStopServesWhatStillComes)
+    {
+        EntryHarness harness;
+        harness.start();
+        harness.send(EntryStopRequested {});
+        ASSERT_TRUE(harness.first<SetReady>());
+        EXPECT_FALSE(harness.first<SetReady>()->ready);
+        EXPECT_TRUE(harness.first<AnnounceClose>());
+        harness.request("order");
+        const auto sent = harness.first<ForwardRequest>();
+        ASSERT_TRUE(sent);
+        bool stopped = false;
+        bool acceptingStopped = false;
+        for (int round = 0; round < 14; ++round) {
+            harness.pass(100ms);
+            stopped = stopped || harness.first<StopProcess>();
+        }
+        EXPECT_FALSE(stopped);
+        harness.respond(sent->attempt.attempt, 200);
+        for (int round = 0; round < 40 && !stopped; ++round) {
+            harness.pass(100ms);
+            acceptingStopped = acceptingStopped || harness.first<StopAccepting>();
+            stopped = stopped || harness.first<StopProcess>();
+        }
+        EXPECT_TRUE(acceptingStopped);
+        EXPECT_TRUE(stopped);
+    }
+
+    /// Request as the random run knows it.
+    struct Tracked {
+        std::string route;
+        int answers = 0;
+        int sends = 0;
+        int runs = 0;
+        int lastStatus = 0;
+        bool gone = false;
+    };
+
+    // Guards the promises of the request path under random answers, failures, departures and configurations:
+    // each request ends exactly once, a request that may not be repeated runs at most once, the runs keep to the
+    // attempts of the route, and 429 or 503 are given only for a request that did not run.
+    RC_GTEST_PROP(EntryRequests, KeepsItsPromisesUnderFaults, ())
+    {
+        EntryHarness harness(*rc::gen::inRange<std::uint64_t>(1, 1000));
+        harness.start(3, 2);
+        const std::vector<std::string> routes { "order", "status", "digest", "query" };
+        const std::map<std::string, int> mostRuns { { "order", 1 }, { "status", 2 }, { "digest", 1 }, { "query", 3 } };
+        std::map<RequestId, Tracked> requests;
+        std::map<AttemptId, RequestId> running;
+        std::set<AttemptId> streaming;
+        std::uint64_t version = 1;
+
+        const auto takeIn = [&] {
+            for (const EntryCommand& command : harness.commands) {
+                if (const auto* forward = std::get_if<ForwardRequest>(&command)) {
+                    running[forward->attempt.attempt] = forward->attempt.request;
+                    ++requests.at(forward->attempt.request).sends;
+                } else if (const auto* cancel = std::get_if<CancelAttempt>(&command)) {
+                    // It may have run.
+                    ++requests.at(running.at(cancel->attempt)).runs;
+                    running.erase(cancel->attempt);
+                } else if (const auto* response = std::get_if<Respond>(&command)) {
+                    Tracked& request = requests.at(response->request);
+                    ++request.answers;
+                    request.lastStatus = response->status;
+                    RC_ASSERT(!((response->status == 503 || response->status == 429) && request.runs > 0));
+                } else if (const auto* failed = std::get_if<FailStream>(&command)) {
+                    ++requests.at(failed->request).answers;
+                }
+            }
+            for (const auto& [id, request] : requests) {
+                RC_ASSERT(request.answers <= 1);
+                RC_ASSERT(request.runs <= mostRuns.at(request.route));
+            }
+        };
+
+        const int steps = *rc::gen::inRange(20, 150);
+        for (int step = 0; step < steps; ++step) {
+            const int action = *rc::gen::inRange(0, 10);
+            if (action < 4) {
+                CallerRequestArrived arrived { harness.node.nextRequestId(), {} };
+                const std::string route = *rc::gen::elementOf(routes);
+                arrived.request.method = "POST";
+                arrived.request.path = "/" + route + "/x";
+                arrived.request.host = EntryHarness::hostName;
+                arrived.request.key = "key-n";
+                arrived.request.patience = std::chrono::milliseconds(*rc::gen::inRange(1, 3000));
+                requests[arrived.id].route = route;
+                harness.send(std::move(arrived));
+            } else if (action < 8 && !running.empty()) {
+                const auto chosen = std::next(running.begin(), *rc::gen::inRange<std::ptrdiff_t>(0, running.size()));
+                const AttemptId attempt = chosen->first;
+                Tracked& request = requests.at(chosen->second);
+                const int outcome = *rc::gen::inRange(0, 6);
+                const bool isStream = request.route == "digest" || request.route == "query";
+                if (outcome == 0 && isStream && !streaming.contains(attempt)) {
+                    streaming.insert(attempt);
+                    harness.send(UpstreamStreamStarted { attempt, {} });
+                } else {
+                    const bool notRun = outcome == 1 && !streaming.contains(attempt);
+                    const bool unsent = outcome == 2 && !streaming.contains(attempt);
+                    running.erase(attempt);
+                    if (!notRun && !unsent)
+                        ++request.runs;
+                    if (outcome == 3 || unsent) {
+                        harness.fail(attempt, !unsent, streaming.contains(attempt) ? std::optional(5) : std::nullopt);
+                    } else if (streaming.contains(attempt)) {
+                        UpstreamResponded done;
+                        done.response.attempt = attempt;
+                        done.response.status = 200;
+                        done.response.relayed = true;
+                        done.facts.isStamped = true;
+                        ++request.answers;
+                        harness.send(std::move(done));
+                    } else {
+                        harness.respond(attempt, notRun ? 503 : outcome == 4 ? 500 : 200, notRun);
+                    }
+                }
+            } else if (action == 8) {
+                harness.pass(std::chrono::milliseconds(*rc::gen::inRange(1, 700)));
+            } else if (*rc::gen::arbitrary<bool>()) {
+                EntryConfiguration next = EntryHarness::configuration(++version);
+                harness.send(EntryConfigurationRead { next });
+            } else {
+                RegisteredUpstream changed = EntryHarness::upstream(*rc::gen::inRange(1, 4), 2);
+                changed.draining = *rc::gen::arbitrary<bool>();
+                harness.send(UpstreamChanged { changed });
+            }
+            takeIn();
+        }
+        for (int round = 0; round < 10; ++round) {
+            harness.pass(1s);
+            takeIn();
+        }
+        for (const auto& [id, request] : requests)
+            RC_ASSERT(request.answers == 1);
+        RC_ASSERT(harness.node.statistics().openRequests == 0u);
+    }
+
+} // namespace
+} // namespace teaselshore
--- a/src/teaselshore/entry/entry_state.hpp
+++ b/src/teaselshore/entry/entry_state.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "teaselshore/base/random.hpp"
+#include "teaselshore/entry/demand_meter.hpp"
 #include "teaselshore/entry/entry_node.hpp"
 #include "teaselshore/entry/quota_limiter.hpp"
 #include "teaselshore/entry/route_table.hpp"
@@ -43,6 +44,7 @@
     Router router;
     QuotaLimiter quotas;
     UsageLedger usage;
+    DemandMeter demand;
     /// Calendar time at Instant zero.
     std::optional<Duration> clockOffset;
     std::size_t liveNodes = 0;
--- a/src/teaselshore/entry/fleet_controller.cpp
+++ b/src/teaselshore/entry/fleet_controller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace teaselshore {
@@ -19,6 +20,9 @@
     /// the period in which upstreams renew their entries.
     constexpr Duration settleTime = std::chrono::milliseconds(2500);
 
+    /// Time after a refusal for which reclaimable upstreams count as scarce; longer than the time between two tries.
+    constexpr Duration scarceTime = std::chrono::seconds(2);
+
     std::string baselineKey(const ServiceName& service) { return "fleet/" + service.value(); }
 
 } // namespace
@@ -29,13 +33,15 @@
 {
 }
 
-void FleetController::onTick(std::optional<FencedHolder> by, Instant now)
+void FleetController::onTick(
+    std::optional<FencedHolder> by, const std::vector<NodeReport>& reports, const EntryRollouts& rollouts, Instant now)
 {
     if (!by || !this->state.table || !this->state.directory.isKnown())
         return;
     for (const EntryService& service : this->state.table->configuration().services) {
-        if (service.scale)
-            this->planService(service, *by, now);
+        // The upstreams of both versions count during a rollout, and the platform starts and stops them.
+        if (service.scale && !rollouts.isActive(service.name))
+            this->planService(service, *by, reports, now);
     }
 }
 
@@ -52,7 +58,10 @@
         if (price != service.scale->zonePrices.end())
             entry.price = price->second;
         for (const RegisteredUpstream& upstream : upstreams) {
-            if (upstream.service != service.name || upstream.zone != zone || upstream.draining)
+            if (upstream.service != service.name || upstream.zone != zone)
+                continue;
+            fleet.reclaimableScarce = fleet.reclaimableScarce || (upstream.draining && upstream.reclaimable);
+            if (upstream.draining)
                 continue;
             ++(upstream.reclaimable ? entry.reclaimable : entry.onDemand);
         }
@@ -109,13 +118,33 @@
     this->state.commands.emplace_back(CallObjectApi { ObjectRead { id, baselineKey(service) } });
 }
 
-void FleetController::planService(const EntryService& service, const FencedHolder& by, Instant now)
+std::optional<double> FleetController::busyUpstreams(
+    const ServiceName& service, const std::vector<NodeReport>& reports) const
+{
+    double tokens = 0;
+    for (const NodeReport& report : reports) {
+        const auto found = report.demand.find(service);
+        if (found != report.demand.end())
+            tokens += found->second.promptTokensPerSecond;
+    }
+    if (tokens <= 0)
+        return std::nullopt;
+    return tokens / this->state.router.prefillRate(service);
+}
+
+void FleetController::planService(
+    const EntryService& service, const FencedHolder& by, const std::vector<NodeReport>& reports, Instant now)
 {
     const std::optional<std::uint32_t> started = this->baseline(service, now);
     if (!started)
         return;
     FleetState fleet = this->fleetState(service);
     fleet.baseline = *started;
+    fleet.busyUpstreams = this->busyUpstreams(service.name, reports);
+    const auto refused = this->refusedAt.find(service.name);
+    if (refused != this->refusedAt.end() && now - refused->second < scarceTime)
+        fleet.reclaimableScarce = true;
+    this->lastBusy = fleet.busyUpstreams.value_or(0);
     const std::vector<FleetTarget> targets = planFleet(fleet);
     for (std::size_t index = 0; index < targets.size(); ++index) {
         const FleetTarget& target = targets[index];
@@ -152,7 +181,8 @@
     this->state.log(LogLevel::Info, "upstreams ordered",
         { { "service", key.service.value() }, { "zone", key.zone.value() },
             { "kind", key.reclaimable ? "reclaimable" : "on-demand" }, { "count", std::to_string(target) },
-            { "usable", std::to_string(usable) }, { "fencingToken", std::to_string(by.fencingToken) } });
+            { "usable", std::to_string(usable) }, { "busy", fmt::format("{:.1f}", this->lastBusy) },
+            { "fencingToken", std::to_string(by.fencingToken) } });
     this->state.commands.emplace_back(
         SendUpstreamOrder { call, { by, key.service, key.zone, target, key.reclaimable } });
 }
@@ -168,6 +198,8 @@
         order.acceptedAt = now;
         return;
     }
+    if (result.outcome == ObjectOutcome::Conflict && call.mapped().reclaimable)
+        this->refusedAt[call.mapped().service] = now;
     // None are to be had at the moment, a newer holder was seen, or the call was not answered.
     order.nextTry = now + retryDelay;
     this->state.log(LogLevel::Info, "order of upstreams not accepted",
--- a/src/teaselshore/entry/fleet_controller.hpp
+++ b/src/teaselshore/entry/fleet_controller.hpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "entry_rollouts.hpp"
 #include "entry_state.hpp"
 #include "teaselshore/control/fleet_planner.hpp"
 
@@ -20,7 +21,9 @@
 public:
     FleetController(EntryState& state, ObjectCallIds& ids);
 
-    void onTick(std::optional<FencedHolder> by, Instant now);
+    /// @brief Makes due orders for the services without a running rollout.
+    void onTick(std::optional<FencedHolder> by, const std::vector<NodeReport>& reports, const EntryRollouts& rollouts,
+        Instant now);
     bool awaits(ObjectCallId id) const { return this->calls.contains(id); }
     void onObjectResult(const ObjectResult& result, Instant now);
     bool awaitsCloudCall(std::uint64_t call) const { return this->cloudCalls.contains(call); }
@@ -54,7 +57,9 @@
         Instant registeredSince {};
     };
 
-    void planService(const EntryService& service, const FencedHolder& by, Instant now);
+    void planService(
+        const EntryService& service, const FencedHolder& by, const std::vector<NodeReport>& reports, Instant now);
+    std::optional<double> busyUpstreams(const ServiceName& service, const std::vector<NodeReport>& reports) const;
     /// @brief Returns the stored size with which the service was started; stores it first if there is none.
     std::optional<std::uint32_t> baseline(const EntryService& service, Instant now);
     FleetState fleetState(const EntryService& service) const;
@@ -65,6 +70,10 @@
     ObjectCallIds& ids;
     std::map<ServiceName, Baseline> baselines;
     std::map<OrderKey, Order> orders;
+    /// Busy upstreams of the service that was planned last, for the log.
+    double lastBusy = 0;
+    /// Last refusal of reclaimable upstreams.
+    std::map<ServiceName, Instant> refusedAt;
     std::map<ObjectCallId, ServiceName> calls;
     std::map<std::uint64_t, OrderKey> cloudCalls;
 };
--- a/src/teaselshore/entry/node_report.cpp
+++ b/src/teaselshore/entry/node_report.cpp
@@ -32,25 +32,55 @@
         return usage;
     }
 
-    Json encodeVersions(const std::map<ServiceName, std::map<VersionName, VersionTally>>& services)
+    Json encodeEntry(const EvidenceEntry& entry)
     {
-        Json result = Json::object();
-        for (const auto& [service, versions] : services) {
-            for (const auto& [version, tally] : versions) {
-                result[service.value()][version.value()] = { { "responses", tally.responses },
-                    { "failures", tally.failures }, { "ms", tally.totalMilliseconds } };
-            }
+        return { { "route", entry.cell.route.value() }, { "class", entry.cell.latencyClass.value() },
+            { "load", static_cast<int>(entry.cell.load) }, { "version", entry.version.value() },
+            { "samples", entry.counts.samples }, { "failures", entry.counts.failures }, { "timed", entry.counts.timed },
+            { "sumLog", entry.counts.sumLog }, { "sumSquareLog", entry.counts.sumSquareLog } };
+    }
+
+    EvidenceEntry decodeEntry(const Json& value)
+    {
+        EvidenceEntry entry;
+        entry.cell = { RouteName(value.at("route").get<std::string>()), ClassName(value.at("class").get<std::string>()),
+            static_cast<LoadBand>(value.at("load").get<int>()) };
+        entry.version = VersionName(value.at("version").get<std::string>());
+        entry.counts = { value.at("samples").get<std::uint64_t>(), value.at("failures").get<std::uint64_t>(),
+            value.at("timed").get<std::uint64_t>(), value.at("sumLog").get<double>(),
+            value.at("sumSquareLog").get<double>() };
+        return entry;
+    }
+
+    Json encodeVersions(const std::vector<VersionReport>& versions)
+    {
+        Json result = Json::array();
+        for (const VersionReport& report : versions) {
+            Json entries = Json::array();
+            for (const EvidenceEntry& entry : report.entries)
+                entries.push_back(encodeEntry(entry));
+            result.push_back({ { "service", report.pair.service.value() }, { "from", report.pair.from.value() },
+                { "to", report.pair.to.value() }, { "sequence", report.sequence }, { "entries", std::move(entries) },
+                { "stopped", report.stopped.has_value() } });
         }
         return result;
     }
 
-    std::map<ServiceName, std::map<VersionName, VersionTally>> decodeVersions(const Json& services)
+    std::vector<VersionReport> decodeVersions(const Json& versions, const NodeId& process)
     {
-        std::map<ServiceName, std::map<VersionName, VersionTally>> result;
-        for (const auto& [service, versions] : services.items()) {
-            for (const auto& [version, tally] : versions.items())
-                result[ServiceName(service)][VersionName(version)] = { tally.at("responses").get<std::uint64_t>(),
-                    tally.at("failures").get<std::uint64_t>(), tally.at("ms").get<double>() };
+        std::vector<VersionReport> result;
+        for (const Json& value : versions) {
+            VersionReport report;
+            report.pair = { ServiceName(value.at("service").get<std::string>()),
+                VersionName(value.at("from").get<std::string>()), VersionName(value.at("to").get<std::string>()),
+                WallTime() };
+            report.node = process;
+            report.sequence = value.at("sequence").get<std::uint64_t>();
+            for (const Json& entry : value.at("entries"))
+                report.entries.push_back(decodeEntry(entry));
+            if (value.at("stopped").get<bool>())
+                report.stopped = VersionEvidence { report.pair, process, {} };
+            result.push_back(std::move(report));
         }
         return result;
     }
@@ -59,9 +89,8 @@
     {
         Json result = Json::object();
         for (const auto& [service, entry] : demand)
-            result[service.value()]
-                = { { "requests", entry.requestsPerSecond }, { "promptTokens", entry.promptTokensPerSecond },
-                      { "running", entry.running }, { "refused", entry.refusedPerSecond } };
+            result[service.value()] = { { "requests", entry.requestsPerSecond },
+                { "promptTokens", entry.promptTokensPerSecond }, { "refused", entry.refusedPerSecond } };
         return result;
     }
 
@@ -70,7 +99,7 @@
         std::map<ServiceName, ServiceDemand> result;
         for (const auto& [service, entry] : services.items())
             result[ServiceName(service)] = { entry.at("requests").get<double>(), entry.at("promptTokens").get<double>(),
-                entry.at("running").get<double>(), entry.at("refused").get<double>() };
+                entry.at("refused").get<double>() };
         return result;
     }
 
@@ -103,7 +132,7 @@
         for (const auto& [workspace, amount] : value.at("quotaDemand").items())
             report.quotaDemand[WorkspaceName(workspace)] = amount.get<double>();
         report.demand = decodeDemand(value.at("demand"));
-        report.versions = decodeVersions(value.at("versions"));
+        report.versions = decodeVersions(value.at("versions"), report.process);
         return report;
     } catch (const std::exception&) {
         // A wrong type, a missing member or a window that is no number: the object is no report.
--- a/src/teaselshore/entry/upstream_routing.cpp
+++ b/src/teaselshore/entry/upstream_routing.cpp
@@ -9,8 +9,6 @@
 
     /// Assumed one-way time between availability zones; it only orders zones by distance.
     constexpr Duration zoneDelay = std::chrono::milliseconds(5);
-    /// Share of the target of a rollout until the rollout is decided.
-    constexpr double trialShare = 0.06;
 
     ClassConfiguration classOf(const EntryRoute& route)
     {
@@ -83,7 +81,7 @@
                 const bool isTarget = version == order->target;
                 const double target = order->state == RolloutOrder::State::Complete ? 1
                     : order->state == RolloutOrder::State::RolledBack               ? 0
-                                                                                    : trialShare;
+                                                                                    : order->share;
                 share = isTarget ? target : 1 - target;
             }
             shares.push_back({ service, version, share });
--- a/src/teaselshore/entry/usage_reporter.cpp
+++ b/src/teaselshore/entry/usage_reporter.cpp
@@ -60,7 +60,7 @@
         this->windows.try_emplace(number);
     for (auto& [number, window] : this->windows) {
         if (now >= window.nextTry)
-            this->advance(number, window, reports, *by, *calendar, now);
+            this->advance(number, window, reports, *by, *calendar);
     }
     while (!this->windows.empty()
         && (this->windows.begin()->second.phase == Phase::Done
@@ -71,7 +71,7 @@
 }
 
 void UsageReporter::advance(std::int64_t number, Window& window, const std::vector<NodeReport>& reports,
-    const FencedHolder& by, Duration calendar, Instant now)
+    const FencedHolder& by, Duration calendar)
 {
     switch (window.phase) {
     case Phase::Collecting: {
@@ -92,7 +92,6 @@
     case Phase::Done:
         return;
     }
-    (void)now;
 }
 
 bool UsageReporter::isComplete(std::int64_t number, const std::vector<NodeReport>& reports) const
--- a/src/teaselshore/routing/router.cpp
+++ b/src/teaselshore/routing/router.cpp
@@ -297,6 +297,12 @@
     return first ? 0 : std::max(1U, static_cast<std::uint32_t>(usable));
 }
 
+double Router::prefillRate(const ServiceName& service) const
+{
+    const std::vector<std::uint32_t>& pools = this->impl->table.poolsOf(service);
+    return pools.empty() ? LoadRates {}.prefillPerSecond : this->impl->table.pools[pools[0]].rates.prefillPerSecond;
+}
+
 Duration Router::meanHoldTime(const ServiceName& service) const
 {
     const std::vector<std::uint32_t>& pools = this->impl->table.poolsOf(service);
