--- a/include/teaselshore/base/log.hpp
+++ b/include/teaselshore/base/log.hpp
@@ -84,8 +84,13 @@
 void setLogLevel(LogLevel level);
 
 /// @brief Sets where lines go. Call it before other threads start.
+///
+/// Standard output is written without waiting: lines that its reader does not take in time are lost and counted.
 void setLogOutput(LogOutput output);
 
+/// @brief Returns the number of lines lost since the start. Thread-safe.
+std::uint64_t lostLogLines();
+
 /// @brief Sets the node name that each line carries. Call it before other threads start.
 void setLogNode(std::string node);
 
--- a/include/teaselshore/platform/platform_client.hpp
+++ b/include/teaselshore/platform/platform_client.hpp
@@ -91,7 +91,7 @@
     /// @brief Replaces an object whatever its version; NotFound if it does not exist.
     PlatformCallId replaceObject(const std::string& key, std::string value, PlatformHandler<std::uint64_t> handler);
     /// @brief Replaces the status of an object that somebody else owns.
-    PlatformCallId writeStatus(const std::string& key, std::string status, std::optional<std::uint64_t> expected,
+    PlatformCallId writeStatus(const std::string& key, const std::string& status, std::optional<std::uint64_t> expected,
         PlatformHandler<std::uint64_t> handler);
     PlatformCallId reportUsage(const UsageReport& report, PlatformHandler<std::monostate> handler);
     PlatformCallId orderUpstreams(const UpstreamOrder& order, PlatformHandler<std::monostate> handler);
--- a/src/teaselshore/base/log.cpp
+++ b/src/teaselshore/base/log.cpp
@@ -2,17 +2,22 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <cstdio>
 
+#include <fcntl.h>
 #include <fmt/chrono.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace teaselshore {
 
 namespace {
 
     std::atomic<LogLevel> lowestLevel { LogLevel::Info };
-    std::FILE* output = stderr;
+    LogOutput output = LogOutput::StandardError;
+    /// Lines that the reader of the standard output did not take in time.
+    std::atomic<std::uint64_t> lostLines { 0 };
 
     std::string& nodeName()
     {
@@ -66,13 +71,25 @@
 
     // A single write keeps lines of different threads apart.
     const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
-    fmt::print(output, "{}", text);
-    std::fflush(output);
+    if (output == LogOutput::StandardError) {
+        fmt::print(stderr, "{}", text);
+        return;
+    }
+    // The daemon must not wait for a slow reader of its log.
+    if (write(STDOUT_FILENO, text.data(), text.size()) != static_cast<ssize_t>(text.size()))
+        lostLines.fetch_add(1, std::memory_order_relaxed);
 }
 
 void setLogLevel(LogLevel level) { lowestLevel.store(level, std::memory_order_relaxed); }
 
-void setLogOutput(LogOutput target) { output = target == LogOutput::StandardOutput ? stdout : stderr; }
+void setLogOutput(LogOutput target)
+{
+    output = target;
+    if (target == LogOutput::StandardOutput)
+        fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+}
+
+std::uint64_t lostLogLines() { return lostLines.load(std::memory_order_relaxed); }
 
 void setLogNode(std::string node) { nodeName() = std::move(node); }
 
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -12,6 +12,7 @@
 #include "platform/decode_objects.hpp"
 #include "platform/wire_names.hpp"
 #include "teaselshore/base/log.hpp"
+#include "teaselshore/base/log_limiter.hpp"
 #include "teaselshore/daemon/request_relay.hpp"
 #include "teaselshore/entry/entry_node.hpp"
 #include "teaselshore/http/event_loop.hpp"
@@ -25,6 +26,10 @@
 
     constexpr Duration shortestTick = std::chrono::milliseconds(1);
     constexpr Duration clockPeriod = std::chrono::seconds(1);
+    /// A node sends and ends some 40 requests a second on the heaviest day, with a line for each; more lines than that
+    /// are counted, not written.
+    constexpr double logLinesPerSecond = 150;
+    constexpr double logBurst = 400;
     constexpr Duration metricsWindow = std::chrono::seconds(10);
     /// Kept for the last responses to leave.
     constexpr Duration stopDelay = std::chrono::milliseconds(150);
@@ -164,6 +169,7 @@
     std::unique_ptr<PlatformClient> cloud;
     RandomSource random;
     EntryMetrics metrics;
+    LogLimiter logLimiter { logLinesPerSecond, logBurst };
     std::unique_ptr<HttpServer> callers;
     std::unique_ptr<HttpServer> readiness;
     std::unique_ptr<HttpServer> admin;
@@ -407,6 +413,8 @@
 void EntryTask::Impl::readClock()
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    if (const std::uint64_t leftOut = this->logLimiter.takeLeftOut())
+        logLine(LogLevel::Warning, "log lines left out", { { "count", leftOut }, { "lost", lostLogLines() } });
     this->handle(ClockRead { std::chrono::duration_cast<Duration>(sinceEpoch) });
     this->loop->runAfter(clockPeriod, [this] { this->readClock(); });
 }
@@ -559,6 +567,8 @@
 
 void EntryTask::Impl::execute(LogEvent& command)
 {
+    if (!this->logLimiter.admit(this->loop->now()))
+        return;
     std::vector<LogField> fields;
     fields.reserve(command.fields.size());
     for (const auto& [name, value] : command.fields)
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -192,6 +192,16 @@
     if (request.streaming)
         ++this->state.statistics.resumes;
 
+    this->state.log(LogLevel::Info, "request sent",
+        { { "request", request.caller.attemptId }, { "upstream", attempt.upstream.value() },
+            { "zone", decision->zone.value() }, { "version", decision->version.value() },
+            { "route", request.route->name.value() }, { "send", std::to_string(request.sends) },
+            { "predictedMs", fmt::format("{:.0f}", toMilliseconds(decision->chosen.predictedFirstToken)) },
+            { "cachedTokens", std::to_string(decision->chosen.cachedTokens) },
+            { "promptTokens", std::to_string(request.routing.promptTokens) },
+            { "msLeft", fmt::format("{:.0f}", toMilliseconds(request.limit - now)) },
+            { "configuration", std::to_string(request.table->configuration().version) } });
+
     ForwardRequest forward;
     forward.attempt.attempt = id;
     forward.attempt.request = request.id;
@@ -231,6 +241,8 @@
     this->lastTry = now;
     // A request that finds no room leaves none for later ones of its service.
     std::set<ServiceName> full;
+    if (this->waitingRequests.empty())
+        return;
     const auto waiting = this->waitingRequests;
     for (const auto& [priority, arrivedAt, id] : waiting) {
         Request* request = this->find(id);
@@ -454,7 +466,7 @@
     if (request.workspace && request.quotaCost > 0 && request.runs == 0 && !request.streaming && !request.attempt
         && outcome != RequestOutcome::CallerLeft)
         this->state.quotas.giveBack(*request.workspace, request.quotaCost);
-    this->state.log(outcome == RequestOutcome::Answered ? LogLevel::Debug : LogLevel::Info, "request ended",
+    this->state.log(LogLevel::Info, "request ended",
         { { "request", request.caller.attemptId }, { "outcome", std::string(outcomeName(outcome)) },
             { "status", std::to_string(status) }, { "reason", reason },
             { "route", request.route ? request.route->name.value() : std::string() },
--- a/src/teaselshore/entry/entry_requests_test.cpp
+++ b/src/teaselshore/entry/entry_requests_test.cpp
@@ -378,7 +378,8 @@
                 requests[arrived.id].route = route;
                 harness.send(std::move(arrived));
             } else if (action < 8 && !running.empty()) {
-                const auto chosen = std::next(running.begin(), *rc::gen::inRange<std::ptrdiff_t>(0, running.size()));
+                const auto chosen = std::next(
+                    running.begin(), *rc::gen::inRange<std::ptrdiff_t>(0, static_cast<std::ptrdiff_t>(running.size())));
                 const AttemptId attempt = chosen->first;
                 Tracked& request = requests.at(chosen->second);
                 const int outcome = *rc::gen::inRange(0, 6);
--- a/src/teaselshore/entry/entry_test_support.hpp
+++ b/src/teaselshore/entry/entry_test_support.hpp
@@ -104,7 +104,7 @@
         arrived.request.attemptId = "caller-" + std::to_string(++this->callers);
         arrived.request.key = std::move(key);
         arrived.request.patience = patience;
-        const RequestId id = arrived.id;
+        RequestId id = arrived.id;
         this->send(std::move(arrived));
         return id;
     }
--- a/src/teaselshore/platform/platform_client.cpp
+++ b/src/teaselshore/platform/platform_client.cpp
@@ -167,11 +167,11 @@
         [](const HttpReply& reply) { return KindedObjects().parseVersion(reply); }, std::move(handler));
 }
 
-PlatformCallId PlatformClient::writeStatus(const std::string& key, std::string status,
+PlatformCallId PlatformClient::writeStatus(const std::string& key, const std::string& status,
     std::optional<std::uint64_t> expected, PlatformHandler<std::uint64_t> handler)
 {
     return this->impl->startKindCall<std::uint64_t>(
-        [&](const KindedObjects& api) { return api.writeStatus(key, std::move(status), expected); },
+        [&](const KindedObjects& api) { return api.writeStatus(key, status, expected); },
         [](const HttpReply& reply) { return KindedObjects().parseVersion(reply); }, std::move(handler));
 }
 
