Give a restarted node its part of the quotas at once

Ruled out: the token bucket (the same load passed before the restart) and the demand shares (equal after a restart). Change: half a share is only for hosts that no report names; the others still leave a restarted host its part. Conclusion: a restart of all nodes no longer cuts the quotas.

--- a/src/teaselshore/entry/entry_duties.cpp
+++ b/src/teaselshore/entry/entry_duties.cpp
@@ -93,13 +93,18 @@
     std::vector<WorkspaceName> workspaces;
     for (const EntryWorkspace& workspace : this->state.table->configuration().workspaces)
         workspaces.push_back(workspace.name);
+    bool isKnownHost = false;
     for (const NodeReport& report : reports) {
-        if (report.host == this->state.settings.host.node && report.completeWindow >= window)
+        if (report.host != this->state.settings.host.node)
+            continue;
+        isKnownHost = true;
+        if (report.completeWindow >= window)
             this->reportSeenAt = now;
     }
-    // The others count on the part of a node that has been silent for long, and on half of that of a new one.
+    // The others may take the part of a node that has been silent for long, and do not know of a new host yet. They
+    // still leave the part of a process that has just restarted on its host.
     const bool isSilent = this->reportSeenAt && now - *this->reportSeenAt > this->nodes.silenceLimit() - silentMargin;
-    const double part = isSilent ? silentPart : this->reportSeenAt ? 1 : newNodePart;
+    const double part = isSilent ? silentPart : this->reportSeenAt || isKnownHost ? 1 : newNodePart;
     for (const auto& [workspace, share] :
         quotaShares({ this->state.settings.host.node, this->state.liveNodes, reports, window }, workspaces))
         this->state.quotas.setShare(workspace, part * share, now);
--- a/src/teaselshore/entry/entry_duties_test.cpp
+++ b/src/teaselshore/entry/entry_duties_test.cpp
@@ -108,6 +108,7 @@
             scale.bootTime = 4s;
             scale.reclaimablePrice = 0.2;
             configuration.services[0].scale = scale;
+            configuration.workspaces[0].quota = this->quota;
             this->handle(host, EntryConfigurationRead { configuration });
             UpstreamsListed listed;
             for (int number = 1; number <= 4; ++number)
@@ -178,6 +179,9 @@
                     !answered || !done ? ObjectOutcome::Unknown
                         : accepted     ? ObjectOutcome::Ok
                                        : ObjectOutcome::Conflict });
+            } else if (const auto* response = std::get_if<Respond>(&command)) {
+                constexpr int tooManyRequests = 429;
+                this->refused += response->status == tooManyRequests ? 1 : 0;
             } else if (std::get_if<ForwardRequest>(&command)) {
                 auto& forward = std::get<ForwardRequest>(command);
                 UpstreamResponded responded;
@@ -225,6 +229,9 @@
         std::set<std::string> cutOff;
         std::set<std::string> frozen;
         std::uint64_t lossPercent = 0;
+        std::optional<WorkspaceQuota> quota;
+        /// Requests refused since they were over the quota.
+        int refused = 0;
         Instant now { 1000s };
         int starts = 0;
     };
@@ -273,6 +280,28 @@
         EXPECT_GT(fleet.platform.usage.size(), windowsBefore);
     }
 
+    // Guards against requests within the quota that are refused with 429 since all nodes have just restarted, as seen
+    // in a recorded day: the shares of the quotas must be back with the first reports that are read.
+    TEST(EntryDuties, QuotasAreBackRightAfterARestartOfAllNodes)
+    {
+        Fleet fleet(4);
+        fleet.quota = WorkspaceQuota { QuotaUnit::Requests, 40, 40, 1 };
+        for (int index = 0; index < 4; ++index)
+            fleet.add("host-" + std::to_string(index));
+        fleet.pass(20s);
+        for (int index = 0; index < 4; ++index)
+            fleet.add("host-" + std::to_string(index));
+        fleet.pass(2s);
+        fleet.refused = 0;
+        for (int round = 0; round < 50; ++round) {
+            // 32 requests a second, spread evenly, of the 40 allowed.
+            for (int index = 0; index < 4 && round % 5 != 0; ++index)
+                fleet.request("host-" + std::to_string(index));
+            fleet.pass(100ms);
+        }
+        EXPECT_EQ(fleet.refused, 0);
+    }
+
     // Guards against duties that nobody carries out after the holder of the lease was cut off, and against a holder
     // that goes on with its old token.
     TEST(EntryDuties, AnotherNodeTakesOverFromACutOffHolder)
