--- a/include/teaselshore/entry/entry_command.hpp
+++ b/include/teaselshore/entry/entry_command.hpp
@@ -7,6 +7,7 @@
 
 #include "teaselshore/entry/caller_request.hpp"
 #include "teaselshore/entry/entry_configuration.hpp"
+#include "teaselshore/entry/entry_statistics.hpp"
 #include "teaselshore/entry/registered_upstream.hpp"
 #include "teaselshore/journal/object_api.hpp"
 #include "teaselshore/node/node_command.hpp"
@@ -34,6 +35,15 @@
 /// @brief Closes idle connections of callers and accepts no new ones.
 struct StopAccepting { };
 
+/// @brief A request has ended; for metrics.
+struct RequestEnded {
+    /// Empty if no route matched.
+    RouteName route;
+    RequestOutcome outcome = RequestOutcome::Answered;
+    /// From the arrival to the end of the response.
+    Duration duration {};
+};
+
 /// @brief Reports the usage of one window; the reply is CloudCallEnded.
 struct SendUsage {
     std::uint64_t call = 0;
@@ -63,7 +73,7 @@
 
 using EntryCommand = std::variant<ForwardRequest, CancelAttempt, Respond, FailStream, SetReady, ApplyCallerLimits,
     AnnounceClose, StopAccepting, StopProcess, SendUsage, SendUpstreamOrder, WriteRolloutState, WriteNodeReport,
-    ReadNodeReports, CallObjectApi, LogEvent>;
+    ReadNodeReports, CallObjectApi, RequestEnded, LogEvent>;
 
 using EntryCommands = std::vector<EntryCommand>;
 
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -48,6 +48,17 @@
         statistics.holdsLease ? 1 : 0);
 }
 
+void EntryMetrics::onRequestEnded(const RequestEnded& request)
+{
+    // Requests without a route are answered at once and would only hide the others.
+    if (request.route.empty())
+        return;
+    this->metrics
+        .distribution("teaselshore_request_seconds", "Time from a request's arrival to the end of its response.",
+            { { "route", request.route.value() }, { "outcome", std::string(outcomeName(request.outcome)) } })
+        .record(toSeconds(request.duration));
+}
+
 void EntryMetrics::updatePlatformCalls(const PlatformClient& platform)
 {
     constexpr std::array<std::pair<PlatformCallKind, const char*>, 7> kinds { {
--- a/src/teaselshore/daemon/entry_metrics.hpp
+++ b/src/teaselshore/daemon/entry_metrics.hpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "teaselshore/daemon/request_relay.hpp"
+#include "teaselshore/entry/entry_command.hpp"
 #include "teaselshore/entry/entry_statistics.hpp"
 #include "teaselshore/platform/platform_client.hpp"
 #include "teaselshore/telemetry/metrics.hpp"
@@ -14,6 +15,7 @@
 class EntryMetrics {
 public:
     void update(const EntryStatistics& statistics, const RelayCounters& relay, std::uint64_t refusedRequests);
+    void onRequestEnded(const RequestEnded& request);
     void updatePlatformCalls(const PlatformClient& platform);
     void startWindow() { this->metrics.startWindow(); }
     std::string render() const { return this->metrics.renderPrometheus(); }
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -8,6 +8,8 @@
 
 #include "entry_metrics.hpp"
 #include "header_conversion.hpp"
+#include "log_event.hpp"
+#include "object_outcome.hpp"
 #include "platform/caller_codec.hpp"
 #include "platform/decode_objects.hpp"
 #include "platform/wire_names.hpp"
@@ -83,20 +85,6 @@
             node + "-" + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(start).count()));
     }
 
-    ObjectOutcome outcomeOf(const PlatformError& error)
-    {
-        switch (error.kind) {
-        case PlatformError::Kind::Conflict:
-            return ObjectOutcome::Conflict;
-        case PlatformError::Kind::NotFound:
-            return ObjectOutcome::NotFound;
-        case PlatformError::Kind::OutcomeUnknown:
-            return ObjectOutcome::Unknown;
-        default:
-            return ObjectOutcome::Unavailable;
-        }
-    }
-
 } // namespace
 
 struct EntryTask::Impl {
@@ -151,6 +139,7 @@
     void execute(WriteNodeReport& command);
     void execute(ReadNodeReports&);
     void execute(CallObjectApi& command);
+    void execute(RequestEnded& command) { this->metrics.onRequestEnded(command); }
     void execute(LogEvent& command);
 
     void run(const ObjectCreate& call);
@@ -452,7 +441,7 @@
 {
     return [this, call](const PlatformResult<Value>& result) {
         const auto* error = std::get_if<PlatformError>(&result);
-        this->handle(CloudCallEnded { call, error ? outcomeOf(*error) : ObjectOutcome::Ok });
+        this->handle(CloudCallEnded { call, error ? outcomeOf(error->kind) : ObjectOutcome::Ok });
     };
 }
 
@@ -516,7 +505,7 @@
         ObjectResult event;
         event.id = id;
         if (const auto* error = std::get_if<PlatformError>(&result)) {
-            event.outcome = outcomeOf(*error);
+            event.outcome = outcomeOf(error->kind);
             event.version = error->currentVersion.value_or(0);
         } else {
             event.outcome = ObjectOutcome::Ok;
@@ -569,11 +558,7 @@
 {
     if (!this->logLimiter.admit(this->loop->now()))
         return;
-    std::vector<LogField> fields;
-    fields.reserve(command.fields.size());
-    for (const auto& [name, value] : command.fields)
-        fields.push_back({ name, value });
-    logLine(command.level, command.message, fields);
+    writeLogEvent(command);
 }
 
 } // namespace teaselshore
--- a/src/teaselshore/daemon/platform_task.cpp
+++ b/src/teaselshore/daemon/platform_task.cpp
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include "object_outcome.hpp"
 #include "teaselshore/base/log.hpp"
 #include "teaselshore/http/event_loop.hpp"
 #include "teaselshore/platform/object_watcher.hpp"
@@ -21,20 +22,6 @@
     /// Notices of hosts that stopped longer ago than this are history.
     constexpr Duration oldNotice = std::chrono::seconds(30);
 
-    ObjectOutcome outcomeOf(PlatformError::Kind kind)
-    {
-        switch (kind) {
-        case PlatformError::Kind::Conflict:
-            return ObjectOutcome::Conflict;
-        case PlatformError::Kind::NotFound:
-            return ObjectOutcome::NotFound;
-        case PlatformError::Kind::OutcomeUnknown:
-            return ObjectOutcome::Unknown;
-        default:
-            return ObjectOutcome::Unavailable;
-        }
-    }
-
     ObjectResult failedResult(ObjectCallId id, const PlatformError& error)
     {
         ObjectResult result;
--- a/src/teaselshore/daemon/serving_task.cpp
+++ b/src/teaselshore/daemon/serving_task.cpp
@@ -6,6 +6,7 @@
 
 #include "admin_replies.hpp"
 #include "header_conversion.hpp"
+#include "log_event.hpp"
 #include "node_settings_from.hpp"
 #include "serving_metrics.hpp"
 #include "teaselshore/base/log.hpp"
@@ -70,7 +71,7 @@
     void execute(QueryOutcome& command) { this->queries.execute(command); }
     void execute(SetReady& command) { this->ready = command.ready; }
     void execute(StopProcess&);
-    void execute(LogEvent& command);
+    void execute(LogEvent& command) { writeLogEvent(command); }
     void execute(Span& command);
 
     DaemonSettings settings;
@@ -258,15 +259,6 @@
     this->loop->runAfter(std::chrono::milliseconds(200), [this] { this->loop->stop(); });
 }
 
-void ServingTask::Impl::execute(LogEvent& command)
-{
-    std::vector<LogField> fields;
-    fields.reserve(command.fields.size());
-    for (const auto& [name, value] : command.fields)
-        fields.push_back({ name, value });
-    logLine(command.level, command.message, fields);
-}
-
 void ServingTask::Impl::execute(Span& command)
 {
     this->traces.add(command);
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -463,6 +463,8 @@
 void EntryRequests::end(Request& request, RequestOutcome outcome, int status, const std::string& reason, Instant now)
 {
     this->state.count(outcome);
+    this->state.commands.emplace_back(
+        RequestEnded { request.route ? request.route->name : RouteName(), outcome, now - request.arrivedAt });
     if (request.workspace && request.quotaCost > 0 && request.runs == 0 && !request.streaming && !request.attempt
         && outcome != RequestOutcome::CallerLeft)
         this->state.quotas.giveBack(*request.workspace, request.quotaCost);
