Read changes of the platform that come together in one call; tests of the watcher

Ruled out: longer waits of the watches of upstreams and of the configuration, since a silent connection must be noticed within 3 s. Change: 80 ms between changes and the next watch; rollout orders are watched for 5 s at a time.

--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -37,6 +37,8 @@
     constexpr Duration stopDelay = std::chrono::milliseconds(150);
     /// Answers of the platform take some milliseconds, and some 60 times as long while it is slow.
     constexpr Duration platformCallTimeout = std::chrono::milliseconds(1200);
+    /// Rollout orders are rare, and nothing that they ask for is due within seconds.
+    constexpr Duration rolloutWait = std::chrono::seconds(5);
     /// Limits before the first configuration.
     constexpr CallerLimits firstLimits { std::size_t { 16 } * 1024, std::size_t { 4 } * 1024 * 1024,
         std::chrono::seconds(3), std::chrono::seconds(15) };
@@ -285,8 +287,11 @@
 
 std::unique_ptr<KindWatcher> EntryTask::Impl::watchKind(std::string_view kind, KindWatcherHandlers handlers)
 {
-    return std::make_unique<KindWatcher>(*this->loop, *this->platform, std::string(kind), KindWatcherSettings {},
-        std::move(handlers), RandomSource(this->random.next()));
+    KindWatcherSettings watcher;
+    if (kind == wire::rolloutsKind)
+        watcher.wait = rolloutWait;
+    return std::make_unique<KindWatcher>(*this->loop, *this->platform, std::string(kind), watcher, std::move(handlers),
+        RandomSource(this->random.next()));
 }
 
 void EntryTask::Impl::onConfigurationObjects(const std::vector<KindObject>& objects)
--- a/src/teaselshore/platform/kind_watcher.cpp
+++ b/src/teaselshore/platform/kind_watcher.cpp
@@ -5,6 +5,14 @@
 
 namespace teaselshore {
 
+namespace {
+
+    /// Pause after changes, so that those that come together, as when a zone is reclaimed, are read in one call.
+    /// Without it each change of an upstream cost one call of each node.
+    constexpr Duration changePause = std::chrono::milliseconds(80);
+
+} // namespace
+
 KindWatcher::KindWatcher(EventLoop& loop, PlatformClient& client, std::string kind, KindWatcherSettings settings,
     KindWatcherHandlers handlers, RandomSource random)
     : loop(loop)
@@ -74,9 +82,12 @@
     this->onSuccess();
     auto& page = std::get<KindPage>(result);
     this->at = page.at;
-    this->watch();
-    if (!page.objects.empty())
-        this->handlers.onChanged(std::move(page.objects), this->sinceOutage());
+    if (page.objects.empty()) {
+        this->watch();
+        return;
+    }
+    this->timer = this->loop.runAfter(changePause, [this] { this->watch(); });
+    this->handlers.onChanged(std::move(page.objects), this->sinceOutage());
 }
 
 void KindWatcher::onSuccess()
--- /dev/null
+++ b/src/teaselshore/platform/kind_watcher_test.cpp
@@ -0,0 +1,233 @@
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include "teaselshore/http/http_server.hpp"
+#include "teaselshore/platform/kind_watcher.hpp"
+
+namespace teaselshore {
+namespace {
+
+    using nlohmann::json;
+    using namespace std::chrono_literals;
+
+    /// Object API with one kind, whose watches answer at once if there is news and are kept waiting otherwise.
+    class KindWatcherTest : public testing::Test {
+    protected:
+        KindWatcherTest()
+            : loop(EventLoop::create())
+        {
+            HttpError error;
+            this->server = HttpServer::listen(
+                *this->loop, {}, [this](const auto& exchange) { this->answer(exchange); }, &error);
+            PlatformClientSettings settings;
+            settings.authority = "127.0.0.1:" + std::to_string(this->server->port());
+            settings.objects = KindedObjects {};
+            settings.budget = { 1000, 1000, 1000, 1000 };
+            settings.callTimeout = 300ms;
+            this->client = PlatformClient::create(*this->loop, settings);
+        }
+
+        void start()
+        {
+            KindWatcherSettings settings;
+            settings.wait = 200ms;
+            settings.firstBackoff = 10ms;
+            KindWatcherHandlers handlers;
+            handlers.onListed = [this](const auto& objects, std::optional<Duration> sinceOutage) {
+                ++this->lists;
+                this->lastListed = objects.size();
+                this->listedAfterOutage = sinceOutage.has_value();
+            };
+            handlers.onChanged = [this](const auto& objects, std::optional<Duration> sinceOutage) {
+                for (const KindObject& object : objects)
+                    this->changes.push_back(object.name + (object.deleted ? " deleted" : ""));
+                this->changedAfterOutage = sinceOutage.has_value();
+            };
+            handlers.onReachable = [this](bool reachable, const std::string&) { this->reachable.push_back(reachable); };
+            this->watcher = std::make_unique<KindWatcher>(
+                *this->loop, *this->client, "servers", settings, std::move(handlers), RandomSource(3));
+        }
+
+        void put(const std::string& name, bool deleted = false)
+        {
+            ++this->revision;
+            this->history.push_back({ name, this->revision, deleted });
+            if (this->waiting)
+                this->reply(std::exchange(this->waiting, nullptr), this->waitingFrom);
+        }
+
+        bool runUntil(const std::function<bool()>& condition)
+        {
+            const Instant end = this->loop->now() + 5s;
+            std::function<void()> check = [&] {
+                if (condition() || this->loop->now() >= end)
+                    this->loop->stop();
+                else
+                    this->loop->runAfter(1ms, check);
+            };
+            this->loop->post(check);
+            this->loop->run();
+            return condition();
+        }
+
+        struct Change {
+            std::string name;
+            std::uint64_t revision = 0;
+            bool deleted = false;
+        };
+
+        std::unique_ptr<EventLoop> loop;
+        std::unique_ptr<HttpServer> server;
+        std::unique_ptr<PlatformClient> client;
+        std::unique_ptr<KindWatcher> watcher;
+        std::vector<Change> history;
+        std::uint64_t revision = 10;
+        /// Changes up to this revision are forgotten.
+        std::uint64_t forgotten = 0;
+        bool down = false;
+        int watchCalls = 0;
+        std::shared_ptr<ServerExchange> waiting;
+        std::uint64_t waitingFrom = 0;
+
+        int lists = 0;
+        std::size_t lastListed = 0;
+        bool listedAfterOutage = false;
+        bool changedAfterOutage = false;
+        std::vector<std::string> changes;
+        std::vector<bool> reachable;
+
+    private:
+        static json object(const Change& change)
+        {
+            return { { "metadata", { { "name", change.name }, { "revision", change.revision } } },
+                { "spec", json::object() } };
+        }
+
+        void answer(const std::shared_ptr<ServerExchange>& exchange)
+        {
+            const std::string& path = exchange->request().path;
+            if (this->down) {
+                exchange->reply({ 503, {}, {} });
+                return;
+            }
+            const std::size_t watch = path.find("watch=");
+            if (watch == std::string::npos) {
+                std::map<std::string, Change> current;
+                for (const Change& change : this->history) {
+                    if (change.deleted)
+                        current.erase(change.name);
+                    else
+                        current[change.name] = change;
+                }
+                json items = json::array();
+                for (const auto& [name, change] : current)
+                    items.push_back(object(change));
+                exchange->reply(
+                    { 200, {}, json { { "items", items }, { "has_more", false }, { "at", this->revision } }.dump() });
+                return;
+            }
+            ++this->watchCalls;
+            const std::uint64_t from = std::stoull(path.substr(watch + 6));
+            if (from < this->forgotten) {
+                exchange->reply({ 410, {}, {} });
+                return;
+            }
+            if (from < this->revision) {
+                this->reply(exchange, from);
+                return;
+            }
+            this->waiting = exchange;
+            this->waitingFrom = from;
+        }
+
+        void reply(const std::shared_ptr<ServerExchange>& exchange, std::uint64_t from)
+        {
+            json events = json::array();
+            for (const Change& change : this->history) {
+                if (change.revision > from)
+                    events.push_back({ { "deleted", change.deleted }, { "object", object(change) } });
+            }
+            exchange->reply({ 200, {}, json { { "events", events }, { "at", this->revision } }.dump() });
+        }
+    };
+
+    // Guards against changes that are missed between the list and the watch, or between two watches.
+    TEST_F(KindWatcherTest, ReportsEachChangeOnceAndInOrder)
+    {
+        this->put("a");
+        this->start();
+        ASSERT_TRUE(this->runUntil([this] { return this->waiting != nullptr; }));
+        EXPECT_EQ(this->lastListed, 1u);
+        this->put("b");
+        this->put("a", true);
+        ASSERT_TRUE(this->runUntil([this] { return this->changes.size() == 2; }));
+        this->put("c");
+        ASSERT_TRUE(this->runUntil([this] { return this->changes.size() == 3; }));
+        EXPECT_EQ(this->changes, (std::vector<std::string> { "b", "a deleted", "c" }));
+        EXPECT_EQ(this->lists, 1);
+        EXPECT_FALSE(this->changedAfterOutage);
+    }
+
+    // Load pattern: the upstreams of a zone change one by one within milliseconds, as at a reclaim. Guards against a
+    // call of each node for each of them.
+    TEST_F(KindWatcherTest, ReadsChangesThatComeTogetherInFewCalls)
+    {
+        this->start();
+        ASSERT_TRUE(this->runUntil([this] { return this->waiting != nullptr; }));
+        const int before = this->watchCalls;
+        constexpr int changed = 40;
+        for (int number = 0; number < changed; ++number) {
+            this->loop->runAfter(
+                std::chrono::milliseconds(number), [this, number] { this->put("upstream-" + std::to_string(number)); });
+        }
+        ASSERT_TRUE(this->runUntil([this] { return this->changes.size() == changed; }));
+        EXPECT_LE(this->watchCalls - before, 3);
+    }
+
+    // Guards against changes that are lost with the history of the platform.
+    TEST_F(KindWatcherTest, ListsAgainWhenTheHistoryIsGone)
+    {
+        this->start();
+        ASSERT_TRUE(this->runUntil([this] { return this->waiting != nullptr; }));
+        this->waiting->reply({ 503, {}, {} });
+        this->waiting = nullptr;
+        this->put("a");
+        this->forgotten = this->revision;
+        ASSERT_TRUE(this->runUntil([this] { return this->lists == 2; }));
+        EXPECT_EQ(this->lastListed, 1u);
+        EXPECT_TRUE(this->listedAfterOutage);
+    }
+
+    // Guards against an outage that costs the changes made meanwhile, or that nobody is told of.
+    TEST_F(KindWatcherTest, GoesOnWhereItStoppedAfterAnOutage)
+    {
+        this->start();
+        ASSERT_TRUE(this->runUntil([this] { return this->waiting != nullptr; }));
+        this->down = true;
+        this->waiting->reply({ 503, {}, {} });
+        this->waiting = nullptr;
+        ASSERT_TRUE(this->runUntil([this] { return !this->reachable.empty(); }));
+        this->put("a");
+        this->down = false;
+        ASSERT_TRUE(this->runUntil([this] { return this->changes.size() == 1; }));
+        EXPECT_EQ(this->reachable, (std::vector<bool> { false, true }));
+        EXPECT_EQ(this->lists, 1);
+        EXPECT_TRUE(this->changedAfterOutage);
+    }
+
+    // Guards against a connection that went silent and is waited for without end.
+    TEST_F(KindWatcherTest, NoticesASilentConnection)
+    {
+        this->start();
+        ASSERT_TRUE(this->runUntil([this] { return this->waiting != nullptr; }));
+        const std::shared_ptr<ServerExchange> silent = std::exchange(this->waiting, nullptr);
+        this->put("a");
+        ASSERT_TRUE(this->runUntil([this] { return this->changes.size() == 1; }));
+    }
+
+} // namespace
+} // namespace teaselshore
