Keep ordered upstreams while they boot

Cause: the plan looked at registered on-demand upstreams only, so that an order was taken back while its upstreams booted and given again when the demand rose by a little. Change: an accepted order counts until its upstreams had time to boot and to register. Test: EntryDuties.KeepsOrderedUpstreamsWhileTheyBoot, failed before. Conclusion: orders no longer flap within one wave of reclaims.

--- a/src/teaselshore/entry/entry_duties_test.cpp
+++ b/src/teaselshore/entry/entry_duties_test.cpp
@@ -201,13 +201,14 @@
             return true;
         }
 
-        void request(const std::string& host)
+        void request(const std::string& host, std::optional<PromptSize> size = std::nullopt)
         {
             CallerRequestArrived arrived { this->nodes.at(host)->nextRequestId(), {} };
             arrived.request.method = "POST";
             arrived.request.path = "/order/x";
             arrived.request.host = EntryHarness::hostName;
             arrived.request.key = "key-n";
+            arrived.request.size = size;
             this->handle(host, std::move(arrived));
         }
 
@@ -376,6 +377,42 @@
         }
     }
 
+    // Load pattern: a zone is reclaimed and none come, while the demand falls and rises by a little. Guards against
+    // on-demand upstreams that are ordered and taken back while they boot, as seen on scale-2 of bayanihan-lakbay.
+    TEST(EntryDuties, KeepsOrderedUpstreamsWhileTheyBoot)
+    {
+        Fleet fleet(1);
+        fleet.pass(12s);
+        const auto list = [&fleet](bool draining) {
+            UpstreamsListed listed;
+            for (int number = 1; number <= 8; ++number) {
+                RegisteredUpstream upstream = EntryHarness::upstream(number);
+                upstream.reclaimable = number > 4;
+                upstream.draining = upstream.reclaimable && draining;
+                listed.upstreams.push_back(upstream);
+            }
+            fleet.handle("host-0", listed);
+        };
+        list(true);
+        fleet.pass(1s);
+        std::map<AvailabilityZone, std::uint32_t> highest;
+        for (const UpstreamOrder& order : fleet.platform.orders) {
+            if (!order.reclaimable)
+                highest[order.zone] = std::max(highest[order.zone], order.count);
+        }
+        ASSERT_FALSE(highest.empty());
+        const std::size_t before = fleet.platform.orders.size();
+        // Some prompts are measured, far fewer than the fleet could carry.
+        for (int round = 0; round < 20; ++round) {
+            fleet.request("host-0", PromptSize { 100, 10 });
+            fleet.pass(200ms);
+        }
+        for (std::size_t index = before; index < fleet.platform.orders.size(); ++index) {
+            const UpstreamOrder& order = fleet.platform.orders[index];
+            EXPECT_TRUE(order.reclaimable || order.count >= highest[order.zone]) << order.zone.value();
+        }
+    }
+
     // Guards against reports that lose a field on their way, and against texts that end the process.
     RC_GTEST_PROP(NodeReport, SurvivesEncoding, ())
     {
--- a/src/teaselshore/entry/fleet_controller.cpp
+++ b/src/teaselshore/entry/fleet_controller.cpp
@@ -144,6 +144,13 @@
     const auto refused = this->refusedAt.find(service.name);
     if (refused != this->refusedAt.end() && now - refused->second < scarceTime)
         fleet.reclaimableScarce = true;
+    for (FleetZone& zone : fleet.zones) {
+        // Ordered upstreams count while they boot, or the next look would take the order back.
+        const auto order = this->orders.find({ service.name, zone.zone, false });
+        if (order != this->orders.end() && order->second.accepted
+            && now - order->second.acceptedAt < service.scale->bootTime + bootMargin)
+            zone.onDemand = std::max(zone.onDemand, *order->second.accepted);
+    }
     this->lastBusy = fleet.busyUpstreams.value_or(0);
     const std::vector<FleetTarget> targets = planFleet(fleet);
     for (std::size_t index = 0; index < targets.size(); ++index) {
