Let peers write the reports of nodes that the platform turns away

Ruled out: a holder that waits longer; the reports are due 10 s after the end of a window of 5 s.

Change: a node whose report the platform did not take sends it to two peers, which write it in its place (RelayedReport). The pause between reads of changes doubles from 150 to 600 ms while changes go on. Nodes that do not hold the lease read the reports from stale data.

--- a/include/teaselshore/entry/entry_command.hpp
+++ b/include/teaselshore/entry/entry_command.hpp
@@ -7,8 +7,8 @@
 
 #include "teaselshore/entry/caller_request.hpp"
 #include "teaselshore/entry/entry_configuration.hpp"
+#include "teaselshore/entry/entry_message.hpp"
 #include "teaselshore/entry/entry_statistics.hpp"
-#include "teaselshore/entry/quota_loan.hpp"
 #include "teaselshore/entry/registered_upstream.hpp"
 #include "teaselshore/journal/object_api.hpp"
 #include "teaselshore/node/node_command.hpp"
@@ -70,17 +70,19 @@
 };
 
 /// @brief Reads the reports of all nodes; the reply is NodeReportsRead.
-struct ReadNodeReports { };
+struct ReadNodeReports {
+    ReadFreshness freshness = ReadFreshness::Current;
+};
 
 /// @brief Sends a message to the node that listens at the address. It may be lost.
-struct SendQuotaMessage {
+struct SendEntryMessage {
     std::string address;
-    QuotaMessage message;
+    EntryMessage message;
 };
 
 using EntryCommand = std::variant<ForwardRequest, CancelAttempt, Respond, FailStream, SetReady, ApplyCallerLimits,
     AnnounceClose, StopAccepting, StopProcess, SendUsage, SendUpstreamOrder, WriteRolloutState, WriteNodeReport,
-    ReadNodeReports, SendQuotaMessage, CallObjectApi, RequestEnded, LogEvent>;
+    ReadNodeReports, SendEntryMessage, CallObjectApi, RequestEnded, LogEvent>;
 
 using EntryCommands = std::vector<EntryCommand>;
 
--- a/include/teaselshore/entry/entry_event.hpp
+++ b/include/teaselshore/entry/entry_event.hpp
@@ -7,7 +7,7 @@
 
 #include "teaselshore/entry/caller_request.hpp"
 #include "teaselshore/entry/entry_configuration.hpp"
-#include "teaselshore/entry/quota_loan.hpp"
+#include "teaselshore/entry/entry_message.hpp"
 #include "teaselshore/entry/registered_upstream.hpp"
 #include "teaselshore/journal/object_api.hpp"
 #include "teaselshore/journal/slot_messages.hpp"
@@ -67,11 +67,17 @@
     std::vector<std::string> reports;
 };
 
-/// @brief A peer sent a message about quotas.
-struct QuotaMessageReceived {
+/// @brief The platform has taken this node's report or not.
+struct NodeReportWritten {
+    bool written = false;
+    std::string reason;
+};
+
+/// @brief A peer sent a message.
+struct EntryMessageReceived {
     /// Address at which the sender listens.
     std::string senderAddress;
-    QuotaMessage message;
+    EntryMessage message;
 };
 
 /// @brief Outcome of a call to the cloud API.
@@ -94,6 +100,7 @@
 
 using EntryEvent = std::variant<CallerRequestArrived, CallerGone, UpstreamStreamStarted, UpstreamResponded,
     AttemptFailed, EntryConfigurationRead, UpstreamsListed, UpstreamChanged, UpstreamRemoved, RolloutsListed,
-    NodeReportsRead, QuotaMessageReceived, CloudCallEnded, ObjectResult, ClockRead, EntryStopRequested, EntryTick>;
+    NodeReportsRead, NodeReportWritten, EntryMessageReceived, CloudCallEnded, ObjectResult, ClockRead,
+    EntryStopRequested, EntryTick>;
 
 } // namespace teaselshore
--- a/include/teaselshore/entry/quota_borrower.hpp
+++ b/include/teaselshore/entry/quota_borrower.hpp
@@ -41,6 +41,8 @@
 
     /// @brief Takes over the addresses of the nodes that may be asked.
     void setPeers(std::vector<std::string> addresses) { this->peers = std::move(addresses); }
+    /// @brief Returns the addresses of some of the nodes, drawn at random.
+    std::vector<std::string> drawPeers(std::size_t count);
     bool hasPeers() const { return !this->peers.empty(); }
 
     /// @brief Starts a loan. Returns nothing if there is nobody to ask, or if peers had too little a moment ago.
--- a/include/teaselshore/entry/quota_loan.hpp
+++ b/include/teaselshore/entry/quota_loan.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <variant>
 
 #include "teaselshore/base/name.hpp"
 
@@ -27,7 +26,4 @@
     auto operator<=>(const QuotaLoan&) const = default;
 };
 
-/// @brief Messages between two nodes about quotas.
-using QuotaMessage = std::variant<QuotaLoanRequest, QuotaLoan>;
-
 } // namespace teaselshore
--- a/include/teaselshore/platform/kind_watcher.hpp
+++ b/include/teaselshore/platform/kind_watcher.hpp
@@ -17,6 +17,10 @@
     /// If set, the kind is listed in this period instead of watched, from data that may be some seconds old. Costs a
     /// fraction of a watch, for kinds that nothing waits for.
     std::optional<Duration> pollEvery;
+    /// Pause after changes, so that those that come together, as when a zone is reclaimed, are read in one call. It
+    /// doubles while changes go on; without it each change of an upstream cost one call of each node.
+    Duration firstPause = std::chrono::milliseconds(150);
+    Duration longestPause = std::chrono::milliseconds(600);
     Duration firstBackoff = std::chrono::milliseconds(60);
     Duration longestBackoff = std::chrono::milliseconds(600);
 
@@ -69,6 +73,8 @@
     /// When the platform answered again after the last outage.
     std::optional<Instant> returnedAt;
     Duration backoff {};
+    Duration pause {};
+    Instant changedAt {};
     PlatformCallId call = 0;
     TimerId timer = 0;
 };
--- a/include/teaselshore/protocol/codec.hpp
+++ b/include/teaselshore/protocol/codec.hpp
@@ -7,7 +7,7 @@
 #include <variant>
 
 #include "teaselshore/base/name.hpp"
-#include "teaselshore/entry/quota_loan.hpp"
+#include "teaselshore/entry/entry_message.hpp"
 #include "teaselshore/membership/configuration_distributor.hpp"
 #include "teaselshore/membership/member.hpp"
 #include "teaselshore/node/peer_message.hpp"
@@ -18,7 +18,7 @@
 inline constexpr std::uint32_t protocolVersion = 1;
 
 /// @brief Any message between two nodes, grouped by the module that handles it.
-using PeerMessage = std::variant<MembershipMessage, ConfigurationMessage, RequestMessage, QuotaMessage>;
+using PeerMessage = std::variant<MembershipMessage, ConfigurationMessage, RequestMessage, EntryMessage>;
 
 /// @brief Message with its sender.
 struct Envelope {
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -37,7 +37,11 @@
     /// Kept for the last responses to leave.
     constexpr Duration stopDelay = std::chrono::milliseconds(150);
     /// Answers of the platform take some milliseconds, and some 60 times as long while it is slow.
-    constexpr Duration platformCallTimeout = std::chrono::milliseconds(1200);
+    constexpr Duration platformCallTimeout = std::chrono::milliseconds(1000);
+    /// For a new connection, its first call, and the longest pause between two reads of changes.
+    constexpr Duration reconnectTime = std::chrono::milliseconds(900);
+    constexpr Duration shortestWait = std::chrono::milliseconds(500);
+    constexpr Duration longestWait = std::chrono::seconds(10);
     /// Rollout orders are rare, and nothing that they ask for is due within seconds.
     constexpr Duration rolloutPoll = std::chrono::seconds(5);
     /// Limits before the first configuration.
@@ -73,6 +77,14 @@
         return client;
     }
 
+    /// A connection that went silent must be noticed, replaced and read from before the first change is due that a node
+    /// is answerable for again.
+    Duration watchWait(const EntrySettings& settings)
+    {
+        const Duration left = settings.recoveryTime + settings.changeTime - platformCallTimeout - reconnectTime;
+        return std::clamp(left, shortestWait, longestWait);
+    }
+
     HttpServerSettings serverSettings(const SocketAddress& address, const CallerLimits& limits)
     {
         HttpServerSettings server;
@@ -148,8 +160,8 @@
     void execute(SendUpstreamOrder& command);
     void execute(WriteRolloutState& command);
     void execute(WriteNodeReport& command);
-    void execute(ReadNodeReports&);
-    void execute(SendQuotaMessage& command);
+    void execute(ReadNodeReports& command);
+    void execute(SendEntryMessage& command);
     void execute(CallObjectApi& command);
     void execute(RequestEnded& command) { this->metrics.onRequestEnded(command); }
     void execute(LogEvent& command);
@@ -281,19 +293,19 @@
 
 void EntryTask::Impl::onPeerMessage(const std::string& sender, const PeerMessage& message)
 {
-    if (const auto* quota = std::get_if<QuotaMessage>(&message))
-        this->handle(QuotaMessageReceived { sender, *quota });
+    if (const auto* content = std::get_if<EntryMessage>(&message))
+        this->handle(EntryMessageReceived { sender, *content });
     else
         logLine(LogLevel::Warning, "message for another daemon ignored", { { "sender", sender } });
 }
 
 void EntryTask::Impl::onPeerMessageNotSent(const std::string& address, const PeerMessage& message)
 {
-    const auto* quota = std::get_if<QuotaMessage>(&message);
-    const auto* request = quota ? std::get_if<QuotaLoanRequest>(quota) : nullptr;
+    const auto* content = std::get_if<EntryMessage>(&message);
+    const auto* request = content ? std::get_if<QuotaLoanRequest>(content) : nullptr;
     // The loan need not wait for a peer that cannot be reached.
     if (request)
-        this->handle(QuotaMessageReceived { address, QuotaLoan { request->loan, 0 } });
+        this->handle(EntryMessageReceived { address, QuotaLoan { request->loan, 0 } });
 }
 
 HttpReply EntryTask::Impl::adminReply(const HttpRequest& request)
@@ -345,6 +357,7 @@
 std::unique_ptr<KindWatcher> EntryTask::Impl::watchKind(std::string_view kind, KindWatcherHandlers handlers)
 {
     KindWatcherSettings watcher;
+    watcher.wait = watchWait(this->settings);
     if (kind == wire::rolloutsKind)
         watcher.pollEvery = rolloutPoll;
     return std::make_unique<KindWatcher>(*this->loop, *this->platform, std::string(kind), watcher, std::move(handlers),
@@ -532,22 +545,28 @@
 void EntryTask::Impl::execute(WriteNodeReport& command)
 {
     const std::string key = std::string(nodesKind) + "/" + command.host;
-    this->platform->replaceObject(
-        key, command.report, [this, key, report = command.report](const PlatformResult<std::uint64_t>& result) {
+    const bool isOwn = command.host == this->settings.node;
+    const auto onWritten = [this, isOwn](const PlatformResult<std::uint64_t>& result) {
+        const auto* error = std::get_if<PlatformError>(&result);
+        if (isOwn)
+            this->handle(NodeReportWritten { error == nullptr, error ? error->detail : std::string() });
+        else if (error)
+            logLine(LogLevel::Warning, "report of another node not written", { { "reason", error->detail } });
+    };
+    this->platform->replaceObject(key, command.report,
+        [this, key, onWritten, report = command.report](const PlatformResult<std::uint64_t>& result) {
             const auto* error = std::get_if<PlatformError>(&result);
-            if (!error)
-                return;
-            if (error->kind == PlatformError::Kind::NotFound)
-                this->platform->createObject(key, report, [](const PlatformResult<std::uint64_t>&) {});
+            if (error && error->kind == PlatformError::Kind::NotFound)
+                this->platform->createObject(key, report, onWritten);
             else
-                logLine(LogLevel::Warning, "report of this node not written", { { "reason", error->detail } });
+                onWritten(result);
         });
 }
 
-void EntryTask::Impl::execute(ReadNodeReports&)
+void EntryTask::Impl::execute(ReadNodeReports& command)
 {
     this->platform->listKind(
-        std::string(nodesKind), {}, ReadFreshness::Current, [this](const PlatformResult<KindPage>& result) {
+        std::string(nodesKind), {}, command.freshness, [this](const PlatformResult<KindPage>& result) {
             const auto* page = std::get_if<KindPage>(&result);
             if (!page)
                 return;
@@ -558,7 +577,7 @@
         });
 }
 
-void EntryTask::Impl::execute(SendQuotaMessage& command)
+void EntryTask::Impl::execute(SendEntryMessage& command)
 {
     if (this->peers && !this->peers->send(command.address, command.message))
         logLine(LogLevel::Warning, "message to a peer not queued", { { "address", command.address } });
--- a/src/teaselshore/entry/entry_duties.cpp
+++ b/src/teaselshore/entry/entry_duties.cpp
@@ -32,10 +32,13 @@
     /// Windows that a report carries.
     constexpr std::int64_t reportedWindows = 3;
     /// Part of its share that a node uses before its first report was seen; the others may not know it yet.
-    constexpr double newNodePart = 0.5;
+    constexpr double newNodePart = 0.25;
     /// Part of its share that a node uses while the others may take it for gone; the tolerance of the quotas covers it.
     constexpr double silentPart = 0.1;
     constexpr Duration silentMargin = std::chrono::seconds(3);
+    /// Peers that are asked to write a report which the platform did not take from this node. A second one, since the
+    /// platform may turn several nodes away.
+    constexpr std::size_t reportRelays = 2;
     /// Nodes that this one borrows quota from; each costs an open connection.
     constexpr std::size_t mostLenders = 16;
 
@@ -189,7 +192,10 @@
             + (!this->holdsLease(now)           ? this->state.settings.host.usageWindow
                     : this->versions.isActive() ? rolloutPeriod
                                                 : holderReadPeriod);
-        this->state.commands.emplace_back(ReadNodeReports {});
+        // Usage and orders need the latest reports; to know which nodes live, some seconds more do not matter.
+        const bool mayBeStale = this->nodes.isKnown() && !this->holdsLease(now) && !this->versions.isActive();
+        this->state.commands.emplace_back(
+            ReadNodeReports { mayBeStale ? ReadFreshness::MayBeStale : ReadFreshness::Current });
     }
     const std::optional<Duration> calendar = this->state.calendarTime(now);
     // An earlier process's counts must be read before its report is overwritten.
@@ -233,7 +239,30 @@
     }
     report.demand = this->serviceDemand;
     report.versions = this->versions.reports();
-    this->state.commands.emplace_back(WriteNodeReport { report.host, report.encode() });
+    this->lastReport = report.encode();
+    this->state.commands.emplace_back(WriteNodeReport { report.host, this->lastReport });
+}
+
+void EntryDuties::onReportWritten(const NodeReportWritten& result)
+{
+    if (result.written)
+        return;
+    const std::vector<std::string> relays = this->state.borrower.drawPeers(reportRelays);
+    this->state.log(LogLevel::Warning, "report of this node not written",
+        { { "number", std::to_string(this->reportNumber) }, { "reason", result.reason },
+            { "relays", std::to_string(relays.size()) } });
+    for (const std::string& address : relays)
+        this->state.commands.emplace_back(SendEntryMessage { address, RelayedReport { this->lastReport } });
+}
+
+void EntryDuties::onRelayed(const RelayedReport& relayed)
+{
+    const auto report = NodeReport::decode(relayed.report);
+    if (!report || report->host == this->state.settings.host.node) {
+        this->state.log(LogLevel::Warning, "relayed report cannot be understood", {});
+        return;
+    }
+    this->state.commands.emplace_back(WriteNodeReport { report->host, relayed.report });
 }
 
 } // namespace teaselshore
--- a/src/teaselshore/entry/entry_duties.hpp
+++ b/src/teaselshore/entry/entry_duties.hpp
@@ -21,6 +21,10 @@
     explicit EntryDuties(EntryState& state);
 
     void onReports(const std::vector<std::string>& texts, Instant now);
+    /// @brief Passes a report that the platform did not take on to peers, which may reach it.
+    void onReportWritten(const NodeReportWritten& result);
+    /// @brief Writes the report of a node that cannot write it itself.
+    void onRelayed(const RelayedReport& relayed);
     void onObjectResult(const ObjectResult& result, Instant now);
     void onCloudResult(const CloudCallEnded& result, Instant now);
     /// @brief Returns whether the shares of versions changed.
@@ -50,6 +54,8 @@
     /// Counts of an earlier process of this host, which its last report holds.
     bool adoptedOwnReport = false;
     std::uint64_t reportNumber = 0;
+    /// The last report, as it was written.
+    std::string lastReport;
     std::optional<std::int64_t> reportedWindow;
     Instant reportedAt {};
     /// Demand of the last window that ended.
--- a/src/teaselshore/entry/entry_duties_test.cpp
+++ b/src/teaselshore/entry/entry_duties_test.cpp
@@ -158,6 +158,8 @@
             } else if (auto* report = std::get_if<WriteNodeReport>(&command)) {
                 if (done)
                     this->platform.reports[report->host] = report->report;
+                if (report->host == host)
+                    events.emplace_back(NodeReportWritten { done && answered, {} });
             } else if (std::get_if<ReadNodeReports>(&command)) {
                 if (!done)
                     return;
@@ -181,10 +183,10 @@
                     !answered || !done ? ObjectOutcome::Unknown
                         : accepted     ? ObjectOutcome::Ok
                                        : ObjectOutcome::Conflict });
-            } else if (const auto* message = std::get_if<SendQuotaMessage>(&command)) {
+            } else if (const auto* message = std::get_if<SendEntryMessage>(&command)) {
                 const std::string& receiver = this->peerAddresses.at(message->address);
                 if (!this->frozen.contains(receiver))
-                    this->handle(receiver, QuotaMessageReceived { this->addressOf(host), message->message });
+                    this->handle(receiver, EntryMessageReceived { this->addressOf(host), message->message });
             } else if (const auto* response = std::get_if<Respond>(&command)) {
                 constexpr int tooManyRequests = 429;
                 this->refused += response->status == tooManyRequests ? 1 : 0;
@@ -319,6 +321,33 @@
         EXPECT_EQ(fleet.refused, 0);
     }
 
+    // Guards against usage that is missing in the reports of windows since the platform turned some nodes away, as on a
+    // day whose windows lacked a third of the requests.
+    TEST(EntryDuties, PeersWriteTheReportsOfNodesThatThePlatformTurnsAway)
+    {
+        Fleet fleet(9);
+        fleet.pass(12s);
+        const std::string holder = fleet.leaseHolders().at(0);
+        for (int index = 0; index < 9 && fleet.cutOff.size() < 3; ++index) {
+            const std::string host = "host-" + std::to_string(index);
+            if (host != holder)
+                fleet.cutOff.insert(host);
+        }
+        std::uint64_t sent = 0;
+        for (int round = 0; round < 100; ++round) {
+            fleet.request("host-" + std::to_string(round % 9));
+            ++sent;
+            fleet.pass(100ms);
+        }
+        fleet.pass(12s);
+        std::uint64_t reported = 0;
+        for (const auto& [window, reports] : fleet.platform.usage) {
+            EXPECT_EQ(reports.size(), 1u) << window;
+            reported += total(reports);
+        }
+        EXPECT_EQ(reported, sent);
+    }
+
     // Load pattern: large prompts at nodes whose shares of the quota are smaller than one of them. Guards against
     // refusals while the workspace is well within its quota, and while one of the nodes does not answer.
     TEST(EntryDuties, NodesLendEachOtherQuota)
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -47,9 +47,11 @@
     void handle(UpstreamRemoved& event, Instant now);
     void handle(RolloutsListed& event, Instant now);
     void handle(NodeReportsRead& event, Instant now);
-    void handle(QuotaMessageReceived& event, Instant now);
+    void handle(NodeReportWritten& event, Instant) { this->duties.onReportWritten(event); }
+    void handle(EntryMessageReceived& event, Instant now);
     void receive(const std::string& senderAddress, const QuotaLoanRequest& request, Instant now);
     void receive(const std::string&, const QuotaLoan& loan, Instant now) { this->requests.onQuotaLoan(loan, now); }
+    void receive(const std::string&, const RelayedReport& relayed, Instant) { this->duties.onRelayed(relayed); }
     void handle(CloudCallEnded& event, Instant now);
     void handle(ObjectResult& event, Instant now);
     void handle(ClockRead& event, Instant now);
@@ -155,7 +157,7 @@
 
 void EntryNode::Impl::handle(NodeReportsRead& event, Instant now) { this->duties.onReports(event.reports, now); }
 
-void EntryNode::Impl::handle(QuotaMessageReceived& event, Instant now)
+void EntryNode::Impl::handle(EntryMessageReceived& event, Instant now)
 {
     std::visit([&](const auto& message) { this->receive(event.senderAddress, message, now); }, event.message);
 }
@@ -163,7 +165,7 @@
 void EntryNode::Impl::receive(const std::string& senderAddress, const QuotaLoanRequest& request, Instant now)
 {
     const double lent = this->state.quotas.lend(request.workspace, request.amount, now);
-    this->state.commands.emplace_back(SendQuotaMessage { senderAddress, QuotaLoan { request.loan, lent } });
+    this->state.commands.emplace_back(SendEntryMessage { senderAddress, QuotaLoan { request.loan, lent } });
 }
 
 void EntryNode::Impl::handle(CloudCallEnded& event, Instant now) { this->duties.onCloudResult(event, now); }
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -124,7 +124,7 @@
         return;
     }
     for (const AddressedLoanRequest& loan : asked)
-        this->state.commands.emplace_back(SendQuotaMessage { loan.address, loan.request });
+        this->state.commands.emplace_back(SendEntryMessage { loan.address, loan.request });
 }
 
 void EntryRequests::onQuotaLoan(const QuotaLoan& loan, Instant now)
--- a/src/teaselshore/entry/entry_requests_test.cpp
+++ b/src/teaselshore/entry/entry_requests_test.cpp
@@ -450,14 +450,14 @@
 
         std::optional<QuotaLoanRequest> asked() const
         {
-            const auto message = this->first<SendQuotaMessage>();
+            const auto message = this->first<SendEntryMessage>();
             const auto* request = message ? std::get_if<QuotaLoanRequest>(&message->message) : nullptr;
             return request ? std::optional(*request) : std::nullopt;
         }
 
         void lend(const QuotaLoanRequest& request, double amount)
         {
-            this->send(QuotaMessageReceived { "10.0.0.2:7500", QuotaLoan { request.loan, amount } });
+            this->send(EntryMessageReceived { "10.0.0.2:7500", QuotaLoan { request.loan, amount } });
         }
     };
 
@@ -516,8 +516,8 @@
     TEST(EntryRequests, LendsToAPeerThatAsks)
     {
         QuotaHarness harness;
-        harness.send(QuotaMessageReceived { "10.0.0.2:7500", QuotaLoanRequest { 7, WorkspaceName("north"), 3 } });
-        const auto message = harness.first<SendQuotaMessage>();
+        harness.send(EntryMessageReceived { "10.0.0.2:7500", QuotaLoanRequest { 7, WorkspaceName("north"), 3 } });
+        const auto message = harness.first<SendEntryMessage>();
         ASSERT_TRUE(message);
         EXPECT_EQ(message->address, "10.0.0.2:7500");
         const auto* loan = std::get_if<QuotaLoan>(&message->message);
--- a/src/teaselshore/entry/quota_borrower.cpp
+++ b/src/teaselshore/entry/quota_borrower.cpp
@@ -47,14 +47,20 @@
     loan = { request, 0, count, now + answerTime };
     const double each = std::min(missing, missing * excessPart / static_cast<double>(count));
     std::vector<AddressedLoanRequest> asked;
-    for (std::size_t i = 0; i < count; ++i) {
-        // A partial shuffle: the chosen peers are moved to the front.
-        std::swap(this->peers[i], this->peers[i + this->random.below(this->peers.size() - i)]);
-        asked.push_back({ this->peers[i], { this->lastLoan, workspace, each } });
-    }
+    for (std::string& address : this->drawPeers(count))
+        asked.push_back({ std::move(address), { this->lastLoan, workspace, each } });
     return asked;
 }
 
+std::vector<std::string> QuotaBorrower::drawPeers(std::size_t count)
+{
+    count = std::min(count, this->peers.size());
+    // A partial shuffle: the drawn peers are moved to the front.
+    for (std::size_t i = 0; i < count; ++i)
+        std::swap(this->peers[i], this->peers[i + this->random.below(this->peers.size() - i)]);
+    return { this->peers.begin(), this->peers.begin() + static_cast<std::ptrdiff_t>(count) };
+}
+
 std::optional<EndedLoan> QuotaBorrower::onAnswer(const QuotaLoan& answer)
 {
     const auto found = this->loans.find(answer.loan);
--- a/src/teaselshore/platform/kind_watcher.cpp
+++ b/src/teaselshore/platform/kind_watcher.cpp
@@ -7,10 +7,8 @@
 
 namespace {
 
-    /// Pause after changes, so that those that come together, as when a zone is reclaimed, are read in one call.
-    /// Without it each change of an upstream cost one call of each node. A sixth of the shortest time in which a change
-    /// has to be in effect.
-    constexpr Duration changePause = std::chrono::milliseconds(300);
+    /// Time without changes after which the pause is short again; longer than the longest pause.
+    constexpr Duration calmTime = std::chrono::seconds(1);
 
 } // namespace
 
@@ -91,7 +89,11 @@
         this->watch();
         return;
     }
-    this->timer = this->loop.runAfter(changePause, [this] { this->watch(); });
+    const Instant now = this->loop.now();
+    const bool isCalm = now - this->changedAt > calmTime;
+    this->pause = isCalm ? this->settings.firstPause : std::min(2 * this->pause, this->settings.longestPause);
+    this->changedAt = now;
+    this->timer = this->loop.runAfter(this->pause, [this] { this->watch(); });
     this->handlers.onChanged(std::move(page.objects), this->sinceOutage());
 }
 
--- a/src/teaselshore/protocol/codec.cpp
+++ b/src/teaselshore/protocol/codec.cpp
@@ -23,7 +23,8 @@
             return configurationFromWire(envelope);
         case wire::Envelope::kQuotaLoanRequest:
         case wire::Envelope::kQuotaLoan:
-            return quotaFromWire(envelope);
+        case wire::Envelope::kRelayedReport:
+            return entryFromWire(envelope);
         case wire::Envelope::MESSAGE_NOT_SET:
             error = ProtocolError::UnknownMessage;
             return std::nullopt;
--- a/src/teaselshore/protocol/codec_test.cpp
+++ b/src/teaselshore/protocol/codec_test.cpp
@@ -153,9 +153,10 @@
             RequestMessage(HandOver { NodeId(fields.text()), OwnerInstance(fields.text()), fields.number(),
                 fields.optionalText(), { fields.text(), fields.text() } }),
             RequestMessage(HandOverAck { OwnerInstance(fields.text()) }),
-            QuotaMessage(QuotaLoanRequest {
+            EntryMessage(QuotaLoanRequest {
                 fields.number(), WorkspaceName(fields.text()), static_cast<double>(fields.smallNumber()) }),
-            QuotaMessage(QuotaLoan { fields.number(), static_cast<double>(fields.smallNumber()) }),
+            EntryMessage(RelayedReport { fields.text() }),
+            EntryMessage(QuotaLoan { fields.number(), static_cast<double>(fields.smallNumber()) }),
         };
     }
 
@@ -169,7 +170,7 @@
             types.emplace(message.index(), std::visit([](const auto& group) { return group.index(); }, message));
         const std::size_t expected
             = std::variant_size_v<
-                  MembershipMessage> + std::variant_size_v<ConfigurationMessage> + std::variant_size_v<RequestMessage> + std::variant_size_v<QuotaMessage>;
+                  MembershipMessage> + std::variant_size_v<ConfigurationMessage> + std::variant_size_v<RequestMessage> + std::variant_size_v<EntryMessage>;
         RC_ASSERT(types.size() == expected);
         for (const PeerMessage& message : messages) {
             const Envelope envelope { NodeId(fields.text()), fields.text(), fields.text(), message };
@@ -227,7 +228,7 @@
 
         // An amount that is no number would empty or fill a share for good.
         for (const double amount : { -1.0, std::nan(""), HUGE_VAL }) {
-            EXPECT_FALSE(decode(encode({ NodeId("a"), "b", "c", QuotaMessage(QuotaLoan { 1, amount }) }), error));
+            EXPECT_FALSE(decode(encode({ NodeId("a"), "b", "c", EntryMessage(QuotaLoan { 1, amount }) }), error));
             EXPECT_EQ(error, ProtocolError::InvalidValue);
         }
 
--- a/src/teaselshore/protocol/quota_conversions.cpp
+++ b/src/teaselshore/protocol/entry_conversions.cpp
@@ -22,14 +22,19 @@
         envelope.mutable_quota_loan()->set_amount(loan.amount);
     }
 
+    void fill(const RelayedReport& relayed, wire::Envelope& envelope)
+    {
+        envelope.mutable_relayed_report()->set_report(relayed.report);
+    }
+
 } // namespace
 
-void toWire(const QuotaMessage& message, wire::Envelope& envelope)
+void toWire(const EntryMessage& message, wire::Envelope& envelope)
 {
     std::visit([&](const auto& content) { fill(content, envelope); }, message);
 }
 
-std::optional<QuotaMessage> quotaFromWire(const wire::Envelope& envelope)
+std::optional<EntryMessage> entryFromWire(const wire::Envelope& envelope)
 {
     if (envelope.has_quota_loan_request()) {
         const wire::QuotaLoanRequest& request = envelope.quota_loan_request();
@@ -37,6 +42,8 @@
             return std::nullopt;
         return QuotaLoanRequest { request.loan(), WorkspaceName(request.workspace()), request.amount() };
     }
+    if (envelope.has_relayed_report())
+        return RelayedReport { envelope.relayed_report().report() };
     const wire::QuotaLoan& loan = envelope.quota_loan();
     if (!isAmount(loan.amount()))
         return std::nullopt;
--- a/src/teaselshore/protocol/wire_conversions.hpp
+++ b/src/teaselshore/protocol/wire_conversions.hpp
@@ -12,7 +12,7 @@
 void toWire(const MembershipMessage& message, wire::Envelope& envelope);
 void toWire(const ConfigurationMessage& message, wire::Envelope& envelope);
 void toWire(const RequestMessage& message, wire::Envelope& envelope);
-void toWire(const QuotaMessage& message, wire::Envelope& envelope);
+void toWire(const EntryMessage& message, wire::Envelope& envelope);
 void toWire(const VersionEvidence& evidence, wire::VersionEvidence& result);
 void toWire(const VersionReport& report, wire::VersionReport& result);
 
@@ -21,7 +21,7 @@
 std::optional<MembershipMessage> membershipFromWire(const wire::Envelope& envelope);
 std::optional<ConfigurationMessage> configurationFromWire(const wire::Envelope& envelope);
 std::optional<RequestMessage> requestFromWire(const wire::Envelope& envelope);
-std::optional<QuotaMessage> quotaFromWire(const wire::Envelope& envelope);
+std::optional<EntryMessage> entryFromWire(const wire::Envelope& envelope);
 std::optional<VersionEvidence> versionEvidenceFromWire(const wire::VersionEvidence& evidence);
 std::optional<VersionReport> versionReportFromWire(const wire::VersionReport& report);
 
