Hold lone retries of crash suspects while members cannot be reached

Cause: crash suspects are told to live members only, so that in a cut each side ran a poison request up to twice: Node.PoisonRequestCrashesFewUpstreamsWithCut failed with four crashed upstreams, limit three.

Change: no lone retry starts within 10 s of a crash while a member is suspected or dead. A lone retry that began after a known crash dies with a new process.

--- a/include/teaselshore/reliability/crash_suspects.hpp
+++ b/include/teaselshore/reliability/crash_suspects.hpp
@@ -96,6 +96,9 @@
 
     SuspectVerdict verdict(Fingerprint request, Instant now) const;
 
+    /// @brief Returns when the request last crashed an upstream, if it is a suspect.
+    std::optional<Instant> lastCrash(Fingerprint request) const;
+
     /// @brief Takes the only lone retry. Precondition: verdict() is RetryAlone.
     std::vector<SuspectReport> onRetryStarted(Fingerprint request, Instant now);
 
@@ -156,6 +159,8 @@
     bool isExcused(const UpstreamId& upstream, Instant at) const;
     bool isZoneLost(const Zone& zone, Instant at) const;
     Suspect& suspectOf(Fingerprint request, Instant now);
+    /// @brief Returns whether two nodes, or one node twice, tell of the same death of an upstream.
+    static bool isSameDeath(const Suspect& suspect, const Crash& known, const Crash& crash);
     void addCrash(Fingerprint request, const Crash& crash, Instant now);
     void addDeath(Zone& zone, const UpstreamId& upstream, Instant at) const;
     void excuse(const UpstreamId& upstream, Instant at);
--- a/src/teaselshore/node/durable_attempts.cpp
+++ b/src/teaselshore/node/durable_attempts.cpp
@@ -64,7 +64,7 @@
     }
 
     const ClassifiedRequest& classified = choice.mapped().classified;
-    if (this->state.suspects.verdict(classified.suspect, now) == SuspectVerdict::Rejected) {
+    if (this->state.suspectVerdict(classified.suspect, now) == SuspectVerdict::Rejected) {
         const CallerError error = rejectedError(statusUnprocessable, "this request crashed the upstreams that ran it");
         this->state.release(request.id, now);
         this->handle(UpstreamFinished { request.id, command.attempt, failureAnswer(request.id, error) }, now);
@@ -135,7 +135,7 @@
         return;
     const auto classified = this->classify(found->second);
     const SuspectVerdict verdict
-        = classified ? this->state.suspects.verdict(classified->suspect, now) : SuspectVerdict::Clear;
+        = classified ? this->state.suspectVerdict(classified->suspect, now) : SuspectVerdict::Clear;
     if (verdict == SuspectVerdict::RetryRunning || verdict == SuspectVerdict::Undecided) {
         this->state.release(id, now);
         this->deferRun(id, suspectPollInterval, now);
--- a/src/teaselshore/node/node_state.cpp
+++ b/src/teaselshore/node/node_state.cpp
@@ -1,5 +1,6 @@
 #include "node_state.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "teaselshore/base/assert.hpp"
@@ -10,6 +11,10 @@
 
 namespace {
 
+    /// Longest wait of a lone retry for members that cannot be reached. Longer than most cuts between nodes; a member
+    /// that died for good must not keep a request from its answer.
+    constexpr Duration unreachableMemberWait = std::chrono::seconds(10);
+
     std::string_view outcomeName(AttemptOutcome outcome)
     {
         switch (outcome) {
@@ -95,6 +100,21 @@
     this->suspects.onPeerReports(reports, now);
 }
 
+SuspectVerdict NodeState::suspectVerdict(Fingerprint request, Instant now) const
+{
+    const SuspectVerdict verdict = this->suspects.verdict(request, now);
+    if (verdict != SuspectVerdict::RetryAlone)
+        return verdict;
+    const std::optional<Instant> crashedAt = this->suspects.lastCrash(request);
+    if (!crashedAt || now - *crashedAt > unreachableMemberWait)
+        return verdict;
+    const std::vector<Member> members = this->membership.members();
+    const bool allReachable = std::all_of(members.begin(), members.end(), [](const Member& member) {
+        return member.state == MemberState::Alive || member.state == MemberState::Left;
+    });
+    return allReachable ? verdict : SuspectVerdict::RetryRunning;
+}
+
 void NodeState::onMemberDead(const NodeId& member, Instant now)
 {
     std::erase_if(this->retryNodes, [&](const auto& entry) {
--- a/src/teaselshore/node/node_state.hpp
+++ b/src/teaselshore/node/node_state.hpp
@@ -49,6 +49,11 @@
     /// @brief Takes over a peer's crash suspects, and remembers which lone retries run at it.
     void onSuspectReports(const NodeId& sender, const std::vector<SuspectReport>& reports, Instant now);
 
+    /// @brief Returns how to treat a request that may have crashed upstreams.
+    ///
+    /// No lone retry starts soon after a crash while some member cannot be reached: it may know of more crashes, or run
+    /// a retry itself.
+    SuspectVerdict suspectVerdict(Fingerprint request, Instant now) const;
     /// @brief Lets another node run the lone retries of a member that died.
     void onMemberDead(const NodeId& member, Instant now);
 
--- a/src/teaselshore/node/transient_requests.cpp
+++ b/src/teaselshore/node/transient_requests.cpp
@@ -93,7 +93,7 @@
     Request* request = this->find(id);
     if (!request)
         return;
-    switch (this->state.suspects.verdict(request->classified.suspect, now)) {
+    switch (this->state.suspectVerdict(request->classified.suspect, now)) {
     case SuspectVerdict::Clear:
         this->dispatch(*request, false, now);
         return;
--- a/src/teaselshore/reliability/crash_suspects.cpp
+++ b/src/teaselshore/reliability/crash_suspects.cpp
@@ -108,6 +108,14 @@
     return suspect.retryStarted ? SuspectVerdict::RetryRunning : SuspectVerdict::RetryAlone;
 }
 
+std::optional<Instant> CrashSuspects::lastCrash(Fingerprint request) const
+{
+    const auto found = this->suspects.find(request);
+    if (found == this->suspects.end() || found->second.crashes.empty())
+        return std::nullopt;
+    return found->second.crashes.back().at;
+}
+
 std::vector<SuspectReport> CrashSuspects::onRetryStarted(Fingerprint request, Instant now)
 {
     TEASELSHORE_ASSERT(this->verdict(request, now) == SuspectVerdict::RetryAlone, "second retry of a crash suspect");
@@ -210,14 +218,24 @@
     return suspect;
 }
 
+bool CrashSuspects::isSameDeath(const Suspect& suspect, const Crash& known, const Crash& crash)
+{
+    if (known.upstream != crash.upstream || known.alone != crash.alone)
+        return false;
+    // A lone retry that began after the known crash died with a new process of the upstream. Taken for the same death,
+    // the retry would count as running for good, and the request would wait for its deadline each time.
+    if (suspect.retryStarted && known.at < *suspect.retryStarted && *suspect.retryStarted <= crash.at)
+        return false;
+    return distance(known.at, crash.at) <= sameDeathWindow;
+}
+
 void CrashSuspects::addCrash(Fingerprint request, const Crash& crash, Instant now)
 {
     Suspect& suspect = this->suspectOf(request, now);
     if (suspect.clearedAt && crash.at <= *suspect.clearedAt)
         return;
-    for (Crash& known : suspect.crashes) {
-        if (known.upstream == crash.upstream && known.alone == crash.alone
-            && distance(known.at, crash.at) <= sameDeathWindow)
+    for (const Crash& known : suspect.crashes) {
+        if (isSameDeath(suspect, known, crash))
             return;
     }
     suspect.crashes.push_back(crash);
--- a/src/teaselshore/reliability/crash_suspects_test.cpp
+++ b/src/teaselshore/reliability/crash_suspects_test.cpp
@@ -38,6 +38,22 @@
         EXPECT_EQ(own.verdict(2, at(3600 * 1000)), SuspectVerdict::Clear);
     }
 
+    // Guards against a lone retry that counts as running for good, since it crashed the restarted process of the upstream
+    // that the first run had crashed within seconds; the request then waited for its deadline at each try.
+    TEST(CrashSuspects, CountsTheCrashOfARestartedUpstream)
+    {
+        CrashSuspects own;
+        CrashSuspects peer;
+        peer.onPeerReports(own.onUpstreamCrashed(crashOf("e1", "a", { 1 }), at(0)), at(2));
+        // The same death, told a second time.
+        own.onUpstreamCrashed(crashOf("e1", "a", { 1 }), at(50));
+        EXPECT_EQ(own.verdict(1, at(50)), SuspectVerdict::RetryAlone);
+        peer.onPeerReports(own.onRetryStarted(1, at(1000)), at(1002));
+        peer.onPeerReports(own.onUpstreamCrashed(crashOf("e1", "a", { 1 }), at(2000)), at(2002));
+        EXPECT_EQ(own.verdict(1, at(4100)), SuspectVerdict::Rejected);
+        EXPECT_EQ(peer.verdict(1, at(4102)), SuspectVerdict::Rejected);
+    }
+
     // Guards against a harmless request that stays a suspect although it completed.
     TEST(CrashSuspects, ClearsFinishedRetryAgainstLateReports)
     {
