Add a verb that tells one request's story from logs

Cause: from the id of a failed request to its cause took a search over the logs of all nodes, by hand, for its own lines, the configuration, the platform and the upstreams.

--- a/include/teaselshore/ctl/command_line.hpp
+++ b/include/teaselshore/ctl/command_line.hpp
@@ -55,6 +55,13 @@
     OutputFormat output = OutputFormat::Text;
 };
 
+struct StoryCommand {
+    std::string request;
+    /// Logs of nodes; "-" for standard input.
+    std::vector<std::string> files;
+    OutputFormat output = OutputFormat::Text;
+};
+
 struct TraceCommand {
     /// Trace id or request id.
     std::string id;
@@ -70,7 +77,7 @@
 };
 
 using Command = std::variant<CheckCommand, DiffCommand, ApplyCommand, StatusCommand, NodesCommand, ExplainCommand,
-    TraceCommand, DrainCommand>;
+    StoryCommand, TraceCommand, DrainCommand>;
 
 /// @brief Help or version text was printed to standard output.
 struct HelpShown { };
--- a/src/teaselshore/ctl/command_line.cpp
+++ b/src/teaselshore/ctl/command_line.cpp
@@ -188,6 +188,18 @@
         return ExplainCommand { request.getValue(), sub.nodeAddresses(), sub.outputFormat() };
     }
 
+    Command parseStory(const Arguments& arguments, const CommandDefaults& defaults)
+    {
+        Subcommand sub(
+            "story", "Tells from logs what happened to one request, and what its nodes believed meanwhile.", defaults);
+        FileArgument request(
+            "request", "Request id, as the caller or the log gives it.", true, "", "REQUEST", sub.commandLine());
+        TCLAP::UnlabeledMultiArg<std::string> files(
+            "log", "Logs of nodes (JSON lines); - for standard input.", true, "LOG", sub.commandLine());
+        sub.parse(arguments);
+        return StoryCommand { request.getValue(), files.getValue(), sub.outputFormat() };
+    }
+
     Command parseTrace(const Arguments& arguments, const CommandDefaults& defaults)
     {
         Subcommand sub("trace", "Joins the spans of all nodes into one tree.", defaults);
@@ -221,6 +233,7 @@
         { "status", "status             configuration and version rollouts of the nodes", parseStatus },
         { "nodes", "nodes              members and how the nodes see each other", parseNodesCommand },
         { "explain", "explain REQUEST    decisions about one request", parseExplain },
+        { "story", "story REQUEST LOG  what logs tell about one request", parseStory },
         { "trace", "trace ID           spans of one trace or request as a tree", parseTrace },
         { "drain", "drain NODE         graceful shutdown of one node", parseDrain },
     };
