--- a/src/teaselshore/entry/entry_requests_test.cpp
+++ b/src/teaselshore/entry/entry_requests_test.cpp
@@ -429,7 +429,7 @@
         RC_ASSERT(harness.node.statistics().openRequests == 0u);
     }
 
-    /// Node with a quota of which it holds a part of 500, and peers to borrow from.
+    /// Node whose part of a quota does not cover one request, and a peer to borrow from.
     class QuotaHarness : public EntryHarness {
     public:
         QuotaHarness()
--- a/src/teaselshore/routing/upstream_chooser.cpp
+++ b/src/teaselshore/routing/upstream_chooser.cpp
@@ -20,8 +20,8 @@
     constexpr std::size_t preferenceBlocks = 4;
     /// A preferred upstream may have this multiple of the mean load, plus one request.
     constexpr double loadBound = 1.25;
-    /// Later requests that are expected to save the prefill of the prefix on a preferred upstream. With 0.3, shared
-    /// parts of prompts were read again at a third more upstreams, without a gain in response times.
+    /// Later requests that are expected to save the prefill of the prefix on a preferred upstream. With 0.3, a third
+    /// more tokens of shared prompt parts were read again, without a gain in response times.
     constexpr double affinityPart = 2;
     /// Utilisation from which batch work delays interactive work.
     constexpr double interferenceFrom = 0.6;
