--- a/include/teaselshore/entry/quota_limiter.hpp
+++ b/include/teaselshore/entry/quota_limiter.hpp
@@ -61,6 +61,8 @@
     /// Enough for some requests before the other nodes are known, and safe with up to 100 nodes.
     static constexpr double initialShare = 0.01;
 
+    /// @brief Returns by how much the quota may be exceeded within a window.
+    double tolerated(const Bucket& bucket) const;
     double capacity(const Bucket& bucket) const;
     /// @brief Returns the amount per second that all nodes together get.
     double inflow(const Bucket& bucket) const;
--- a/src/teaselshore/entry/quota_limiter.cpp
+++ b/src/teaselshore/entry/quota_limiter.cpp
@@ -108,11 +108,17 @@
         found->second.level = std::min(found->second.level + amount, this->capacity(found->second));
 }
 
+double QuotaLimiter::tolerated(const Bucket& bucket) const
+{
+    const double allowed = bucket.quota.perSecond * toSeconds(this->tolerance.window) + bucket.quota.burst;
+    return allowed * this->tolerance.excess + this->tolerance.slack;
+}
+
 double QuotaLimiter::capacity(const Bucket& bucket) const
 {
     // Over any window, all nodes together may let pass the capacity plus what flows in meanwhile.
-    const double allowed = bucket.quota.perSecond * toSeconds(this->tolerance.window) + bucket.quota.burst;
-    const double extra = burstTolerance * this->tolerance.slack + usedExcess * this->tolerance.excess * allowed;
+    const double slack = this->tolerance.slack;
+    const double extra = burstTolerance * slack + usedExcess * (this->tolerated(bucket) - slack);
     return this->share * (bucket.quota.burst + extra);
 }
 
