Share the check of usage reports between two tests

ReportsEachWindowOnceWithTheCountsOfAllNodes and PeersWriteTheReportsOfNodesThatThePlatformTurnsAway summed the reports in the same loop. Both keep their assertions: one report of each window, and all requests in them.

--- a/src/teaselshore/entry/entry_duties_test.cpp
+++ b/src/teaselshore/entry/entry_duties_test.cpp
@@ -265,6 +265,17 @@
         return reports.empty() ? 0 : reports.begin()->at(WorkspaceName("north"));
     }
 
+    /// Expects one report of each window, and returns the requests in all of them.
+    std::uint64_t reportedOnce(const Fleet& fleet)
+    {
+        std::uint64_t reported = 0;
+        for (const auto& [window, reports] : fleet.platform.usage) {
+            EXPECT_EQ(reports.size(), 1u) << window;
+            reported += total(reports);
+        }
+        return reported;
+    }
+
     // Guards against a usage window that is reported late, twice with different counts, or without some nodes' counts.
     TEST(EntryDuties, ReportsEachWindowOnceWithTheCountsOfAllNodes)
     {
@@ -277,12 +288,7 @@
             fleet.pass(100ms);
         }
         fleet.pass(12s);
-        std::uint64_t reported = 0;
-        for (const auto& [window, reports] : fleet.platform.usage) {
-            EXPECT_EQ(reports.size(), 1u) << window;
-            reported += total(reports);
-        }
-        EXPECT_EQ(reported, sent);
+        EXPECT_EQ(reportedOnce(fleet), sent);
         EXPECT_EQ(fleet.leaseHolders().size(), 1u);
     }
 
@@ -380,12 +386,7 @@
             fleet.pass(100ms);
         }
         fleet.pass(12s);
-        std::uint64_t reported = 0;
-        for (const auto& [window, reports] : fleet.platform.usage) {
-            EXPECT_EQ(reports.size(), 1u) << window;
-            reported += total(reports);
-        }
-        EXPECT_EQ(reported, sent);
+        EXPECT_EQ(reportedOnce(fleet), sent);
     }
 
     // Load pattern: large prompts at nodes whose shares of the quota are smaller than one of them. Guards against
