Keep the number of nodes while a node is isolated

Cause: a node that is cut off from the platform and its peers hears of no other node. After 12 s it counted only itself, and its reduced share, a tenth, became a tenth of the whole quota instead of a tenth of 1/75. 26 isolated nodes together took 2.6 times the quota.

Now a silent node keeps the number of nodes that it knew last, so that all silent nodes together use at most a twentieth of the quota, which the tolerance covers; and shares are taken over after a minute instead of 12 s, so that nodes that are cut off, and all nodes in an outage of the platform, keep their shares. A change of the share is logged with what decided it.

--- a/include/teaselshore/entry/live_nodes.hpp
+++ b/include/teaselshore/entry/live_nodes.hpp
@@ -20,14 +20,14 @@
     void onReports(const std::vector<NodeReport>& reports, Instant now);
     /// @brief Returns the hosts of the live nodes, this one included, in order.
     std::vector<std::string> hosts(Instant now) const;
+    /// @brief Returns the number of hosts whose report changed within the time, this one included.
+    std::size_t countWithin(Duration time, Instant now) const;
     /// @brief Returns the last reports of the live nodes.
     std::vector<NodeReport> reports(Instant now) const;
     /// @brief Returns this node's place among the live ones for a task, 0 for the first.
     ///
     /// The order is the same at all nodes that know the same hosts, and differs between tasks.
     std::size_t rank(std::string_view task, Instant now) const;
-    /// @brief Time after which a node without a new report is gone.
-    Duration silenceLimit() const { return this->silence; }
     /// @brief True once reports were read.
     bool isKnown() const { return this->known; }
 
--- a/src/teaselshore/entry/entry_duties.cpp
+++ b/src/teaselshore/entry/entry_duties.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 #include "teaselshore/base/fingerprint.hpp"
 
 namespace teaselshore {
@@ -33,9 +35,15 @@
     constexpr std::int64_t reportedWindows = 3;
     /// Part of its share that a node uses before its first report was seen; the others may not know it yet.
     constexpr double newNodePart = 0.25;
-    /// Part of its share that a node uses while the others may take it for gone; the tolerance of the quotas covers it.
-    constexpr double silentPart = 0.1;
-    constexpr Duration silentMargin = std::chrono::seconds(3);
+    /// The others take over the share of a node after this multiple of the report period without a report: a minute
+    /// with windows of 5 s. Until then a node that is cut off, and all nodes in an outage of the platform, keep theirs.
+    constexpr double sharePeriods = 12;
+    /// Time by which a node gives up its share before the others take it over: they may have read its last report later
+    /// than the node itself, by the time between two reads and the spread of the reports.
+    constexpr Duration shareMargin = std::chrono::seconds(3);
+    /// Part of its share that a node uses while the others may have taken it over; the tolerance of the quotas covers
+    /// it, even if nearly all nodes are cut off.
+    constexpr double silentPart = 0.05;
     /// Peers that are asked to write a report which the platform did not take from this node. A second one, since the
     /// platform may turn several nodes away.
     constexpr std::size_t reportRelays = 2;
@@ -58,6 +66,7 @@
 EntryDuties::EntryDuties(EntryState& state)
     : state(state)
     , nodes(state.settings.host.node, fromSeconds(silentPeriods * toSeconds(state.settings.host.usageWindow)))
+    , shareTimeout(fromSeconds(sharePeriods * toSeconds(state.settings.host.usageWindow)))
     , lease(state.settings.id, ServiceName(std::string(dutyTask)), leaseSettings(state.settings.host))
     , usage(state, ids)
     , fleet(state, ids)
@@ -107,21 +116,31 @@
 void EntryDuties::applyShares(std::int64_t window, Instant now)
 {
     this->sharedWindow = window;
-    const std::vector<NodeReport> reports = this->nodes.reports(now);
-    this->state.setLiveNodes(this->nodes.hosts(now).size());
     bool isKnownHost = false;
-    for (const NodeReport& report : reports) {
+    for (const NodeReport& report : this->nodes.reports(now)) {
         if (report.host != this->state.settings.host.node)
             continue;
         isKnownHost = true;
         if (report.completeWindow >= window)
             this->reportSeenAt = now;
     }
-    // The others may take the part of a node that has been silent for long, and do not know of a new host yet. They
-    // still leave the part of a process that has just restarted on its host.
-    const bool isSilent = this->reportSeenAt && now - *this->reportSeenAt > this->nodes.silenceLimit() - silentMargin;
+    // The others may have taken over the share of a node that has been silent for long, and do not know of a new host
+    // yet. They still leave the share of a process that has just restarted on its host.
+    const bool isSilent = this->reportSeenAt && now - *this->reportSeenAt > this->shareTimeout - shareMargin;
     const double part = isSilent ? silentPart : this->reportSeenAt || isKnownHost ? 1 : newNodePart;
-    this->state.quotas.setShare(part / static_cast<double>(this->state.liveNodes), now);
+    // A silent node hears of nobody. If it counted only itself, each of the nodes that are cut off would take the
+    // silent part of the whole quota.
+    if (!isSilent || this->state.liveNodes == 0)
+        this->state.setLiveNodes(this->nodes.countWithin(this->shareTimeout, now));
+    const double share = part / static_cast<double>(this->state.liveNodes);
+    if (share != this->quotaShare) {
+        this->state.log(LogLevel::Info, "share of the quotas changed",
+            { { "share", fmt::format("{:.4f}", share) }, { "previous", fmt::format("{:.4f}", this->quotaShare) },
+                { "nodes", std::to_string(this->state.liveNodes) }, { "part", fmt::format("{}", part) },
+                { "window", std::to_string(window) }, { "silent", isSilent ? "true" : "false" } });
+    }
+    this->quotaShare = share;
+    this->state.quotas.setShare(share, now);
 }
 
 std::optional<FencedHolder> EntryDuties::holder(Instant now) const
--- a/src/teaselshore/entry/entry_duties.hpp
+++ b/src/teaselshore/entry/entry_duties.hpp
@@ -47,6 +47,8 @@
     EntryState& state;
     ObjectCallIds ids;
     LiveNodes nodes;
+    /// Time without a report after which the others take over a node's share of the quotas.
+    const Duration shareTimeout;
     LeaseHolder lease;
     UsageReporter usage;
     FleetController fleet;
@@ -64,6 +66,8 @@
     bool reading = false;
     /// Window whose round of reports gave the present shares of the quotas.
     std::optional<std::int64_t> sharedWindow;
+    /// This node's share of the quotas; 0 until reports were read.
+    double quotaShare = 0;
     /// Last time that this node's own report was among those read in its round.
     std::optional<Instant> reportSeenAt;
     Instant readStartedAt {};
--- a/src/teaselshore/entry/entry_duties_test.cpp
+++ b/src/teaselshore/entry/entry_duties_test.cpp
@@ -145,7 +145,8 @@
         void execute(const std::string& host, EntryCommand& command, std::vector<EntryEvent>& events)
         {
             const bool answered = this->lossPercent == 0 || this->random.below(100) >= this->lossPercent;
-            const bool done = !this->cutOff.contains(host) && (answered || this->random.below(2) == 0);
+            const bool isCut = this->cutOff.contains(host) || this->isolated.contains(host);
+            const bool done = !isCut && (answered || this->random.below(2) == 0);
             if (auto* call = std::get_if<CallObjectApi>(&command)) {
                 ObjectResult result;
                 if (done)
@@ -186,7 +187,8 @@
                                        : ObjectOutcome::Conflict });
             } else if (const auto* message = std::get_if<SendEntryMessage>(&command)) {
                 const std::string& receiver = this->peerAddresses.at(message->address);
-                if (!this->frozen.contains(receiver))
+                const bool isLost = this->isolated.contains(host) || this->isolated.contains(receiver);
+                if (!isLost && !this->frozen.contains(receiver))
                     this->handle(receiver, EntryMessageReceived { this->addressOf(host), message->message });
             } else if (const auto* response = std::get_if<Respond>(&command)) {
                 constexpr int tooManyRequests = 429;
@@ -231,6 +233,19 @@
             this->handle(host, std::move(arrived));
         }
 
+        /// @brief Returns the most requests that were sent to upstreams within a time.
+        std::size_t mostAcceptedWithin(Duration time) const
+        {
+            std::size_t first = 0;
+            std::size_t most = 0;
+            for (std::size_t last = 0; last < this->accepted.size(); ++last) {
+                while (this->accepted[first] + time < this->accepted[last])
+                    ++first;
+                most = std::max(most, last - first + 1);
+            }
+            return most;
+        }
+
         std::vector<std::string> leaseHolders() const
         {
             std::vector<std::string> holding;
@@ -247,7 +262,10 @@
         FakePlatform platform;
         std::map<std::string, std::unique_ptr<EntryNode>> nodes;
         std::map<std::string, std::string> peerAddresses;
+        /// Hosts that do not reach the platform.
         std::set<std::string> cutOff;
+        /// Hosts that reach neither the platform nor other hosts; callers and upstreams reach them.
+        std::set<std::string> isolated;
         std::set<std::string> frozen;
         std::uint64_t lossPercent = 0;
         std::optional<WorkspaceQuota> quota;
@@ -355,18 +373,58 @@
                     fleet.pass(100ms);
                 }
                 const double allowed = (60 * 8 + 60) * 1.1;
-                std::size_t first = 0;
-                std::size_t most = 0;
-                for (std::size_t last = 0; last < fleet.accepted.size(); ++last) {
-                    while (fleet.accepted[first] + 8s < fleet.accepted[last])
-                        ++first;
-                    most = std::max(most, last - first + 1);
-                }
-                EXPECT_LE(static_cast<double>(most), allowed) << cutAt.count() << " " << cutFor.count();
+                EXPECT_LE(static_cast<double>(fleet.mostAcceptedWithin(8s)), allowed)
+                    << cutAt.count() << " " << cutFor.count();
+            }
+        }
+    }
+
+    // Load pattern: one workspace sends several times its quota at 30 nodes while ten of them are cut off from the
+    // platform and from the other nodes, but not from callers, for shorter or longer than the others wait with their
+    // shares. Guards against isolated nodes that count only themselves, so that the shares add up to twice the quota,
+    // as on a day of a grown deployment.
+    TEST(EntryDuties, QuotaHoldsWhileManyNodesAreIsolated)
+    {
+        for (const Duration cutFor : { 14s, 25s, 70s }) {
+            Fleet fleet(0);
+            fleet.quota = WorkspaceQuota { QuotaUnit::Requests, 150, 150, 1 };
+            fleet.tolerance = { 8s, 0.1, 0 };
+            for (int index = 0; index < 30; ++index)
+                fleet.add("host-" + std::to_string(index));
+            fleet.pass(20s);
+            const Instant start = fleet.now;
+            for (int index = 0; index < 10; ++index)
+                fleet.isolated.insert("host-" + std::to_string(3 * index));
+            while (fleet.now < start + cutFor + 15s) {
+                if (fleet.now >= start + cutFor)
+                    fleet.isolated.clear();
+                for (int request = 0; request < 60; ++request)
+                    fleet.request("host-" + std::to_string(request % 30));
+                fleet.pass(100ms);
             }
+            const double allowed = (150 * 8 + 150) * 1.1;
+            EXPECT_LE(static_cast<double>(fleet.mostAcceptedWithin(8s)), allowed) << cutFor.count();
         }
     }
 
+    // Load pattern: a workspace at 0.8 of its quota during a long outage of the platform. Guards against nodes that
+    // give up their shares for each other although none of them can take the shares over.
+    TEST(EntryDuties, QuotasOutlastAnOutageOfThePlatform)
+    {
+        Fleet fleet(0);
+        fleet.quota = WorkspaceQuota { QuotaUnit::Requests, 40, 40, 1 };
+        for (int index = 0; index < 4; ++index)
+            fleet.add("host-" + std::to_string(index));
+        fleet.pass(20s);
+        fleet.cutOff = { "host-0", "host-1", "host-2", "host-3" };
+        for (int round = 0; round < 400; ++round) {
+            for (int index = 0; index < 4 && round % 5 != 0; ++index)
+                fleet.request("host-" + std::to_string(index));
+            fleet.pass(100ms);
+        }
+        EXPECT_EQ(fleet.refused, 0);
+    }
+
     // Guards against usage that is missing in the reports of windows since the platform turned some nodes away, as on a
     // day whose windows lacked a third of the requests.
     TEST(EntryDuties, PeersWriteTheReportsOfNodesThatThePlatformTurnsAway)
@@ -561,6 +619,8 @@
         nodes.onReports({ report }, now);
         now += 2s;
         EXPECT_EQ(nodes.hosts(now), (std::vector<std::string> { "self" }));
+        EXPECT_EQ(nodes.countWithin(10s, now), 1u);
+        EXPECT_EQ(nodes.countWithin(12s, now), 2u);
         report.number = 2;
         nodes.onReports({ report }, now);
         EXPECT_EQ(nodes.hosts(now).size(), 2u);
--- a/src/teaselshore/entry/live_nodes.cpp
+++ b/src/teaselshore/entry/live_nodes.cpp
@@ -36,6 +36,16 @@
     return result;
 }
 
+std::size_t LiveNodes::countWithin(Duration time, Instant now) const
+{
+    std::size_t count = 1;
+    for (const auto& [host, entry] : this->entries) {
+        if (host != this->self && now - entry.changedAt < time)
+            ++count;
+    }
+    return count;
+}
+
 std::vector<NodeReport> LiveNodes::reports(Instant now) const
 {
     std::vector<NodeReport> result;
