Serve request latencies as histograms

Operators could not add up the latencies of several nodes: the metrics address served summaries with quantiles of one node, while counters and latency histograms were asked for.

Distribution becomes Histogram: fixed buckets from 5 ms to 60 s, sum and count of the whole life, and the maximum of the last window. The estimate of quantiles and its 64 kept values per metric go.

Tests: EstimatesQuantilesByRank went with the estimate; in its place Histogram.CountsTheValuesUpToEachBound is exact, over the same shapes and values on the bounds. RendersPrometheusText expected the summary and failed on the histogram before; the label le is refused like quantile.

--- a/include/teaselshore/telemetry/metrics.hpp
+++ b/include/teaselshore/telemetry/metrics.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <variant>
 
-#include "teaselshore/telemetry/distribution.hpp"
+#include "teaselshore/telemetry/histogram.hpp"
 
 namespace teaselshore {
 
@@ -41,18 +41,18 @@
 public:
     Counter& counter(const std::string& name, const std::string& help, const MetricLabels& labels = {});
     Gauge& gauge(const std::string& name, const std::string& help, const MetricLabels& labels = {});
-    Distribution& distribution(const std::string& name, const std::string& help, const MetricLabels& labels = {});
+    Histogram& histogram(const std::string& name, const std::string& help, const MetricLabels& labels = {});
 
-    /// @brief Ends the window of all distributions; the owner calls it in a fixed interval.
+    /// @brief Ends the window of all histograms; the owner calls it in a fixed interval.
     void startWindow();
 
     /// @brief Returns all metrics in the Prometheus text exposition format 0.0.4, sorted by name and labels.
     ///
-    /// A distribution becomes a summary with the quantiles 0.5, 0.95 and 0.99, and a gauge <name>_max.
+    /// A histogram has a gauge <name>_max beside it.
     std::string renderPrometheus() const;
 
 private:
-    using Metric = std::variant<Counter, Gauge, Distribution>;
+    using Metric = std::variant<Counter, Gauge, Histogram>;
     struct Family {
         std::string help;
         std::map<MetricLabels, Metric> metrics;
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -54,7 +54,7 @@
     if (request.route.empty())
         return;
     this->metrics
-        .distribution("teaselshore_request_seconds", "Time from a request's arrival to the end of its response.",
+        .histogram("teaselshore_request_seconds", "Time from a request's arrival to the end of its response.",
             { { "route", request.route.value() }, { "outcome", std::string(outcomeName(request.outcome)) } })
         .record(toSeconds(request.duration));
 }
--- a/src/teaselshore/daemon/serving_metrics.cpp
+++ b/src/teaselshore/daemon/serving_metrics.cpp
@@ -26,7 +26,7 @@
         const MetricLabels labels { { "service", attributeOf(span, "service") },
             { "outcome", attributeOf(span, "outcome") } };
         this->metrics
-            .distribution(
+            .histogram(
                 "teaselshore_request_seconds", "Time from a request's arrival to the end of its response.", labels)
             .record(toSeconds(span.duration));
         return;
@@ -35,7 +35,7 @@
         return;
     const MetricLabels labels { { "version", attributeOf(span, "version") }, { "zone", attributeOf(span, "zone") },
         { "outcome", attributeOf(span, "outcome") } };
-    this->metrics.distribution("teaselshore_attempt_seconds", "Time of attempts at upstreams.", labels)
+    this->metrics.histogram("teaselshore_attempt_seconds", "Time of attempts at upstreams.", labels)
         .record(toSeconds(span.duration));
 }
 
--- a/src/teaselshore/daemon/serving_metrics.hpp
+++ b/src/teaselshore/daemon/serving_metrics.hpp
@@ -24,7 +24,7 @@
 
     std::string render();
 
-    /// @brief Ends the window of the latency quantiles; call it in a fixed interval.
+    /// @brief Ends the window of the largest latencies; call it in a fixed interval.
     void startWindow() { this->metrics.startWindow(); }
 
 private:
--- a/src/teaselshore/telemetry/metrics.cpp
+++ b/src/teaselshore/telemetry/metrics.cpp
@@ -1,8 +1,8 @@
 #include "teaselshore/telemetry/metrics.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
+#include <cstddef>
 #include <iterator>
 #include <string_view>
 #include <utility>
@@ -29,10 +29,13 @@
         });
     }
 
+    /// Labels that the text format gives a meaning of its own.
+    bool isReserved(std::string_view label) { return label == "le" || label == "quantile"; }
+
     bool areLabels(const MetricLabels& labels)
     {
         return std::all_of(labels.begin(), labels.end(),
-            [](const auto& label) { return isIdentifier(label.first, false) && label.first != "quantile"; });
+            [](const auto& label) { return isIdentifier(label.first, false) && !isReserved(label.first); });
     }
 
     std::string escape(std::string_view text, bool quoted)
@@ -60,13 +63,13 @@
         return fmt::format("{}", value);
     }
 
-    std::string formatLabels(const MetricLabels& labels, std::string_view quantile = {})
+    std::string formatLabels(const MetricLabels& labels, std::string_view bound = {})
     {
         std::string text;
         for (const auto& [name, value] : labels)
             text += fmt::format("{}{}=\"{}\"", text.empty() ? "" : ",", name, escape(value, true));
-        if (!quantile.empty())
-            text += fmt::format("{}quantile=\"{}\"", text.empty() ? "" : ",", quantile);
+        if (!bound.empty())
+            text += fmt::format("{}le=\"{}\"", text.empty() ? "" : ",", bound);
         return text.empty() ? text : "{" + text + "}";
     }
 
@@ -83,7 +86,7 @@
     struct TypeName {
         std::string_view operator()(const Counter&) const { return "counter"; }
         std::string_view operator()(const Gauge&) const { return "gauge"; }
-        std::string_view operator()(const Distribution&) const { return "summary"; }
+        std::string_view operator()(const Histogram&) const { return "histogram"; }
     };
 
     /// Appends the lines of one metric.
@@ -98,15 +101,17 @@
             appendLine(this->text, this->name, formatLabels(this->labels), formatNumber(gauge.value()));
         }
 
-        void operator()(const Distribution& distribution) const
+        void operator()(const Histogram& histogram) const
         {
-            const std::array<std::pair<std::string_view, double>, 3> quantiles { { { "0.5", distribution.p50() },
-                { "0.95", distribution.p95() }, { "0.99", distribution.p99() } } };
-            for (const auto& [quantile, value] : quantiles)
-                appendLine(this->text, this->name, formatLabels(this->labels, quantile), formatNumber(value));
+            const std::string buckets = this->name + "_bucket";
+            for (std::size_t bucket = 0; bucket < Histogram::bounds.size(); ++bucket)
+                appendLine(this->text, buckets, formatLabels(this->labels, formatNumber(Histogram::bounds[bucket])),
+                    fmt::format("{}", histogram.countUpTo(bucket)));
+            const std::string count = fmt::format("{}", histogram.count());
+            appendLine(this->text, buckets, formatLabels(this->labels, "+Inf"), count);
             const std::string plain = formatLabels(this->labels);
-            appendLine(this->text, this->name + "_sum", plain, formatNumber(distribution.sum()));
-            appendLine(this->text, this->name + "_count", plain, fmt::format("{}", distribution.count()));
+            appendLine(this->text, this->name + "_sum", plain, formatNumber(histogram.sum()));
+            appendLine(this->text, this->name + "_count", plain, count);
         }
 
         std::string& text;
@@ -136,17 +141,17 @@
     return this->find<Gauge>(name, help, labels);
 }
 
-Distribution& Metrics::distribution(const std::string& name, const std::string& help, const MetricLabels& labels)
+Histogram& Metrics::histogram(const std::string& name, const std::string& help, const MetricLabels& labels)
 {
-    return this->find<Distribution>(name, help, labels);
+    return this->find<Histogram>(name, help, labels);
 }
 
 void Metrics::startWindow()
 {
     for (auto& [name, family] : this->families) {
         for (auto& [labels, metric] : family.metrics) {
-            if (auto* distribution = std::get_if<Distribution>(&metric))
-                distribution->startWindow();
+            if (auto* histogram = std::get_if<Histogram>(&metric))
+                histogram->startWindow();
         }
     }
 }
@@ -159,13 +164,13 @@
         appendHeader(text, name, family.help, std::visit(TypeName {}, example));
         for (const auto& [labels, metric] : family.metrics)
             std::visit(LineWriter { text, name, labels }, metric);
-        if (!std::holds_alternative<Distribution>(example))
+        if (!std::holds_alternative<Histogram>(example))
             continue;
         // All lines of a family must be adjacent, so the maximum is a family of its own.
         const std::string maximumName = name + "_max";
         appendHeader(text, maximumName, family.help + " (maximum)", "gauge");
         for (const auto& [labels, metric] : family.metrics)
-            appendLine(text, maximumName, formatLabels(labels), formatNumber(std::get<Distribution>(metric).maximum()));
+            appendLine(text, maximumName, formatLabels(labels), formatNumber(std::get<Histogram>(metric).maximum()));
     }
     return text;
 }
