Let new nodes use less of the quotas until the others know them

A node that joins used a quarter of its share until its first report was seen, up to 7 s later, while the shares of the others still added up to the whole quota.

New nodes now use 3 in 100 of their share and borrow the rest, as they do for any request beyond it; so do nodes that the others may take for gone.

--- a/src/teaselshore/entry/entry_duties.cpp
+++ b/src/teaselshore/entry/entry_duties.cpp
@@ -33,8 +33,9 @@
     constexpr double silentPeriods = 2.4;
     /// Windows that a report carries.
     constexpr std::int64_t reportedWindows = 3;
-    /// Part of its share that a node uses before its first report was seen; the others may not know it yet.
-    constexpr double newNodePart = 0.25;
+    /// Part of its share that a node uses before its first report was seen; the others do not know it yet. The
+    /// tolerance of the quotas covers one and a half times as many new nodes as others. Meanwhile the node borrows.
+    constexpr double newNodePart = 0.03;
     /// The others take over the share of a node after this multiple of the report period without a report: a minute
     /// with windows of 5 s. Until then a node that is cut off, and all nodes in an outage of the platform, keep theirs.
     constexpr double sharePeriods = 12;
@@ -42,8 +43,8 @@
     /// than the node itself, by the time between two reads and the spread of the reports.
     constexpr Duration shareMargin = std::chrono::seconds(3);
     /// Part of its share that a node uses while the others may have taken it over; the tolerance of the quotas covers
-    /// it, even if nearly all nodes are cut off.
-    constexpr double silentPart = 0.05;
+    /// it, even if nearly all nodes are cut off while others join.
+    constexpr double silentPart = 0.03;
     /// Peers that are asked to write a report which the platform did not take from this node. A second one, since the
     /// platform may turn several nodes away.
     constexpr std::size_t reportRelays = 2;
--- a/src/teaselshore/entry/entry_duties_test.cpp
+++ b/src/teaselshore/entry/entry_duties_test.cpp
@@ -407,6 +407,29 @@
         }
     }
 
+    // Load pattern: one workspace sends several times its quota at 20 nodes while 30 more join. Guards against shares
+    // of the new nodes that come on top of those of the others, which do not know them yet.
+    TEST(EntryDuties, QuotaHoldsWhileManyNodesJoin)
+    {
+        for (const Duration joinAt : { 1s, 2s, 3s, 4s, 5s }) {
+            Fleet fleet(0);
+            fleet.quota = WorkspaceQuota { QuotaUnit::Tokens, 30'000, 30'000, 1 };
+            fleet.tolerance = { 8s, 0.1, 0 };
+            for (int index = 0; index < 20; ++index)
+                fleet.add("host-" + std::to_string(index));
+            fleet.pass(20s + joinAt);
+            for (int index = 20; index < 50; ++index)
+                fleet.add("host-" + std::to_string(index));
+            for (int round = 0; round < 200; ++round) {
+                for (int request = 0; request < 100; ++request)
+                    fleet.request("host-" + std::to_string(request % 50), PromptSize { 80, 20 });
+                fleet.pass(100ms);
+            }
+            const double allowed = (30'000 * 8 + 30'000) * 1.1 / 100;
+            EXPECT_LE(static_cast<double>(fleet.mostAcceptedWithin(8s)), allowed) << joinAt.count();
+        }
+    }
+
     // Load pattern: a workspace at 0.8 of its quota during a long outage of the platform. Guards against nodes that
     // give up their shares for each other although none of them can take the shares over.
     TEST(EntryDuties, QuotasOutlastAnOutageOfThePlatform)
