Read the stored size of a fleet as soon as the lease is taken

The holder that took the lease at 22.7 s ordered replacements only at 25.4 s: before it read how many upstreams the fleet had at its start, which was stored long ago, it waited until no upstream had come or gone for 2.5 s. While upstreams keep coming and going it never ordered at all.

Ruled out: lost orders (none was sent), refusals by the cloud (only reclaimable ones, on-demand orders were accepted at 25.4 s).

The stored size is now read at once. The wait applies only where nothing is stored yet, at the very start of a deployment.

Test: EntryDuties.NewHolderOrdersWhileUpstreamsComeAndGo; before, no order came within 10 s.

--- a/src/teaselshore/entry/entry_duties_test.cpp
+++ b/src/teaselshore/entry/entry_duties_test.cpp
@@ -1,3 +1,4 @@
+#include <cstdlib>
 #include <map>
 #include <memory>
 #include <set>
@@ -562,6 +563,35 @@
         }
     }
 
+    // Load pattern: the holder of the fleet's lease is lost while upstreams come and go. Guards against a new holder
+    // that orders nothing until the upstreams have settled, as on a recorded day: all of them were gone meanwhile.
+    TEST(EntryDuties, NewHolderOrdersWhileUpstreamsComeAndGo)
+    {
+        Fleet fleet(3);
+        fleet.pass(15s);
+        const std::string first = fleet.leaseHolders().at(0);
+        fleet.frozen.insert(first);
+        const std::size_t before = fleet.platform.orders.size();
+        std::optional<Instant> leaseTakenAt;
+        for (int round = 0; round < 100 && fleet.platform.orders.size() == before; ++round) {
+            // From four to one upstream and back, one every half second.
+            UpstreamsListed listed;
+            for (int number = 1; number <= 1 + std::abs(round / 5 % 6 - 3); ++number)
+                listed.upstreams.push_back(EntryHarness::upstream(number));
+            for (const auto& [host, node] : fleet.nodes) {
+                if (host != first)
+                    fleet.handle(host, listed);
+            }
+            fleet.pass(100ms);
+            const bool isTaken = fleet.leaseHolders().size() > 1 || fleet.leaseHolders().at(0) != first;
+            if (isTaken && !leaseTakenAt)
+                leaseTakenAt = fleet.now;
+        }
+        ASSERT_TRUE(leaseTakenAt);
+        ASSERT_GT(fleet.platform.orders.size(), before);
+        EXPECT_LE(fleet.now - *leaseTakenAt, 1s);
+    }
+
     // Load pattern: a zone is reclaimed and none come, while the demand falls and rises by a little. Guards against
     // on-demand upstreams that are ordered and taken back while they boot, as seen on scale-2 of bayanihan-lakbay.
     TEST(EntryDuties, KeepsOrderedUpstreamsWhileTheyBoot)
--- a/src/teaselshore/entry/fleet_controller.cpp
+++ b/src/teaselshore/entry/fleet_controller.cpp
@@ -75,6 +75,10 @@
     Baseline& entry = this->baselines[service.name];
     if (entry.upstreams || entry.pending || now < entry.nextTry)
         return entry.upstreams;
+    if (!entry.missing) {
+        this->readBaseline(service.name);
+        return std::nullopt;
+    }
     std::uint32_t registered = 0;
     for (const RegisteredUpstream& upstream : this->state.directory.upstreams())
         registered += upstream.service == service.name ? 1 : 0;
@@ -92,6 +96,14 @@
     return std::nullopt;
 }
 
+void FleetController::readBaseline(const ServiceName& service)
+{
+    this->baselines[service].pending = true;
+    const ObjectCallId id = this->ids.next();
+    this->calls.emplace(id, service);
+    this->state.commands.emplace_back(CallObjectApi { ObjectRead { id, baselineKey(service) } });
+}
+
 void FleetController::onObjectResult(const ObjectResult& result, Instant now)
 {
     const auto call = this->calls.extract(result.id);
@@ -107,15 +119,15 @@
             return;
         }
     }
-    if (result.outcome == ObjectOutcome::Unavailable || result.outcome == ObjectOutcome::NotFound) {
+    entry.missing = result.outcome == ObjectOutcome::NotFound;
+    if (entry.missing)
+        return;
+    if (result.outcome == ObjectOutcome::Unavailable) {
         entry.nextTry = now + retryDelay;
         return;
     }
     // Created now, earlier, or by a call whose answer was lost: what is stored counts.
-    entry.pending = true;
-    const ObjectCallId id = this->ids.next();
-    this->calls.emplace(id, service);
-    this->state.commands.emplace_back(CallObjectApi { ObjectRead { id, baselineKey(service) } });
+    this->readBaseline(service);
 }
 
 std::optional<double> FleetController::busyUpstreams(
--- a/src/teaselshore/entry/fleet_controller.hpp
+++ b/src/teaselshore/entry/fleet_controller.hpp
@@ -50,6 +50,8 @@
     };
     struct Baseline {
         std::optional<std::uint32_t> upstreams;
+        /// True once the platform said that none is stored.
+        bool missing = false;
         bool pending = false;
         Instant nextTry {};
         /// Upstreams registered at the last look, and since when.
@@ -62,6 +64,7 @@
     std::optional<double> busyUpstreams(const ServiceName& service, const std::vector<NodeReport>& reports) const;
     /// @brief Returns the stored size with which the service was started; stores it first if there is none.
     std::optional<std::uint32_t> baseline(const EntryService& service, Instant now);
+    void readBaseline(const ServiceName& service);
     FleetState fleetState(const EntryService& service) const;
     void orderIfDue(const OrderKey& key, std::uint32_t target, std::uint32_t usable, Duration bootTime,
         const FencedHolder& by, Instant now);
