--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -42,8 +42,8 @@
     this->setGauge("teaselshore_upstreams", "Upstreams that take new work.", static_cast<double>(statistics.upstreams));
     this->setGauge("teaselshore_configuration_version", "Version of the configuration in effect.",
         static_cast<double>(statistics.configurationVersion));
-    this->setGauge(
-        "teaselshore_live_nodes", "Nodes known to live, this one included.", static_cast<double>(statistics.liveNodes));
+    this->setGauge("teaselshore_live_nodes", "Nodes that share quotas and retry budgets, this one included.",
+        static_cast<double>(statistics.liveNodes));
     this->setGauge("teaselshore_lease_held", "1 while this node holds the lease of the fleet's duties.",
         statistics.holdsLease ? 1 : 0);
 }
