Do not report the first counts of a process as demand

The first report of a process divided its counts by the uptime of the host, and all processes had restarted at 13 s.

Test: DemandMeter.FirstCountsOfAProcessAreNoMeasure, failed before.

--- a/src/teaselshore/entry/demand_meter.cpp
+++ b/src/teaselshore/entry/demand_meter.cpp
@@ -21,8 +21,15 @@
 
 std::map<ServiceName, ServiceDemand> DemandMeter::take(Instant now)
 {
-    const double seconds = std::max(0.1, toSeconds(now - std::exchange(this->since, now)));
+    const Instant start = std::exchange(this->since, now);
     std::map<ServiceName, ServiceDemand> demand;
+    // The first counts of a process have no beginning. Divided by the uptime of the host they would look like no
+    // demand.
+    if (start == Instant {}) {
+        this->counts.clear();
+        return demand;
+    }
+    const double seconds = std::max(0.1, toSeconds(now - start));
     for (const auto& [service, entry] : std::exchange(this->counts, {})) {
         demand[service] = { static_cast<double>(entry.requests) / seconds,
             static_cast<double>(entry.promptTokens) / seconds, static_cast<double>(entry.refused) / seconds };
--- a/src/teaselshore/entry/entry_duties_test.cpp
+++ b/src/teaselshore/entry/entry_duties_test.cpp
@@ -8,6 +8,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "entry_test_support.hpp"
+#include "teaselshore/entry/demand_meter.hpp"
 #include "teaselshore/entry/live_nodes.hpp"
 #include "teaselshore/entry/node_report.hpp"
 
@@ -592,6 +593,24 @@
         EXPECT_LE(fleet.now - *leaseTakenAt, 1s);
     }
 
+    // Guards against a first report that shows hardly any demand, as on a recorded day: after a restart of all nodes no
+    // on-demand upstreams were ordered for those that were taken away.
+    TEST(DemandMeter, FirstCountsOfAProcessAreNoMeasure)
+    {
+        DemandMeter meter;
+        Instant now { 1000s };
+        const ServiceName app("app");
+        meter.onSent(app, 500);
+        EXPECT_TRUE(meter.take(now).empty());
+        now += 5s;
+        meter.onSent(app, 1500);
+        meter.onRefused(app, 500);
+        const auto demand = meter.take(now);
+        ASSERT_TRUE(demand.contains(app));
+        EXPECT_EQ(demand.at(app).promptTokensPerSecond, 400);
+        EXPECT_EQ(demand.at(app).refusedPerSecond, 0.2);
+    }
+
     // Load pattern: a zone is reclaimed and none come, while the demand falls and rises by a little. Guards against
     // on-demand upstreams that are ordered and taken back while they boot, as seen on scale-2 of bayanihan-lakbay.
     TEST(EntryDuties, KeepsOrderedUpstreamsWhileTheyBoot)
