Let the fake platform of the tests go before its event loop

Cause, from a backtrace: the destructor of EventLoop still runs due timers while servers linger, and the timer that ends a watch used the FakePlatform, which is destroyed before the loop. Only a watch that fell due within these milliseconds crashed. Ruled out: the watcher and the client, which cancel their timers; the product uses no FakePlatform.

--- a/src/teaselshore/platform/fake_platform_test.cpp
+++ b/src/teaselshore/platform/fake_platform_test.cpp
@@ -123,7 +123,12 @@
         return;
     }
     this->watches.push_back({ key, after, exchange });
-    this->loop.runAfter(std::chrono::milliseconds(std::stoi(parameter(path, "timeoutMs"))), [this, exchange] {
+    const std::weak_ptr<ServerExchange> waiting = exchange;
+    this->loop.runAfter(std::chrono::milliseconds(std::stoi(parameter(path, "timeoutMs"))), [this, waiting] {
+        // The loop may outlive this platform, whose exchanges end with it.
+        const std::shared_ptr<ServerExchange> exchange = waiting.lock();
+        if (!exchange)
+            return;
         if (std::erase_if(this->watches, [&](const Watch& entry) { return entry.exchange == exchange; }) > 0)
             exchange->reply({ 204, {}, "" });
     });
