Look up the headers of all libraries at configuration

Cause: CMake looked up the libraries, but no header. cppzmq, tclap and Boost are headers only, so that a missing package showed when the first file that includes it was compiled, 80% into the build, without its name.

--- /dev/null
+++ b/cmake/RequiredHeaders.cmake
@@ -0,0 +1,15 @@
+# Reports each header that is missing, with the Debian package that has it, before anything is compiled.
+#
+#   teaselshore_required_headers(<header> <package> [<header> <package>...])
+function(teaselshore_required_headers)
+    while(ARGN)
+        list(POP_FRONT ARGN header package)
+        string(MAKE_C_IDENTIFIER "${header}" name)
+        string(TOUPPER "${name}_DIRECTORY" directory)
+        find_path(${directory} ${header})
+        mark_as_advanced(${directory})
+        if(NOT ${directory})
+            message(SEND_ERROR "${header} not found: install the Debian package ${package}")
+        endif()
+    endwhile()
+endfunction()
