Borrow quota from all the peers that a request needs, and return it

Callers saw: at deployments of 75 nodes, prompts well within the quota of their workspace refused with 429, the largest always.

Cause: a node asked 16 peers at most. Of the smallest quota, 36,000 tokens a second, the share of one of 75 nodes holds 1,200, so that no prompt beyond some 15,000 could be covered. What a loan that fell short had brought was lost to the workspace, so that each refusal caused the next ones.

QuotaLimiter .LargeRequestsPassWithinTheQuotaOfManyNodes failed with 16 peers: 139 requests refused instead of at most 14, 129 of them large instead of 1.

Ruled out: more peers without returning what falls short (at three times the quota 37% of it is used); returning it without more peers (all large prompts refused); all peers in one round (23 instead of 11 messages a request, and 8 in a heavy overload, where QuotaBorrower .IsNotAskedAgainWhilePeersHaveTooLittle allows 4).

Change: six peers are asked first, and further ones while those lent most of what they were asked for, or no loan fell short lately. A loan ends as soon as it suffices; what comes later, or falls short, goes back to the lenders (QuotaReturn). Peers that are silent for 30 ms are replaced by others. A node knows 128 lenders instead of 16.

Why it keeps the quota: a lender gives up the amount before it answers, a borrower before it returns it, and no share ever holds more than its capacity (QuotaLimiter.AllNodesTogetherKeepToTheQuota, random, with lost messages).

Tests changed: the fleet of entry_duties_test.cpp also steps to the times at which its nodes want to run, as loans end between two of its steps of 100 ms.

--- a/include/teaselshore/entry/entry_message.hpp
+++ b/include/teaselshore/entry/entry_message.hpp
@@ -16,6 +16,6 @@
 };
 
 /// @brief Messages between the nodes of `teaselshore-entry`.
-using EntryMessage = std::variant<QuotaLoanRequest, QuotaLoan, RelayedReport>;
+using EntryMessage = std::variant<QuotaLoanRequest, QuotaLoan, QuotaReturn, RelayedReport>;
 
 } // namespace teaselshore
--- a/include/teaselshore/entry/quota_limiter.hpp
+++ b/include/teaselshore/entry/quota_limiter.hpp
@@ -39,16 +39,16 @@
     /// @brief Returns the amount that a request counts for.
     static double cost(const WorkspaceQuota& quota, std::optional<double> tokens);
     /// @brief Takes the amount, of which a part may be borrowed from peers; returns what is missing if it is too
-    /// little.
+    /// little. What was borrowed stays with the caller then.
     ///
-    /// What was borrowed and is not used goes into the share.
+    /// If it suffices, what was borrowed and is not used goes into the share.
     std::optional<QuotaShortage> take(
         const WorkspaceName& workspace, double amount, Instant now, std::optional<double> borrowed = std::nullopt);
     /// @brief Takes the amount for another run of a request, also if it is more than what is left.
     void charge(const WorkspaceName& workspace, double amount, Instant now);
     /// @brief Gives up a part of what is left of the share, for a peer. Returns the amount, at most the asked one.
     double lend(const WorkspaceName& workspace, double amount, Instant now);
-    /// @brief Returns an amount that was taken for a request that did not run.
+    /// @brief Returns an amount that was taken for a request that did not run, or lent and not needed.
     void giveBack(const WorkspaceName& workspace, double amount);
 
 private:
--- a/include/teaselshore/entry/quota_loan.hpp
+++ b/include/teaselshore/entry/quota_loan.hpp
@@ -26,4 +26,13 @@
     auto operator<=>(const QuotaLoan&) const = default;
 };
 
+/// @brief Gives back to a lender what a loan did not need, or what did not suffice.
+struct QuotaReturn {
+    WorkspaceName workspace;
+    /// In the unit of the quota. The sender has given it up.
+    double amount = 0;
+
+    auto operator<=>(const QuotaReturn&) const = default;
+};
+
 } // namespace teaselshore
--- a/src/teaselshore/entry/entry_duties.cpp
+++ b/src/teaselshore/entry/entry_duties.cpp
@@ -48,8 +48,9 @@
     /// Peers that are asked to write a report which the platform did not take from this node. A second one, since the
     /// platform may turn several nodes away.
     constexpr std::size_t reportRelays = 2;
-    /// Nodes that this one borrows quota from; each costs an open connection.
-    constexpr std::size_t mostLenders = 16;
+    /// Nodes that this one borrows quota from; each costs an open connection, two of the 4,100 descriptors of a small
+    /// host. A prompt of a third of a workspace's burst needs as many as half of the nodes.
+    constexpr std::size_t mostLenders = 128;
 
     LeaseSettings leaseSettings(const EntrySettings& host)
     {
--- a/src/teaselshore/entry/entry_duties_test.cpp
+++ b/src/teaselshore/entry/entry_duties_test.cpp
@@ -125,11 +125,32 @@
         {
             const Instant end = this->now + time;
             while (this->now < end) {
-                this->now += 100ms;
-                for (auto& [host, node] : this->nodes) {
-                    if (!this->frozen.contains(host))
-                        this->handle(host, EntryTick {});
+                // Loans run for less than the time between two steps.
+                const Instant step = this->now + 100ms;
+                for (Instant next = this->nextTick(); next < step; next = this->nextTick()) {
+                    this->now = std::max(next, this->now + 1ms);
+                    this->tick();
                 }
+                this->now = step;
+                this->tick();
+            }
+        }
+
+        Instant nextTick() const
+        {
+            Instant next = Instant::max();
+            for (const auto& [host, node] : this->nodes) {
+                if (!this->frozen.contains(host))
+                    next = std::min(next, node->nextTick());
+            }
+            return next;
+        }
+
+        void tick()
+        {
+            for (auto& [host, node] : this->nodes) {
+                if (!this->frozen.contains(host))
+                    this->handle(host, EntryTick {});
             }
         }
 
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -50,7 +50,14 @@
     void handle(NodeReportWritten& event, Instant) { this->duties.onReportWritten(event); }
     void handle(EntryMessageReceived& event, Instant now);
     void receive(const std::string& senderAddress, const QuotaLoanRequest& request, Instant now);
-    void receive(const std::string&, const QuotaLoan& loan, Instant now) { this->requests.onQuotaLoan(loan, now); }
+    void receive(const std::string& senderAddress, const QuotaLoan& loan, Instant now)
+    {
+        this->requests.onQuotaLoan(senderAddress, loan, now);
+    }
+    void receive(const std::string&, const QuotaReturn& returned, Instant)
+    {
+        this->state.quotas.giveBack(returned.workspace, returned.amount);
+    }
     void receive(const std::string&, const RelayedReport& relayed, Instant) { this->duties.onRelayed(relayed); }
     void handle(CloudCallEnded& event, Instant now);
     void handle(ObjectResult& event, Instant now);
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -127,10 +127,20 @@
         this->state.commands.emplace_back(SendEntryMessage { loan.address, loan.request });
 }
 
-void EntryRequests::onQuotaLoan(const QuotaLoan& loan, Instant now)
+void EntryRequests::onQuotaLoan(const std::string& sender, const QuotaLoan& loan, Instant now)
 {
-    if (const auto ended = this->state.borrower.onAnswer(loan))
+    if (const auto ended = this->state.borrower.onAnswer(sender, loan, now))
         this->onLoanEnded(*ended, now);
+    this->sendLoanMessages();
+}
+
+void EntryRequests::sendLoanMessages()
+{
+    for (AddressedLoanRequest& further : this->state.borrower.takeFollowUps())
+        this->state.commands.emplace_back(SendEntryMessage { std::move(further.address), std::move(further.request) });
+    for (AddressedReturn& returned : this->state.borrower.takeSurplus())
+        this->state.commands.emplace_back(
+            SendEntryMessage { std::move(returned.address), std::move(returned.content) });
 }
 
 void EntryRequests::onLoanEnded(const EndedLoan& loan, Instant now)
@@ -146,6 +156,10 @@
         return;
     }
     this->state.borrower.onTooLittle(*request->workspace, now);
+    // What does not suffice here may do for another request of the workspace.
+    for (const LoanPart& part : loan.parts)
+        this->state.commands.emplace_back(
+            SendEntryMessage { part.address, QuotaReturn { *request->workspace, part.amount } });
     this->refuseOverQuota(*request, *shortage, now);
 }
 
@@ -481,6 +495,7 @@
     if (!request)
         return;
     this->state.borrower.cancel(id);
+    this->sendLoanMessages();
     this->cancelAttempt(*request, now);
     this->end(*request, RequestOutcome::CallerLeft, 0, "the caller closed its connection", now);
     this->startWaiting(now);
@@ -544,6 +559,7 @@
         const bool wasSent = request.attempt.has_value() || request.runs > 0;
         this->cancelAttempt(request, now);
         this->state.borrower.cancel(request.id);
+        this->sendLoanMessages();
         if (request.streaming)
             this->endUnanswered(request, "the time limit passed", now);
         else if (wasSent)
@@ -553,6 +569,7 @@
     }
     for (const EndedLoan& loan : this->state.borrower.takeExpired(now))
         this->onLoanEnded(loan, now);
+    this->sendLoanMessages();
     this->startWaiting(now);
     const auto waiting = this->waitingRequests;
     for (const auto& [priority, arrivedAt, id] : waiting) {
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -25,7 +25,7 @@
 
     void onArrived(CallerRequestArrived arrived, Instant now);
     void onCallerGone(const RequestId& id, Instant now);
-    void onQuotaLoan(const QuotaLoan& loan, Instant now);
+    void onQuotaLoan(const std::string& sender, const QuotaLoan& loan, Instant now);
     void onStreamStarted(const UpstreamStreamStarted& event, Instant now);
     void onResponded(UpstreamResponded event, Instant now);
     void onFailed(const AttemptFailed& event, Instant now);
@@ -87,6 +87,8 @@
     /// @brief Asks peers for the quota that is missing, or refuses the request if there is nobody to ask.
     void borrowQuota(Request& request, const QuotaShortage& shortage, Instant now);
     void onLoanEnded(const EndedLoan& loan, Instant now);
+    /// @brief Asks further peers for loans, and sends back what peers lent without need.
+    void sendLoanMessages();
     void refuseOverQuota(Request& request, const QuotaShortage& shortage, Instant now);
     void fillRouting(Request& request);
     ServiceName drawService(const EntryRoute& route);
--- a/src/teaselshore/entry/entry_requests_test.cpp
+++ b/src/teaselshore/entry/entry_requests_test.cpp
@@ -485,10 +485,15 @@
             harness.request("order");
             const auto asked = harness.asked();
             ASSERT_TRUE(asked);
-            if (answers)
+            if (answers) {
                 harness.lend(*asked, asked->amount / 2);
-            else
+                const auto returned = harness.first<SendEntryMessage>();
+                ASSERT_TRUE(returned);
+                EXPECT_EQ(returned->address, "10.0.0.2:7500");
+                EXPECT_EQ(returned->message, EntryMessage(QuotaReturn { asked->workspace, asked->amount / 2 }));
+            } else {
                 harness.pass(110ms);
+            }
             ASSERT_TRUE(harness.first<Respond>()) << answers;
             EXPECT_EQ(harness.first<Respond>()->status, 429);
             EXPECT_TRUE(field(*harness.first<Respond>(), "retry-after"));
@@ -508,6 +513,9 @@
         harness.send(CallerGone { id });
         harness.lend(*asked, asked->amount);
         EXPECT_FALSE(harness.first<ForwardRequest>());
+        const auto returned = harness.first<SendEntryMessage>();
+        ASSERT_TRUE(returned);
+        EXPECT_EQ(returned->message, EntryMessage(QuotaReturn { asked->workspace, asked->amount }));
         harness.pass(1s);
         EXPECT_FALSE(harness.first<Respond>());
     }
@@ -526,6 +534,57 @@
         EXPECT_EQ(loan->amount, 3);
     }
 
+    // Guards against refusals of prompts that need the shares of many nodes: a node once knew 16 lenders at most.
+    TEST(EntryRequests, LargeRequestBorrowsFromAsManyPeersAsItNeeds)
+    {
+        QuotaHarness harness;
+        std::vector<std::string> reports;
+        for (int index = 0; index < 60; ++index) {
+            NodeReport peer;
+            peer.host = "host-" + std::to_string(index);
+            peer.process = NodeId(peer.host);
+            peer.number = 1;
+            peer.peerAddress = "10.0.1." + std::to_string(index) + ":7500";
+            reports.push_back(peer.encode());
+        }
+        harness.send(NodeReportsRead { reports });
+        harness.pass(6s);
+        harness.request("order");
+        std::set<std::string> lenders;
+        bool isForwarded = false;
+        while (!isForwarded) {
+            const std::vector<SendEntryMessage> messages = harness.all<SendEntryMessage>();
+            ASSERT_FALSE(messages.empty());
+            ASSERT_FALSE(harness.first<Respond>());
+            for (const SendEntryMessage& message : messages) {
+                if (isForwarded)
+                    break;
+                const auto* asked = std::get_if<QuotaLoanRequest>(&message.message);
+                ASSERT_TRUE(asked);
+                EXPECT_TRUE(lenders.insert(message.address).second) << "asked twice";
+                // Each lends about what the share of one node holds.
+                harness.send(EntryMessageReceived { message.address, QuotaLoan { asked->loan, asked->amount } });
+                isForwarded = harness.first<ForwardRequest>().has_value();
+            }
+        }
+        EXPECT_GT(lenders.size(), 16u);
+    }
+
+    // Guards against quota that a peer returns and that is lost here.
+    TEST(EntryRequests, LendsAgainWhatAPeerReturned)
+    {
+        QuotaHarness harness;
+        const auto lend = [&harness] {
+            harness.send(EntryMessageReceived { "10.0.0.2:7500", QuotaLoanRequest { 7, WorkspaceName("north"), 1e6 } });
+            return std::get<QuotaLoan>(harness.first<SendEntryMessage>()->message).amount;
+        };
+        const double lent = lend();
+        EXPECT_GT(lent, 0);
+        EXPECT_LT(lend(), lent);
+        harness.send(EntryMessageReceived { "10.0.0.2:7500", QuotaReturn { WorkspaceName("north"), lent } });
+        EXPECT_GE(lend(), lent / 2);
+    }
+
     /// Node that is alone, with a quota that covers two requests at once and then one in 100 s.
     class OwnQuotaHarness : public EntryHarness {
     public:
--- a/src/teaselshore/entry/quota_limiter.cpp
+++ b/src/teaselshore/entry/quota_limiter.cpp
@@ -74,7 +74,6 @@
         bucket.level = std::min(bucket.level - own, capacity);
         return std::nullopt;
     }
-    bucket.level = std::min(bucket.level + borrowed.value_or(0), capacity);
     const double missing = needed - bucket.level;
     return QuotaShortage { missing, capacity, fromSeconds(missing / (this->share * this->inflow(bucket))),
         fromSeconds(missing / this->inflow(bucket)) };
--- a/src/teaselshore/entry/quota_test.cpp
+++ b/src/teaselshore/entry/quota_test.cpp
@@ -73,6 +73,14 @@
             return most / allowed;
         }
 
+        double sum() const
+        {
+            double result = 0;
+            for (const auto& [at, amount] : this->taken)
+                result += amount;
+            return result;
+        }
+
         bool isLending = true;
         /// Percentage of the loans whose answer is lost.
         std::uint64_t lostAnswers = 0;
@@ -93,27 +101,48 @@
         std::optional<QuotaShortage> borrow(Node& node, double amount, const QuotaShortage& shortage)
         {
             const RequestId request("r-" + std::to_string(this->taken.size()));
-            const auto asked = node.borrower.ask(request, north, shortage.missing, shortage.capacity, this->now);
+            auto asked = node.borrower.ask(request, north, shortage.missing, shortage.capacity, this->now);
             if (asked.empty())
                 return shortage;
-            this->messages += asked.size();
             std::optional<EndedLoan> ended;
-            for (const AddressedLoanRequest& loan : asked) {
-                const double lent = this->nodes.at(loan.address).limiter.lend(north, loan.request.amount, this->now);
-                if (this->random.below(100) >= this->lostAnswers)
-                    ended = node.borrower.onAnswer({ loan.request.loan, lent });
+            while (!asked.empty()) {
+                this->messages += asked.size();
+                for (const AddressedLoanRequest& loan : asked) {
+                    const double lent
+                        = this->nodes.at(loan.address).limiter.lend(north, loan.request.amount, this->now);
+                    if (this->random.below(100) < this->lostAnswers)
+                        continue;
+                    if (auto result = node.borrower.onAnswer(loan.address, { loan.request.loan, lent }, this->now))
+                        ended = std::move(result);
+                }
+                asked = node.borrower.takeFollowUps();
+                // Some answers were lost: further peers are asked, and what came until the end of the wait counts.
+                while (asked.empty() && !ended) {
+                    const std::vector<EndedLoan> expired = node.borrower.takeExpired(node.borrower.nextExpiry());
+                    if (!expired.empty())
+                        ended = expired.front();
+                    asked = node.borrower.takeFollowUps();
+                }
             }
-            // Some answers were lost: what came until the end of the wait counts.
-            if (!ended)
-                ended = node.borrower.takeExpired(node.borrower.nextExpiry()).front();
+            for (const AddressedReturn& returned : node.borrower.takeSurplus())
+                this->giveBack(returned.address, returned.content.amount);
             auto result = node.limiter.take(north, amount, this->now, ended->amount);
-            if (result)
-                node.borrower.onTooLittle(north, this->now);
-            else
+            if (!result) {
                 node.borrower.onEnough(north);
+                return result;
+            }
+            node.borrower.onTooLittle(north, this->now);
+            for (const LoanPart& part : ended->parts)
+                this->giveBack(part.address, part.amount);
             return result;
         }
 
+        void giveBack(const std::string& address, double amount)
+        {
+            if (this->random.below(100) >= this->lostAnswers)
+                this->nodes.at(address).limiter.giveBack(north, amount);
+        }
+
         RandomSource random;
         QuotaTolerance tolerance;
         std::map<std::string, Node> nodes;
@@ -161,6 +190,56 @@
         EXPECT_LE(refused, requests / 200);
     }
 
+    /// @brief Prompt of a grown deployment: one in six of 5,000 to 30,000 tokens, the others around 2,400.
+    double drawPrompt(RandomSource& random)
+    {
+        return random.below(6) == 0 ? 5000 + 25'000 * random.uniform() : 1200 + 2400 * random.uniform();
+    }
+
+    // Load pattern: a workspace at half of its quota sends prompts of up to 30,000 tokens to 75 nodes, each of whose
+    // shares holds 1,200. Guards against refusals of what is within the quota: when a node asked 16 peers at most, each
+    // prompt beyond some 15,000 tokens was refused.
+    TEST(QuotaLimiter, LargeRequestsPassWithinTheQuotaOfManyNodes)
+    {
+        const EntryWorkspace quota = workspace(36'000, 36'000);
+        LendingNodes nodes(75, { 8s, 0.1, 140'000 }, quota, 3);
+        RandomSource random(5);
+        int large = 0;
+        int refusedLarge = 0;
+        int refused = 0;
+        int requests = 0;
+        for (int step = 0; step < 8000; ++step) {
+            nodes.pass(50ms);
+            if (random.below(100) >= 18)
+                continue;
+            const double amount = drawPrompt(random);
+            const bool passed = nodes.request(amount);
+            ++requests;
+            refused += passed ? 0 : 1;
+            large += amount > 15'000 ? 1 : 0;
+            refusedLarge += !passed && amount > 15'000 ? 1 : 0;
+        }
+        EXPECT_LE(refused, requests / 100);
+        EXPECT_LE(refusedLarge, large / 100);
+    }
+
+    // Load pattern: a workspace sends three times its quota in large prompts to 75 nodes. Guards against loans that
+    // fall short and take what they got out of the quota: less than two thirds of it could be used.
+    TEST(QuotaLimiter, OverloadedWorkspaceGetsItsQuota)
+    {
+        const EntryWorkspace quota = workspace(36'000, 36'000);
+        LendingNodes nodes(75, { 8s, 0.1, 140'000 }, quota, 3);
+        RandomSource random(5);
+        constexpr int steps = 10'000;
+        for (int step = 0; step < steps; ++step) {
+            nodes.pass(10ms);
+            if (random.below(100) < 22)
+                nodes.request(drawPrompt(random));
+        }
+        EXPECT_GE(nodes.sum(), quota.quota->perSecond * toSeconds(steps * Duration(10ms)));
+        EXPECT_LE(nodes.mostUsed(*quota.quota), 1);
+    }
+
     // Load pattern: one workspace sends ten times its quota at 75 nodes. Guards against messages to peers for each
     // request that is refused.
     TEST(QuotaBorrower, IsNotAskedAgainWhilePeersHaveTooLittle)
@@ -187,13 +266,47 @@
         borrower.setPeers({ "a", "b", "c" });
         const auto asked = borrower.ask(RequestId("r"), north, 100, 1000, now);
         ASSERT_EQ(asked.size(), 2u);
-        EXPECT_FALSE(borrower.onAnswer({ asked[0].request.loan, 40 }));
+        EXPECT_FALSE(borrower.onAnswer("a", { asked[0].request.loan, 40 }, now));
         EXPECT_TRUE(borrower.takeExpired(now + 10ms).empty());
-        const auto expired = borrower.takeExpired(borrower.nextExpiry());
+        const auto expired = borrower.takeExpired(now + 100ms);
         ASSERT_EQ(expired.size(), 1u);
-        EXPECT_EQ(expired[0], (EndedLoan { RequestId("r"), 40 }));
-        EXPECT_FALSE(borrower.onAnswer({ asked[1].request.loan, 60 }));
+        EXPECT_EQ(expired[0], (EndedLoan { RequestId("r"), 40, { { "a", 40 } } }));
+        EXPECT_FALSE(borrower.onAnswer("b", { asked[1].request.loan, 60 }, now));
+        EXPECT_EQ(borrower.nextExpiry(), Instant::max());
+    }
+
+    // Guards against a request that waits for more than it needs, and against quota that is lost with what comes after.
+    TEST(QuotaBorrower, EndsWithEnoughAndReturnsTheRest)
+    {
+        QuotaBorrower borrower(1);
+        const Instant now { 1000s };
+        borrower.setPeers({ "a", "b", "c" });
+        const auto asked = borrower.ask(RequestId("r"), north, 100, 150, now);
+        ASSERT_EQ(asked.size(), 3u);
+        EXPECT_FALSE(borrower.onAnswer("a", { asked[0].request.loan, 40 }, now));
+        const auto ended = borrower.onAnswer("b", { asked[1].request.loan, 60 }, now);
+        ASSERT_TRUE(ended);
+        EXPECT_EQ(*ended, (EndedLoan { RequestId("r"), 100, { { "a", 40 }, { "b", 60 } } }));
         EXPECT_EQ(borrower.nextExpiry(), Instant::max());
+        EXPECT_FALSE(borrower.onAnswer("c", { asked[2].request.loan, 30 }, now));
+        EXPECT_EQ(borrower.takeSurplus(), (std::vector<AddressedReturn> { { "c", { north, 30 } } }));
+        EXPECT_TRUE(borrower.takeSurplus().empty());
+    }
+
+    // Guards against quota that is lost with a caller that leaves while peers lend.
+    TEST(QuotaBorrower, ReturnsACancelledLoan)
+    {
+        QuotaBorrower borrower(1);
+        const Instant now { 1000s };
+        borrower.setPeers({ "a", "b" });
+        const auto asked = borrower.ask(RequestId("r"), north, 100, 1000, now);
+        ASSERT_EQ(asked.size(), 2u);
+        EXPECT_FALSE(borrower.onAnswer("a", { asked[0].request.loan, 40 }, now));
+        borrower.cancel(RequestId("r"));
+        EXPECT_FALSE(borrower.onAnswer("b", { asked[1].request.loan, 60 }, now));
+        EXPECT_EQ(
+            borrower.takeSurplus(), (std::vector<AddressedReturn> { { "a", { north, 40 } }, { "b", { north, 60 } } }));
+        EXPECT_TRUE(borrower.takeExpired(now + 1s).empty());
     }
 
     // Guards against refusals below the quota.
--- a/src/teaselshore/protocol/codec.cpp
+++ b/src/teaselshore/protocol/codec.cpp
@@ -23,6 +23,7 @@
             return configurationFromWire(envelope);
         case wire::Envelope::kQuotaLoanRequest:
         case wire::Envelope::kQuotaLoan:
+        case wire::Envelope::kQuotaReturn:
         case wire::Envelope::kRelayedReport:
             return entryFromWire(envelope);
         case wire::Envelope::MESSAGE_NOT_SET:
--- a/src/teaselshore/protocol/codec_test.cpp
+++ b/src/teaselshore/protocol/codec_test.cpp
@@ -157,6 +157,7 @@
                 fields.number(), WorkspaceName(fields.text()), static_cast<double>(fields.smallNumber()) }),
             EntryMessage(RelayedReport { fields.text() }),
             EntryMessage(QuotaLoan { fields.number(), static_cast<double>(fields.smallNumber()) }),
+            EntryMessage(QuotaReturn { WorkspaceName(fields.text()), static_cast<double>(fields.smallNumber()) }),
         };
     }
 
@@ -228,8 +229,11 @@
 
         // An amount that is no number would empty or fill a share for good.
         for (const double amount : { -1.0, std::nan(""), HUGE_VAL }) {
-            EXPECT_FALSE(decode(encode({ NodeId("a"), "b", "c", EntryMessage(QuotaLoan { 1, amount }) }), error));
-            EXPECT_EQ(error, ProtocolError::InvalidValue);
+            for (const EntryMessage& message : { EntryMessage(QuotaLoan { 1, amount }),
+                     EntryMessage(QuotaReturn { WorkspaceName("north"), amount }) }) {
+                EXPECT_FALSE(decode(encode({ NodeId("a"), "b", "c", message }), error));
+                EXPECT_EQ(error, ProtocolError::InvalidValue);
+            }
         }
 
         EXPECT_FALSE(decode("\xff\xff\xff", error));
--- a/src/teaselshore/protocol/entry_conversions.cpp
+++ b/src/teaselshore/protocol/entry_conversions.cpp
@@ -22,6 +22,12 @@
         envelope.mutable_quota_loan()->set_amount(loan.amount);
     }
 
+    void fill(const QuotaReturn& returned, wire::Envelope& envelope)
+    {
+        envelope.mutable_quota_return()->set_workspace(returned.workspace.value());
+        envelope.mutable_quota_return()->set_amount(returned.amount);
+    }
+
     void fill(const RelayedReport& relayed, wire::Envelope& envelope)
     {
         envelope.mutable_relayed_report()->set_report(relayed.report);
@@ -44,6 +50,12 @@
     }
     if (envelope.has_relayed_report())
         return RelayedReport { envelope.relayed_report().report() };
+    if (envelope.has_quota_return()) {
+        const wire::QuotaReturn& returned = envelope.quota_return();
+        if (!isAmount(returned.amount()))
+            return std::nullopt;
+        return QuotaReturn { WorkspaceName(returned.workspace()), returned.amount() };
+    }
     const wire::QuotaLoan& loan = envelope.quota_loan();
     if (!isAmount(loan.amount()))
         return std::nullopt;
