Let the first requests of a process wait for its configuration

Callers saw: after a restart of all nodes, 503 not_ready with half a second to wait.

Cause: callers that waited for the nodes return together, and a new process refused what came before its configuration and upstreams were read.

Ruled out: slow starts (one node of nine took 0.8 s, the others under 0.1 s); callers that are sent to nodes which are not ready later on (none). Accepting no connections until then: a refused connection costs the caller a retry.

Change: requests that come before the node is ready wait, up to 200 ms after the first of them; then they are refused as before, and later ones at once.

Tests: EntryRequests.FirstRequestsWaitForTheConfiguration and .RefusesWhileTheConfigurationIsMissing. NodeWithoutConfigurationSaysNotRun expected the 503 at once and wants it after 200 ms now; that it is a 503, and neither 401 nor 404, is as strict as before.

--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -34,6 +34,9 @@
     /// Least time left for another attempt to be of use.
     constexpr Duration leastTimeForRetry = std::chrono::milliseconds(50);
     constexpr Duration notReadyRetryAfter = std::chrono::milliseconds(500);
+    /// Time for which the first requests of a process wait until it knows configuration and upstreams: some calls to
+    /// the platform, each of which takes up to 10 ms, and their pages.
+    constexpr Duration startTime = std::chrono::milliseconds(200);
     /// Bounds of the time after which a refused caller is asked to return; spread, so that callers do not return
     /// together.
     constexpr Duration shortestRetryAfter = std::chrono::milliseconds(300);
@@ -80,12 +83,46 @@
     request.id = arrived.id;
     request.caller = std::move(arrived.request);
     request.arrivedAt = now;
-    request.table = this->state.table;
-    if (!request.table || !this->state.directory.isKnown()) {
-        this->refuse(request, RequestOutcome::NotReady, serviceUnavailable, "this node has no configuration yet",
-            notReadyRetryAfter, now);
+    if (this->isReady()) {
+        this->begin(request, now);
+        return;
+    }
+    // Callers return together to a process that has just started, and it will serve them within milliseconds.
+    if (!this->earlyUntil)
+        this->earlyUntil = now + startTime;
+    if (now < *this->earlyUntil)
+        this->earlyRequests.push_back(request.id);
+    else
+        this->refuseNotReady(request, now);
+}
+
+bool EntryRequests::isReady() const { return this->state.table && this->state.directory.isKnown(); }
+
+void EntryRequests::refuseNotReady(Request& request, Instant now)
+{
+    this->refuse(request, RequestOutcome::NotReady, serviceUnavailable, "this node has no configuration yet",
+        notReadyRetryAfter, now);
+}
+
+void EntryRequests::beginEarly(Instant now)
+{
+    const bool ready = this->isReady();
+    if (!ready && (!this->earlyUntil || now < *this->earlyUntil))
         return;
+    for (const RequestId& id : std::exchange(this->earlyRequests, {})) {
+        Request* request = this->find(id);
+        if (!request)
+            continue;
+        if (ready)
+            this->begin(*request, now);
+        else
+            this->refuseNotReady(*request, now);
     }
+}
+
+void EntryRequests::begin(Request& request, Instant now)
+{
+    request.table = this->state.table;
     request.route = request.table->match(request.caller.host, request.caller.path);
     if (!request.route) {
         this->refuse(request, RequestOutcome::UnknownRoute, notFound, "no route matches this host and path", {}, now);
@@ -95,7 +132,7 @@
         this->refuse(request, RequestOutcome::UnknownKey, unauthorized, "the key is missing or unknown", {}, now);
         return;
     }
-    request.limit = now + std::min(request.caller.patience.value_or(never), request.route->timeout);
+    request.limit = request.arrivedAt + std::min(request.caller.patience.value_or(never), request.route->timeout);
     this->limits.emplace(request.limit, request.id);
     if (request.workspace) {
         if (const auto shortage = this->state.quotas.take(*request.workspace, request.quotaCost, now)) {
@@ -313,7 +350,11 @@
     }
 }
 
-void EntryRequests::onCapacityChanged(Instant now) { this->startWaiting(now); }
+void EntryRequests::onCapacityChanged(Instant now)
+{
+    this->beginEarly(now);
+    this->startWaiting(now);
+}
 
 std::optional<EntryRequests::Attempt> EntryRequests::takeAttempt(AttemptId id)
 {
@@ -554,6 +595,7 @@
 
 void EntryRequests::onTick(Instant now)
 {
+    this->beginEarly(now);
     while (!this->limits.empty() && this->limits.begin()->first <= now) {
         Request& request = this->requests.at(this->limits.begin()->second);
         const bool wasSent = request.attempt.has_value() || request.runs > 0;
@@ -582,6 +624,8 @@
 Instant EntryRequests::nextTick() const
 {
     Instant next = this->state.borrower.nextExpiry();
+    if (!this->earlyRequests.empty())
+        next = std::min(next, *this->earlyUntil);
     if (!this->limits.empty())
         next = std::min(next, this->limits.begin()->first);
     for (const auto& [priority, arrivedAt, id] : this->waitingRequests) {
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -29,7 +29,7 @@
     void onStreamStarted(const UpstreamStreamStarted& event, Instant now);
     void onResponded(UpstreamResponded event, Instant now);
     void onFailed(const AttemptFailed& event, Instant now);
-    /// @brief Starts waiting requests after upstreams joined or changed.
+    /// @brief Starts waiting requests after upstreams joined or changed, or the configuration came.
     void onCapacityChanged(Instant now);
     void onTick(Instant now);
     Instant nextTick() const;
@@ -80,6 +80,12 @@
     };
 
     Request* find(const RequestId& id);
+    /// @brief Returns whether configuration and upstreams are known.
+    bool isReady() const;
+    void refuseNotReady(Request& request, Instant now);
+    /// @brief Goes on with the requests that came before the node was ready, or refuses them if that takes too long.
+    void beginEarly(Instant now);
+    void begin(Request& request, Instant now);
     /// @brief Fills in the workspace; returns the outcome if the request is refused.
     std::optional<RequestOutcome> authorise(Request& request);
     /// @brief Goes on with a request whose workspace has quota for it.
@@ -117,6 +123,9 @@
     std::unordered_map<AttemptId, Attempt> attempts;
     AttemptId lastAttempt = 0;
     std::set<std::pair<Instant, RequestId>> limits;
+    /// Requests that came before the node was ready, and the time until which they wait.
+    std::vector<RequestId> earlyRequests;
+    std::optional<Instant> earlyUntil;
     /// Last time that waiting requests were tried.
     Instant lastTry {};
     /// By priority and time of arrival.
--- a/src/teaselshore/entry/entry_requests_test.cpp
+++ b/src/teaselshore/entry/entry_requests_test.cpp
@@ -27,6 +27,8 @@
     {
         EntryHarness harness;
         harness.request("order");
+        // The first requests of a process wait for a moment.
+        harness.pass(200ms);
         ASSERT_TRUE(harness.first<Respond>());
         EXPECT_EQ(harness.first<Respond>()->status, 503);
         harness.send(EntryConfigurationRead { EntryHarness::configuration() });
@@ -429,6 +431,45 @@
         RC_ASSERT(harness.node.statistics().openRequests == 0u);
     }
 
+    // Load pattern: all callers return at once to a process that has just started. Guards against refusals of what can
+    // be served some milliseconds later: after a restart of all nodes, one caller in four was sent away for half a
+    // second.
+    TEST(EntryRequests, FirstRequestsWaitForTheConfiguration)
+    {
+        EntryHarness harness;
+        const RequestId left = harness.request("order");
+        const RequestId unknown = harness.request("nowhere");
+        harness.request("order");
+        EXPECT_FALSE(harness.first<Respond>());
+        harness.send(CallerGone { left });
+        harness.pass(60ms);
+        EXPECT_FALSE(harness.first<Respond>());
+        harness.send(EntryConfigurationRead { EntryHarness::configuration() });
+        EXPECT_FALSE(harness.first<Respond>()) << "upstreams are not known yet";
+        harness.send(UpstreamsListed { { EntryHarness::upstream(1) }, {} });
+        EXPECT_EQ(harness.all<ForwardRequest>().size(), 1u);
+        ASSERT_EQ(harness.all<Respond>().size(), 1u);
+        EXPECT_EQ(harness.first<Respond>()->request, unknown);
+        EXPECT_EQ(harness.first<Respond>()->status, 404);
+    }
+
+    // Guards against callers that wait for a node which cannot reach the platform.
+    TEST(EntryRequests, RefusesWhileTheConfigurationIsMissing)
+    {
+        EntryHarness harness;
+        harness.request("order");
+        harness.pass(190ms);
+        EXPECT_FALSE(harness.first<Respond>());
+        EXPECT_EQ(harness.node.nextTick(), harness.now + 10ms);
+        harness.pass(10ms);
+        ASSERT_TRUE(harness.first<Respond>());
+        EXPECT_EQ(harness.first<Respond>()->status, 503);
+        EXPECT_TRUE(field(*harness.first<Respond>(), "retry-after"));
+        harness.request("order");
+        ASSERT_TRUE(harness.first<Respond>()) << "at once from then on";
+        EXPECT_EQ(harness.first<Respond>()->status, 503);
+    }
+
     /// Node whose part of a quota does not cover one request, and a peer to borrow from.
     class QuotaHarness : public EntryHarness {
     public:
