--- a/src/teaselshore/entry/quota_borrower.cpp
+++ b/src/teaselshore/entry/quota_borrower.cpp
@@ -14,8 +14,8 @@
     /// Time after which further peers are asked in place of those that have not answered: three ways there and back
     /// between zones.
     constexpr Duration roundTime = std::chrono::milliseconds(30);
-    /// Pause after a loan that did not suffice, doubled each time until one does. Without it, a workspace that sends
-    /// many times its quota costs messages to all peers for each request.
+    /// Pause after a loan that did not suffice, doubled each time and halved by one that does. Without it, a workspace
+    /// that sends many times its quota costs messages to all peers for each request.
     constexpr Duration firstPause = std::chrono::milliseconds(400);
     constexpr Duration longestPause = std::chrono::milliseconds(3200);
     /// Part of its share that each peer is asked for.
