Count attempts whose connection broke, and log which requests are equal

Logs and metrics could not tell whether upstreams ended under the repeats of one request, under one request with too many attempts, or under many different ones: a failed attempt was logged without the end of its connection, the runs and the limit of its route, and nothing named requests that are equal in workspace, host, path and body. 'attempt failed' now has these, and a counter gives the attempts whose connection broke.

--- a/include/teaselshore/entry/caller_request.hpp
+++ b/include/teaselshore/entry/caller_request.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "teaselshore/base/fingerprint.hpp"
 #include "teaselshore/base/header_list.hpp"
 #include "teaselshore/base/name.hpp"
 #include "teaselshore/base/time.hpp"
@@ -50,6 +51,10 @@
     auto operator<=>(const CallerRequest&) const = default;
 };
 
+/// @brief Returns the fingerprint that repeats of a request have in common, whichever node they reach: requests of one
+/// workspace with equal host, path and body.
+Fingerprint contentFingerprint(const CallerRequest& request, const std::optional<WorkspaceName>& workspace);
+
 /// @brief What this system adds to a request that it sends to an upstream.
 struct ForwardingContext {
     /// Time until which the caller waits.
--- a/include/teaselshore/entry/entry_statistics.hpp
+++ b/include/teaselshore/entry/entry_statistics.hpp
@@ -37,6 +37,8 @@
     std::uint64_t retries = 0;
     /// Retries that the shared budget did not allow.
     std::uint64_t deniedRetries = 0;
+    /// Attempts whose connection broke, as after a crash of the upstream.
+    std::uint64_t brokenAttempts = 0;
     std::uint64_t resumes = 0;
     std::uint64_t openRequests = 0;
     std::uint64_t waitingRequests = 0;
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -446,6 +446,8 @@
         : event.connectionBroken                     ? AttemptOutcome::Failed
                                                      : AttemptOutcome::TimedOut;
     this->state.router.onFinished(attempt->dispatch, outcome, 0, now);
+    if (event.connectionBroken)
+        ++this->state.statistics.brokenAttempts;
     if (event.mayHaveRun)
         this->judge(*attempt, event.connectionBroken ? AttemptEnd::Failed : AttemptEnd::TimedOut, now);
     Request* request = this->find(attempt->request);
@@ -459,7 +461,11 @@
         ++request->runs;
     this->state.log(LogLevel::Info, "attempt failed",
         { { "request", request->caller.attemptId }, { "upstream", attempt->upstream.value() },
-            { "mayHaveRun", event.mayHaveRun ? "true" : "false" }, { "reason", event.detail } });
+            { "mayHaveRun", event.mayHaveRun ? "true" : "false" },
+            { "connectionBroken", event.connectionBroken ? "true" : "false" },
+            { "runs", std::to_string(request->runs) }, { "maxAttempts", std::to_string(request->route->maxAttempts) },
+            { "content", fmt::format("{:016x}", contentFingerprint(request->caller, request->workspace)) },
+            { "reason", event.detail } });
     this->retryOrEnd(*request, event.mayHaveRun, event.detail, now);
     this->startWaiting(now);
 }
