--- a/src/teaselshore/entry/entry_duties_test.cpp
+++ b/src/teaselshore/entry/entry_duties_test.cpp
@@ -7,7 +7,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "entry_test_support.hpp"
+#include "entry_fleet.hpp"
 #include "teaselshore/entry/demand_meter.hpp"
 #include "teaselshore/entry/live_nodes.hpp"
 #include "teaselshore/entry/node_report.hpp"
@@ -17,297 +17,13 @@
 
     using namespace std::chrono_literals;
 
-    /// Platform of the duties' tests: objects with versions, reports of nodes, and a cloud that checks what it gets.
-    class FakePlatform {
-    public:
-        struct Object {
-            std::string value;
-            ObjectVersion version = 0;
-        };
-
-        ObjectResult run(const ObjectCommand& command)
-        {
-            return std::visit([this](const auto& call) { return this->carryOut(call); }, command);
-        }
-
-        std::map<std::string, Object> objects;
-        std::map<std::string, std::string> reports;
-        /// Reports that the cloud accepted, by window.
-        std::map<std::int64_t, std::set<WorkspaceCounts>> usage;
-        std::uint64_t highestToken = 0;
-        std::map<std::uint64_t, std::set<std::string>> holders;
-        std::vector<UpstreamOrder> orders;
-        ObjectVersion lastVersion = 0;
-
-    private:
-        ObjectResult result(ObjectCallId id, ObjectOutcome outcome, ObjectVersion version) const
-        {
-            ObjectResult event;
-            event.id = id;
-            event.outcome = outcome;
-            event.version = version;
-            return event;
-        }
-
-        ObjectResult carryOut(const ObjectCreate& call)
-        {
-            if (this->objects.contains(call.key))
-                return this->result(call.id, ObjectOutcome::Conflict, this->objects.at(call.key).version);
-            this->objects[call.key] = { call.value, ++this->lastVersion };
-            return this->result(call.id, ObjectOutcome::Ok, this->lastVersion);
-        }
-
-        ObjectResult carryOut(const ObjectUpdate& call)
-        {
-            const auto found = this->objects.find(call.key);
-            if (found == this->objects.end())
-                return this->result(call.id, ObjectOutcome::NotFound, 0);
-            if (found->second.version != call.expected)
-                return this->result(call.id, ObjectOutcome::Conflict, found->second.version);
-            found->second = { call.value, ++this->lastVersion };
-            return this->result(call.id, ObjectOutcome::Ok, this->lastVersion);
-        }
-
-        ObjectResult carryOut(const ObjectRead& call)
-        {
-            const auto found = this->objects.find(call.key);
-            if (found == this->objects.end())
-                return this->result(call.id, ObjectOutcome::NotFound, 0);
-            ObjectResult event = this->result(call.id, ObjectOutcome::Ok, found->second.version);
-            event.value = found->second.value;
-            return event;
-        }
-
-        ObjectResult carryOut(const ObjectList& call) { return this->result(call.id, ObjectOutcome::Ok, 0); }
-
-        ObjectResult carryOut(const ObjectDelete& call)
-        {
-            this->objects.erase(call.key);
-            return this->result(call.id, ObjectOutcome::Ok, 0);
-        }
-    };
-
-    /// Some nodes at one platform, in one passed time, with faults at random.
-    class Fleet {
-    public:
-        explicit Fleet(std::size_t size, std::uint64_t seed = 1)
-            : random(seed)
-        {
-            for (std::size_t index = 0; index < size; ++index)
-                this->add("host-" + std::to_string(index));
-        }
-
-        void add(const std::string& host)
-        {
-            EntryNodeSettings settings = EntryHarness::settings(this->random.next(), host);
-            settings.host.quota = this->tolerance;
-            settings.host.peers = SocketAddress { "10.0.0.1", static_cast<std::uint16_t>(this->nodes.size() + 1) };
-            this->peerAddresses[formatSocketAddress(*settings.host.peers)] = host;
-            settings.id = NodeId(host + "-" + std::to_string(++this->starts));
-            this->nodes[host] = std::make_unique<EntryNode>(settings);
-            this->handle(host, ClockRead { this->now.time_since_epoch() + calendarOffset });
-            EntryConfiguration configuration = EntryHarness::configuration();
-            ScaleLimits scale;
-            scale.minimum = 1;
-            scale.maximum = 12;
-            scale.bootTime = 4s;
-            scale.reclaimablePrice = 0.2;
-            configuration.services[0].scale = scale;
-            configuration.workspaces[0].quota = this->quota;
-            this->handle(host, EntryConfigurationRead { configuration });
-            UpstreamsListed listed;
-            for (int number = 1; number <= 4; ++number)
-                listed.upstreams.push_back(EntryHarness::upstream(number));
-            this->handle(host, listed);
-        }
-
-        void pass(Duration time)
-        {
-            const Instant end = this->now + time;
-            while (this->now < end) {
-                // Loans run for less than the time between two steps.
-                const Instant step = this->now + 100ms;
-                for (Instant next = this->nextTick(); next < step; next = this->nextTick()) {
-                    this->now = std::max(next, this->now + 1ms);
-                    this->tick();
-                }
-                this->now = step;
-                this->tick();
-            }
-        }
-
-        Instant nextTick() const
-        {
-            Instant next = Instant::max();
-            for (const auto& [host, node] : this->nodes) {
-                if (!this->frozen.contains(host))
-                    next = std::min(next, node->nextTick());
-            }
-            return next;
-        }
-
-        void tick()
-        {
-            for (auto& [host, node] : this->nodes) {
-                if (!this->frozen.contains(host))
-                    this->handle(host, EntryTick {});
-            }
-        }
-
-        void handle(const std::string& host, EntryEvent event)
-        {
-            std::vector<EntryEvent> events { std::move(event) };
-            while (!events.empty()) {
-                EntryEvent next = std::move(events.back());
-                events.pop_back();
-                for (EntryCommand& command : this->nodes.at(host)->handle(std::move(next), this->now))
-                    this->execute(host, command, events);
-            }
-        }
-
-        void execute(const std::string& host, EntryCommand& command, std::vector<EntryEvent>& events)
-        {
-            const bool answered = this->lossPercent == 0 || this->random.below(100) >= this->lossPercent;
-            const bool isCut = this->cutOff.contains(host) || this->isolated.contains(host);
-            const bool done = !isCut && (answered || this->random.below(2) == 0);
-            if (auto* call = std::get_if<CallObjectApi>(&command)) {
-                ObjectResult result;
-                if (done)
-                    result = this->platform.run(call->call);
-                if (!done || !answered) {
-                    result = {};
-                    result.id = std::visit([](const auto& content) { return content.id; }, call->call);
-                    result.outcome = done ? ObjectOutcome::Unknown : ObjectOutcome::Unavailable;
-                }
-                events.emplace_back(std::move(result));
-            } else if (auto* report = std::get_if<WriteNodeReport>(&command)) {
-                if (done)
-                    this->platform.reports[report->host] = report->report;
-                if (report->host == host)
-                    events.emplace_back(NodeReportWritten { done && answered, {} });
-            } else if (std::get_if<ReadNodeReports>(&command)) {
-                if (!done)
-                    return;
-                NodeReportsRead read;
-                for (const auto& [name, text] : this->platform.reports)
-                    read.reports.push_back(text);
-                events.emplace_back(std::move(read));
-            } else if (auto* usage = std::get_if<SendUsage>(&command)) {
-                const bool accepted = done && this->accept(usage->report.by);
-                if (accepted)
-                    this->platform.usage[usage->report.window].insert(usage->report.requests);
-                events.emplace_back(CloudCallEnded { usage->call,
-                    !answered || !done ? ObjectOutcome::Unknown
-                        : accepted     ? ObjectOutcome::Ok
-                                       : ObjectOutcome::Conflict });
-            } else if (auto* order = std::get_if<SendUpstreamOrder>(&command)) {
-                const bool accepted = done && this->accept(order->order.by);
-                if (accepted)
-                    this->platform.orders.push_back(order->order);
-                events.emplace_back(CloudCallEnded { order->call,
-                    !answered || !done ? ObjectOutcome::Unknown
-                        : accepted     ? ObjectOutcome::Ok
-                                       : ObjectOutcome::Conflict });
-            } else if (const auto* message = std::get_if<SendEntryMessage>(&command)) {
-                const std::string& receiver = this->peerAddresses.at(message->address);
-                const bool isLost = this->isolated.contains(host) || this->isolated.contains(receiver);
-                if (!isLost && !this->frozen.contains(receiver))
-                    this->handle(receiver, EntryMessageReceived { this->addressOf(host), message->message });
-            } else if (const auto* response = std::get_if<Respond>(&command)) {
-                constexpr int tooManyRequests = 429;
-                this->refused += response->status == tooManyRequests ? 1 : 0;
-            } else if (std::get_if<ForwardRequest>(&command)) {
-                this->accepted.push_back(this->now);
-                auto& forward = std::get<ForwardRequest>(command);
-                UpstreamResponded responded;
-                responded.response.attempt = forward.attempt.attempt;
-                responded.response.status = 200;
-                responded.facts.isStamped = true;
-                events.emplace_back(std::move(responded));
-            }
-        }
-
-        std::string addressOf(const std::string& host) const
-        {
-            for (const auto& [address, other] : this->peerAddresses) {
-                if (other == host)
-                    return address;
-            }
-            return {};
-        }
-
-        bool accept(const FencedHolder& by)
-        {
-            this->platform.holders[by.fencingToken].insert(by.holder);
-            if (by.fencingToken < this->platform.highestToken)
-                return false;
-            this->platform.highestToken = by.fencingToken;
-            return true;
-        }
-
-        void request(const std::string& host, std::optional<PromptSize> size = std::nullopt)
-        {
-            CallerRequestArrived arrived { this->nodes.at(host)->nextRequestId(), {} };
-            arrived.request.method = "POST";
-            arrived.request.path = "/order/x";
-            arrived.request.host = EntryHarness::hostName;
-            arrived.request.key = "key-n";
-            arrived.request.size = size;
-            this->handle(host, std::move(arrived));
-        }
-
-        /// @brief Returns the most requests that were sent to upstreams within a time.
-        std::size_t mostAcceptedWithin(Duration time) const
-        {
-            std::size_t first = 0;
-            std::size_t most = 0;
-            for (std::size_t last = 0; last < this->accepted.size(); ++last) {
-                while (this->accepted[first] + time < this->accepted[last])
-                    ++first;
-                most = std::max(most, last - first + 1);
-            }
-            return most;
-        }
-
-        std::vector<std::string> leaseHolders() const
-        {
-            std::vector<std::string> holding;
-            for (const auto& [host, node] : this->nodes) {
-                if (node->statistics().holdsLease)
-                    holding.push_back(host);
-            }
-            return holding;
-        }
-
-        static constexpr Duration calendarOffset = 1'000'000s;
-
-        RandomSource random;
-        FakePlatform platform;
-        std::map<std::string, std::unique_ptr<EntryNode>> nodes;
-        std::map<std::string, std::string> peerAddresses;
-        /// Hosts that do not reach the platform.
-        std::set<std::string> cutOff;
-        /// Hosts that reach neither the platform nor other hosts; callers and upstreams reach them.
-        std::set<std::string> isolated;
-        std::set<std::string> frozen;
-        std::uint64_t lossPercent = 0;
-        std::optional<WorkspaceQuota> quota;
-        QuotaTolerance tolerance;
-        /// When requests were sent to upstreams.
-        std::vector<Instant> accepted;
-        /// Requests refused since they were over the quota.
-        int refused = 0;
-        Instant now { 1000s };
-        int starts = 0;
-    };
-
     std::uint64_t total(const std::set<WorkspaceCounts>& reports)
     {
         return reports.empty() ? 0 : reports.begin()->at(WorkspaceName("north"));
     }
 
     /// Expects one report of each window, and returns the requests in all of them.
-    std::uint64_t reportedOnce(const Fleet& fleet)
+    std::uint64_t reportedOnce(const EntryFleet& fleet)
     {
         std::uint64_t reported = 0;
         for (const auto& [window, reports] : fleet.platform.usage) {
@@ -320,7 +36,7 @@
     // Guards against a usage window that is reported late, twice with different counts, or without some nodes' counts.
     TEST(EntryDuties, ReportsEachWindowOnceWithTheCountsOfAllNodes)
     {
-        Fleet fleet(5);
+        EntryFleet fleet(5);
         fleet.pass(7s);
         std::uint64_t sent = 0;
         for (int round = 0; round < 200; ++round) {
@@ -336,7 +52,7 @@
     // Guards against usage that is lost with a process that restarts within the window.
     TEST(EntryDuties, KeepsReportedCountsOverARestart)
     {
-        Fleet fleet(3);
+        EntryFleet fleet(3);
         fleet.pass(7s);
         for (int round = 0; round < 30; ++round)
             fleet.request("host-1");
@@ -355,7 +71,7 @@
     // in a recorded day: the shares of the quotas must be back with the first reports that are read.
     TEST(EntryDuties, QuotasAreBackRightAfterARestartOfAllNodes)
     {
-        Fleet fleet(4);
+        EntryFleet fleet(4);
         fleet.quota = WorkspaceQuota { QuotaUnit::Requests, 40, 40, 1 };
         for (int index = 0; index < 4; ++index)
             fleet.add("host-" + std::to_string(index));
@@ -379,7 +95,7 @@
     {
         for (const Duration cutAt : { 2s, 4s, 5s, 6s }) {
             for (const Duration cutFor : { 4s, 9s, 12s, 14s, 21s }) {
-                Fleet fleet(0);
+                EntryFleet fleet(0);
                 fleet.quota = WorkspaceQuota { QuotaUnit::Requests, 60, 60, 1 };
                 fleet.tolerance = { 8s, 0.1, 0 };
                 for (int index = 0; index < 9; ++index)
@@ -409,7 +125,7 @@
     TEST(EntryDuties, QuotaHoldsWhileManyNodesAreIsolated)
     {
         for (const Duration cutFor : { 14s, 25s, 70s }) {
-            Fleet fleet(0);
+            EntryFleet fleet(0);
             fleet.quota = WorkspaceQuota { QuotaUnit::Requests, 150, 150, 1 };
             fleet.tolerance = { 8s, 0.1, 0 };
             for (int index = 0; index < 30; ++index)
@@ -435,7 +151,7 @@
     TEST(EntryDuties, QuotaHoldsWhileManyNodesJoin)
     {
         for (const Duration joinAt : { 1s, 2s, 3s, 4s, 5s }) {
-            Fleet fleet(0);
+            EntryFleet fleet(0);
             fleet.quota = WorkspaceQuota { QuotaUnit::Tokens, 30'000, 30'000, 1 };
             fleet.tolerance = { 8s, 0.1, 0 };
             for (int index = 0; index < 20; ++index)
@@ -457,7 +173,7 @@
     // give up their shares for each other although none of them can take the shares over.
     TEST(EntryDuties, QuotasOutlastAnOutageOfThePlatform)
     {
-        Fleet fleet(0);
+        EntryFleet fleet(0);
         fleet.quota = WorkspaceQuota { QuotaUnit::Requests, 40, 40, 1 };
         for (int index = 0; index < 4; ++index)
             fleet.add("host-" + std::to_string(index));
@@ -475,7 +191,7 @@
     // day whose windows lacked a third of the requests.
     TEST(EntryDuties, PeersWriteTheReportsOfNodesThatThePlatformTurnsAway)
     {
-        Fleet fleet(9);
+        EntryFleet fleet(9);
         fleet.pass(12s);
         const std::string holder = fleet.leaseHolders().at(0);
         for (int index = 0; index < 9 && fleet.cutOff.size() < 3; ++index) {
@@ -497,7 +213,7 @@
     // refusals while the workspace is well within its quota, and while one of the nodes does not answer.
     TEST(EntryDuties, NodesLendEachOtherQuota)
     {
-        Fleet fleet(0);
+        EntryFleet fleet(0);
         fleet.quota = WorkspaceQuota { QuotaUnit::Tokens, 9000, 9000, 200 };
         for (int index = 0; index < 9; ++index)
             fleet.add("host-" + std::to_string(index));
@@ -515,7 +231,7 @@
     // that goes on with its old token.
     TEST(EntryDuties, AnotherNodeTakesOverFromACutOffHolder)
     {
-        Fleet fleet(5);
+        EntryFleet fleet(5);
         fleet.pass(15s);
         ASSERT_EQ(fleet.leaseHolders().size(), 1u);
         const std::string first = fleet.leaseHolders().front();
@@ -533,7 +249,7 @@
     // are cut off, frozen and restarted at random.
     RC_GTEST_PROP(EntryDuties, OneHolderForEachTokenUnderFaults, ())
     {
-        Fleet fleet(4, *rc::gen::inRange<std::uint64_t>(1, 100'000));
+        EntryFleet fleet(4, *rc::gen::inRange<std::uint64_t>(1, 100'000));
         fleet.lossPercent = *rc::gen::inRange(0, 40);
         const int steps = *rc::gen::inRange(5, 25);
         for (int step = 0; step < steps; ++step) {
@@ -576,7 +292,7 @@
     // upstreams before reclaimable ones serve.
     TEST(EntryDuties, OrdersReclaimableUpstreamsBeforeGivingUpOthers)
     {
-        Fleet fleet(3);
+        EntryFleet fleet(3);
         fleet.pass(15s);
         ASSERT_FALSE(fleet.platform.orders.empty());
         for (const UpstreamOrder& order : fleet.platform.orders) {
@@ -589,7 +305,7 @@
     // that orders nothing until the upstreams have settled, as on a recorded day: all of them were gone meanwhile.
     TEST(EntryDuties, NewHolderOrdersWhileUpstreamsComeAndGo)
     {
-        Fleet fleet(3);
+        EntryFleet fleet(3);
         fleet.pass(15s);
         const std::string first = fleet.leaseHolders().at(0);
         fleet.frozen.insert(first);
@@ -636,7 +352,7 @@
     // on-demand upstreams that are ordered and taken back while they boot, as seen on scale-2 of bayanihan-lakbay.
     TEST(EntryDuties, KeepsOrderedUpstreamsWhileTheyBoot)
     {
-        Fleet fleet(1);
+        EntryFleet fleet(1);
         fleet.pass(12s);
         const auto list = [&fleet](bool draining) {
             UpstreamsListed listed;
--- /dev/null
+++ b/src/teaselshore/entry/entry_fleet.hpp
@@ -0,0 +1,316 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "entry_test_support.hpp"
+#include "teaselshore/entry/node_report.hpp"
+
+namespace teaselshore {
+
+/// @brief Platform of the fleet: objects with versions, reports of nodes, and a cloud that checks what it gets.
+class EntryPlatform {
+public:
+    struct Object {
+        std::string value;
+        ObjectVersion version = 0;
+    };
+
+    ObjectResult run(const ObjectCommand& command)
+    {
+        return std::visit([this](const auto& call) { return this->carryOut(call); }, command);
+    }
+
+    std::map<std::string, Object> objects;
+    std::map<std::string, std::string> reports;
+    /// Reports that the cloud accepted, by window.
+    std::map<std::int64_t, std::set<WorkspaceCounts>> usage;
+    std::uint64_t highestToken = 0;
+    std::map<std::uint64_t, std::set<std::string>> holders;
+    std::vector<UpstreamOrder> orders;
+    ObjectVersion lastVersion = 0;
+
+private:
+    ObjectResult result(ObjectCallId id, ObjectOutcome outcome, ObjectVersion version) const
+    {
+        ObjectResult event;
+        event.id = id;
+        event.outcome = outcome;
+        event.version = version;
+        return event;
+    }
+
+    ObjectResult carryOut(const ObjectCreate& call)
+    {
+        if (this->objects.contains(call.key))
+            return this->result(call.id, ObjectOutcome::Conflict, this->objects.at(call.key).version);
+        this->objects[call.key] = { call.value, ++this->lastVersion };
+        return this->result(call.id, ObjectOutcome::Ok, this->lastVersion);
+    }
+
+    ObjectResult carryOut(const ObjectUpdate& call)
+    {
+        const auto found = this->objects.find(call.key);
+        if (found == this->objects.end())
+            return this->result(call.id, ObjectOutcome::NotFound, 0);
+        if (found->second.version != call.expected)
+            return this->result(call.id, ObjectOutcome::Conflict, found->second.version);
+        found->second = { call.value, ++this->lastVersion };
+        return this->result(call.id, ObjectOutcome::Ok, this->lastVersion);
+    }
+
+    ObjectResult carryOut(const ObjectRead& call)
+    {
+        const auto found = this->objects.find(call.key);
+        if (found == this->objects.end())
+            return this->result(call.id, ObjectOutcome::NotFound, 0);
+        ObjectResult event = this->result(call.id, ObjectOutcome::Ok, found->second.version);
+        event.value = found->second.value;
+        return event;
+    }
+
+    ObjectResult carryOut(const ObjectList& call) { return this->result(call.id, ObjectOutcome::Ok, 0); }
+
+    ObjectResult carryOut(const ObjectDelete& call)
+    {
+        this->objects.erase(call.key);
+        return this->result(call.id, ObjectOutcome::Ok, 0);
+    }
+};
+
+/// @brief Some nodes at one platform, in one passed time, with faults at random.
+class EntryFleet {
+public:
+    explicit EntryFleet(std::size_t size, std::uint64_t seed = 1)
+        : random(seed)
+    {
+        for (std::size_t index = 0; index < size; ++index)
+            this->add("host-" + std::to_string(index));
+    }
+
+    void add(const std::string& host)
+    {
+        EntryNodeSettings settings = EntryHarness::settings(this->random.next(), host);
+        settings.host.quota = this->tolerance;
+        const std::size_t port = this->ports.try_emplace(host, this->ports.size() + 1).first->second;
+        settings.host.peers = SocketAddress { "10.0.0.1", static_cast<std::uint16_t>(port) };
+        this->peerAddresses[formatSocketAddress(*settings.host.peers)] = host;
+        settings.id = NodeId(host + "-" + std::to_string(++this->starts));
+        this->nodes[host] = std::make_unique<EntryNode>(settings);
+        this->handle(host, ClockRead { this->now.time_since_epoch() + calendarOffset });
+        EntryConfiguration configuration = EntryHarness::configuration();
+        ScaleLimits scale;
+        scale.minimum = 1;
+        scale.maximum = 12;
+        scale.bootTime = std::chrono::seconds(4);
+        scale.reclaimablePrice = 0.2;
+        configuration.services[0].scale = scale;
+        configuration.workspaces[0].quota = this->quota;
+        this->handle(host, EntryConfigurationRead { configuration });
+        UpstreamsListed listed;
+        for (int number = 1; number <= 4; ++number)
+            listed.upstreams.push_back(EntryHarness::upstream(number));
+        this->handle(host, listed);
+    }
+
+    void pass(Duration time)
+    {
+        const Instant end = this->now + time;
+        while (this->now < end) {
+            // Loans run for less than the time between two steps.
+            const Instant step = this->now + std::chrono::milliseconds(100);
+            for (Instant next = this->nextTick(); next < step; next = this->nextTick()) {
+                this->now = std::max(next, this->now + std::chrono::milliseconds(1));
+                this->tick();
+            }
+            this->now = step;
+            this->tick();
+        }
+    }
+
+    Instant nextTick() const
+    {
+        Instant next = Instant::max();
+        for (const auto& [host, node] : this->nodes) {
+            if (!this->frozen.contains(host))
+                next = std::min(next, node->nextTick());
+        }
+        return next;
+    }
+
+    void tick()
+    {
+        for (auto& [host, node] : this->nodes) {
+            if (!this->frozen.contains(host))
+                this->handle(host, EntryTick {});
+        }
+    }
+
+    void handle(const std::string& host, EntryEvent event)
+    {
+        std::vector<EntryEvent> events { std::move(event) };
+        while (!events.empty()) {
+            EntryEvent next = std::move(events.back());
+            events.pop_back();
+            for (EntryCommand& command : this->nodes.at(host)->handle(std::move(next), this->now))
+                this->execute(host, command, events);
+        }
+    }
+
+    void execute(const std::string& host, EntryCommand& command, std::vector<EntryEvent>& events)
+    {
+        const bool answered = this->lossPercent == 0 || this->random.below(100) >= this->lossPercent;
+        const bool isCut = this->cutOff.contains(host) || this->isolated.contains(host);
+        const bool done = !isCut && (answered || this->random.below(2) == 0);
+        if (auto* call = std::get_if<CallObjectApi>(&command)) {
+            ObjectResult result;
+            if (done)
+                result = this->platform.run(call->call);
+            if (!done || !answered) {
+                result = {};
+                result.id = std::visit([](const auto& content) { return content.id; }, call->call);
+                result.outcome = done ? ObjectOutcome::Unknown : ObjectOutcome::Unavailable;
+            }
+            events.emplace_back(std::move(result));
+        } else if (auto* report = std::get_if<WriteNodeReport>(&command)) {
+            if (done)
+                this->platform.reports[report->host] = report->report;
+            if (report->host == host)
+                events.emplace_back(NodeReportWritten { done && answered, {} });
+        } else if (std::get_if<ReadNodeReports>(&command)) {
+            if (!done)
+                return;
+            NodeReportsRead read;
+            for (const auto& [name, text] : this->platform.reports)
+                read.reports.push_back(text);
+            events.emplace_back(std::move(read));
+        } else if (auto* usage = std::get_if<SendUsage>(&command)) {
+            const bool accepted = done && this->accept(usage->report.by);
+            if (accepted)
+                this->platform.usage[usage->report.window].insert(usage->report.requests);
+            events.emplace_back(CloudCallEnded { usage->call,
+                !answered || !done ? ObjectOutcome::Unknown
+                    : accepted     ? ObjectOutcome::Ok
+                                   : ObjectOutcome::Conflict });
+        } else if (auto* order = std::get_if<SendUpstreamOrder>(&command)) {
+            const bool accepted = done && this->accept(order->order.by);
+            if (accepted)
+                this->platform.orders.push_back(order->order);
+            events.emplace_back(CloudCallEnded { order->call,
+                !answered || !done ? ObjectOutcome::Unknown
+                    : accepted     ? ObjectOutcome::Ok
+                                   : ObjectOutcome::Conflict });
+        } else if (const auto* message = std::get_if<SendEntryMessage>(&command)) {
+            const std::string& receiver = this->peerAddresses.at(message->address);
+            const bool isLost = this->isolated.contains(host) || this->isolated.contains(receiver);
+            if (!isLost && !this->frozen.contains(receiver))
+                this->handle(receiver, EntryMessageReceived { this->addressOf(host), message->message });
+        } else if (const auto* response = std::get_if<Respond>(&command)) {
+            constexpr int tooManyRequests = 429;
+            this->responses.insert_or_assign(response->request, *response);
+            this->refused += response->status == tooManyRequests ? 1 : 0;
+        } else if (auto* forward = std::get_if<ForwardRequest>(&command)) {
+            if (this->onForward) {
+                this->onForward(host, *forward, events);
+                return;
+            }
+            this->accepted.push_back(this->now);
+            UpstreamResponded responded;
+            responded.response.attempt = forward->attempt.attempt;
+            responded.response.status = 200;
+            responded.facts.isStamped = true;
+            events.emplace_back(std::move(responded));
+        }
+    }
+
+    std::string addressOf(const std::string& host) const
+    {
+        for (const auto& [address, other] : this->peerAddresses) {
+            if (other == host)
+                return address;
+        }
+        return {};
+    }
+
+    bool accept(const FencedHolder& by)
+    {
+        this->platform.holders[by.fencingToken].insert(by.holder);
+        if (by.fencingToken < this->platform.highestToken)
+            return false;
+        this->platform.highestToken = by.fencingToken;
+        return true;
+    }
+
+    RequestId request(const std::string& host, std::optional<PromptSize> size = std::nullopt,
+        const std::string& route = "order", const std::string& body = {})
+    {
+        CallerRequestArrived arrived { this->nodes.at(host)->nextRequestId(), {} };
+        arrived.request.method = "POST";
+        arrived.request.path = "/" + route + "/x";
+        arrived.request.host = EntryHarness::hostName;
+        arrived.request.key = "key-n";
+        arrived.request.size = size;
+        arrived.request.body = body;
+        RequestId id = arrived.id;
+        this->handle(host, std::move(arrived));
+        return id;
+    }
+
+    /// @brief Returns the most requests that were sent to upstreams within a time.
+    std::size_t mostAcceptedWithin(Duration time) const
+    {
+        std::size_t first = 0;
+        std::size_t most = 0;
+        for (std::size_t last = 0; last < this->accepted.size(); ++last) {
+            while (this->accepted[first] + time < this->accepted[last])
+                ++first;
+            most = std::max(most, last - first + 1);
+        }
+        return most;
+    }
+
+    std::vector<std::string> leaseHolders() const
+    {
+        std::vector<std::string> holding;
+        for (const auto& [host, node] : this->nodes) {
+            if (node->statistics().holdsLease)
+                holding.push_back(host);
+        }
+        return holding;
+    }
+
+    static constexpr Duration calendarOffset = std::chrono::seconds(1'000'000);
+
+    RandomSource random;
+    EntryPlatform platform;
+    std::map<std::string, std::unique_ptr<EntryNode>> nodes;
+    std::map<std::string, std::string> peerAddresses;
+    std::map<std::string, std::size_t> ports;
+    /// Hosts that do not reach the platform.
+    std::set<std::string> cutOff;
+    /// Hosts that reach neither the platform nor other hosts; callers and upstreams reach them.
+    std::set<std::string> isolated;
+    std::set<std::string> frozen;
+    std::uint64_t lossPercent = 0;
+    /// Upstreams of the test; without them, each request is answered at once.
+    std::function<void(const std::string& host, const ForwardRequest& forward, std::vector<EntryEvent>& events)>
+        onForward;
+    /// Responses to callers, by request.
+    std::map<RequestId, Respond> responses;
+    std::optional<WorkspaceQuota> quota;
+    QuotaTolerance tolerance;
+    /// When requests were sent to upstreams.
+    std::vector<Instant> accepted;
+    /// Requests refused since they were over the quota.
+    int refused = 0;
+    Instant now { std::chrono::seconds(1000) };
+    int starts = 0;
+};
+
+} // namespace teaselshore
