Remember across nodes which requests crash their upstreams

Cause: teaselshore-entry kept no memory of a crash beyond the end of one request. Each repeat is a new request with a budget of attempts of its own; a mechanism of this kind existed in teaselshored only.

Ruled out: attempts beyond max_attempts and the shared retry budget.

Now an attempt whose connection breaks makes the node check the upstream: if nothing listens there any more, or another process has its place, the process ended under the request. Nodes tell each other at once, and their reports at the platform carry the suspects for nodes that start, all of them included, or that no peer reaches. After two crashes in a row a node does not retry the request; after three it refuses it at once with 503 and Retry-After until the last crash is 30 minutes old. Connections that are reset, bytes that are no response, silence and announced ends do not count; runs that overlap count once, so that a lost zone is one piece of evidence; a completed equal request voids all crashes.

Why not CrashSuspects: it relies on lone retries and on ids that name addresses; here nodes share each upstream and ids name processes, so that crashes merge without regard to order, repetition and delay.

--- a/include/teaselshore/entry/entry_command.hpp
+++ b/include/teaselshore/entry/entry_command.hpp
@@ -25,6 +25,15 @@
     std::string callerAttemptId;
 };
 
+/// @brief Asks whether an upstream's process still runs; the reply is UpstreamChecked.
+struct CheckUpstream {
+    UpstreamId upstream;
+    std::string authority;
+    std::string instance;
+    /// Path of the service's health check.
+    std::string path;
+};
+
 /// @brief Sets the limits on what callers may send.
 struct ApplyCallerLimits {
     CallerLimits limits;
@@ -78,9 +87,9 @@
     EntryMessage message;
 };
 
-using EntryCommand = std::variant<ForwardRequest, CancelAttempt, Respond, FailStream, SetReady, ApplyCallerLimits,
-    AnnounceClose, StopAccepting, StopProcess, SendUsage, SendUpstreamOrder, WriteRolloutState, WriteNodeReport,
-    ReadNodeReports, SendEntryMessage, CallObjectApi, RequestEnded, LogEvent>;
+using EntryCommand = std::variant<ForwardRequest, CheckUpstream, CancelAttempt, Respond, FailStream, SetReady,
+    ApplyCallerLimits, AnnounceClose, StopAccepting, StopProcess, SendUsage, SendUpstreamOrder, WriteRolloutState,
+    WriteNodeReport, ReadNodeReports, SendEntryMessage, CallObjectApi, RequestEnded, LogEvent>;
 
 using EntryCommands = std::vector<EntryCommand>;
 
--- a/include/teaselshore/entry/entry_event.hpp
+++ b/include/teaselshore/entry/entry_event.hpp
@@ -33,6 +33,21 @@
     ResponseFacts facts;
 };
 
+/// @brief Outcome of a CheckUpstream.
+struct UpstreamChecked {
+    enum class State {
+        /// The process answers.
+        Answered,
+        /// Nothing listens at its address, or another process does.
+        Ended,
+        /// No answer in time.
+        Unknown,
+    };
+
+    UpstreamId upstream;
+    State state = State::Unknown;
+};
+
 /// @brief The platform holds a configuration of the operator.
 struct EntryConfigurationRead {
     EntryConfiguration configuration;
@@ -99,8 +114,8 @@
 struct EntryTick { };
 
 using EntryEvent = std::variant<CallerRequestArrived, CallerGone, UpstreamStreamStarted, UpstreamResponded,
-    AttemptFailed, EntryConfigurationRead, UpstreamsListed, UpstreamChanged, UpstreamRemoved, RolloutsListed,
-    NodeReportsRead, NodeReportWritten, EntryMessageReceived, CloudCallEnded, ObjectResult, ClockRead,
+    AttemptFailed, UpstreamChecked, EntryConfigurationRead, UpstreamsListed, UpstreamChanged, UpstreamRemoved,
+    RolloutsListed, NodeReportsRead, NodeReportWritten, EntryMessageReceived, CloudCallEnded, ObjectResult, ClockRead,
     EntryStopRequested, EntryTick>;
 
 } // namespace teaselshore
--- a/include/teaselshore/entry/entry_message.hpp
+++ b/include/teaselshore/entry/entry_message.hpp
@@ -2,8 +2,10 @@
 
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "teaselshore/entry/quota_loan.hpp"
+#include "teaselshore/reliability/crash_history.hpp"
 
 namespace teaselshore {
 
@@ -15,7 +17,14 @@
     auto operator<=>(const RelayedReport&) const = default;
 };
 
+/// @brief Crashes that the sender has seen, or has learnt to be void.
+struct CrashReport {
+    std::vector<RequestCrash> crashes;
+
+    auto operator<=>(const CrashReport&) const = default;
+};
+
 /// @brief Messages between the nodes of `teaselshore-entry`.
-using EntryMessage = std::variant<QuotaLoanRequest, QuotaLoan, QuotaReturn, RelayedReport>;
+using EntryMessage = std::variant<QuotaLoanRequest, QuotaLoan, QuotaReturn, RelayedReport, CrashReport>;
 
 } // namespace teaselshore
--- a/include/teaselshore/entry/entry_statistics.hpp
+++ b/include/teaselshore/entry/entry_statistics.hpp
@@ -23,9 +23,11 @@
     TimedOut,
     /// The caller closed its connection.
     CallerLeft,
+    /// Equal requests crashed several upstreams; it did not run.
+    Quarantined,
 };
 
-constexpr std::size_t requestOutcomes = 9;
+constexpr std::size_t requestOutcomes = 10;
 
 std::string_view outcomeName(RequestOutcome outcome);
 
@@ -39,6 +41,8 @@
     std::uint64_t deniedRetries = 0;
     /// Attempts whose connection broke, as after a crash of the upstream.
     std::uint64_t brokenAttempts = 0;
+    /// Upstream processes that ended under requests of this node.
+    std::uint64_t upstreamCrashes = 0;
     std::uint64_t resumes = 0;
     std::uint64_t openRequests = 0;
     std::uint64_t waitingRequests = 0;
--- a/include/teaselshore/entry/node_report.hpp
+++ b/include/teaselshore/entry/node_report.hpp
@@ -10,6 +10,7 @@
 #include "teaselshore/base/name.hpp"
 #include "teaselshore/control/version_evidence.hpp"
 #include "teaselshore/entry/usage_ledger.hpp"
+#include "teaselshore/reliability/crash_history.hpp"
 
 namespace teaselshore {
 
@@ -39,6 +40,8 @@
     std::map<ServiceName, ServiceDemand> demand;
     /// Outcomes of the versions of running rollouts.
     std::vector<VersionReport> versions;
+    /// Crashes of requests that may crash their upstreams.
+    std::vector<RequestCrash> crashes;
 
     auto operator<=>(const NodeReport&) const = default;
 
--- a/include/teaselshore/entry/upstream_directory.hpp
+++ b/include/teaselshore/entry/upstream_directory.hpp
@@ -28,6 +28,10 @@
     /// @brief True once a complete list was read.
     bool isKnown() const { return this->known; }
     std::vector<RegisteredUpstream> upstreams() const;
+    /// @brief Returns the entry of a process, or null. Valid until the directory changes.
+    const RegisteredUpstream* find(const UpstreamId& upstream) const;
+    /// @brief Returns the entry under an instance name, whichever process has it, or null.
+    const RegisteredUpstream* findInstance(const std::string& instance) const;
 
 private:
     struct Entry {
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -33,6 +33,8 @@
         "teaselshore_denied_retries_total", "Retries that the shared budget did not allow.", statistics.deniedRetries);
     this->setCounter("teaselshore_broken_attempts_total",
         "Attempts whose connection broke, as after a crash of the upstream.", statistics.brokenAttempts);
+    this->setCounter("teaselshore_upstream_crashes_total", "Upstream processes that ended under requests of this node.",
+        statistics.upstreamCrashes);
     this->setCounter("teaselshore_resumes_total", "Streams continued at another upstream.", statistics.resumes);
     this->setCounter("teaselshore_relayed_bytes_total", "Bytes of relayed streams.", relay.relayedBytes);
     this->setCounter(
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -22,6 +22,7 @@
 #include "teaselshore/peers/peers_task.hpp"
 #include "teaselshore/platform/kind_watcher.hpp"
 #include "teaselshore/platform/platform_client.hpp"
+#include "upstream_checks.hpp"
 
 namespace teaselshore {
 
@@ -118,6 +119,7 @@
               { .maxPendingStreamBytes = maxPendingStreamBytes,
                   .streams = FramedStreams { std::string(responseMark()) } },
               [this](RelayEvent event) { this->onRelay(std::move(event)); })
+        , checks(*loop, [this](UpstreamChecked result) { this->handle(std::move(result)); })
         , platform(PlatformClient::create(*loop, clientSettings(settings, settings.platform, platformCallTimeout)))
         , random(seed + 1)
     {
@@ -151,6 +153,7 @@
     void deliver(AttemptFailed& event) { this->handle(std::move(event)); }
 
     void execute(ForwardRequest& command);
+    void execute(CheckUpstream& command) { this->checks.execute(command); }
     void execute(CancelAttempt& command) { this->relay.execute(command); }
     void execute(Respond& command) { this->relay.execute(std::move(command)); }
     void execute(FailStream& command) { this->relay.execute(command); }
@@ -181,6 +184,7 @@
     std::unique_ptr<EventLoop> loop;
     EntryNode node;
     RequestRelay relay;
+    UpstreamChecks checks;
     std::unique_ptr<PlatformClient> platform;
     std::unique_ptr<PlatformClient> cloud;
     RandomSource random;
--- a/src/teaselshore/entry/entry_duties.cpp
+++ b/src/teaselshore/entry/entry_duties.cpp
@@ -65,8 +65,9 @@
 
 } // namespace
 
-EntryDuties::EntryDuties(EntryState& state)
+EntryDuties::EntryDuties(EntryState& state, CrashWatch& crashes)
     : state(state)
+    , crashes(crashes)
     , nodes(state.settings.host.node, fromSeconds(silentPeriods * toSeconds(state.settings.host.usageWindow)))
     , shareTimeout(fromSeconds(sharePeriods * toSeconds(state.settings.host.usageWindow)))
     , lease(state.settings.id, ServiceName(std::string(dutyTask)), leaseSettings(state.settings.host))
@@ -94,12 +95,18 @@
                 this->state.usage.adopt(report.usage);
         }
     }
+    // Reports of hosts that are gone count too: after a restart of all nodes there are no others.
+    for (const NodeReport& report : reports)
+        this->crashes.onCrashes(report.crashes, now);
     this->nodes.onReports(reports, now);
-    this->state.borrower.setPeers(this->lenders(now));
+    this->state.peerAddresses = this->peers(now);
+    std::vector<std::string> lenders = this->state.peerAddresses;
+    lenders.resize(std::min(lenders.size(), mostLenders));
+    this->state.borrower.setPeers(std::move(lenders));
     this->lease.setContending(this->nodes.rank(dutyTask, now) < contenders);
 }
 
-std::vector<std::string> EntryDuties::lenders(Instant now) const
+std::vector<std::string> EntryDuties::peers(Instant now) const
 {
     std::vector<std::pair<Fingerprint, std::string>> others;
     for (const NodeReport& report : this->nodes.reports(now)) {
@@ -108,10 +115,9 @@
     }
     std::sort(others.begin(), others.end());
     std::vector<std::string> addresses;
-    for (const auto& [place, address] : others) {
-        if (addresses.size() < mostLenders)
-            addresses.push_back(address);
-    }
+    addresses.reserve(others.size());
+    for (const auto& [place, address] : others)
+        addresses.push_back(address);
     return addresses;
 }
 
@@ -229,7 +235,8 @@
     const Duration delay = reportDelay + Duration(static_cast<Duration::rep>(place % reportSpread.count()));
     const bool rolloutDue = this->versions.isActive() && now - this->reportedAt >= rolloutPeriod;
     const bool windowDue = this->reportedWindow != current - 1 && (!this->reportedWindow || sinceStart >= delay);
-    if (!windowDue && !rolloutDue)
+    const bool suspectsDue = this->reportedWindow && this->crashes.takeReportDue();
+    if (!windowDue && !rolloutDue && !suspectsDue)
         return;
     if (windowDue)
         this->reportedWindow = current - 1;
@@ -257,6 +264,7 @@
     }
     report.demand = this->serviceDemand;
     report.versions = this->versions.reports();
+    report.crashes = this->crashes.reported();
     this->lastReport = report.encode();
     this->state.commands.emplace_back(WriteNodeReport { report.host, this->lastReport });
 }
--- a/src/teaselshore/entry/entry_duties.hpp
+++ b/src/teaselshore/entry/entry_duties.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "crash_watch.hpp"
 #include "entry_rollouts.hpp"
 #include "entry_state.hpp"
 #include "fleet_controller.hpp"
@@ -18,7 +19,7 @@
 /// and carries out the tasks of the whole fleet while it holds their lease. Not thread-safe.
 class EntryDuties {
 public:
-    explicit EntryDuties(EntryState& state);
+    EntryDuties(EntryState& state, CrashWatch& crashes);
 
     void onReports(const std::vector<std::string>& texts, Instant now);
     /// @brief Passes a report that the platform did not take on to peers, which may reach it.
@@ -39,12 +40,13 @@
     void writeReport(Instant now, bool endsWindow);
     void execute(std::vector<ObjectCommand> commands);
     std::optional<FencedHolder> holder(Instant now) const;
-    /// @brief Returns the peer addresses of the nodes to borrow quota from, a different choice at each node.
-    std::vector<std::string> lenders(Instant now) const;
+    /// @brief Returns the peer addresses of the other live nodes, in another order at each node.
+    std::vector<std::string> peers(Instant now) const;
     /// @brief Sets the shares of the quotas after the round of reports that the end of the window began.
     void applyShares(std::int64_t window, Instant now);
 
     EntryState& state;
+    CrashWatch& crashes;
     ObjectCallIds ids;
     LiveNodes nodes;
     /// Time without a report after which the others take over a node's share of the quotas.
--- a/src/teaselshore/entry/entry_duties_test.cpp
+++ b/src/teaselshore/entry/entry_duties_test.cpp
@@ -401,6 +401,7 @@
         version.entries.push_back(
             { { RouteName("r"), ClassName("c"), LoadBand::High }, VersionName("v2"), { 5, 2, 3, 1.5, 2.5 } });
         report.versions.push_back(version);
+        report.crashes.push_back({ *rc::gen::arbitrary<std::uint64_t>(), UpstreamId("i-1@7"), 5s, 6s, false });
         const std::string text = report.encode();
         const auto decoded = NodeReport::decode(text);
         RC_ASSERT(decoded.has_value());
@@ -408,6 +409,7 @@
         RC_ASSERT(decoded->usage == report.usage);
         RC_ASSERT(decoded->peerAddress == report.peerAddress);
         RC_ASSERT(decoded->versions == report.versions);
+        RC_ASSERT(decoded->crashes == report.crashes);
         const auto cut = *rc::gen::inRange<std::size_t>(0, text.size());
         RC_ASSERT(!NodeReport::decode(text.substr(0, cut)));
         RC_ASSERT(!NodeReport::decode("{\"host\": 3}"));
--- a/src/teaselshore/entry/entry_fleet.hpp
+++ b/src/teaselshore/entry/entry_fleet.hpp
@@ -208,13 +208,20 @@
                                    : ObjectOutcome::Conflict });
         } else if (const auto* message = std::get_if<SendEntryMessage>(&command)) {
             const std::string& receiver = this->peerAddresses.at(message->address);
-            const bool isLost = this->isolated.contains(host) || this->isolated.contains(receiver);
+            const auto reachesPeers = [this](const std::string& name) {
+                return !this->isolated.contains(name) && !this->cutFromPeers.contains(name);
+            };
+            const bool isLost = !reachesPeers(host) || !reachesPeers(receiver);
+            ++this->messages;
             if (!isLost && !this->frozen.contains(receiver))
                 this->handle(receiver, EntryMessageReceived { this->addressOf(host), message->message });
         } else if (const auto* response = std::get_if<Respond>(&command)) {
             constexpr int tooManyRequests = 429;
             this->responses.insert_or_assign(response->request, *response);
             this->refused += response->status == tooManyRequests ? 1 : 0;
+        } else if (const auto* check = std::get_if<CheckUpstream>(&command)) {
+            if (this->onCheck)
+                events.emplace_back(UpstreamChecked { check->upstream, this->onCheck(host, *check) });
         } else if (auto* forward = std::get_if<ForwardRequest>(&command)) {
             if (this->onForward) {
                 this->onForward(host, *forward, events);
@@ -296,11 +303,15 @@
     std::set<std::string> cutOff;
     /// Hosts that reach neither the platform nor other hosts; callers and upstreams reach them.
     std::set<std::string> isolated;
+    /// Hosts that reach the platform but no other host.
+    std::set<std::string> cutFromPeers;
     std::set<std::string> frozen;
+    std::size_t messages = 0;
     std::uint64_t lossPercent = 0;
     /// Upstreams of the test; without them, each request is answered at once.
     std::function<void(const std::string& host, const ForwardRequest& forward, std::vector<EntryEvent>& events)>
         onForward;
+    std::function<UpstreamChecked::State(const std::string& host, const CheckUpstream& check)> onCheck;
     /// Responses to callers, by request.
     std::map<RequestId, Respond> responses;
     std::optional<WorkspaceQuota> quota;
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "crash_watch.hpp"
 #include "entry_duties.hpp"
 #include "entry_requests.hpp"
 #include "entry_state.hpp"
@@ -31,8 +32,9 @@
 struct EntryNode::Impl {
     explicit Impl(EntryNodeSettings settings)
         : state(std::move(settings))
-        , duties(state)
-        , requests(state, duties.rollouts())
+        , crashes(state)
+        , duties(state, crashes)
+        , requests(state, duties.rollouts(), crashes)
     {
     }
 
@@ -41,6 +43,7 @@
     void handle(UpstreamStreamStarted& event, Instant now) { this->requests.onStreamStarted(event, now); }
     void handle(UpstreamResponded& event, Instant now) { this->requests.onResponded(std::move(event), now); }
     void handle(AttemptFailed& event, Instant now) { this->requests.onFailed(event, now); }
+    void handle(UpstreamChecked& event, Instant now) { this->crashes.onChecked(event, now); }
     void handle(EntryConfigurationRead& event, Instant now);
     void handle(UpstreamsListed& event, Instant now);
     void handle(UpstreamChanged& event, Instant now);
@@ -59,6 +62,10 @@
         this->state.quotas.giveBack(returned.workspace, returned.amount);
     }
     void receive(const std::string&, const RelayedReport& relayed, Instant) { this->duties.onRelayed(relayed); }
+    void receive(const std::string&, const CrashReport& report, Instant now)
+    {
+        this->crashes.onCrashes(report.crashes, now);
+    }
     void handle(CloudCallEnded& event, Instant now);
     void handle(ObjectResult& event, Instant now);
     void handle(ClockRead& event, Instant now);
@@ -70,6 +77,7 @@
     void advanceStop(Instant now);
 
     EntryState state;
+    CrashWatch crashes;
     EntryDuties duties;
     EntryRequests requests;
     bool ready = false;
@@ -210,6 +218,7 @@
     this->state.router.onConfiguration(
         routingConfiguration(this->state.table->configuration(), upstreams, this->state.settings.host), now);
     this->duties.rollouts().onUpstreams();
+    this->crashes.onUpstreams(now);
     for (const VersionShare& share : versionShares(upstreams, this->duties.rollouts().orders()))
         this->state.router.setVersionShare(share.service, share.version, share.share);
     this->requests.onCapacityChanged(now);
@@ -262,6 +271,7 @@
         return;
     this->nextHousekeeping = now + housekeepingPeriod;
     this->state.router.onTick(now);
+    this->crashes.onTick(now);
     const bool sharesChanged = this->duties.onTick(now);
     if (this->state.directory.onTick(now) || sharesChanged)
         this->applyRouting(now);
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -64,9 +64,10 @@
 
 } // namespace
 
-EntryRequests::EntryRequests(EntryState& state, EntryRollouts& rollouts)
+EntryRequests::EntryRequests(EntryState& state, EntryRollouts& rollouts, CrashWatch& crashes)
     : state(state)
     , rollouts(rollouts)
+    , crashes(crashes)
 {
 }
 
@@ -132,6 +133,9 @@
         this->refuse(request, RequestOutcome::UnknownKey, unauthorized, "the key is missing or unknown", {}, now);
         return;
     }
+    // Before quota is borrowed for it.
+    if (this->refuseIfQuarantined(request, now))
+        return;
     request.limit = request.arrivedAt + std::min(request.caller.patience.value_or(never), request.route->timeout);
     this->limits.emplace(request.limit, request.id);
     if (request.workspace) {
@@ -264,8 +268,23 @@
         this->hold(request, now);
 }
 
+bool EntryRequests::refuseIfQuarantined(Request& request, Instant now)
+{
+    if (this->crashes.verdict(request.caller, request.workspace) != CrashVerdict::Rejected)
+        return false;
+    const std::string reason = "equal requests crashed several upstreams";
+    if (request.runs > 0 || request.streaming)
+        this->endUnanswered(request, reason, now);
+    else
+        this->refuse(request, RequestOutcome::Quarantined, serviceUnavailable, reason,
+            std::max(shortestRetryAfter, this->crashes.remaining(request.caller, request.workspace, now)), now);
+    return true;
+}
+
 bool EntryRequests::trySend(Request& request, Instant now)
 {
+    if (this->refuseIfQuarantined(request, now))
+        return true;
     auto decision = this->state.router.choose(request.routing, now);
     if (!decision)
         return false;
@@ -422,6 +441,7 @@
     if (!event.facts.notRun) {
         ++request->runs;
         this->countStart(*request, now);
+        this->crashes.onCompleted(request->caller, request->workspace);
     }
     const bool success = status >= statusOk && status < firstRedirect;
     if (!event.facts.notRun && !failed && (event.facts.isStamped || !success)) {
@@ -433,7 +453,7 @@
         request->failure = std::move(event.response);
     const std::string reason = event.facts.notRun ? "the upstream did not run the request"
                                                   : fmt::format("the upstream answered with status {}", status);
-    this->retryOrEnd(*request, !event.facts.notRun, reason, now);
+    this->retryOrEnd(*request, { !event.facts.notRun, false }, reason, now);
     this->startWaiting(now);
 }
 
@@ -466,11 +486,14 @@
             { "runs", std::to_string(request->runs) }, { "maxAttempts", std::to_string(request->route->maxAttempts) },
             { "content", fmt::format("{:016x}", contentFingerprint(request->caller, request->workspace)) },
             { "reason", event.detail } });
-    this->retryOrEnd(*request, event.mayHaveRun, event.detail, now);
+    if (event.connectionBroken)
+        this->crashes.onBroken(
+            attempt->upstream, contentFingerprint(request->caller, request->workspace), attempt->startedAt, now);
+    this->retryOrEnd(*request, { event.mayHaveRun, event.connectionBroken }, event.detail, now);
     this->startWaiting(now);
 }
 
-bool EntryRequests::mayRetry(Request& request, bool mayHaveRun, Instant now)
+bool EntryRequests::mayRetry(Request& request, const AttemptResult& result, Instant now)
 {
     if (request.sends >= maxSends || request.limit - now < leastTimeForRetry)
         return false;
@@ -478,23 +501,25 @@
         return false;
     if (request.runs >= request.route->maxAttempts)
         return false;
+    if (result.connectionBroken && !this->crashes.mayRetryBroken(request.caller, request.workspace))
+        return false;
     // A connection that was refused has brought nothing to any upstream.
-    if (mayHaveRun && !this->state.retryBudget(request.service).tryRetry(now)) {
+    if (result.mayHaveRun && !this->state.retryBudget(request.service).tryRetry(now)) {
         ++this->state.statistics.deniedRetries;
         return false;
     }
     return true;
 }
 
-void EntryRequests::retryOrEnd(Request& request, bool mayHaveRun, const std::string& reason, Instant now)
+void EntryRequests::retryOrEnd(Request& request, const AttemptResult& result, const std::string& reason, Instant now)
 {
-    if (!this->mayRetry(request, mayHaveRun, now)) {
+    if (!this->mayRetry(request, result, now)) {
         this->endUnanswered(request, reason, now);
         return;
     }
     ++this->state.statistics.retries;
     // Each run counts against the quota.
-    if (mayHaveRun && request.quotaTaken)
+    if (result.mayHaveRun && request.quotaTaken)
         this->state.quotas.charge(*request.workspace, request.quotaCost, now);
     this->dispatch(request, now);
 }
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "crash_watch.hpp"
 #include "entry_rollouts.hpp"
 #include "entry_state.hpp"
 
@@ -21,7 +22,7 @@
 /// Not thread-safe.
 class EntryRequests {
 public:
-    EntryRequests(EntryState& state, EntryRollouts& rollouts);
+    EntryRequests(EntryState& state, EntryRollouts& rollouts, CrashWatch& crashes);
 
     void onArrived(CallerRequestArrived arrived, Instant now);
     void onCallerGone(const RequestId& id, Instant now);
@@ -99,11 +100,19 @@
     void fillRouting(Request& request);
     ServiceName drawService(const EntryRoute& route);
     void dispatch(Request& request, Instant now);
+    /// @brief Ends a request that must not run, since equal ones crashed their upstreams. Returns whether it did.
+    bool refuseIfQuarantined(Request& request, Instant now);
+    /// @brief Sends the request, or ends it; returns false if it has to wait.
     bool trySend(Request& request, Instant now);
     void hold(Request& request, Instant now);
     void startWaiting(Instant now);
-    bool mayRetry(Request& request, bool mayHaveRun, Instant now);
-    void retryOrEnd(Request& request, bool mayHaveRun, const std::string& reason, Instant now);
+    /// What an attempt that brought no response says about a further one.
+    struct AttemptResult {
+        bool mayHaveRun = false;
+        bool connectionBroken = false;
+    };
+    bool mayRetry(Request& request, const AttemptResult& result, Instant now);
+    void retryOrEnd(Request& request, const AttemptResult& result, const std::string& reason, Instant now);
     std::optional<Attempt> takeAttempt(AttemptId id);
     void applyLoad(const UpstreamId& upstream, const ResponseFacts& facts, Instant now);
     /// @brief Passes an ended attempt on as evidence about its version.
@@ -119,6 +128,7 @@
 
     EntryState& state;
     EntryRollouts& rollouts;
+    CrashWatch& crashes;
     std::unordered_map<RequestId, Request> requests;
     std::unordered_map<AttemptId, Attempt> attempts;
     AttemptId lastAttempt = 0;
--- a/src/teaselshore/entry/entry_state.cpp
+++ b/src/teaselshore/entry/entry_state.cpp
@@ -29,7 +29,7 @@
 std::string_view outcomeName(RequestOutcome outcome)
 {
     constexpr std::array<std::string_view, requestOutcomes> names { "answered", "not_ready", "unknown_route",
-        "unknown_key", "over_quota", "no_capacity", "failed", "timed_out", "caller_left" };
+        "unknown_key", "over_quota", "no_capacity", "failed", "timed_out", "caller_left", "quarantined" };
     return names[static_cast<std::size_t>(outcome)];
 }
 
--- a/src/teaselshore/entry/entry_state.hpp
+++ b/src/teaselshore/entry/entry_state.hpp
@@ -50,6 +50,8 @@
     /// Calendar time at Instant zero.
     std::optional<Duration> clockOffset;
     std::size_t liveNodes = 0;
+    /// Where the other live nodes listen.
+    std::vector<std::string> peerAddresses;
     EntryStatistics statistics;
     EntryCommands commands;
 
--- a/src/teaselshore/entry/node_report.cpp
+++ b/src/teaselshore/entry/node_report.cpp
@@ -85,6 +85,24 @@
         return result;
     }
 
+    Json encodeCrashes(const std::vector<RequestCrash>& crashes)
+    {
+        Json result = Json::array();
+        for (const RequestCrash& crash : crashes)
+            result.push_back({ crash.request, crash.upstream.value(), crash.startedAt.count(), crash.endedAt.count() });
+        return result;
+    }
+
+    std::vector<RequestCrash> decodeCrashes(const Json& crashes)
+    {
+        std::vector<RequestCrash> result;
+        for (const Json& value : crashes) {
+            result.push_back({ value.at(0).get<Fingerprint>(), UpstreamId(value.at(1).get<std::string>()),
+                Duration(value.at(2).get<Duration::rep>()), Duration(value.at(3).get<Duration::rep>()), false });
+        }
+        return result;
+    }
+
     Json encodeDemand(const std::map<ServiceName, ServiceDemand>& demand)
     {
         Json result = Json::object();
@@ -109,7 +127,8 @@
 {
     const Json value { { "host", this->host }, { "process", this->process.value() }, { "peer", this->peerAddress },
         { "number", this->number }, { "completeWindow", this->completeWindow }, { "usage", encodeUsage(this->usage) },
-        { "demand", encodeDemand(this->demand) }, { "versions", encodeVersions(this->versions) } };
+        { "demand", encodeDemand(this->demand) }, { "versions", encodeVersions(this->versions) },
+        { "crashes", encodeCrashes(this->crashes) } };
     return value.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
@@ -128,6 +147,8 @@
         report.usage = decodeUsage(value.at("usage"));
         report.demand = decodeDemand(value.at("demand"));
         report.versions = decodeVersions(value.at("versions"), report.process);
+        // Nodes of earlier releases report none.
+        report.crashes = decodeCrashes(value.value("crashes", Json::array()));
         return report;
     } catch (const std::exception&) {
         // A wrong type, a missing member or a window that is no number: the object is no report.
--- a/src/teaselshore/entry/upstream_directory.cpp
+++ b/src/teaselshore/entry/upstream_directory.cpp
@@ -55,6 +55,21 @@
     return true;
 }
 
+const RegisteredUpstream* UpstreamDirectory::find(const UpstreamId& upstream) const
+{
+    for (const auto& [instance, entry] : this->entries) {
+        if (entry.upstream.id() == upstream)
+            return &entry.upstream;
+    }
+    return nullptr;
+}
+
+const RegisteredUpstream* UpstreamDirectory::findInstance(const std::string& instance) const
+{
+    const auto found = this->entries.find(instance);
+    return found == this->entries.end() ? nullptr : &found->second.upstream;
+}
+
 bool UpstreamDirectory::onTick(Instant now)
 {
     return std::erase_if(this->entries, [now](const auto& entry) {
--- a/src/teaselshore/protocol/entry_conversions.cpp
+++ b/src/teaselshore/protocol/entry_conversions.cpp
@@ -33,6 +33,29 @@
         envelope.mutable_relayed_report()->set_report(relayed.report);
     }
 
+    void fill(const CrashReport& report, wire::Envelope& envelope)
+    {
+        wire::CrashReport& result = *envelope.mutable_crash_report();
+        for (const RequestCrash& crash : report.crashes) {
+            wire::RequestCrash& entry = *result.add_crashes();
+            entry.set_request(crash.request);
+            entry.set_upstream(crash.upstream.value());
+            entry.set_started_at(crash.startedAt.count());
+            entry.set_ended_at(crash.endedAt.count());
+            entry.set_is_void(crash.isVoid);
+        }
+    }
+
+    CrashReport fromWire(const wire::CrashReport& report)
+    {
+        CrashReport result;
+        for (const wire::RequestCrash& crash : report.crashes()) {
+            result.crashes.push_back({ crash.request(), UpstreamId(crash.upstream()), Duration(crash.started_at()),
+                Duration(crash.ended_at()), crash.is_void() });
+        }
+        return result;
+    }
+
 } // namespace
 
 void toWire(const EntryMessage& message, wire::Envelope& envelope)
@@ -48,6 +71,8 @@
             return std::nullopt;
         return QuotaLoanRequest { request.loan(), WorkspaceName(request.workspace()), request.amount() };
     }
+    if (envelope.has_crash_report())
+        return fromWire(envelope.crash_report());
     if (envelope.has_relayed_report())
         return RelayedReport { envelope.relayed_report().report() };
     if (envelope.has_quota_return()) {
