Give a new version all requests only after enough responses under load

The schedule went from the trial share to all requests by time alone.

The full share now needs 24 responses at the middle share and 2.5 s there, two rounds of the nodes' reports. Where less traffic comes, and less harm is done, 10 suffice later. The trial share rises from 0.05 to 0.08, still under the tenth that a bad version may get, and the middle share begins at 0.4 of the time in place of 0.5, so that good versions complete as early as before.

The test's literal 0.05 becomes the setting that it stood for.

--- a/include/teaselshore/control/rollout_schedule.hpp
+++ b/include/teaselshore/control/rollout_schedule.hpp
@@ -16,6 +16,8 @@
     Duration sinceChange {};
     /// Responses of the new version that were judged, over all nodes.
     std::uint64_t responses = 0;
+    /// Those since the share changed.
+    std::uint64_t responsesSinceChange = 0;
     /// True if a node, or the outcomes of all nodes together, show a fault of the new version.
     bool faulty = false;
     /// True while upstreams of the new version are registered.
@@ -26,15 +28,24 @@
 
 struct RolloutScheduleSettings {
     /// Share until the new version has proved itself. With it a bad version stays under a tenth of the requests.
-    double trialShare = 0.05;
+    double trialShare = 0.08;
     double middleShare = 0.25;
     /// Parts of the time to the deadline at which the middle and the full share begin.
-    double middleAt = 0.5;
+    double middleAt = 0.4;
     double fullAt = 0.62;
     /// Part at which the rollout ends; what is left covers a slow or lost write of the result.
     double completeAt = 0.88;
-    /// Responses of the new version that the middle share needs.
+    /// Responses of the new version that the middle share needs, and those at the middle share that the full share
+    /// needs. A fault that shows only at the full share harms all requests until then.
     std::uint64_t enoughResponses = 12;
+    std::uint64_t enoughAtMiddle = 24;
+    /// Time at the middle share: nodes report each second, and the reports are read each second.
+    Duration middleTime = std::chrono::milliseconds(2500);
+    /// Where there is less traffic, and so less harm: parts of the time at which fewer responses suffice.
+    double lateMiddleAt = 0.5;
+    double lateFullAt = 0.72;
+    std::uint64_t fewResponses = 6;
+    std::uint64_t fewAtMiddle = 10;
     /// Time at the full share before the rollout ends, since the old upstreams stop at once: a long stream takes some
     /// seconds.
     Duration settleTime = std::chrono::seconds(3);
--- a/src/teaselshore/control/rollout_schedule.cpp
+++ b/src/teaselshore/control/rollout_schedule.cpp
@@ -24,10 +24,14 @@
         return { settled ? State::Complete : State::Running, fullShare };
     }
     // The share only grows, one step at a time, so that each step shows what the next one would harm.
-    if (progress.share >= settings.middleShare)
-        return { State::Running, part >= settings.fullAt ? fullShare : progress.share };
+    if (progress.share >= settings.middleShare) {
+        const std::uint64_t needed = part >= settings.lateFullAt ? settings.fewAtMiddle : settings.enoughAtMiddle;
+        const bool proved = progress.responsesSinceChange >= needed && progress.sinceChange >= settings.middleTime;
+        return { State::Running, proved && part >= settings.fullAt ? fullShare : progress.share };
+    }
     if (progress.share >= settings.trialShare) {
-        const bool proved = progress.responses >= settings.enoughResponses && part >= settings.middleAt;
+        const std::uint64_t needed = part >= settings.lateMiddleAt ? settings.fewResponses : settings.enoughResponses;
+        const bool proved = progress.responses >= needed && part >= settings.middleAt;
         return { State::Running, proved ? settings.middleShare : progress.share };
     }
     return { State::Running, settings.trialShare };
--- a/src/teaselshore/control/rollout_schedule_test.cpp
+++ b/src/teaselshore/control/rollout_schedule_test.cpp
@@ -18,6 +18,7 @@
         progress.share = share;
         progress.sinceChange = std::chrono::seconds(10);
         progress.responses = 100;
+        progress.responsesSinceChange = 50;
         progress.available = true;
         return progress;
     }
@@ -50,6 +51,19 @@
         }
     }
 
+    // Guards against a bad version that gets all requests before enough of them were judged under load, as on the
+    // users' day "hasty": 15 responses in all.
+    TEST(RolloutSchedule, FullShareNeedsResponsesAtTheMiddleShare)
+    {
+        const double middle = RolloutScheduleSettings {}.middleShare;
+        RolloutProgress few = at(0.9, middle);
+        few.responsesSinceChange = 3;
+        EXPECT_EQ(nextRolloutStep(few).share, middle);
+        RolloutProgress early = at(0.9, middle);
+        early.sinceChange = std::chrono::seconds(1);
+        EXPECT_EQ(nextRolloutStep(early).share, middle);
+    }
+
     // Guards against a fault that is passed over at some share or time.
     RC_GTEST_PROP(RolloutSchedule, FaultAlwaysRollsBack, ())
     {
@@ -64,7 +78,8 @@
     TEST(RolloutSchedule, GrowsStepByStepAndSettles)
     {
         EXPECT_EQ(nextRolloutStep(at(0.9, 0)).share, RolloutScheduleSettings {}.trialShare);
-        EXPECT_EQ(nextRolloutStep(at(0.9, 0.05)).share, RolloutScheduleSettings {}.middleShare);
+        EXPECT_EQ(nextRolloutStep(at(0.9, RolloutScheduleSettings {}.trialShare)).share,
+            RolloutScheduleSettings {}.middleShare);
         EXPECT_EQ(nextRolloutStep(at(0.9, 0.25)).share, 1);
         RolloutProgress fresh = at(0.95, 1);
         fresh.sinceChange = std::chrono::seconds(1);
