Let rollout decisions take effect at once and at all nodes

Causes: shares came from orders that each node reads every 5 s, the holder's own router included. The holder wrote the state with the object version of that read, so that each write after the first was refused until the next read, and no line told of it. A completed rollout became a running one on the next tick, since its end counted as a change of share. A new version got traffic by the number of its upstreams at nodes that had not read its order.

Now the holder's decisions take effect with it at once and go to all nodes as a message; ends are final; writes use the version that the last write returned, and a refused one reads the order again; outcomes are logged; orders are read each second while one is open; and a version that appears beside others gets nothing until a fresh read shows whether it was ordered.

--- a/include/teaselshore/entry/entry_command.hpp
+++ b/include/teaselshore/entry/entry_command.hpp
@@ -72,6 +72,12 @@
     RolloutOrder order;
 };
 
+/// @brief Reads all rollout orders at once; the reply is RolloutsListed. They are read regularly besides, but rarely.
+struct ReadRollouts {
+    /// True if the answer may be some seconds old, which costs the platform less.
+    bool mayBeStale = false;
+};
+
 /// @brief Writes this node's report, whatever stands there.
 struct WriteNodeReport {
     std::string host;
@@ -89,7 +95,7 @@
 
 using EntryCommand = std::variant<ForwardRequest, CheckUpstream, CancelAttempt, Respond, FailStream, SetReady,
     ApplyCallerLimits, AnnounceClose, StopAccepting, StopProcess, SendUsage, SendUpstreamOrder, WriteRolloutState,
-    WriteNodeReport, ReadNodeReports, SendEntryMessage, CallObjectApi, RequestEnded, LogEvent>;
+    ReadRollouts, WriteNodeReport, ReadNodeReports, SendEntryMessage, CallObjectApi, RequestEnded, LogEvent>;
 
 using EntryCommands = std::vector<EntryCommand>;
 
--- a/include/teaselshore/entry/entry_event.hpp
+++ b/include/teaselshore/entry/entry_event.hpp
@@ -75,6 +75,8 @@
 /// @brief The platform returned all rollout orders.
 struct RolloutsListed {
     std::vector<RolloutOrder> orders;
+    /// False if an order may be missing that was given some seconds ago.
+    bool isFresh = false;
 };
 
 /// @brief The platform returned the reports of all nodes, each as its node wrote it.
@@ -100,6 +102,8 @@
     /// Number of the command that it answers.
     std::uint64_t call = 0;
     ObjectOutcome outcome = ObjectOutcome::Unavailable;
+    /// Version of the written object; 0 if the call wrote none.
+    ObjectVersion version = 0;
 };
 
 /// @brief The time of day, since 1970, as the host shows it.
--- a/include/teaselshore/entry/entry_message.hpp
+++ b/include/teaselshore/entry/entry_message.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "teaselshore/entry/quota_loan.hpp"
+#include "teaselshore/entry/registered_upstream.hpp"
 #include "teaselshore/reliability/crash_history.hpp"
 
 namespace teaselshore {
@@ -24,7 +25,19 @@
     auto operator<=>(const CrashReport&) const = default;
 };
 
+/// @brief What the holder of the lease has decided on a rollout. Nodes follow it before they read it at the platform.
+struct RolloutDecision {
+    ServiceName service;
+    VersionName target;
+    RolloutOrder::State state = RolloutOrder::State::Running;
+    /// Part of the traffic that goes to the target.
+    double share = 0;
+
+    auto operator<=>(const RolloutDecision&) const = default;
+};
+
 /// @brief Messages between the nodes of `teaselshore-entry`.
-using EntryMessage = std::variant<QuotaLoanRequest, QuotaLoan, QuotaReturn, RelayedReport, CrashReport>;
+using EntryMessage
+    = std::variant<QuotaLoanRequest, QuotaLoan, QuotaReturn, RelayedReport, CrashReport, RolloutDecision>;
 
 } // namespace teaselshore
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <optional>
+#include <type_traits>
 #include <utility>
 #include <vector>
 
@@ -45,7 +46,7 @@
     constexpr Duration reconnectTime = std::chrono::milliseconds(300);
     constexpr Duration shortestWait = std::chrono::milliseconds(500);
     constexpr Duration longestWait = std::chrono::seconds(10);
-    /// Rollout orders are rare, and nothing that they ask for is due within seconds.
+    /// Rollout orders are rare, and nodes read them at once when a new version appears.
     constexpr Duration rolloutPoll = std::chrono::seconds(5);
     /// Limits before the first configuration.
     constexpr CallerLimits firstLimits { std::size_t { 16 } * 1024, std::size_t { 4 } * 1024 * 1024,
@@ -138,7 +139,7 @@
     void onConfigurationObjects(const std::vector<KindObject>& objects);
     void onUpstreamsListed(const std::vector<KindObject>& objects, std::optional<Duration> sinceOutage);
     void onUpstreamsChanged(const std::vector<KindObject>& objects, std::optional<Duration> sinceOutage);
-    void onRollouts(const std::vector<KindObject>& objects, bool complete);
+    void onRollouts(const std::vector<KindObject>& objects, bool isFresh);
     void onCaller(std::shared_ptr<ServerExchange> exchange);
     HttpReply adminReply(const HttpRequest& request);
     void onRelay(RelayEvent event);
@@ -165,6 +166,7 @@
     void execute(SendUsage& command);
     void execute(SendUpstreamOrder& command);
     void execute(WriteRolloutState& command);
+    void execute(const ReadRollouts& command);
     void execute(WriteNodeReport& command);
     void execute(ReadNodeReports&);
     void execute(SendEntryMessage& command);
@@ -196,7 +198,6 @@
     std::unique_ptr<KindWatcher> configurationWatcher;
     std::unique_ptr<KindWatcher> upstreamWatcher;
     std::unique_ptr<KindWatcher> rolloutWatcher;
-    std::map<std::string, RolloutOrder> rollouts;
     bool ready = false;
     bool stopped = false;
     std::optional<TimerId> tickTimer;
@@ -344,9 +345,8 @@
 
     KindWatcherHandlers orders = this->watcherHandlers(wire::rolloutsKind);
     orders.onListed
-        = [this](const std::vector<KindObject>& objects, std::optional<Duration>) { this->onRollouts(objects, true); };
-    orders.onChanged
         = [this](const std::vector<KindObject>& objects, std::optional<Duration>) { this->onRollouts(objects, false); };
+    orders.onChanged = orders.onListed;
     this->rolloutWatcher = this->watchKind(wire::rolloutsKind, std::move(orders));
 }
 
@@ -413,26 +413,16 @@
     }
 }
 
-void EntryTask::Impl::onRollouts(const std::vector<KindObject>& objects, bool complete)
+void EntryTask::Impl::onRollouts(const std::vector<KindObject>& objects, bool isFresh)
 {
-    const std::map<std::string, RolloutOrder> before = this->rollouts;
-    if (complete)
-        this->rollouts.clear();
+    RolloutsListed listed { {}, isFresh };
     for (const KindObject& object : objects) {
         std::string reason;
-        auto order = object.deleted ? std::nullopt : decodeRollout(object, reason);
-        if (order)
-            this->rollouts.insert_or_assign(object.name, std::move(*order));
+        if (auto order = decodeRollout(object, reason))
+            listed.orders.push_back(std::move(*order));
         else
-            this->rollouts.erase(object.name);
-        if (!reason.empty())
             logLine(LogLevel::Warning, "entry is no rollout", { { "entry", object.name }, { "reason", reason } });
     }
-    if (this->rollouts == before)
-        return;
-    RolloutsListed listed;
-    for (const auto& [name, order] : this->rollouts)
-        listed.orders.push_back(order);
     this->handle(std::move(listed));
 }
 
@@ -526,7 +516,10 @@
 {
     return [this, call](const PlatformResult<Value>& result) {
         const auto* error = std::get_if<PlatformError>(&result);
-        this->handle(CloudCallEnded { call, error ? outcomeOf(error->kind) : ObjectOutcome::Ok });
+        CloudCallEnded ended { call, error ? outcomeOf(error->kind) : ObjectOutcome::Ok };
+        if constexpr (std::is_same_v<Value, std::uint64_t>)
+            ended.version = error ? 0 : std::get<Value>(result);
+        this->handle(ended);
     };
 }
 
@@ -549,6 +542,19 @@
         this->cloudHandler<std::uint64_t>(command.call));
 }
 
+void EntryTask::Impl::execute(const ReadRollouts& command)
+{
+    const ReadFreshness freshness = command.mayBeStale ? ReadFreshness::MayBeStale : ReadFreshness::Current;
+    const auto onListed = [this, isFresh = !command.mayBeStale](const PlatformResult<KindPage>& result) {
+        if (const auto* page = std::get_if<KindPage>(&result))
+            this->onRollouts(page->objects, isFresh);
+        else
+            logLine(
+                LogLevel::Warning, "rollout orders not read", { { "reason", std::get<PlatformError>(result).detail } });
+    };
+    this->platform->listKind(std::string(wire::rolloutsKind), {}, freshness, onListed);
+}
+
 void EntryTask::Impl::execute(WriteNodeReport& command)
 {
     const std::string key = std::string(nodesKind) + "/" + command.host;
--- a/src/teaselshore/daemon/upstream_checks_test.cpp
+++ b/src/teaselshore/daemon/upstream_checks_test.cpp
@@ -38,8 +38,7 @@
 
         State check()
         {
-            this->checks.execute(
-                { UpstreamId("i-1@5"), "127.0.0.1:" + std::to_string(this->port), "i-1", "/health" });
+            this->checks.execute({ UpstreamId("i-1@5"), "127.0.0.1:" + std::to_string(this->port), "i-1", "/health" });
             this->loop->run();
             EXPECT_TRUE(this->result);
             return this->result ? this->result->state : State::Unknown;
--- a/src/teaselshore/entry/entry_fleet.hpp
+++ b/src/teaselshore/entry/entry_fleet.hpp
@@ -127,16 +127,19 @@
             const Instant step = this->now + std::chrono::milliseconds(100);
             for (Instant next = this->nextTick(); next < step; next = this->nextTick()) {
                 this->now = std::max(next, this->now + std::chrono::milliseconds(1));
+                this->deliverDue();
                 this->tick();
             }
             this->now = step;
+            this->deliverDue();
+            this->pollRollouts();
             this->tick();
         }
     }
 
     Instant nextTick() const
     {
-        Instant next = Instant::max();
+        Instant next = this->dueEvents.empty() ? Instant::max() : this->dueEvents.begin()->first;
         for (const auto& [host, node] : this->nodes) {
             if (!this->frozen.contains(host))
                 next = std::min(next, node->nextTick());
@@ -144,6 +147,58 @@
         return next;
     }
 
+    /// @brief Lets an event reach a host later.
+    void schedule(Instant at, const std::string& host, EntryEvent event)
+    {
+        this->dueEvents.emplace(at, std::pair(host, std::move(event)));
+    }
+
+    void deliverDue()
+    {
+        while (!this->dueEvents.empty() && this->dueEvents.begin()->first <= this->now) {
+            auto due = this->dueEvents.extract(this->dueEvents.begin());
+            auto& [host, event] = due.mapped();
+            if (!this->frozen.contains(host))
+                this->handle(host, std::move(event));
+        }
+    }
+
+    /// @brief Each host reads the rollout orders at its own time of a rare period.
+    void pollRollouts()
+    {
+        constexpr int steps = 50;
+        ++this->pollStep;
+        int place = 0;
+        for (const auto& [host, node] : this->nodes) {
+            const bool isDue = this->pollStep % steps == ++place * 7 % steps;
+            if (isDue && !this->frozen.contains(host) && !this->cutOff.contains(host))
+                this->handle(host, this->listRollouts(true));
+        }
+    }
+
+    /// @brief Returns the orders at the platform; a stale list is that of two seconds ago.
+    RolloutsListed listRollouts(bool isStale) const
+    {
+        RolloutsListed listed { {}, !isStale };
+        for (const auto& [service, versions] : this->rollouts) {
+            std::optional<RolloutOrder> order;
+            for (const auto& [at, version] : versions) {
+                if (!isStale || at + std::chrono::seconds(2) <= this->now)
+                    order = version;
+            }
+            if (order)
+                listed.orders.push_back(*order);
+        }
+        return listed;
+    }
+
+    /// @brief Writes an order, as the operator or the holder of the lease does.
+    void writeRollout(RolloutOrder order)
+    {
+        order.objectVersion = ++this->platform.lastVersion;
+        this->rollouts[order.service].emplace_back(this->now, order);
+    }
+
     void tick()
     {
         for (auto& [host, node] : this->nodes) {
@@ -206,6 +261,19 @@
                 !answered || !done ? ObjectOutcome::Unknown
                     : accepted     ? ObjectOutcome::Ok
                                    : ObjectOutcome::Conflict });
+        } else if (const auto* write = std::get_if<WriteRolloutState>(&command)) {
+            const std::uint64_t current = this->rollouts.at(write->order.service).back().second.objectVersion;
+            const bool holds = current == write->order.objectVersion;
+            if (done && holds)
+                this->writeRollout(write->order);
+            events.emplace_back(CloudCallEnded { write->call,
+                !done || !answered ? ObjectOutcome::Unknown
+                    : holds        ? ObjectOutcome::Ok
+                                   : ObjectOutcome::Conflict,
+                done && holds ? this->platform.lastVersion : 0 });
+        } else if (const auto* read = std::get_if<ReadRollouts>(&command)) {
+            if (done)
+                events.emplace_back(this->listRollouts(read->mayBeStale));
         } else if (const auto* message = std::get_if<SendEntryMessage>(&command)) {
             const std::string& receiver = this->peerAddresses.at(message->address);
             const auto reachesPeers = [this](const std::string& name) {
@@ -307,6 +375,10 @@
     std::set<std::string> cutFromPeers;
     std::set<std::string> frozen;
     std::size_t messages = 0;
+    /// What was written for each rollout, with its time.
+    std::map<ServiceName, std::vector<std::pair<Instant, RolloutOrder>>> rollouts;
+    std::multimap<Instant, std::pair<std::string, EntryEvent>> dueEvents;
+    int pollStep = 0;
     std::uint64_t lossPercent = 0;
     /// Upstreams of the test; without them, each request is answered at once.
     std::function<void(const std::string& host, const ForwardRequest& forward, std::vector<EntryEvent>& events)>
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -66,6 +66,11 @@
     {
         this->crashes.onCrashes(report.crashes, now);
     }
+    void receive(const std::string&, const RolloutDecision& decision, Instant now)
+    {
+        if (this->duties.rollouts().onDecision(decision))
+            this->applyRouting(now);
+    }
     void handle(CloudCallEnded& event, Instant now);
     void handle(ObjectResult& event, Instant now);
     void handle(ClockRead& event, Instant now);
@@ -166,8 +171,8 @@
 
 void EntryNode::Impl::handle(RolloutsListed& event, Instant now)
 {
-    this->duties.rollouts().onOrders(std::move(event.orders));
-    this->applyRouting(now);
+    if (this->duties.rollouts().onOrders(event, now))
+        this->applyRouting(now);
 }
 
 void EntryNode::Impl::handle(NodeReportsRead& event, Instant now) { this->duties.onReports(event.reports, now); }
@@ -217,9 +222,10 @@
     this->state.instances = usableInstances(upstreams);
     this->state.router.onConfiguration(
         routingConfiguration(this->state.table->configuration(), upstreams, this->state.settings.host), now);
-    this->duties.rollouts().onUpstreams();
+    EntryRollouts& rollouts = this->duties.rollouts();
+    rollouts.onUpstreams(now);
     this->crashes.onUpstreams(now);
-    for (const VersionShare& share : versionShares(upstreams, this->duties.rollouts().orders()))
+    for (const VersionShare& share : versionShares(upstreams, rollouts.orders(), rollouts.unknownVersions()))
         this->state.router.setVersionShare(share.service, share.version, share.share);
     this->requests.onCapacityChanged(now);
 }
--- a/src/teaselshore/entry/entry_rollouts.cpp
+++ b/src/teaselshore/entry/entry_rollouts.cpp
@@ -12,6 +12,13 @@
     constexpr std::size_t repeatedReports = 8;
     constexpr Duration reportPeriod = std::chrono::seconds(1);
     constexpr Duration retryDelay = std::chrono::milliseconds(400);
+    /// Period of cheap reads of the orders while one is open or this node holds the lease.
+    constexpr Duration readPeriod = std::chrono::seconds(1);
+    /// A read that may be stale can lack an order that was read before; orders are not deleted while they are open.
+    constexpr Duration missingTime = std::chrono::seconds(10);
+    /// Time to learn whether there is an order for a new version: a call to the platform while it is slow. Without an
+    /// answer the version counts as one that needs none.
+    constexpr Duration awaitTime = std::chrono::seconds(3);
 
     VersionGuardSettings guardSettings()
     {
@@ -47,20 +54,78 @@
 {
 }
 
-void EntryRollouts::onOrders(std::vector<RolloutOrder> orders)
+bool EntryRollouts::onOrders(const RolloutsListed& listed, Instant now)
 {
-    for (const RolloutOrder& order : orders) {
-        const auto known = std::find_if(this->ordered.begin(), this->ordered.end(),
-            [&order](const RolloutOrder& other) { return other.service == order.service; });
+    for (const RolloutOrder& order : listed.orders) {
+        const auto found = this->known.find(order.service);
+        if (found != this->known.end() && found->second.order.objectVersion > order.objectVersion)
+            continue;
         // Another target is another rollout, for which earlier findings do not count.
-        if (known != this->ordered.end() && known->target != order.target)
+        if (found != this->known.end() && found->second.order.target != order.target) {
             this->stopped.erase(order.service);
+            this->decided.erase(order.service);
+        }
+        this->known.insert_or_assign(order.service, Known { order, now });
+    }
+    std::erase_if(this->known, [now](const auto& entry) { return now - entry.second.seenAt > missingTime; });
+    std::vector<RolloutOrder> current;
+    for (const auto& [service, entry] : this->known)
+        current.push_back(entry.order);
+    const bool wasAwaiting = listed.isFresh && !std::exchange(this->awaiting, {}).empty();
+    if (current == this->ordered && !wasAwaiting)
+        return false;
+    this->ordered = std::move(current);
+    this->updatePairs();
+    return true;
+}
+
+bool EntryRollouts::onDecision(const RolloutDecision& decision)
+{
+    const auto found = this->decided.find(decision.service);
+    if (found != this->decided.end() && found->second.target == decision.target) {
+        const RolloutDecision& before = found->second;
+        const bool isFinal = before.state != RolloutOrder::State::Running;
+        // Decisions may overtake each other; shares only grow, and an end is final.
+        if (isFinal || (decision.state == RolloutOrder::State::Running && decision.share <= before.share))
+            return false;
+    }
+    this->decided.insert_or_assign(decision.service, decision);
+    this->updatePairs();
+    return true;
+}
+
+void EntryRollouts::onUpstreams(Instant now)
+{
+    std::map<ServiceName, std::map<VersionName, std::size_t>> counts;
+    for (const RegisteredUpstream& upstream : this->state.directory.upstreams())
+        ++counts[upstream.service][upstream.version];
+    std::erase_if(this->versionsSince, [&counts](const auto& entry) {
+        const auto service = counts.find(entry.first.service);
+        return service == counts.end() || !service->second.contains(entry.first.version);
+    });
+    bool appeared = false;
+    for (const auto& [service, versions] : counts) {
+        const auto most = std::max_element(
+            versions.begin(), versions.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+        for (const auto& [version, count] : versions) {
+            const ServiceVersion key { service, version };
+            const bool isNew = this->versionsSince.try_emplace(key, now).second;
+            if (!isNew || version == most->first)
+                continue;
+            appeared = true;
+            this->awaiting.insert(key);
+        }
     }
-    this->ordered = std::move(orders);
+    if (appeared)
+        this->read(false, now);
     this->updatePairs();
 }
 
-void EntryRollouts::onUpstreams() { this->updatePairs(); }
+void EntryRollouts::read(bool mayBeStale, Instant now)
+{
+    this->nextRead = now + readPeriod;
+    this->state.commands.emplace_back(ReadRollouts { mayBeStale });
+}
 
 std::optional<VersionPair> EntryRollouts::pairOf(const RolloutOrder& order) const
 {
@@ -81,6 +146,11 @@
     std::vector<VersionPair> pairs;
     this->effective = this->ordered;
     for (RolloutOrder& order : this->effective) {
+        const auto decision = this->decided.find(order.service);
+        if (isOpen(order) && decision != this->decided.end() && decision->second.target == order.target) {
+            order.state = decision->second.state;
+            order.share = std::max(order.share, decision->second.share);
+        }
         if (this->stopped.contains(order.service))
             order.state = RolloutOrder::State::RolledBack;
         const auto pair = isOpen(order) ? this->pairOf(order) : std::nullopt;
@@ -142,6 +212,13 @@
 
 bool EntryRollouts::onTick(const std::vector<NodeReport>& reports, bool holdsLease, Instant now)
 {
+    const auto unanswered = std::erase_if(this->awaiting, [&](const ServiceVersion& version) {
+        const auto since = this->versionsSince.find(version);
+        return since == this->versionsSince.end() || now - since->second > awaitTime;
+    });
+    this->changed = this->changed || unanswered > 0;
+    if ((holdsLease || this->isActive() || !this->awaiting.empty()) && now >= this->nextRead)
+        this->read(this->awaiting.empty(), now);
     if (!this->isActive()) {
         this->unread.clear();
         this->driven.clear();
@@ -208,15 +285,21 @@
     progress.share = rollout.share;
     progress.sinceChange = now - rollout.changedAt;
     progress.responses = rollout.responses;
+    progress.responsesSinceChange = rollout.responses - rollout.responsesAtChange;
     progress.faulty = rollout.faulty || this->stopped.contains(order.service);
     progress.available = std::any_of(upstreams.begin(), upstreams.end(), [&order](const RegisteredUpstream& upstream) {
         return upstream.service == order.service && upstream.version == order.target && !upstream.draining;
     });
-    const RolloutStep step = nextRolloutStep(progress);
+    // An end is final, also while the platform does not have it yet.
+    const RolloutStep step = rollout.state == RolloutStep::State::Running
+        ? nextRolloutStep(progress)
+        : RolloutStep { rollout.state, rollout.share };
     if (step.share != rollout.share || step.state != rollout.state) {
         rollout.share = step.share;
         rollout.state = step.state;
         rollout.changedAt = now;
+        rollout.responsesAtChange = rollout.responses;
+        this->announce(order, step);
         this->state.log(LogLevel::Info, "rollout moved on",
             { { "service", order.service.value() }, { "version", order.target.value() },
                 { "share", fmt::format("{:.2f}", step.share) },
@@ -230,6 +313,14 @@
         this->write(order, rollout);
 }
 
+void EntryRollouts::announce(const RolloutOrder& order, const RolloutStep& step)
+{
+    const RolloutDecision decision { order.service, order.target, toOrderState(step.state), step.share };
+    this->changed = this->onDecision(decision) || this->changed;
+    for (const std::string& address : this->state.peerAddresses)
+        this->state.commands.emplace_back(SendEntryMessage { address, decision });
+}
+
 void EntryRollouts::write(const RolloutOrder& order, Driven& rollout)
 {
     const std::uint64_t call = this->ids.next();
@@ -239,6 +330,8 @@
     RolloutOrder written = order;
     written.state = toOrderState(rollout.state);
     written.share = rollout.share;
+    // The orders as read may not show this node's own writes yet.
+    written.objectVersion = std::max(order.objectVersion, rollout.objectVersion);
     this->state.commands.emplace_back(WriteRolloutState { call, std::move(written) });
 }
 
@@ -248,12 +341,23 @@
     const auto found = this->driven.find(call.mapped());
     if (found == this->driven.end())
         return;
-    found->second.call.reset();
-    if (result.outcome == ObjectOutcome::Ok)
+    Driven& rollout = found->second;
+    rollout.call.reset();
+    const bool isWritten = result.outcome == ObjectOutcome::Ok;
+    this->state.log(isWritten ? LogLevel::Info : LogLevel::Warning,
+        isWritten ? "state of rollout written" : "state of rollout not written",
+        { { "service", rollout.pair.service.value() }, { "version", rollout.pair.to.value() },
+            { "share", fmt::format("{:.2f}", rollout.share) },
+            { "objectVersion", std::to_string(isWritten ? result.version : rollout.objectVersion) },
+            { "isConflict", result.outcome == ObjectOutcome::Conflict ? "true" : "false" } });
+    if (isWritten) {
+        rollout.objectVersion = std::max(rollout.objectVersion, result.version);
         return;
-    // Written again with the order as the watch shows it by then.
-    found->second.written.reset();
-    found->second.nextTry = now + retryDelay;
+    }
+    // Written again with the order as it is by then: the operator may have given another, or an answer may be lost.
+    rollout.written.reset();
+    rollout.nextTry = now + retryDelay;
+    this->read(false, now);
 }
 
 } // namespace teaselshore
--- a/src/teaselshore/entry/upstream_routing.cpp
+++ b/src/teaselshore/entry/upstream_routing.cpp
@@ -65,8 +65,8 @@
     return instances;
 }
 
-std::vector<VersionShare> versionShares(
-    const std::vector<RegisteredUpstream>& upstreams, const std::vector<RolloutOrder>& rollouts)
+std::vector<VersionShare> versionShares(const std::vector<RegisteredUpstream>& upstreams,
+    const std::vector<RolloutOrder>& rollouts, const std::set<ServiceVersion>& unknown)
 {
     std::map<ServiceName, std::map<VersionName, std::uint32_t>> counts;
     for (const RegisteredUpstream& upstream : upstreams)
@@ -76,7 +76,7 @@
         const auto order = std::find_if(rollouts.begin(), rollouts.end(),
             [&service = service](const RolloutOrder& entry) { return entry.service == service; });
         for (const auto& [version, count] : versions) {
-            double share = count;
+            double share = unknown.contains({ service, version }) ? 0 : count;
             if (order != rollouts.end()) {
                 const bool isTarget = version == order->target;
                 const double target = order->state == RolloutOrder::State::Complete ? 1
--- a/src/teaselshore/entry/upstream_routing.hpp
+++ b/src/teaselshore/entry/upstream_routing.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -11,6 +12,14 @@
 
 namespace teaselshore {
 
+/// @brief One version of a service.
+struct ServiceVersion {
+    ServiceName service;
+    VersionName version;
+
+    auto operator<=>(const ServiceVersion&) const = default;
+};
+
 /// @brief Part of a service's traffic that goes to one version, relative to the parts of the others.
 struct VersionShare {
     ServiceName service;
@@ -29,8 +38,9 @@
 
 /// @brief Returns the share of each registered version.
 ///
-/// Without a rollout the versions of a service share its traffic by their upstreams.
-std::vector<VersionShare> versionShares(
-    const std::vector<RegisteredUpstream>& upstreams, const std::vector<RolloutOrder>& rollouts);
+/// Without a rollout the versions of a service share its traffic by their upstreams, but for unknown versions, which
+/// get none: a rollout to them may have been ordered that this node has not read yet.
+std::vector<VersionShare> versionShares(const std::vector<RegisteredUpstream>& upstreams,
+    const std::vector<RolloutOrder>& rollouts, const std::set<ServiceVersion>& unknown);
 
 } // namespace teaselshore
--- a/src/teaselshore/protocol/codec.cpp
+++ b/src/teaselshore/protocol/codec.cpp
@@ -25,6 +25,7 @@
         case wire::Envelope::kQuotaLoan:
         case wire::Envelope::kQuotaReturn:
         case wire::Envelope::kCrashReport:
+        case wire::Envelope::kRolloutDecision:
         case wire::Envelope::kRelayedReport:
             return entryFromWire(envelope);
         case wire::Envelope::MESSAGE_NOT_SET:
--- a/src/teaselshore/protocol/entry_conversions.cpp
+++ b/src/teaselshore/protocol/entry_conversions.cpp
@@ -46,6 +46,23 @@
         }
     }
 
+    void fill(const RolloutDecision& decision, wire::Envelope& envelope)
+    {
+        wire::RolloutDecision& result = *envelope.mutable_rollout_decision();
+        result.set_service(decision.service.value());
+        result.set_target(decision.target.value());
+        result.set_state(static_cast<wire::RolloutState>(decision.state));
+        result.set_share(decision.share);
+    }
+
+    std::optional<RolloutDecision> fromWire(const wire::RolloutDecision& decision)
+    {
+        if (!wire::RolloutState_IsValid(decision.state()) || !(decision.share() >= 0 && decision.share() <= 1))
+            return std::nullopt;
+        return RolloutDecision { ServiceName(decision.service()), VersionName(decision.target()),
+            static_cast<RolloutOrder::State>(decision.state()), decision.share() };
+    }
+
     CrashReport fromWire(const wire::CrashReport& report)
     {
         CrashReport result;
@@ -73,6 +90,8 @@
     }
     if (envelope.has_crash_report())
         return fromWire(envelope.crash_report());
+    if (envelope.has_rollout_decision())
+        return fromWire(envelope.rollout_decision());
     if (envelope.has_relayed_report())
         return RelayedReport { envelope.relayed_report().report() };
     if (envelope.has_quota_return()) {
