Follow what upstreams say of themselves in their responses

A node sends nothing more to a process that has said it leaves, whatever the registry lists, and nothing within the pause to one that asked for it. If all upstreams of a service pause, callers are refused at once and asked to come back when the first pause ends.

--- a/include/teaselshore/entry/caller_request.hpp
+++ b/include/teaselshore/entry/caller_request.hpp
@@ -76,6 +76,10 @@
     bool notRun = false;
     /// The response bears the mark that every response of an upstream has.
     bool isStamped = false;
+    /// The upstream leaves and wants no further requests.
+    bool isLeaving = false;
+    /// Time for which the upstream wants no requests from this node, if it refused this one.
+    std::optional<Duration> pause;
     /// Another instance than the expected one answered.
     bool wrongInstance = false;
     struct Load {
--- a/src/teaselshore/entry/crash_watch.cpp
+++ b/src/teaselshore/entry/crash_watch.cpp
@@ -44,7 +44,7 @@
 {
     const std::optional<Duration> calendar = this->state.calendarTime(now);
     const RegisteredUpstream* registered = this->findRegistered(upstream);
-    if (!calendar || !registered || registered->draining)
+    if (!calendar || !registered || registered->draining || this->state.holds.isLeaving(upstream))
         return;
     Doubt& doubt = this->doubts[upstream];
     if (doubt.runs.size() >= mostRuns)
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -106,6 +106,8 @@
 EntryCommands EntryNode::handle(EntryEvent event, Instant now)
 {
     std::visit([&](auto& content) { this->impl->handle(content, now); }, event);
+    if (this->impl->state.routingChanged)
+        this->impl->applyRouting(now);
     this->impl->updateReadiness();
     this->impl->advanceStop(now);
     return std::exchange(this->impl->state.commands, {});
@@ -216,9 +218,12 @@
 
 void EntryNode::Impl::applyRouting(Instant now)
 {
+    this->state.routingChanged = false;
     if (!this->state.table)
         return;
-    const std::vector<RegisteredUpstream> upstreams = this->state.directory.upstreams();
+    std::vector<RegisteredUpstream> upstreams = this->state.directory.upstreams();
+    for (RegisteredUpstream& upstream : upstreams)
+        upstream.draining = upstream.draining || this->state.holds.isLeaving(upstream.id());
     this->state.instances = usableInstances(upstreams);
     this->state.router.onConfiguration(
         routingConfiguration(this->state.table->configuration(), upstreams, this->state.settings.host), now);
@@ -278,6 +283,7 @@
     this->nextHousekeeping = now + housekeepingPeriod;
     this->state.router.onTick(now);
     this->crashes.onTick(now);
+    this->state.holds.onTick(now);
     const bool sharesChanged = this->duties.onTick(now);
     if (this->state.directory.onTick(now) || sharesChanged)
         this->applyRouting(now);
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -285,7 +285,15 @@
 {
     if (this->refuseIfQuarantined(request, now))
         return true;
-    auto decision = this->state.router.choose(request.routing, now);
+    const std::vector<UpstreamId> paused = this->state.holds.paused(now);
+    std::optional<RoutingDecision> decision;
+    if (paused.empty()) {
+        decision = this->state.router.choose(request.routing, now);
+    } else {
+        RoutingRequest routing = request.routing;
+        routing.excluded.insert(routing.excluded.end(), paused.begin(), paused.end());
+        decision = this->state.router.choose(routing, now);
+    }
     if (!decision)
         return false;
     if (request.waitUntil) {
@@ -343,8 +351,9 @@
 {
     const Duration longest = request.route->latencyTarget / holdPart;
     const Instant until = std::min(request.waitUntil.value_or(request.arrivedAt + longest), request.limit);
-    if (now >= until) {
-        this->endUnanswered(request, "no upstream has room", now);
+    const std::optional<Instant> paused = this->pausedUntil(request.service, now);
+    if (now >= until || (paused && *paused >= until)) {
+        this->endUnanswered(request, paused ? "all upstreams asked for a pause" : "no upstream has room", now);
         return;
     }
     request.waitUntil = until;
@@ -383,8 +392,17 @@
     return node.mapped();
 }
 
-void EntryRequests::applyLoad(const UpstreamId& upstream, const ResponseFacts& facts, Instant now)
+void EntryRequests::applyFacts(const UpstreamId& upstream, const ResponseFacts& facts, Instant now)
 {
+    if (facts.isLeaving && this->state.holds.onLeaving(upstream, now)) {
+        this->state.routingChanged = true;
+        this->state.log(LogLevel::Info, "upstream leaves, as its response says", { { "upstream", upstream.value() } });
+    }
+    if (facts.pause) {
+        this->state.holds.onRefused(upstream, *facts.pause, now);
+        this->state.log(LogLevel::Info, "upstream asked for a pause",
+            { { "upstream", upstream.value() }, { "ms", fmt::format("{:.0f}", toMilliseconds(*facts.pause)) } });
+    }
     if (facts.load)
         this->state.router.onLoadReport({ upstream, facts.load->waiting, facts.load->running, Duration::zero() }, now);
 }
@@ -411,7 +429,7 @@
         return;
     found->second.firstEventAfter = now - found->second.startedAt;
     this->state.router.onFirstToken(found->second.dispatch, now);
-    this->applyLoad(found->second.upstream, event.facts, now);
+    this->applyFacts(found->second.upstream, event.facts, now);
     if (Request* request = this->find(found->second.request)) {
         if (!std::exchange(request->streaming, true))
             request->firstEventAfter = now - request->arrivedAt;
@@ -431,7 +449,7 @@
                                                       : AttemptOutcome::Completed;
     this->state.router.onFinished(
         attempt->dispatch, outcome, static_cast<std::uint32_t>(event.response.relayedEvents), now);
-    this->applyLoad(attempt->upstream, event.facts, now);
+    this->applyFacts(attempt->upstream, event.facts, now);
     if (!event.facts.notRun)
         this->judge(*attempt, failed ? AttemptEnd::Failed : AttemptEnd::Succeeded, now);
     Request* request = this->find(attempt->request);
@@ -540,13 +558,32 @@
         return;
     }
     this->state.demand.onRefused(request.service, request.routing.promptTokens);
-    this->refuse(request, RequestOutcome::NoCapacity, serviceUnavailable, reason, this->retryAfter(request), now);
+    this->refuse(request, RequestOutcome::NoCapacity, serviceUnavailable, reason, this->retryAfter(request, now), now);
+}
+
+std::optional<Instant> EntryRequests::pausedUntil(const ServiceName& service, Instant now) const
+{
+    const std::vector<UpstreamId> paused = this->state.holds.paused(now);
+    if (paused.empty())
+        return std::nullopt;
+    bool isServed = false;
+    for (const RegisteredUpstream& upstream : this->state.directory.upstreams()) {
+        const UpstreamId id = upstream.id();
+        if (upstream.service != service || !this->state.instances.contains(id))
+            continue;
+        isServed = true;
+        if (std::find(paused.begin(), paused.end(), id) == paused.end())
+            return std::nullopt;
+    }
+    return isServed ? this->state.holds.nextEnd(now) : std::nullopt;
 }
 
-Duration EntryRequests::retryAfter(const Request&)
+Duration EntryRequests::retryAfter(const Request& request, Instant now)
 {
     const auto spread = static_cast<std::uint64_t>((longestRetryAfter - shortestRetryAfter).count());
-    return shortestRetryAfter + Duration(static_cast<Duration::rep>(this->state.random.below(spread)));
+    const Duration drawn = shortestRetryAfter + Duration(static_cast<Duration::rep>(this->state.random.below(spread)));
+    const std::optional<Instant> paused = this->pausedUntil(request.service, now);
+    return paused ? std::max(drawn, *paused - now + drawn - shortestRetryAfter) : drawn;
 }
 
 void EntryRequests::cancelAttempt(Request& request, Instant now)
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -114,7 +114,10 @@
     bool mayRetry(Request& request, const AttemptResult& result, Instant now);
     void retryOrEnd(Request& request, const AttemptResult& result, const std::string& reason, Instant now);
     std::optional<Attempt> takeAttempt(AttemptId id);
-    void applyLoad(const UpstreamId& upstream, const ResponseFacts& facts, Instant now);
+    /// @brief Takes over what an upstream says of itself in a response.
+    void applyFacts(const UpstreamId& upstream, const ResponseFacts& facts, Instant now);
+    /// @brief Returns when the first upstream of the service wants requests again; nothing if some want them now.
+    std::optional<Instant> pausedUntil(const ServiceName& service, Instant now) const;
     /// @brief Passes an ended attempt on as evidence about its version.
     void judge(const Attempt& attempt, AttemptEnd end, Instant now);
     void countStart(Request& request, Instant now);
@@ -124,7 +127,7 @@
         std::optional<Duration> retryAfter, Instant now);
     void endUnanswered(Request& request, const std::string& reason, Instant now);
     void end(Request& request, RequestOutcome outcome, int status, const std::string& reason, Instant now);
-    Duration retryAfter(const Request& request);
+    Duration retryAfter(const Request& request, Instant now);
 
     EntryState& state;
     EntryRollouts& rollouts;
--- a/src/teaselshore/entry/entry_requests_test.cpp
+++ b/src/teaselshore/entry/entry_requests_test.cpp
@@ -249,6 +249,103 @@
         EXPECT_EQ(harness.node.statistics().openRequests, 0u);
     }
 
+    /// Sends requests until none goes out, and returns how many reached the upstream.
+    int sendsTo(EntryHarness& harness, const UpstreamId& upstream, int requests = 40)
+    {
+        int count = 0;
+        for (int request = 0; request < requests; ++request) {
+            harness.request("order");
+            const auto sent = harness.first<ForwardRequest>();
+            if (!sent)
+                continue;
+            count += sent->attempt.upstream == upstream ? 1 : 0;
+            harness.respond(sent->attempt.attempt, 200);
+        }
+        return count;
+    }
+
+    // Guards against new work for an upstream that has said in a response that it leaves: the registry may tell later,
+    // never, or list the upstream once more.
+    TEST(EntryRequests, UpstreamThatLeavesByItsResponseGetsNothingNew)
+    {
+        EntryHarness harness;
+        harness.start(3);
+        harness.request("query");
+        const UpstreamId leaving = harness.first<ForwardRequest>()->attempt.upstream;
+        UpstreamStreamStarted started { harness.first<ForwardRequest>()->attempt.attempt, {} };
+        started.facts.isLeaving = true;
+        harness.send(started);
+        EXPECT_EQ(sendsTo(harness, leaving), 0);
+        UpstreamsListed listed;
+        for (int number = 1; number <= 3; ++number)
+            listed.upstreams.push_back(EntryHarness::upstream(number));
+        harness.send(listed);
+        harness.pass(60s);
+        EXPECT_EQ(sendsTo(harness, leaving), 0);
+        // A new process under its name has not said so.
+        for (RegisteredUpstream& upstream : listed.upstreams)
+            upstream.startedAt += 1000;
+        harness.send(listed);
+        EXPECT_GT(sendsTo(harness, listed.upstreams[0].id()) + sendsTo(harness, listed.upstreams[1].id())
+                + sendsTo(harness, listed.upstreams[2].id()),
+            0);
+    }
+
+    // Load pattern: an upstream turns requests away and says for how long. Guards against requests that reach it before
+    // that time is over, and against an upstream that stays unused after it.
+    TEST(EntryRequests, UpstreamGetsThePauseThatItAsksFor)
+    {
+        EntryHarness harness;
+        harness.start(3);
+        harness.request("order");
+        const auto sent = harness.first<ForwardRequest>();
+        UpstreamResponded refused;
+        refused.response.attempt = sent->attempt.attempt;
+        refused.response.status = 503;
+        refused.facts.notRun = true;
+        refused.facts.pause = 3s;
+        harness.send(std::move(refused));
+        const auto next = harness.first<ForwardRequest>();
+        ASSERT_TRUE(next) << "it goes to another upstream at once";
+        harness.respond(next->attempt.attempt, 200);
+        for (int round = 0; round < 29; ++round) {
+            EXPECT_EQ(sendsTo(harness, sent->attempt.upstream, 5), 0) << round;
+            harness.pass(100ms);
+        }
+        harness.pass(10s);
+        // As many requests at a time as all upstreams have room for.
+        bool isUsed = false;
+        for (int request = 0; request < 12; ++request) {
+            harness.request("order");
+            const auto open = harness.first<ForwardRequest>();
+            isUsed = isUsed || (open && open->attempt.upstream == sent->attempt.upstream);
+        }
+        EXPECT_TRUE(isUsed);
+    }
+
+    // Load pattern: all upstreams ask for a pause. Guards against callers that wait though it is known that they cannot
+    // be served, and against a time to come back at which the upstreams still want nothing.
+    TEST(EntryRequests, RefusesAtOnceWhileAllUpstreamsPause)
+    {
+        EntryHarness harness;
+        harness.start(2);
+        harness.request("order");
+        while (const auto sent = harness.first<ForwardRequest>()) {
+            UpstreamResponded refused;
+            refused.response.attempt = sent->attempt.attempt;
+            refused.response.status = 503;
+            refused.facts.notRun = true;
+            refused.facts.pause = 2s;
+            harness.send(std::move(refused));
+        }
+        for (int request = 0; request < 2; ++request) {
+            ASSERT_TRUE(harness.first<Respond>());
+            EXPECT_EQ(harness.first<Respond>()->status, 503);
+            EXPECT_GE(std::stod(field(*harness.first<Respond>(), "retry-after").value_or("0")), 2);
+            harness.request("order");
+        }
+    }
+
     // Guards against new work for an upstream that leaves, whether it says so or its entry is removed.
     TEST(EntryRequests, LeavingUpstreamGetsNothingNew)
     {
--- a/src/teaselshore/entry/entry_state.hpp
+++ b/src/teaselshore/entry/entry_state.hpp
@@ -14,6 +14,7 @@
 #include "teaselshore/entry/quota_limiter.hpp"
 #include "teaselshore/entry/route_table.hpp"
 #include "teaselshore/entry/upstream_directory.hpp"
+#include "teaselshore/entry/upstream_holds.hpp"
 #include "teaselshore/entry/usage_ledger.hpp"
 #include "teaselshore/reliability/retry_budget.hpp"
 #include "teaselshore/routing/router.hpp"
@@ -42,6 +43,10 @@
     UpstreamDirectory directory;
     /// Instance names of the upstreams that the router may choose.
     std::unordered_map<UpstreamId, std::string> instances;
+    /// What upstreams have asked for in their responses.
+    UpstreamHolds holds;
+    /// True if the router must learn of upstreams anew after the present event.
+    bool routingChanged = false;
     Router router;
     QuotaLimiter quotas;
     QuotaBorrower borrower;
