Bound what an upstream can send that has no end

Users: bytes that are no answer may come without end, in a head or a body, until the caller closes. Heads ended at 64 KB and a collected body at 16 MiB, but these did not: an event of a stream without an end, searched from its start with each chunk; lines between chunks and fields after the last one; informational replies; replies to other requests, which are skipped; bodies of many attempts together; the replies that teaselshored collects from its queries; and a byte now and then, which starts the idle time anew.

Each has a test with a peer that goes on sending; a counter tells of responses given up.

--- a/include/teaselshore/daemon/request_relay.hpp
+++ b/include/teaselshore/daemon/request_relay.hpp
@@ -23,6 +23,8 @@
     std::uint64_t misdirectedResponses = 0;
     /// Callers that read a stream too slowly for the limit of pending bytes.
     std::uint64_t slowCallers = 0;
+    /// Responses given up since they, or one of their events, had no end.
+    std::uint64_t endlessResponses = 0;
 
     auto operator<=>(const RelayCounters&) const = default;
 };
@@ -56,6 +58,8 @@
         std::size_t maxPendingStreamBytes = std::size_t { 4 } * 1024 * 1024;
         /// Longest response that is collected before it is passed on.
         std::size_t maxCollectedBytes = std::size_t { 16 } * 1024 * 1024;
+        /// Bytes of all responses that are being collected. The one that grows beyond it is given up.
+        std::size_t maxCollectedTotal = std::size_t { 64 } * 1024 * 1024;
         StreamRules streams = DoneEventStreams {};
 
         auto operator<=>(const Settings&) const = default;
--- a/include/teaselshore/http/http_client.hpp
+++ b/include/teaselshore/http/http_client.hpp
@@ -22,6 +22,8 @@
     Duration connectTimeout = std::chrono::seconds(1);
     /// Longest time without progress (reply head, or next body bytes).
     Duration idleTimeout = std::chrono::seconds(30);
+    /// Longest time for the whole call. Without it, a peer that sends a byte now and then holds the call for good.
+    std::optional<Duration> totalTimeout;
     /// Accepts a reply without content length and without chunks, whose end is the end of the connection. Off by
     /// default, because such a reply cannot be told from one that was cut off. A connection reset is an error anyway.
     bool acceptUnframedReply = false;
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -39,6 +39,8 @@
     this->setCounter("teaselshore_relayed_bytes_total", "Bytes of relayed streams.", relay.relayedBytes);
     this->setCounter(
         "teaselshore_slow_callers_total", "Callers disconnected for reading too slowly.", relay.slowCallers);
+    this->setCounter("teaselshore_endless_responses_total",
+        "Responses given up since they, or one of their events, had no end.", relay.endlessResponses);
     this->setGauge("teaselshore_open_requests", "Requests without a complete response.",
         static_cast<double>(statistics.openRequests));
     this->setGauge("teaselshore_waiting_requests", "Requests that wait for an upstream.",
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -54,6 +54,10 @@
     /// A caller that leaves more bytes of a stream unread is disconnected.
     constexpr std::size_t maxPendingStreamBytes = std::size_t { 512 } * 1024;
 
+    /// A response that is passed on in one piece, and all of them together: a part of the memory of the smallest hosts.
+    constexpr std::size_t maxCollectedBytes = std::size_t { 8 } * 1024 * 1024;
+    constexpr std::size_t maxCollectedTotal = std::size_t { 32 } * 1024 * 1024;
+
     /// Name that the peers of one deployment have in common.
     constexpr const char* peersCluster = "entry";
     /// Time for the connection to a peer; what peers tell each other is of no use later.
@@ -118,6 +122,8 @@
         , node({ settings, makeProcessId(settings.node), seed })
         , relay(*loop,
               { .maxPendingStreamBytes = maxPendingStreamBytes,
+                  .maxCollectedBytes = maxCollectedBytes,
+                  .maxCollectedTotal = maxCollectedTotal,
                   .streams = FramedStreams { std::string(responseMark()) } },
               [this](RelayEvent event) { this->onRelay(std::move(event)); })
         , checks(*loop, [this](UpstreamChecked result) { this->handle(std::move(result)); })
--- a/src/teaselshore/daemon/request_relay.cpp
+++ b/src/teaselshore/daemon/request_relay.cpp
@@ -72,6 +72,10 @@
     bool isComplete(const Caller& caller) const;
     HttpHeaders streamHead(const Attempt& attempt) const;
     void relayBytes(AttemptId id, Attempt& attempt, std::string_view bytes);
+    /// @brief Ends an attempt whose response has no end.
+    void giveUp(AttemptId id, std::string detail);
+    /// @brief Takes an attempt out of those that run.
+    Attempt take(std::unordered_map<AttemptId, Attempt>::iterator position);
     void fail(AttemptId id, bool mayHaveRun, bool connectionBroken, std::string detail);
     Caller* findCaller(const RequestId& request);
     std::uint64_t relayedEvents(const RequestId& request);
@@ -83,6 +87,8 @@
     std::unique_ptr<HttpClient> client;
     std::unordered_map<RequestId, Caller> callers;
     std::unordered_map<AttemptId, Attempt> attempts;
+    /// Bytes of the responses that are being collected.
+    std::size_t collectedBytes = 0;
     RelayCounters counters;
 };
 
@@ -112,7 +118,7 @@
     if (found == this->impl->attempts.end())
         return;
     this->impl->client->cancel(found->second.call);
-    this->impl->attempts.erase(found);
+    this->impl->take(found);
 }
 
 void RequestRelay::execute(const InterruptAttempt& command)
@@ -237,10 +243,26 @@
         return;
     }
     attempt.body.append(bytes);
-    if (attempt.body.size() <= this->settings.maxCollectedBytes)
-        return;
-    this->client->cancel(attempt.call);
-    this->fail(id, true, false, "the response is longer than the limit");
+    this->collectedBytes += bytes.size();
+    if (attempt.body.size() > this->settings.maxCollectedBytes)
+        this->giveUp(id, "the response is longer than the limit");
+    else if (this->collectedBytes > this->settings.maxCollectedTotal)
+        this->giveUp(id, "the responses that are being collected are longer than the limit");
+}
+
+void RequestRelay::Impl::giveUp(AttemptId id, std::string detail)
+{
+    ++this->counters.endlessResponses;
+    this->client->cancel(this->attempts.at(id).call);
+    this->fail(id, true, false, std::move(detail));
+}
+
+Attempt RequestRelay::Impl::take(std::unordered_map<AttemptId, Attempt>::iterator position)
+{
+    Attempt attempt = std::move(position->second);
+    this->attempts.erase(position);
+    this->collectedBytes -= attempt.body.size();
+    return attempt;
 }
 
 void RequestRelay::Impl::relayBytes(AttemptId id, Attempt& attempt, std::string_view bytes)
@@ -249,6 +271,10 @@
     if (!caller)
         return;
     const std::string complete = caller->events.takeComplete(bytes);
+    if (caller->events.isTooLong()) {
+        this->giveUp(id, "an event is longer than the limit");
+        return;
+    }
     if (complete.empty())
         return;
     // Not before the first complete event: until then the caller can still get another response.
@@ -276,17 +302,16 @@
     const auto found = this->attempts.find(id);
     if (found == this->attempts.end())
         return;
-    const Attempt attempt = std::move(found->second);
-    if (!attempt.relaying) {
-        this->attempts.erase(found);
+    if (!found->second.relaying) {
+        const Attempt attempt = this->take(found);
         this->emit(AttemptFinished { id, attempt.status, toHeaderList(attempt.headers), attempt.body, false,
             this->relayedEvents(attempt.request) });
         return;
     }
 
-    const auto caller = this->callers.find(attempt.request);
+    const auto caller = this->callers.find(found->second.request);
     if (caller == this->callers.end()) {
-        this->attempts.erase(found);
+        this->take(found);
         return;
     }
     if (!this->isComplete(caller->second)) {
@@ -296,7 +321,7 @@
     const std::uint64_t events = caller->second.events.events();
     const auto exchange = std::move(caller->second.exchange);
     this->callers.erase(caller);
-    this->attempts.erase(found);
+    const Attempt attempt = this->take(found);
     exchange->finish();
     this->emit(AttemptFinished { id, attempt.status, toHeaderList(attempt.headers), {}, true, events });
 }
@@ -350,8 +375,7 @@
     const auto found = this->attempts.find(id);
     if (found == this->attempts.end())
         return;
-    const RequestId request = found->second.request;
-    this->attempts.erase(found);
+    const RequestId request = this->take(found).request;
     std::optional<std::uint64_t> lastEventId;
     if (Caller* caller = this->findCaller(request)) {
         caller->events.dropPartial();
--- a/src/teaselshore/daemon/request_relay_test.cpp
+++ b/src/teaselshore/daemon/request_relay_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "teaselshore/daemon/request_relay.hpp"
+#include "teaselshore/node/event_stream_buffer.hpp"
 
 namespace teaselshore {
 namespace {
@@ -134,6 +135,71 @@
         EXPECT_EQ(this->failures[0].relayedEvents, 2u);
     }
 
+    // Guards against memory and processor time without bound while an upstream sends an event that has no end.
+    TEST_F(RequestRelayTest, EventWithoutEndIsGivenUp)
+    {
+        std::size_t written = 0;
+        this->script = [this, &written](const std::shared_ptr<ServerExchange>& exchange) {
+            exchange->startStream(200, { { "content-type", "text/event-stream" } });
+            exchange->write(event(0) + "id: 1\ndata: ");
+            const auto more = std::make_shared<std::function<void()>>();
+            *more = [this, exchange, more, &written] {
+                if (!this->failures.empty())
+                    return;
+                exchange->write(std::string(10'000, 'a'));
+                written += 10'000;
+                this->loop->runAfter(std::chrono::milliseconds(1), *more);
+            };
+            (*more)();
+        };
+        this->onFailed = [this] { this->relay.execute(FailStream { this->request, "{}" }); };
+        this->call();
+        ASSERT_EQ(this->failures.size(), 1u);
+        EXPECT_LT(written, 4 * EventStreamBuffer::maxEventBytes);
+        EXPECT_EQ(this->received, event(0) + "event: error\ndata: {}\n\n");
+        EXPECT_EQ(this->relay.counters().endlessResponses, 1u);
+    }
+
+    // Guards against memory that grows with the number of upstreams that send a body without end at the same time.
+    TEST_F(RequestRelayTest, ResponsesCollectedTogetherAreBounded)
+    {
+        RequestRelay::Settings settings;
+        settings.maxCollectedBytes = 100'000;
+        settings.maxCollectedTotal = 250'000;
+        std::size_t failed = 0;
+        RequestRelay bounded(*this->loop, settings, [&](const RelayEvent& relayEvent) {
+            if (const auto* end = std::get_if<AttemptFailed>(&relayEvent)) {
+                EXPECT_TRUE(end->mayHaveRun);
+                if (++failed == 10)
+                    this->loop->stop();
+            }
+        });
+        this->script = [this](const std::shared_ptr<ServerExchange>& exchange) {
+            exchange->startStream(200, {});
+            const auto more = std::make_shared<std::function<void()>>();
+            *more = [this, exchange, more] {
+                exchange->write(std::string(1'000, 'a'));
+                this->loop->runAfter(std::chrono::milliseconds(1), *more);
+            };
+            (*more)();
+        };
+        for (AttemptId id = 1; id <= 10; ++id) {
+            StartAttempt start;
+            start.attempt = id;
+            start.request = RequestId("q-" + std::to_string(id));
+            start.authority = "127.0.0.1:" + std::to_string(this->upstream->port());
+            start.method = "POST";
+            start.path = "/";
+            start.connectTimeout = std::chrono::seconds(1);
+            start.idleTimeout = std::chrono::seconds(1);
+            bounded.execute(std::move(start));
+        }
+        this->loop->run();
+        EXPECT_EQ(failed, 10u);
+        EXPECT_EQ(bounded.counters().endlessResponses, 10u);
+        EXPECT_EQ(bounded.openAttempts(), 0u);
+    }
+
     // Guards against another request's response reaching this caller.
     TEST_F(RequestRelayTest, MisdirectedResponseIsDropped)
     {
--- a/src/teaselshore/daemon/upstream_checks.cpp
+++ b/src/teaselshore/daemon/upstream_checks.cpp
@@ -50,6 +50,7 @@
     call.request.headers.add("connection", "close");
     call.connectTimeout = checkConnectTimeout;
     call.idleTimeout = checkIdleTimeout;
+    call.totalTimeout = checkConnectTimeout + checkIdleTimeout;
     call.acceptUnframedReply = true;
 
     const std::weak_ptr<Impl> weak = this->impl;
--- a/src/teaselshore/daemon/upstream_queries.cpp
+++ b/src/teaselshore/daemon/upstream_queries.cpp
@@ -16,6 +16,8 @@
     constexpr Duration queryConnectTimeout = std::chrono::milliseconds(300);
     constexpr Duration queryIdleTimeout = std::chrono::milliseconds(700);
     constexpr Duration outcomeIdleTimeout = std::chrono::seconds(2);
+    /// Longest reply: cache events are a few tens of bytes each.
+    constexpr std::size_t maxReplyBytes = std::size_t { 8 } * 1024 * 1024;
 
     struct Response {
         int status = 0;
@@ -114,11 +116,21 @@
             response->status = status;
             response->headers = headers;
         };
-        handlers.onData = [response](std::string_view bytes) { response->body.append(bytes); };
+        const auto id = std::make_shared<CallId>(0);
+        const std::weak_ptr<Impl> weak = this->weak_from_this();
+        handlers.onData = [weak, response, done, id](std::string_view bytes) {
+            response->body.append(bytes);
+            const auto self = weak.lock();
+            if (!self || response->body.size() <= maxReplyBytes)
+                return;
+            self->client->cancel(*id);
+            done(std::nullopt, { HttpError::Kind::MalformedReply, "reply is longer than the limit", true });
+        };
         handlers.onEnd = [response, done] { done(*response, {}); };
         handlers.onError = [done](const HttpError& error) { done(std::nullopt, error); };
-        this->client->start(
-            { authority, { "GET", path, {}, {} }, queryConnectTimeout, idleTimeout }, std::move(handlers));
+        HttpCall call { authority, { "GET", path, {}, {} }, queryConnectTimeout, idleTimeout };
+        call.totalTimeout = queryConnectTimeout + idleTimeout;
+        *id = this->client->start(std::move(call), std::move(handlers));
     }
 
     void readCacheEvents(const UpstreamId& upstream, const std::string& authority)
--- a/src/teaselshore/http/client_call.cpp
+++ b/src/teaselshore/http/client_call.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+    /// An upstream has few requests open on a connection, and each of their replies can come late once.
+    constexpr std::size_t mostSkippedReplies = 16;
+    constexpr std::size_t mostSkippedBytes = std::size_t { 4 } * 1024 * 1024;
     constexpr std::string_view timeoutParameter = "timeout=";
 
     std::optional<Duration> keepAliveTime(const HttpHeaders& headers)
@@ -26,14 +29,13 @@
 bool ClientCall::onReplyHead(int status, const HttpHeaders& headers, bool endsWithConnection)
 {
     if (endsWithConnection && !this->call.acceptUnframedReply) {
-        this->refusal = HttpError { HttpError::Kind::MalformedReply, "reply has neither length nor chunks", true };
-        return false;
+        return this->refuse("reply has neither length nor chunks");
     }
     if (const auto& echo = this->call.expectedEcho) {
         const std::optional<std::string> value = headers.find(echo->name);
         this->foreignReply = value && *value != echo->value;
         if (this->foreignReply)
-            return true;
+            return ++this->skippedReplies <= mostSkippedReplies || this->refuse("too many replies to other requests");
     }
     this->keepAlive = keepAliveTime(headers);
     if (this->handlers.onHead)
@@ -41,10 +43,18 @@
     return !this->cancelled;
 }
 
+bool ClientCall::refuse(const char* reason)
+{
+    this->refusal = HttpError { HttpError::Kind::MalformedReply, reason, true };
+    return false;
+}
+
 bool ClientCall::onReplyBytes(std::string_view bytes)
 {
-    if (this->foreignReply)
-        return true;
+    if (this->foreignReply) {
+        this->skippedBytes += bytes.size();
+        return this->skippedBytes <= mostSkippedBytes || this->refuse("replies to other requests are too long");
+    }
     if (this->handlers.onData)
         this->handlers.onData(bytes);
     return !this->cancelled;
--- a/src/teaselshore/http/client_call.hpp
+++ b/src/teaselshore/http/client_call.hpp
@@ -15,6 +15,8 @@
 struct ClientCall : public ReplySink {
     bool onReplyHead(int status, const HttpHeaders& headers, bool endsWithConnection) override;
     bool onReplyBytes(std::string_view bytes) override;
+    /// @brief Lets the call fail since its reply cannot be accepted. Returns false, to stop the parser.
+    bool refuse(const char* reason);
 
     CallId id = 0;
     HttpCall call;
@@ -26,6 +28,11 @@
     TimerId timer = 0;
     /// Start of the call, later the last time bytes arrived.
     Instant lastProgress;
+    /// End of the time for the whole call.
+    Instant deadline = Instant::max();
+    /// Replies to earlier requests that were skipped, and the bytes of their bodies.
+    std::size_t skippedReplies = 0;
+    std::size_t skippedBytes = 0;
     /// The reply that is being parsed belongs to an earlier request.
     bool foreignReply = false;
     /// Time for which the peer keeps the connection open without a request, if it said so.
--- a/src/teaselshore/http/http_client.cpp
+++ b/src/teaselshore/http/http_client.cpp
@@ -17,6 +17,8 @@
     /// Kept between the end of the peer's keep-alive time and the last request, for the way and for late timers.
     constexpr Duration keepAliveMargin = std::chrono::milliseconds(700);
     constexpr Duration pruneInterval = std::chrono::seconds(1);
+    /// Longest part of a reply that cannot be parsed before more of it arrives, as the longest head.
+    constexpr std::size_t maxUnparsedBytes = std::size_t { 64 } * 1024;
 
 } // namespace
 
@@ -151,12 +153,17 @@
 void HttpClient::Impl::armTimer(ClientCall& call, Duration delay)
 {
     this->loop.cancelTimer(call.timer);
-    call.timer = this->loop.addTimer(delay, [this, id = call.id] { this->onTimer(id); });
+    const Duration untilDeadline = std::max(Duration(0), call.deadline - monotonicNow());
+    call.timer = this->loop.addTimer(std::min(delay, untilDeadline), [this, id = call.id] { this->onTimer(id); });
 }
 
 void HttpClient::Impl::onTimer(CallId id)
 {
     ClientCall& call = *this->calls.at(id);
+    if (monotonicNow() >= call.deadline) {
+        this->fail(call, { HttpError::Kind::Timeout, "time for the whole call", call.connected });
+        return;
+    }
     const Duration limit = call.connected ? call.call.idleTimeout : call.call.connectTimeout;
     if (call.connected && call.paused)
         call.lastProgress = monotonicNow();
@@ -185,6 +192,9 @@
         : call.parser->put({ socket->input->bytes, socket->input->size }, used);
     call.inHandler = false;
     h2o_buffer_consume(&socket->input, used);
+    // The head's limit does not cover the lines between chunks and after the last one.
+    if (progress == ReplyParser::Progress::NeedsMore && socket->input->size > maxUnparsedBytes)
+        return ReplyParser::Progress::Malformed;
     return progress;
 }
 
@@ -312,6 +322,8 @@
     entry.call = std::move(call);
     entry.handlers = std::move(handlers);
     entry.lastProgress = monotonicNow();
+    if (entry.call.totalTimeout)
+        entry.deadline = entry.lastProgress + *entry.call.totalTimeout;
     this->impl->calls.emplace(entry.id, std::move(state));
     this->impl->prepare(entry);
     return entry.id;
--- a/src/teaselshore/http/http_client_test.cpp
+++ b/src/teaselshore/http/http_client_test.cpp
@@ -127,6 +127,71 @@
         }
     }
 
+    // Guards against memory and time without bound while a peer goes on sending what is no reply: a head, a line
+    // between chunks, fields after the last chunk, informational replies or replies to other requests.
+    TEST(HttpClient, GivesUpRepliesWithoutEnd)
+    {
+        const std::string chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        const std::string foreign = "HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: 1\r\n\r\nx";
+        constexpr std::size_t most = std::size_t { 8 } * 1024 * 1024;
+        const std::string filler(10'000, 'a');
+        const std::vector<std::pair<std::string, std::string>> replies {
+            { "", filler },
+            { "HTTP/1.1 200 OK\r\n", "x-" + filler + ": b\r\n" },
+            { "HTTP/1.1 200 OK\r\nx-a: ", filler },
+            { chunked + "5;", filler },
+            { chunked + "0\r\n", "x-" + filler + ": b\r\n" },
+            { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+            { "", foreign },
+            { "HTTP/1.1 200 OK\r\nx-id: other\r\ntransfer-encoding: chunked\r\n\r\n", "2710\r\n" + filler + "\r\n" },
+        };
+        for (const auto& [start, repeated] : replies) {
+            SCOPED_TRACE(start + repeated.substr(0, 30));
+            HttpFixture fixture(ignore);
+            const RawServer server;
+            HttpCall call = fixture.call("GET", "/");
+            call.authority = server.authority();
+            call.expectedEcho = HttpHeader { "x-id", "own" };
+            CallRecord record;
+            fixture.start(std::move(call), record);
+            std::unique_ptr<RawConnection> connection;
+            ASSERT_TRUE(fixture.runUntil([&] { return (connection = server.accept()) != nullptr; }));
+            std::size_t sent = start.size();
+            connection->send(start);
+            // Only what the client has read leaves room for more.
+            while (!record.isDone() && sent < most) {
+                connection->send(repeated);
+                sent += repeated.size();
+                fixture.runUntil([&] { return record.isDone(); }, std::chrono::microseconds(200));
+            }
+            ASSERT_TRUE(record.error) << sent;
+            EXPECT_EQ(record.error->kind, Kind::MalformedReply);
+            EXPECT_LT(record.body.size(), 1u);
+        }
+    }
+
+    // Guards against a call that a peer holds for good by a byte now and then.
+    TEST(HttpClient, TrickleEndsWithTheTimeForTheWholeCall)
+    {
+        HttpFixture fixture(ignore);
+        const RawServer server;
+        HttpCall call = fixture.call("GET", "/");
+        call.authority = server.authority();
+        call.idleTimeout = std::chrono::milliseconds(100);
+        call.totalTimeout = std::chrono::milliseconds(200);
+        CallRecord record;
+        fixture.start(std::move(call), record);
+        std::unique_ptr<RawConnection> connection;
+        ASSERT_TRUE(fixture.runUntil([&] { return (connection = server.accept()) != nullptr; }));
+        connection->send("HTTP/1.1 200 OK\r\n");
+        for (int sent = 0; sent < 100 && !record.isDone(); ++sent) {
+            connection->send("a");
+            fixture.runUntil([&] { return record.isDone(); }, std::chrono::milliseconds(20));
+        }
+        ASSERT_TRUE(record.error);
+        EXPECT_EQ(record.error->kind, Kind::Timeout);
+    }
+
     // Guards against an end of connection by reset that counts as the end of an accepted unframed reply.
     TEST(HttpClient, AcceptsUnframedReplyOnlyWithOrderlyEnd)
     {
--- a/src/teaselshore/http/reply_parser.cpp
+++ b/src/teaselshore/http/reply_parser.cpp
@@ -14,6 +14,8 @@
     namespace http = boost::beast::http;
 
     constexpr std::uint32_t maxHeadBytes = 64 * 1024;
+    /// Informational replies (1xx) before the final one.
+    constexpr std::size_t maxInformational = 16;
     constexpr int switchingProtocols = 101;
 
 } // namespace
@@ -115,6 +117,8 @@
             continue;
         if (!this->message->isInformational())
             return Progress::Done;
+        if (++this->informational > maxInformational)
+            return Progress::Malformed;
         this->message = std::make_unique<Message>(this->sink, this->isHeadRequest);
     }
     return Progress::NeedsMore;
--- a/src/teaselshore/http/reply_parser.hpp
+++ b/src/teaselshore/http/reply_parser.hpp
@@ -52,6 +52,7 @@
     std::unique_ptr<Message> message;
     ReplySink& sink;
     bool isHeadRequest;
+    std::size_t informational = 0;
 };
 
 } // namespace teaselshore
--- a/src/teaselshore/node/event_stream_buffer.cpp
+++ b/src/teaselshore/node/event_stream_buffer.cpp
@@ -42,10 +42,13 @@
     if (this->partial.empty() && bytes.ends_with(eventEnd))
         return this->takeEvents(bytes);
 
+    // Only the end of the earlier bytes can be part of an event's end.
+    const std::size_t searched = this->partial.empty() ? 0 : this->partial.size() - 1;
     this->partial.append(bytes);
-    const std::size_t end = this->partial.rfind(eventEnd);
-    if (end == std::string::npos)
+    const std::size_t found = std::string_view(this->partial).substr(searched).rfind(eventEnd);
+    if (found == std::string::npos)
         return {};
+    const std::size_t end = searched + found;
     const std::string complete = this->partial.substr(0, end + eventEnd.size());
     this->partial.erase(0, complete.size());
     return this->takeEvents(complete);
