--- a/src/teaselshore/entry/crash_watch.cpp
+++ b/src/teaselshore/entry/crash_watch.cpp
@@ -122,11 +122,8 @@
     this->send();
 }
 
-void CrashWatch::onCompleted(const CallerRequest& request, const std::optional<WorkspaceName>& workspace)
+void CrashWatch::onCompleted(Fingerprint content)
 {
-    if (this->history.isEmpty())
-        return;
-    const Fingerprint content = contentFingerprint(request, workspace);
     const CrashVerdict before = this->history.verdict(content);
     const std::vector<RequestCrash> voided = this->history.clear(content);
     this->unsent.insert(this->unsent.end(), voided.begin(), voided.end());
@@ -163,24 +160,16 @@
     this->send();
 }
 
-CrashVerdict CrashWatch::verdict(const CallerRequest& request, const std::optional<WorkspaceName>& workspace) const
-{
-    return this->history.isEmpty() ? CrashVerdict::Clear
-                                   : this->history.verdict(contentFingerprint(request, workspace));
-}
-
-bool CrashWatch::mayRetryBroken(const CallerRequest& request, const std::optional<WorkspaceName>& workspace) const
+bool CrashWatch::mayRetryBroken(Fingerprint content) const
 {
     // The crash that the broken connection may come from is not confirmed yet.
-    return this->history.isEmpty()
-        || this->history.count(contentFingerprint(request, workspace)) + 1 < CrashHistorySettings().suspectAfter;
+    return this->history.count(content) + 1 < CrashHistorySettings().suspectAfter;
 }
 
-Duration CrashWatch::remaining(
-    const CallerRequest& request, const std::optional<WorkspaceName>& workspace, Instant now) const
+Duration CrashWatch::remaining(Fingerprint content, Instant now) const
 {
     const std::optional<Duration> calendar = this->state.calendarTime(now);
-    return calendar ? this->history.remaining(contentFingerprint(request, workspace), *calendar) : Duration(0);
+    return calendar ? this->history.remaining(content, *calendar) : Duration(0);
 }
 
 void CrashWatch::send()
--- a/src/teaselshore/entry/crash_watch.hpp
+++ b/src/teaselshore/entry/crash_watch.hpp
@@ -27,17 +27,18 @@
     /// @brief The registered upstreams changed.
     void onUpstreams(Instant now);
     /// @brief A request ran to its end, so that it cannot be what ended upstreams.
-    void onCompleted(const CallerRequest& request, const std::optional<WorkspaceName>& workspace);
+    void onCompleted(Fingerprint content);
     /// @brief Takes over what another node has seen, from its message or from its report.
     void onCrashes(const std::vector<RequestCrash>& crashes, Instant now);
     void onTick(Instant now);
 
-    /// @brief Returns the verdict on a request; costs nothing while no crash is known.
-    CrashVerdict verdict(const CallerRequest& request, const std::optional<WorkspaceName>& workspace) const;
+    /// @brief True while no crash is known; all requests are clear then.
+    bool isEmpty() const { return this->history.isEmpty(); }
+    CrashVerdict verdict(Fingerprint content) const { return this->history.verdict(content); }
     /// @brief Returns whether a request whose attempt has just broken may be sent again.
-    bool mayRetryBroken(const CallerRequest& request, const std::optional<WorkspaceName>& workspace) const;
+    bool mayRetryBroken(Fingerprint content) const;
     /// @brief Returns how long a rejected request is refused if no crash follows.
-    Duration remaining(const CallerRequest& request, const std::optional<WorkspaceName>& workspace, Instant now) const;
+    Duration remaining(Fingerprint content, Instant now) const;
     /// @brief Returns the crashes for this node's report.
     std::vector<RequestCrash> reported() const { return this->history.suspects(reportedRequests); }
     /// @brief Returns whether a request became a suspect here since the last call, so that the report is due.
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -268,16 +268,23 @@
         this->hold(request, now);
 }
 
+Fingerprint EntryRequests::contentOf(Request& request)
+{
+    if (!request.content)
+        request.content = contentFingerprint(request.caller, request.workspace);
+    return *request.content;
+}
+
 bool EntryRequests::refuseIfQuarantined(Request& request, Instant now)
 {
-    if (this->crashes.verdict(request.caller, request.workspace) != CrashVerdict::Rejected)
+    if (this->crashes.isEmpty() || this->crashes.verdict(contentOf(request)) != CrashVerdict::Rejected)
         return false;
     const std::string reason = "equal requests crashed several upstreams";
     if (request.runs > 0 || request.streaming)
         this->endUnanswered(request, reason, now);
     else
         this->refuse(request, RequestOutcome::Quarantined, serviceUnavailable, reason,
-            std::max(shortestRetryAfter, this->crashes.remaining(request.caller, request.workspace, now)), now);
+            std::max(shortestRetryAfter, this->crashes.remaining(contentOf(request), now)), now);
     return true;
 }
 
@@ -459,7 +466,8 @@
     if (!event.facts.notRun) {
         ++request->runs;
         this->countStart(*request, now);
-        this->crashes.onCompleted(request->caller, request->workspace);
+        if (!this->crashes.isEmpty())
+            this->crashes.onCompleted(contentOf(*request));
     }
     const bool success = status >= statusOk && status < firstRedirect;
     if (!event.facts.notRun && !failed && (event.facts.isStamped || !success)) {
@@ -502,11 +510,9 @@
             { "mayHaveRun", event.mayHaveRun ? "true" : "false" },
             { "connectionBroken", event.connectionBroken ? "true" : "false" },
             { "runs", std::to_string(request->runs) }, { "maxAttempts", std::to_string(request->route->maxAttempts) },
-            { "content", fmt::format("{:016x}", contentFingerprint(request->caller, request->workspace)) },
-            { "reason", event.detail } });
+            { "content", fmt::format("{:016x}", contentOf(*request)) }, { "reason", event.detail } });
     if (event.connectionBroken)
-        this->crashes.onBroken(
-            attempt->upstream, contentFingerprint(request->caller, request->workspace), attempt->startedAt, now);
+        this->crashes.onBroken(attempt->upstream, contentOf(*request), attempt->startedAt, now);
     this->retryOrEnd(*request, { event.mayHaveRun, event.connectionBroken }, event.detail, now);
     this->startWaiting(now);
 }
@@ -519,7 +525,7 @@
         return false;
     if (request.runs >= request.route->maxAttempts)
         return false;
-    if (result.connectionBroken && !this->crashes.mayRetryBroken(request.caller, request.workspace))
+    if (result.connectionBroken && !this->crashes.mayRetryBroken(contentOf(request)))
         return false;
     // A connection that was refused has brought nothing to any upstream.
     if (result.mayHaveRun && !this->state.retryBudget(request.service).tryRetry(now)) {
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -59,6 +59,8 @@
         std::uint32_t sends = 0;
         /// Number of times it was sent and may have run.
         std::uint32_t runs = 0;
+        /// What repeats of the request have in common; computed when it is first needed.
+        std::optional<Fingerprint> content;
         bool counted = false;
         bool streaming = false;
         /// Time from the arrival to the first event of the stream.
@@ -100,6 +102,7 @@
     void fillRouting(Request& request);
     ServiceName drawService(const EntryRoute& route);
     void dispatch(Request& request, Instant now);
+    static Fingerprint contentOf(Request& request);
     /// @brief Ends a request that must not run, since equal ones crashed their upstreams. Returns whether it did.
     bool refuseIfQuarantined(Request& request, Instant now);
     /// @brief Sends the request, or ends it; returns false if it has to wait.
