--- a/src/teaselshore/reliability/crash_history_test.cpp
+++ b/src/teaselshore/reliability/crash_history_test.cpp
@@ -1,5 +1,7 @@
 #include "teaselshore/reliability/crash_history.hpp"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -97,9 +99,8 @@
             return crash("up-" + std::to_string(*rc::gen::inRange(0, 5)), std::chrono::seconds(start),
                 std::chrono::seconds(start + *rc::gen::inRange(0, 5)), *rc::gen::inRange(0, 4) == 0);
         };
-        std::vector<RequestCrash> crashes;
-        for (int number = 0; number < 8; ++number)
-            crashes.push_back(draw());
+        std::vector<RequestCrash> crashes(8);
+        std::generate(crashes.begin(), crashes.end(), draw);
         CrashHistory first;
         for (const RequestCrash& entry : crashes)
             first.add(entry, 30s);
