--- a/src/teaselshore/entry/entry_requests_test.cpp
+++ b/src/teaselshore/entry/entry_requests_test.cpp
@@ -291,6 +291,17 @@
             0);
     }
 
+    /// An upstream turns an attempt away and asks for a pause.
+    void refuseWithPause(EntryHarness& harness, AttemptId attempt, Duration pause)
+    {
+        UpstreamResponded refused;
+        refused.response.attempt = attempt;
+        refused.response.status = 503;
+        refused.facts.notRun = true;
+        refused.facts.pause = pause;
+        harness.send(std::move(refused));
+    }
+
     // Load pattern: an upstream turns requests away and says for how long. Guards against requests that reach it before
     // that time is over, and against an upstream that stays unused after it.
     TEST(EntryRequests, UpstreamGetsThePauseThatItAsksFor)
@@ -299,12 +310,7 @@
         harness.start(3);
         harness.request("order");
         const auto sent = harness.first<ForwardRequest>();
-        UpstreamResponded refused;
-        refused.response.attempt = sent->attempt.attempt;
-        refused.response.status = 503;
-        refused.facts.notRun = true;
-        refused.facts.pause = 3s;
-        harness.send(std::move(refused));
+        refuseWithPause(harness, sent->attempt.attempt, 3s);
         const auto next = harness.first<ForwardRequest>();
         ASSERT_TRUE(next) << "it goes to another upstream at once";
         harness.respond(next->attempt.attempt, 200);
@@ -330,14 +336,8 @@
         EntryHarness harness;
         harness.start(2);
         harness.request("order");
-        while (const auto sent = harness.first<ForwardRequest>()) {
-            UpstreamResponded refused;
-            refused.response.attempt = sent->attempt.attempt;
-            refused.response.status = 503;
-            refused.facts.notRun = true;
-            refused.facts.pause = 2s;
-            harness.send(std::move(refused));
-        }
+        while (const auto sent = harness.first<ForwardRequest>())
+            refuseWithPause(harness, sent->attempt.attempt, 2s);
         for (int request = 0; request < 2; ++request) {
             ASSERT_TRUE(harness.first<Respond>());
             EXPECT_EQ(harness.first<Respond>()->status, 503);
