Log and count requests that upstreams received and refused

Retries of refused requests could not be told from retries after refused connections: only the latter left a line in the log, and no counter had either.

--- a/include/teaselshore/entry/entry_statistics.hpp
+++ b/include/teaselshore/entry/entry_statistics.hpp
@@ -39,6 +39,8 @@
     std::uint64_t retries = 0;
     /// Retries that the shared retry budget did not allow.
     std::uint64_t deniedRetries = 0;
+    /// Attempts that an upstream received and refused to run.
+    std::uint64_t refusedAttempts = 0;
     /// Attempts whose connection broke, as after a crash of the upstream.
     std::uint64_t brokenAttempts = 0;
     /// Upstream processes that crashed while they ran requests of this node.
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -31,6 +31,8 @@
     this->setCounter("teaselshore_retries_total", "Attempts after the first one of a request.", statistics.retries);
     this->setCounter(
         "teaselshore_denied_retries_total", "Retries that the shared budget did not allow.", statistics.deniedRetries);
+    this->setCounter("teaselshore_refused_attempts_total", "Attempts that an upstream received and refused to run.",
+        statistics.refusedAttempts);
     this->setCounter("teaselshore_broken_attempts_total",
         "Attempts whose connection broke, as after a crash of the upstream.", statistics.brokenAttempts);
     this->setCounter("teaselshore_upstream_crashes_total", "Upstream processes that ended under requests of this node.",
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -468,6 +468,12 @@
         this->countUsage(*request, now);
         if (!this->crashes.isEmpty())
             this->crashes.onCompleted(fingerprintOf(*request));
+    } else {
+        ++this->state.statistics.refusedAttempts;
+        this->state.log(LogLevel::Info, "upstream refused the request",
+            { { "request", request->caller.attemptId }, { "upstream", attempt->upstream.value() },
+                { "status", std::to_string(status) }, { "sends", std::to_string(request->sends) },
+                { "runs", std::to_string(request->runs) } });
     }
     const bool success = status >= statusOk && status < firstRedirect;
     if (!event.facts.notRun && !failed && (event.facts.isStamped || !success)) {
