Charge retries of refused requests to the retry budget

What callers saw: while upstreams refused requests, a service got up to three times as many repeats as its retry budget allows (BUDGET).

Cause: EntryRequests::mayRetry charged the budget only if the attempt may have run. It took "did not run" for "did not arrive". An upstream that refuses a request has received it, so its retry is load that the budget must bound.

Evidence: RefusingUpstreams.RetriesOfRefusedRequestsStayWithinTheSharedBudget drives 9 and 75 nodes before upstreams that refuse 80% of all requests. Ruled out: resends inside the HTTP client (it has none), streams that resume (charged before, since they ran).

Why it works: a request remembers whether any upstream may have received it, and each further send after that is charged. Connections that were never established stay free (RefusingUpstreams.UnreachableUpstreamsUseNoRetryBudget).

The price is that requests whose retry is denied are refused with Retry-After at once; avoiding upstreams that refuse is a change of its own.

--- a/src/teaselshore/entry/entry_fleet.hpp
+++ b/src/teaselshore/entry/entry_fleet.hpp
@@ -99,6 +99,8 @@
     {
         EntryNodeSettings settings = EntryHarness::settings(this->random.next(), host);
         settings.host.quota = this->tolerance;
+        if (this->retries)
+            settings.host.retries = *this->retries;
         const std::size_t port = this->ports.try_emplace(host, this->ports.size() + 1).first->second;
         settings.host.peers = SocketAddress { "10.0.0.1", static_cast<std::uint16_t>(port) };
         this->peerAddresses[formatSocketAddress(*settings.host.peers)] = host;
@@ -391,6 +393,8 @@
     std::map<RequestId, Respond> responses;
     std::optional<WorkspaceQuota> quota;
     QuotaTolerance tolerance;
+    /// Retry budget of nodes that start from now on; the harness's if unset.
+    std::optional<SharedRetryBudget> retries;
     /// Times at which requests were sent to upstreams.
     std::vector<Instant> sentAt;
     /// Number of requests refused with status 429.
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -463,6 +463,7 @@
     if (!request)
         return;
     request->attempt.reset();
+    request->mayHaveArrived = true;
     if (!event.facts.notRun) {
         ++request->runs;
         this->countUsage(*request, now);
@@ -509,8 +510,10 @@
     if (event.lastEventId)
         request->lastEventId = event.lastEventId;
     request->routing.excluded.push_back(attempt->upstream);
-    if (event.mayHaveRun)
+    if (event.mayHaveRun) {
         ++request->runs;
+        request->mayHaveArrived = true;
+    }
     this->state.log(LogLevel::Info, "attempt failed",
         { { "request", request->caller.attemptId }, { "upstream", attempt->upstream.value() },
             { "mayHaveRun", event.mayHaveRun ? "true" : "false" },
@@ -533,8 +536,8 @@
         return false;
     if (result.connectionBroken && !this->crashes.mayRetryAfterBrokenConnection(fingerprintOf(request)))
         return false;
-    // A refused connection puts no load on an upstream, so it does not count against the retry budget.
-    if (result.mayHaveRun && !this->state.retryBudget(request.service).tryRetry(now)) {
+    // Refused requests count too: the upstream has received them. Connections that were never established do not.
+    if (request.mayHaveArrived && !this->state.retryBudget(request.service).tryRetry(now)) {
         ++this->state.statistics.deniedRetries;
         return false;
     }
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -58,6 +58,8 @@
         std::uint32_t sends = 0;
         /// Number of times the request was sent and may have run.
         std::uint32_t runs = 0;
+        /// True once an upstream may have received the request, whether it ran it or refused it.
+        bool mayHaveArrived = false;
         /// Content fingerprint, which repeats of the request share; computed on first use.
         std::optional<Fingerprint> fingerprint;
         bool usageCounted = false;
