Use the floor of the retry budget only when its share is known

Nodes that start, or that restart while upstreams refuse requests, sent more repeats than the budget of the fleet.

Cause: until a node had read the reports of others it counted only itself and used the whole floor of the budget; a restarted process used its part again right after the process before it had.

Why it works: a node uses a thousandth of the floor until it has seen its own report, when the others count it too. In a fleet that was running before it, it also waits for one window of the budget, so that what was used before its start no longer counts. The part of the budget that grows with a node's own requests needs no such wait.

--- a/src/teaselshore/entry/entry_duties.cpp
+++ b/src/teaselshore/entry/entry_duties.cpp
@@ -91,6 +91,7 @@
     }
     if (!this->ownUsageRestored) {
         this->ownUsageRestored = true;
+        this->joinedRunningFleet = !reports.empty();
         for (const NodeReport& report : reports) {
             if (report.host == this->state.settings.host.node && report.process != this->state.settings.id)
                 this->state.usage.merge(report.usage);
@@ -140,8 +141,9 @@
     // A silent node reads no reports and keeps its last count of live nodes. If it counted only itself, each
     // disconnected node would use silentFraction of the whole quota.
     if (!isSilent || this->state.liveNodes == 0)
-        this->state.setLiveNodes(this->nodes.countReportedWithin(this->shareTimeout, now));
-    const double share = fraction / static_cast<double>(this->state.liveNodes);
+        this->state.liveNodes = this->nodes.countReportedWithin(this->shareTimeout, now);
+    const auto liveNodes = static_cast<double>(this->state.liveNodes);
+    const double share = fraction / liveNodes;
     if (share != this->quotaShare) {
         this->state.log(LogLevel::Info, "share of the quotas changed",
             { { "share", fmt::format("{:.4f}", share) }, { "previous", fmt::format("{:.4f}", this->quotaShare) },
@@ -150,6 +152,12 @@
     }
     this->quotaShare = share;
     this->state.quotas.setShare(share, now);
+    // In the window before this process started, an earlier process on this host or the other nodes may have used up
+    // the whole floor.
+    const bool floorIsFree
+        = !this->joinedRunningFleet || now - *this->startedAt >= this->state.settings.host.retries.window;
+    const bool knowsFloorShare = this->ownReportSeenAt && !isSilent && floorIsFree;
+    this->state.setRetryFloorShare(knowsFloorShare ? std::optional(1 / liveNodes) : std::nullopt);
 }
 
 std::optional<FencedHolder> EntryDuties::fencedHolder(Instant now) const
@@ -195,6 +203,8 @@
 
 bool EntryDuties::onTick(Instant now)
 {
+    if (!this->startedAt)
+        this->startedAt = now;
     this->scheduleReports(now);
     this->execute(this->lease.tick(now, this->ids));
     const bool held = this->holdsLease(now);
--- a/src/teaselshore/entry/entry_duties.hpp
+++ b/src/teaselshore/entry/entry_duties.hpp
@@ -43,7 +43,8 @@
     std::optional<FencedHolder> fencedHolder(Instant now) const;
     /// @brief Returns the peer addresses of the other live nodes, in an order that differs between nodes.
     std::vector<std::string> peers(Instant now) const;
-    /// @brief Sets the share of the quotas from the round of reports that followed the end of the given window.
+    /// @brief Sets the shares of the quotas and retry budgets from the round of reports that followed the end of the
+    /// given window.
     void applyShares(std::int64_t window, Instant now);
 
     EntryState& state;
@@ -58,6 +59,10 @@
     EntryRollouts versionRollouts;
     /// True once the counts of an earlier process on this host have been restored from its last report.
     bool ownUsageRestored = false;
+    /// Start of this process.
+    std::optional<Instant> startedAt;
+    /// True if other processes had written reports before this one started.
+    bool joinedRunningFleet = false;
     std::uint64_t reportNumber = 0;
     /// The last written report, encoded.
     std::string lastReport;
--- a/src/teaselshore/entry/entry_state.cpp
+++ b/src/teaselshore/entry/entry_state.cpp
@@ -9,9 +9,9 @@
     /// Fraction of the shared retry budget that the nodes use. The rest covers time windows that begin between two
     /// steps of the counter, and retries that arrive late.
     constexpr double usedBudgetFraction = 0.75;
-    /// Number of nodes assumed before any other node is known. A high value makes the node's share of the budget too
-    /// small rather than too large.
-    constexpr std::size_t assumedNodeCount = 100;
+    /// Share of the floor of the retry budget that a node uses while it does not know how many nodes there are; one
+    /// node in the largest supported fleet.
+    constexpr double unknownFleetShare = 0.001;
     /// Capacity of the prefix index, in blocks: holds the prompts of about 40 s at 25 requests/s with 16 blocks each.
     constexpr std::size_t maxIndexedBlocks = 16384;
 
@@ -46,10 +46,9 @@
 
 RetryBudgetSettings EntryState::retrySettings() const
 {
-    const std::size_t nodes = this->liveNodes == 0 ? assumedNodeCount : this->liveNodes;
     const SharedRetryBudget& shared = this->settings.host.retries;
-    return { usedBudgetFraction * shared.ratio, usedBudgetFraction * shared.floor / static_cast<double>(nodes),
-        shared.window };
+    const double share = this->retryFloorShare.value_or(unknownFleetShare);
+    return { usedBudgetFraction * shared.ratio, usedBudgetFraction * shared.floor * share, shared.window };
 }
 
 RetryBudget& EntryState::retryBudget(const ServiceName& service)
@@ -57,11 +56,11 @@
     return this->retryBudgets.try_emplace(service, this->retrySettings()).first->second;
 }
 
-void EntryState::setLiveNodes(std::size_t count)
+void EntryState::setRetryFloorShare(std::optional<double> share)
 {
-    if (count == this->liveNodes)
+    if (share == this->retryFloorShare)
         return;
-    this->liveNodes = count;
+    this->retryFloorShare = share;
     for (auto& [service, budget] : this->retryBudgets)
         budget.setFloor(this->retrySettings().floor);
 }
--- a/src/teaselshore/entry/entry_state.hpp
+++ b/src/teaselshore/entry/entry_state.hpp
@@ -26,8 +26,8 @@
     explicit EntryState(EntryNodeSettings nodeSettings);
 
     RetryBudget& retryBudget(const ServiceName& service);
-    /// @brief Sets the number of nodes that share the retry budget.
-    void setLiveNodes(std::size_t count);
+    /// @brief Sets the share of the floor of the retry budgets; nothing while this node does not know its share.
+    void setRetryFloorShare(std::optional<double> share);
     /// @brief Returns the wall-clock time since 1970; nothing before the first reading of the clock.
     std::optional<Duration> wallClockTime(Instant now) const;
     void countOutcome(RequestOutcome outcome) { ++this->statistics.outcomes[static_cast<std::size_t>(outcome)]; }
@@ -64,6 +64,7 @@
     RetryBudgetSettings retrySettings() const;
 
     std::map<ServiceName, RetryBudget> retryBudgets;
+    std::optional<double> retryFloorShare;
 };
 
 } // namespace teaselshore
--- a/src/teaselshore/entry/entry_test_support.hpp
+++ b/src/teaselshore/entry/entry_test_support.hpp
@@ -25,8 +25,8 @@
         settings.host.node = std::move(host);
         settings.host.zone = AvailabilityZone("zone-a");
         settings.host.zones = { AvailabilityZone("zone-a"), AvailabilityZone("zone-b") };
-        // Before any other node is known, a node uses a hundredth of the floor: 20.
-        settings.host.retries = { 0.2, 2000, std::chrono::seconds(10) };
+        // While the number of nodes is unknown, a node uses a thousandth of the floor: 20.
+        settings.host.retries = { 0.2, 20'000, std::chrono::seconds(10) };
         settings.id = NodeId(settings.host.node + "-1");
         settings.seed = seed;
         return settings;
--- a/src/teaselshore/entry/refusing_upstreams_test.cpp
+++ b/src/teaselshore/entry/refusing_upstreams_test.cpp
@@ -143,6 +143,21 @@
         }
     }
 
+    // Guards against nodes that use more than their share of the budget's floor while they do not know how many share
+    // it, or although the process before them has just used it.
+    TEST(RefusingUpstreams, StartedAndRestartedNodesStayWithinTheSharedBudget)
+    {
+        for (const std::size_t nodes : { 9u, 75u }) {
+            EntryFleet fleet(nodes);
+            RefusingUpstreams upstreams(fleet, 24, 24, 80);
+            upstreams.run(14s, 100);
+            EXPECT_LE(upstreams.excess(), 0) << nodes;
+            upstreams.restartNodes();
+            upstreams.run(14s, 100);
+            EXPECT_LE(upstreams.excess(), 0) << nodes;
+        }
+    }
+
     // Guards against a budget that also counts connections that were never established: they put no load on an
     // upstream, and their requests would be refused although other upstreams could serve them.
     TEST(RefusingUpstreams, UnreachableUpstreamsUseNoRetryBudget)
