Avoid upstreams that refuse requests

Cause: the score of an upstream did not depend on its refusals. Only the circuit breaker did, after five results at one node; each of 68 nodes sends an upstream a request every few seconds.

Change: each node estimates the probability that an upstream refuses, from its own results, old ones counting less, and adds its cost to the score. Upstreams that refuse still get requests when the others are full, and are tried again as the estimate decays, so that a service is never left without upstreams.

Load pattern and test: RefusingUpstreams.RequestsGoToUpstreamsThatAccept, 14 of 24 upstreams refuse 80%.

Evidence that nodes share with each other would learn faster; it is not built.

--- a/include/teaselshore/routing/router.hpp
+++ b/include/teaselshore/routing/router.hpp
@@ -28,6 +28,9 @@
     double price = 0.01;
     /// Seconds added for an upstream that is full.
     double interference = 0;
+    /// Seconds added for an upstream that refuses every request. A refusal costs little time, but a retry from a budget
+    /// without which the caller must come back later.
+    double refusal = 1;
 
     auto operator<=>(const ScoreWeights&) const = default;
 };
--- a/include/teaselshore/routing/routing_decision.hpp
+++ b/include/teaselshore/routing/routing_decision.hpp
@@ -44,13 +44,15 @@
     double reclaimRisk = 0;
     /// Delay that a batch request causes to interactive requests on a busy upstream.
     double interference = 0;
+    /// Cost of a refusal, weighted by its probability.
+    double refusal = 0;
     /// Bonus (negative) for the upstream preferred for the prefix.
     double affinity = 0;
 
     double sum() const
     {
         return this->firstToken + this->overTarget + this->linkDelay + this->linkCost + this->price + this->reclaimRisk
-            + this->interference + this->affinity;
+            + this->interference + this->refusal + this->affinity;
     }
 
     auto operator<=>(const ScoreTerms&) const = default;
--- a/src/teaselshore/entry/refusing_upstreams_test.cpp
+++ b/src/teaselshore/entry/refusing_upstreams_test.cpp
@@ -158,6 +158,20 @@
         }
     }
 
+    // Load pattern: more than half of the upstreams refuse most requests while the others have room. Guards against
+    // nodes that keep sending requests to upstreams that refuse, and refuse callers once the retry budget is spent.
+    TEST(RefusingUpstreams, RequestsGoToUpstreamsThatAccept)
+    {
+        for (const std::size_t nodes : { 9u, 75u }) {
+            EntryFleet fleet(nodes);
+            RefusingUpstreams upstreams(fleet, 24, 14, 80);
+            fleet.advance(12s);
+            upstreams.run(20s, 800);
+            EXPECT_LE(upstreams.excess(), 0) << nodes;
+            EXPECT_GE(upstreams.servedFraction(), 0.97) << nodes;
+        }
+    }
+
     // Guards against a budget that also counts connections that were never established: they put no load on an
     // upstream, and their requests would be refused although other upstreams could serve them.
     TEST(RefusingUpstreams, UnreachableUpstreamsUseNoRetryBudget)
--- a/src/teaselshore/routing/router.cpp
+++ b/src/teaselshore/routing/router.cpp
@@ -69,6 +69,8 @@
 {
     UpstreamDetails& detail = this->table.details[dispatch.upstream];
     Upstream& upstream = this->table.upstreams[dispatch.upstream];
+    if (outcome == AttemptOutcome::Refused)
+        upstream.refusals.onRefused(now);
     switch (outcome) {
     case AttemptOutcome::Completed:
         if (dispatch.pass)
@@ -234,6 +236,7 @@
     Upstream& upstream = this->impl->table.upstreams[dispatch->upstream];
     LoadRates& pool = this->impl->table.pools[upstream.pool].rates;
     const Duration elapsed = now - dispatch->sentAt - dispatch->networkDelay;
+    upstream.refusals.onAccepted(now);
     upstream.load.onFirstToken(dispatch->work, dispatch->workAhead, elapsed, upstream.capacity, pool, now);
 
     // Scales the latency to a request of mean size, so that requests of different length are comparable.
--- a/src/teaselshore/routing/upstream_chooser.cpp
+++ b/src/teaselshore/routing/upstream_chooser.cpp
@@ -342,6 +342,7 @@
         const double excess = predicted.outstanding / upstream.capacity.slots - interferenceThreshold;
         terms.interference = weights.interference * std::max(0.0, excess) / (1 - interferenceThreshold);
     }
+    terms.refusal = weights.refusal * upstream.refusals.probability(this->now);
     if (candidate.preferred) {
         const double tokens = static_cast<double>(request.prefixBlocks.size()) * this->settings.tokensPerBlock;
         const double missing = std::max(0.0, tokens - candidate.cachedTokens);
--- a/src/teaselshore/routing/upstream_table.hpp
+++ b/src/teaselshore/routing/upstream_table.hpp
@@ -10,6 +10,7 @@
 
 #include "teaselshore/reliability/circuit_breaker.hpp"
 #include "teaselshore/reliability/concurrency_limit.hpp"
+#include "teaselshore/routing/refusal_estimate.hpp"
 #include "teaselshore/routing/rendezvous_table.hpp"
 #include "teaselshore/routing/router.hpp"
 
@@ -34,6 +35,7 @@
 /// memory.
 struct alignas(64) Upstream {
     LoadEstimate load;
+    RefusalEstimate refusals;
     UpstreamCapacity capacity;
     std::array<std::uint32_t, upstreamSetKindCount> positions { noPosition, noPosition, noPosition, noPosition,
         noPosition };
--- a/src/teaselshore/routing/upstream_table_configuration.cpp
+++ b/src/teaselshore/routing/upstream_table_configuration.cpp
@@ -232,6 +232,7 @@
         .minimumOverloadLatency = this->acceptableLatency });
     detail = std::move(fresh);
     this->upstreams[index].load = LoadEstimate {};
+    this->upstreams[index].refusals = RefusalEstimate {};
     this->replacedUpstreams.push_back(index);
 }
 
