Relay the configuration to nodes that the platform turns away

Cause: each node learned the configuration only from its own watch at the platform, and went on with the last version without it. The platform may reject single nodes (503, 429, resets, silence) while it confirms changes to the operator and serves the other nodes. The class of fault: knowledge that the fleet has is held by one path per node.

Ruled out by reading: a list in pages is watched from the version of its first page; an older version is ignored; a process that starts serves nothing before it has read the newest version; requests that wait keep the table of their arrival for an eighth of their latency target at most.

Why it works: a node whose watch is not answered asks two peers four times a second for a version newer than its own; a peer that has one sends the text it read, and the receiver decodes it like its own reads. Older versions have no effect. Nodes whose watch is answered send nothing.

--- a/include/teaselshore/entry/entry_command.hpp
+++ b/include/teaselshore/entry/entry_command.hpp
@@ -78,6 +78,12 @@
     bool mayBeStale = false;
 };
 
+/// @brief Decodes a configuration that a peer sent; the reply is EntryConfigurationRead, or none if it is not valid.
+struct DecodeConfiguration {
+    /// As the platform encodes it.
+    std::string text;
+};
+
 /// @brief Writes this node's report unconditionally, replacing the previous one.
 struct WriteNodeReport {
     std::string host;
@@ -93,9 +99,10 @@
     EntryMessage message;
 };
 
-using EntryCommand = std::variant<ForwardRequest, CheckUpstream, CancelAttempt, Respond, FailStream, SetReady,
-    ApplyCallerLimits, AnnounceClose, StopAccepting, StopProcess, SendUsage, SendUpstreamOrder, WriteRolloutState,
-    ReadRollouts, WriteNodeReport, ReadNodeReports, SendEntryMessage, CallObjectApi, RequestEnded, LogEvent>;
+using EntryCommand
+    = std::variant<ForwardRequest, CheckUpstream, CancelAttempt, Respond, FailStream, SetReady, ApplyCallerLimits,
+        AnnounceClose, StopAccepting, StopProcess, SendUsage, SendUpstreamOrder, WriteRolloutState, ReadRollouts,
+        DecodeConfiguration, WriteNodeReport, ReadNodeReports, SendEntryMessage, CallObjectApi, RequestEnded, LogEvent>;
 
 using EntryCommands = std::vector<EntryCommand>;
 
--- a/include/teaselshore/entry/entry_event.hpp
+++ b/include/teaselshore/entry/entry_event.hpp
@@ -48,9 +48,16 @@
     State state = State::Unknown;
 };
 
-/// @brief The operator's configuration was read from the platform.
+/// @brief The operator's configuration was read from the platform or received from a peer.
 struct EntryConfigurationRead {
     EntryConfiguration configuration;
+    /// The configuration as the platform encodes it, for peers that cannot read it there.
+    std::string text;
+};
+
+/// @brief The platform stopped answering the watch of the configuration, or answers it again.
+struct ConfigurationWatchChanged {
+    bool isAnswered = false;
 };
 
 /// @brief The platform returned all registered upstreams.
@@ -118,8 +125,8 @@
 struct EntryTick { };
 
 using EntryEvent = std::variant<CallerRequestArrived, CallerGone, UpstreamStreamStarted, UpstreamResponded,
-    AttemptFailed, UpstreamChecked, EntryConfigurationRead, UpstreamsListed, UpstreamChanged, UpstreamRemoved,
-    RolloutsListed, NodeReportsRead, NodeReportWritten, EntryMessageReceived, CloudCallEnded, ObjectResult, ClockRead,
-    EntryStopRequested, EntryTick>;
+    AttemptFailed, UpstreamChecked, EntryConfigurationRead, ConfigurationWatchChanged, UpstreamsListed, UpstreamChanged,
+    UpstreamRemoved, RolloutsListed, NodeReportsRead, NodeReportWritten, EntryMessageReceived, CloudCallEnded,
+    ObjectResult, ClockRead, EntryStopRequested, EntryTick>;
 
 } // namespace teaselshore
--- a/include/teaselshore/entry/entry_message.hpp
+++ b/include/teaselshore/entry/entry_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
@@ -36,8 +37,25 @@
     auto operator<=>(const RolloutDecision&) const = default;
 };
 
+/// @brief Asks for the configuration in effect at the receiver if it is newer than that of the sender, which cannot
+/// read it from the platform.
+struct NewerConfigurationRequest {
+    /// Version in effect at the sender; 0 for none.
+    std::uint64_t version = 0;
+
+    auto operator<=>(const NewerConfigurationRequest&) const = default;
+};
+
+/// @brief Configuration that the sender has read, as the platform encodes it.
+struct ConfigurationCopy {
+    std::uint64_t version = 0;
+    std::string text;
+
+    auto operator<=>(const ConfigurationCopy&) const = default;
+};
+
 /// @brief Messages between the nodes of `teaselshore-entry`.
-using EntryMessage
-    = std::variant<QuotaLoanRequest, QuotaLoan, QuotaReturn, RelayedReport, CrashReport, RolloutDecision>;
+using EntryMessage = std::variant<QuotaLoanRequest, QuotaLoan, QuotaReturn, RelayedReport, CrashReport, RolloutDecision,
+    NewerConfigurationRequest, ConfigurationCopy>;
 
 } // namespace teaselshore
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -173,6 +173,7 @@
     void execute(SendUpstreamOrder& command);
     void execute(WriteRolloutState& command);
     void execute(const ReadRollouts& command);
+    void execute(DecodeConfiguration& command);
     void execute(WriteNodeReport& command);
     void execute(ReadNodeReports&);
     void execute(SendEntryMessage& command);
@@ -338,6 +339,11 @@
         this->onConfigurationObjects(objects);
     };
     configuration.onChanged = configuration.onListed;
+    configuration.onReachable
+        = [this, log = std::move(configuration.onReachable)](bool reachable, const std::string& reason) {
+              log(reachable, reason);
+              this->handle(ConfigurationWatchChanged { reachable });
+          };
     this->configurationWatcher = this->watchKind(wire::configKind, std::move(configuration));
 
     KindWatcherHandlers upstreams = this->watcherHandlers(wire::serversKind);
@@ -384,7 +390,7 @@
             continue;
         std::string reason;
         if (auto configuration = decodeConfiguration(object.spec, reason))
-            this->handle(EntryConfigurationRead { std::move(*configuration) });
+            this->handle(EntryConfigurationRead { std::move(*configuration), encodeConfiguration(object.spec) });
         else
             logLine(LogLevel::Error, "configuration cannot be understood; the last one stays in effect",
                 { { "objectVersion", object.version }, { "reason", reason } });
@@ -561,6 +567,18 @@
     this->platform->listKind(std::string(wire::rolloutsKind), {}, freshness, onListed);
 }
 
+void EntryTask::Impl::execute(DecodeConfiguration& command)
+{
+    // Posted, because the node is still inside the event that issued the command.
+    this->loop->post([this, text = std::move(command.text)] {
+        std::string reason;
+        if (auto configuration = decodeConfiguration(text, reason))
+            this->handle(EntryConfigurationRead { std::move(*configuration), text });
+        else
+            logLine(LogLevel::Error, "configuration from a peer cannot be decoded", { { "reason", reason } });
+    });
+}
+
 void EntryTask::Impl::execute(WriteNodeReport& command)
 {
     const std::string key = std::string(nodesKind) + "/" + command.host;
--- a/src/teaselshore/entry/entry_fleet.hpp
+++ b/src/teaselshore/entry/entry_fleet.hpp
@@ -166,6 +166,16 @@
         }
     }
 
+    /// @brief Returns a version of the configuration; its text is the number of the version. Each version has one key.
+    EntryConfigurationRead configurationRead(std::uint64_t version) const
+    {
+        EntryConfiguration configuration = EntryHarness::configuration(version);
+        configuration.workspaces[0].keys = { versionKey(version) };
+        return { configuration, std::to_string(version) };
+    }
+
+    static std::string versionKey(std::uint64_t version) { return "key-" + std::to_string(version); }
+
     /// @brief Delivers the rollout orders to each host once in 50 steps, at a different step for each host.
     void pollRollouts()
     {
@@ -277,6 +287,8 @@
         } else if (const auto* read = std::get_if<ReadRollouts>(&command)) {
             if (done)
                 events.emplace_back(this->listRollouts(read->mayBeStale));
+        } else if (const auto* copy = std::get_if<DecodeConfiguration>(&command)) {
+            events.emplace_back(this->configurationRead(std::stoull(copy->text)));
         } else if (const auto* message = std::get_if<SendEntryMessage>(&command)) {
             const std::string& receiver = this->peerAddresses.at(message->address);
             const auto reachesPeers = [this](const std::string& name) {
@@ -326,13 +338,13 @@
     }
 
     RequestId request(const std::string& host, std::optional<PromptSize> size = std::nullopt,
-        const std::string& route = "order", const std::string& body = {})
+        const std::string& route = "order", const std::string& body = {}, const std::string& key = "key-n")
     {
         CallerRequestArrived arrived { this->nodes.at(host)->nextRequestId(), {} };
         arrived.request.method = "POST";
         arrived.request.path = "/" + route + "/x";
         arrived.request.host = EntryHarness::hostName;
-        arrived.request.key = "key-n";
+        arrived.request.key = key;
         arrived.request.size = size;
         arrived.request.body = body;
         RequestId id = arrived.id;
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "configuration_relay.hpp"
 #include "crash_detector.hpp"
 #include "entry_duties.hpp"
 #include "entry_requests.hpp"
@@ -32,6 +33,7 @@
 struct EntryNode::Impl {
     explicit Impl(EntryNodeSettings settings)
         : state(std::move(settings))
+        , configurations(state)
         , crashes(state)
         , duties(state, crashes)
         , requests(state, duties.rollouts(), crashes)
@@ -45,6 +47,7 @@
     void handle(AttemptFailed& event, Instant now) { this->requests.onFailed(event, now); }
     void handle(UpstreamChecked& event, Instant now) { this->crashes.onChecked(event, now); }
     void handle(EntryConfigurationRead& event, Instant now);
+    void handle(ConfigurationWatchChanged& event, Instant now) { this->configurations.onWatchChanged(event, now); }
     void handle(UpstreamsListed& event, Instant now);
     void handle(UpstreamChanged& event, Instant now);
     void handle(UpstreamRemoved& event, Instant now);
@@ -66,6 +69,14 @@
     {
         this->crashes.onCrashes(report.crashes, now);
     }
+    void receive(const std::string& senderAddress, const NewerConfigurationRequest& request, Instant)
+    {
+        this->configurations.onRequest(senderAddress, request);
+    }
+    void receive(const std::string& senderAddress, const ConfigurationCopy& copy, Instant)
+    {
+        this->configurations.onCopy(senderAddress, copy);
+    }
     void receive(const std::string&, const RolloutDecision& decision, Instant now)
     {
         if (this->duties.rollouts().onDecision(decision))
@@ -82,6 +93,7 @@
     void advanceShutdown(Instant now);
 
     EntryState state;
+    ConfigurationRelay configurations;
     CrashDetector crashes;
     EntryDuties duties;
     EntryRequests requests;
@@ -137,6 +149,7 @@
         return;
     }
     this->state.table = std::make_shared<const RouteTable>(std::move(event.configuration));
+    this->configurations.onConfiguration(std::move(event.text));
     const EntryConfiguration& configuration = this->state.table->configuration();
     this->state.quotas.onWorkspaces(configuration.workspaces, now);
     this->state.commands.emplace_back(ApplyCallerLimits { configuration.limits });
@@ -282,6 +295,7 @@
         return;
     this->nextHousekeeping = now + housekeepingPeriod;
     this->state.router.onTick(now);
+    this->configurations.onTick(now);
     this->crashes.onTick(now);
     this->state.exclusions.onTick(now);
     const bool sharesChanged = this->duties.onTick(now);
--- a/src/teaselshore/protocol/codec.cpp
+++ b/src/teaselshore/protocol/codec.cpp
@@ -27,6 +27,8 @@
         case wire::Envelope::kCrashReport:
         case wire::Envelope::kRolloutDecision:
         case wire::Envelope::kRelayedReport:
+        case wire::Envelope::kNewerConfigurationRequest:
+        case wire::Envelope::kConfigurationCopy:
             return entryFromWire(envelope);
         case wire::Envelope::MESSAGE_NOT_SET:
             error = ProtocolError::UnknownMessage;
--- a/src/teaselshore/protocol/codec_test.cpp
+++ b/src/teaselshore/protocol/codec_test.cpp
@@ -158,6 +158,8 @@
             EntryMessage(RelayedReport { fields.text() }),
             EntryMessage(QuotaLoan { fields.number(), static_cast<double>(fields.smallNumber()) }),
             EntryMessage(QuotaReturn { WorkspaceName(fields.text()), static_cast<double>(fields.smallNumber()) }),
+            EntryMessage(NewerConfigurationRequest { fields.number() }),
+            EntryMessage(ConfigurationCopy { fields.number(), fields.text() }),
             EntryMessage(RolloutDecision {
                 ServiceName(fields.text()), VersionName(fields.text()), RolloutOrder::State::RolledBack, 0.25 }),
             EntryMessage(CrashReport { { { 1ULL << 63U, UpstreamId(fields.text()),
--- a/src/teaselshore/protocol/entry_conversions.cpp
+++ b/src/teaselshore/protocol/entry_conversions.cpp
@@ -55,6 +55,17 @@
         result.set_share(decision.share);
     }
 
+    void fill(const NewerConfigurationRequest& request, wire::Envelope& envelope)
+    {
+        envelope.mutable_newer_configuration_request()->set_version(request.version);
+    }
+
+    void fill(const ConfigurationCopy& copy, wire::Envelope& envelope)
+    {
+        envelope.mutable_configuration_copy()->set_version(copy.version);
+        envelope.mutable_configuration_copy()->set_text(copy.text);
+    }
+
     std::optional<RolloutDecision> fromWire(const wire::RolloutDecision& decision)
     {
         if (!wire::RolloutState_IsValid(decision.state()) || !(decision.share() >= 0 && decision.share() <= 1))
@@ -92,6 +103,10 @@
         return fromWire(envelope.crash_report());
     if (envelope.has_rollout_decision())
         return fromWire(envelope.rollout_decision());
+    if (envelope.has_newer_configuration_request())
+        return NewerConfigurationRequest { envelope.newer_configuration_request().version() };
+    if (envelope.has_configuration_copy())
+        return ConfigurationCopy { envelope.configuration_copy().version(), envelope.configuration_copy().text() };
     if (envelope.has_relayed_report())
         return RelayedReport { envelope.relayed_report().report() };
     if (envelope.has_quota_return()) {
