Record crashes for the parts of prompts

What callers saw: requests that share one prompt part, and differ in all else, crashed one upstream after the other (BUDGET), and broke the requests beside them.

Cause: CrashHistory counted crashes of one fingerprint of workspace, host, path and body, so that each such request was a first offence. The class of fault: evidence is keyed by the whole although a part may be the cause.

Ruled out: slow detection (crashes were confirmed and shared at once), retries (one attempt each crashed as well).

Why it works: a crash is recorded under the content of each request that was running and under each part of its prompt but the last. A run that ends without a crash, or a stream that goes on for half a second, clears its keys at all nodes, so that what sound requests share does not stay suspect. A request is refused if one of its keys has three crashes in a row and it holds every other key that was present in all of them: a request with only some of the suspects runs, and its end tells which of them is the cause. Identical requests are refused as before.

--- a/include/teaselshore/entry/caller_request.hpp
+++ b/include/teaselshore/entry/caller_request.hpp
@@ -55,6 +55,10 @@
 /// every node.
 Fingerprint contentFingerprint(const CallerRequest& request, const std::optional<WorkspaceName>& workspace);
 
+/// @brief Returns the keys under which crashes of a request are recorded: its content first, then each part of its
+/// prompt that other requests may share. The last part belongs to the request itself.
+std::vector<Fingerprint> crashKeys(const CallerRequest& request, const std::optional<WorkspaceName>& workspace);
+
 /// @brief Data that the node adds to a request when it forwards it to an upstream.
 struct ForwardingContext {
     /// When the caller stops waiting.
--- a/src/teaselshore/entry/crash_detector.cpp
+++ b/src/teaselshore/entry/crash_detector.cpp
@@ -12,8 +12,8 @@
     /// Time in which a crash can be confirmed by the registration of a new process: it starts within some seconds, and
     /// the entry of the old one expires after three missed heartbeats.
     constexpr Duration confirmationWindow = std::chrono::seconds(10);
-    /// Maximum number of broken attempts recorded for one upstream. Some upstreams have several hundred slots.
-    constexpr std::size_t maxBrokenAttempts = 512;
+    /// Maximum number of keys recorded for one upstream. Some upstreams have several hundred slots.
+    constexpr std::size_t maxKeysPerUpstream = 1024;
 
     std::string_view verdictName(CrashVerdict verdict)
     {
@@ -41,17 +41,23 @@
 }
 
 void CrashDetector::onConnectionBroken(
-    const UpstreamId& upstream, Fingerprint fingerprint, Instant startedAt, Instant now)
+    const UpstreamId& upstream, const std::vector<Fingerprint>& keys, Instant startedAt, Instant now)
 {
     const std::optional<Duration> wallClock = this->state.wallClockTime(now);
     const RegisteredUpstream* registered = this->findRegistered(upstream);
     if (!wallClock || !registered || registered->draining || this->state.exclusions.isLeaving(upstream))
         return;
     UnconfirmedCrash& unconfirmed = this->unconfirmedCrashes[upstream];
-    if (unconfirmed.attempts.size() >= maxBrokenAttempts)
-        return;
     unconfirmed.instance = registered->instance;
-    unconfirmed.attempts.push_back({ fingerprint, *wallClock - (now - startedAt), *wallClock });
+    for (const Fingerprint key : keys) {
+        if (unconfirmed.attemptsByKey.size() >= maxKeysPerUpstream && !unconfirmed.attemptsByKey.contains(key))
+            continue;
+        const Duration start = *wallClock - (now - startedAt);
+        BrokenAttempts& attempts
+            = unconfirmed.attemptsByKey.try_emplace(key, BrokenAttempts { start, *wallClock }).first->second;
+        attempts.startedAt = std::min(attempts.startedAt, start);
+        attempts.brokenAt = *wallClock;
+    }
     unconfirmed.until = now + confirmationWindow;
     if (std::exchange(unconfirmed.isChecking, true))
         return;
@@ -101,23 +107,21 @@
         return;
     ++this->state.statistics.upstreamCrashes;
     std::size_t suspects = 0;
-    for (const BrokenAttempt& attempt : unconfirmed.mapped().attempts) {
-        const RequestCrash crash { attempt.fingerprint, upstream, attempt.startedAt, attempt.brokenAt, false };
+    for (const auto& [key, attempts] : unconfirmed.mapped().attemptsByKey) {
+        const RequestCrash crash { key, upstream, attempts.startedAt, attempts.brokenAt, false };
         if (!this->history.add(crash, *wallClock))
             continue;
         this->unsent.push_back(crash);
-        const CrashVerdict verdict = this->history.verdict(attempt.fingerprint);
+        const CrashVerdict verdict = this->history.verdict(key);
         if (verdict == CrashVerdict::Clear)
             continue;
         ++suspects;
-        this->state.log(LogLevel::Warning, "request may crash its upstreams",
-            { { "content", fmt::format("{:016x}", attempt.fingerprint) },
-                { "verdict", std::string(verdictName(verdict)) },
-                { "crashes", std::to_string(this->history.count(attempt.fingerprint)) },
-                { "upstream", upstream.value() } });
+        this->state.log(LogLevel::Warning, "requests with this key may crash their upstreams",
+            { { "key", fmt::format("{:016x}", key) }, { "verdict", std::string(verdictName(verdict)) },
+                { "crashes", std::to_string(this->history.count(key)) }, { "upstream", upstream.value() } });
     }
     this->state.log(LogLevel::Warning, "upstream crashed while running requests",
-        { { "upstream", upstream.value() }, { "requests", std::to_string(unconfirmed.mapped().attempts.size()) },
+        { { "upstream", upstream.value() }, { "keys", std::to_string(unconfirmed.mapped().attemptsByKey.size()) },
             { "suspects", std::to_string(suspects) } });
     if (suspects == 0)
         return;
@@ -125,16 +129,21 @@
     this->sendCrashReport();
 }
 
-void CrashDetector::onCompleted(Fingerprint fingerprint)
+void CrashDetector::onRunWithoutCrash(const std::vector<Fingerprint>& keys)
 {
-    const CrashVerdict before = this->history.verdict(fingerprint);
-    const std::vector<RequestCrash> voided = this->history.clear(fingerprint);
-    this->unsent.insert(this->unsent.end(), voided.begin(), voided.end());
-    if (before == CrashVerdict::Clear)
-        return;
-    this->state.log(LogLevel::Info, "request is no longer suspected of crashing its upstreams",
-        { { "content", fmt::format("{:016x}", fingerprint) }, { "verdict", std::string(verdictName(before)) } });
-    this->sendCrashReport();
+    bool wasSuspect = false;
+    for (const Fingerprint key : keys) {
+        const CrashVerdict before = this->history.verdict(key);
+        const std::vector<RequestCrash> voided = this->history.clear(key);
+        this->unsent.insert(this->unsent.end(), voided.begin(), voided.end());
+        if (before == CrashVerdict::Clear)
+            continue;
+        wasSuspect = true;
+        this->state.log(LogLevel::Info, "requests with this key are no longer suspected of crashing their upstreams",
+            { { "key", fmt::format("{:016x}", key) }, { "verdict", std::string(verdictName(before)) } });
+    }
+    if (wasSuspect)
+        this->sendCrashReport();
 }
 
 void CrashDetector::onCrashes(const std::vector<RequestCrash>& crashes, Instant now)
@@ -143,15 +152,15 @@
     if (!wallClock)
         return;
     for (const RequestCrash& crash : crashes) {
-        const CrashVerdict before = this->history.verdict(crash.request);
+        const CrashVerdict before = this->history.verdict(crash.key);
         if (!this->history.add(crash, *wallClock))
             continue;
-        const CrashVerdict after = this->history.verdict(crash.request);
+        const CrashVerdict after = this->history.verdict(crash.key);
         if (after == before)
             continue;
-        this->state.log(LogLevel::Info, "another node changed the crash verdict on a request",
-            { { "content", fmt::format("{:016x}", crash.request) }, { "verdict", std::string(verdictName(after)) },
-                { "crashes", std::to_string(this->history.count(crash.request)) } });
+        this->state.log(LogLevel::Info, "another node changed the crash verdict on a key",
+            { { "key", fmt::format("{:016x}", crash.key) }, { "verdict", std::string(verdictName(after)) },
+                { "crashes", std::to_string(this->history.count(crash.key)) } });
     }
 }
 
@@ -163,16 +172,18 @@
     this->sendCrashReport();
 }
 
-bool CrashDetector::mayRetryAfterBrokenConnection(Fingerprint fingerprint) const
+bool CrashDetector::mayRetryAfterBrokenConnection(const std::vector<Fingerprint>& keys) const
 {
-    // Adds one for the crash that may have broken the connection, which is not confirmed yet.
-    return this->history.count(fingerprint) + 1 < CrashHistorySettings().suspectAfter;
+    // Adds one for the crash that may have broken the connection, which is not confirmed yet. Other requests share the
+    // remaining keys, so that a single crash says little about these.
+    const bool contentMayRun = this->history.count(keys.front()) + 1 < CrashHistorySettings().suspectAfter;
+    return contentMayRun && this->history.verdict(keys) == CrashVerdict::Clear;
 }
 
-Duration CrashDetector::remainingRejection(Fingerprint fingerprint, Instant now) const
+Duration CrashDetector::remainingRejection(const std::vector<Fingerprint>& keys, Instant now) const
 {
     const std::optional<Duration> wallClock = this->state.wallClockTime(now);
-    return wallClock ? this->history.remaining(fingerprint, *wallClock) : Duration(0);
+    return wallClock ? this->history.remaining(keys, *wallClock) : Duration(0);
 }
 
 void CrashDetector::sendCrashReport()
--- a/src/teaselshore/entry/crash_detector.hpp
+++ b/src/teaselshore/entry/crash_detector.hpp
@@ -22,35 +22,37 @@
 public:
     explicit CrashDetector(EntryState& state);
 
-    /// @brief Handles an attempt whose connection broke before the response was complete.
-    void onConnectionBroken(const UpstreamId& upstream, Fingerprint fingerprint, Instant startedAt, Instant now);
+    /// @brief Handles an attempt whose connection broke before the response was complete. The keys are those of
+    /// crashKeys().
+    void onConnectionBroken(
+        const UpstreamId& upstream, const std::vector<Fingerprint>& keys, Instant startedAt, Instant now);
     void onChecked(const UpstreamChecked& result, Instant now);
     /// @brief Handles a change of the registered upstreams.
     void onUpstreams(Instant now);
-    /// @brief Clears a request that ran to completion, which shows that it does not crash upstreams.
-    void onCompleted(Fingerprint fingerprint);
+    /// @brief Clears keys of a request that ran without a crash, which shows that none of them crashes upstreams.
+    void onRunWithoutCrash(const std::vector<Fingerprint>& keys);
     /// @brief Adds the crashes that another node sent in a message or in its report.
     void onCrashes(const std::vector<RequestCrash>& crashes, Instant now);
     void onTick(Instant now);
 
     /// @brief Returns whether no crash is known, so that the verdict on every request is Clear.
     bool isEmpty() const { return this->history.isEmpty(); }
-    CrashVerdict verdict(Fingerprint fingerprint) const { return this->history.verdict(fingerprint); }
+    CrashVerdict verdict(const std::vector<Fingerprint>& keys) const { return this->history.verdict(keys); }
     /// @brief Returns whether a request may be sent again after its connection has just broken.
-    bool mayRetryAfterBrokenConnection(Fingerprint fingerprint) const;
+    bool mayRetryAfterBrokenConnection(const std::vector<Fingerprint>& keys) const;
     /// @brief Returns how much longer a rejected request is refused if no further crash follows.
-    Duration remainingRejection(Fingerprint fingerprint, Instant now) const;
+    Duration remainingRejection(const std::vector<Fingerprint>& keys, Instant now) const;
     /// @brief Returns the crashes to include in this node's report.
-    std::vector<RequestCrash> reportedCrashes() const { return this->history.suspects(maxReportedRequests); }
+    std::vector<RequestCrash> reportedCrashes() const { return this->history.suspects(maxReportedKeys); }
     /// @brief Returns whether this node found a suspect since the last call, so that its report is due.
     bool takeReportDue() { return std::exchange(this->reportDue, false); }
 
 private:
-    /// Maximum number of requests in a report. It is limited because each node decodes the reports of all nodes.
-    static constexpr std::size_t maxReportedRequests = 16;
+    /// Maximum number of keys in a report. It is limited because each node decodes the reports of all nodes.
+    static constexpr std::size_t maxReportedKeys = 16;
 
-    struct BrokenAttempt {
-        Fingerprint fingerprint = 0;
+    /// Attempts with one key whose connections to an upstream broke.
+    struct BrokenAttempts {
         Duration startedAt {};
         Duration brokenAt {};
     };
@@ -58,7 +60,7 @@
     /// Upstream with broken connections, whose crash is not confirmed.
     struct UnconfirmedCrash {
         std::string instance;
-        std::vector<BrokenAttempt> attempts;
+        std::map<Fingerprint, BrokenAttempts> attemptsByKey;
         Instant until {};
         bool isChecking = false;
         /// The upstream answered a check since; only a new process under its instance name then proves a crash.
--- a/src/teaselshore/entry/entry_fleet.hpp
+++ b/src/teaselshore/entry/entry_fleet.hpp
@@ -340,15 +340,20 @@
     RequestId request(const std::string& host, std::optional<PromptSize> size = std::nullopt,
         const std::string& route = "order", const std::string& body = {}, const std::string& key = "key-n")
     {
-        CallerRequestArrived arrived { this->nodes.at(host)->nextRequestId(), {} };
-        arrived.request.method = "POST";
-        arrived.request.path = "/" + route + "/x";
-        arrived.request.host = EntryHarness::hostName;
-        arrived.request.key = key;
-        arrived.request.size = size;
-        arrived.request.body = body;
-        RequestId id = arrived.id;
-        this->handle(host, std::move(arrived));
+        CallerRequest request;
+        request.method = "POST";
+        request.path = "/" + route + "/x";
+        request.key = key;
+        request.size = size;
+        request.body = body;
+        return this->send(host, std::move(request));
+    }
+
+    RequestId send(const std::string& host, CallerRequest request)
+    {
+        RequestId id = this->nodes.at(host)->nextRequestId();
+        request.host = EntryHarness::hostName;
+        this->handle(host, CallerRequestArrived { id, std::move(request) });
         return id;
     }
 
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -40,6 +40,8 @@
     /// Bounds of the retry-after time of refused callers. It is randomized so that they do not all retry at once.
     constexpr Duration minRetryAfter = std::chrono::milliseconds(300);
     constexpr Duration maxRetryAfter = std::chrono::milliseconds(900);
+    /// Time after the first event of a stream after which its upstream would have crashed under the request.
+    constexpr Duration survivalTime = std::chrono::milliseconds(500);
     constexpr std::uint32_t lowestPriority = 9;
     constexpr Duration noTimeout = Duration::max();
 
@@ -268,23 +270,37 @@
         this->enqueue(request, now);
 }
 
-Fingerprint EntryRequests::fingerprintOf(Request& request)
+const std::vector<Fingerprint>& EntryRequests::crashKeysOf(Request& request)
 {
-    if (!request.fingerprint)
-        request.fingerprint = contentFingerprint(request.caller, request.workspace);
-    return *request.fingerprint;
+    if (request.crashKeys.empty())
+        request.crashKeys = crashKeys(request.caller, request.workspace);
+    return request.crashKeys;
+}
+
+void EntryRequests::clearKeysOfRunningStreams(Instant now)
+{
+    if (this->crashes.isEmpty())
+        return;
+    for (auto& [id, attempt] : this->attempts) {
+        if (attempt.hasSurvived || !attempt.firstEventAfter
+            || now - attempt.startedAt - *attempt.firstEventAfter < survivalTime)
+            continue;
+        attempt.hasSurvived = true;
+        if (Request* request = this->find(attempt.request))
+            this->crashes.onRunWithoutCrash(crashKeysOf(*request));
+    }
 }
 
 bool EntryRequests::refuseIfQuarantined(Request& request, Instant now)
 {
-    if (this->crashes.isEmpty() || this->crashes.verdict(fingerprintOf(request)) != CrashVerdict::Rejected)
+    if (this->crashes.isEmpty() || this->crashes.verdict(crashKeysOf(request)) != CrashVerdict::Rejected)
         return false;
-    const std::string reason = "equal requests crashed several upstreams";
+    const std::string reason = "such requests crashed several upstreams";
     if (request.runs > 0 || request.streaming)
         this->endWithoutResponse(request, reason, now);
     else
         this->refuse(request, RequestOutcome::Quarantined, serviceUnavailable, reason,
-            std::max(minRetryAfter, this->crashes.remainingRejection(fingerprintOf(request), now)), now);
+            std::max(minRetryAfter, this->crashes.remainingRejection(crashKeysOf(request), now)), now);
     return true;
 }
 
@@ -467,8 +483,11 @@
     if (!event.facts.notRun) {
         ++request->runs;
         this->countUsage(*request, now);
-        if (!this->crashes.isEmpty())
-            this->crashes.onCompleted(fingerprintOf(*request));
+        // An upstream that fails without a crash may not have come to the part that crashes it.
+        if (!this->crashes.isEmpty() && failed)
+            this->crashes.onRunWithoutCrash({ crashKeysOf(*request).front() });
+        else if (!this->crashes.isEmpty())
+            this->crashes.onRunWithoutCrash(crashKeysOf(*request));
     } else {
         ++this->state.statistics.refusedAttempts;
         this->state.log(LogLevel::Info, "upstream refused the request",
@@ -519,9 +538,9 @@
             { "mayHaveRun", event.mayHaveRun ? "true" : "false" },
             { "connectionBroken", event.connectionBroken ? "true" : "false" },
             { "runs", std::to_string(request->runs) }, { "maxAttempts", std::to_string(request->route->maxAttempts) },
-            { "content", fmt::format("{:016x}", fingerprintOf(*request)) }, { "reason", event.detail } });
+            { "content", fmt::format("{:016x}", crashKeysOf(*request).front()) }, { "reason", event.detail } });
     if (event.connectionBroken)
-        this->crashes.onConnectionBroken(attempt->upstream, fingerprintOf(*request), attempt->startedAt, now);
+        this->crashes.onConnectionBroken(attempt->upstream, crashKeysOf(*request), attempt->startedAt, now);
     this->retryOrEnd(*request, { event.mayHaveRun, event.connectionBroken }, event.detail, now);
     this->dispatchWaiting(now);
 }
@@ -534,7 +553,7 @@
         return false;
     if (request.runs >= request.route->maxAttempts)
         return false;
-    if (result.connectionBroken && !this->crashes.mayRetryAfterBrokenConnection(fingerprintOf(request)))
+    if (result.connectionBroken && !this->crashes.mayRetryAfterBrokenConnection(crashKeysOf(request)))
         return false;
     // Refused requests count too: the upstream has received them. Connections that were never established do not.
     if (request.mayHaveArrived && !this->state.retryBudget(request.service).tryRetry(now)) {
@@ -679,6 +698,7 @@
 void EntryRequests::onTick(Instant now)
 {
     this->beginEarlyRequests(now);
+    this->clearKeysOfRunningStreams(now);
     while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
         Request& request = this->requests.at(this->deadlines.begin()->second);
         const bool wasSent = request.attempt.has_value() || request.runs > 0;
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -60,8 +60,8 @@
         std::uint32_t runs = 0;
         /// True once an upstream may have received the request, whether it ran it or refused it.
         bool mayHaveArrived = false;
-        /// Content fingerprint, which repeats of the request share; computed on first use.
-        std::optional<Fingerprint> fingerprint;
+        /// Result of crashKeys(); computed on first use.
+        std::vector<Fingerprint> crashKeys;
         bool usageCounted = false;
         bool streaming = false;
         /// Time from the arrival to the first event of the stream.
@@ -81,6 +81,8 @@
         Instant startedAt {};
         /// Time to the first event of a stream.
         std::optional<Duration> firstEventAfter;
+        /// True once the run has shown that the request does not crash its upstream.
+        bool hasSurvived = false;
     };
 
     Request* find(const RequestId& id);
@@ -103,8 +105,10 @@
     void fillRouting(Request& request);
     ServiceName selectService(const EntryRoute& route);
     void dispatch(Request& request, Instant now);
-    static Fingerprint fingerprintOf(Request& request);
-    /// @brief Refuses a request if equal ones crashed several upstreams. Returns whether it was refused.
+    static const std::vector<Fingerprint>& crashKeysOf(Request& request);
+    /// @brief Clears the crash keys of requests whose upstreams have been sending events for some time.
+    void clearKeysOfRunningStreams(Instant now);
+    /// @brief Refuses a request if such requests crashed several upstreams. Returns whether it was refused.
     bool refuseIfQuarantined(Request& request, Instant now);
     /// @brief Sends the request, or refuses it if it is quarantined. Returns false if no upstream has capacity.
     bool trySend(Request& request, Instant now);
--- a/src/teaselshore/entry/node_report.cpp
+++ b/src/teaselshore/entry/node_report.cpp
@@ -89,7 +89,7 @@
     {
         Json result = Json::array();
         for (const RequestCrash& crash : crashes)
-            result.push_back({ crash.request, crash.upstream.value(), crash.startedAt.count(), crash.endedAt.count() });
+            result.push_back({ crash.key, crash.upstream.value(), crash.startedAt.count(), crash.endedAt.count() });
         return result;
     }
 
--- a/src/teaselshore/protocol/entry_conversions.cpp
+++ b/src/teaselshore/protocol/entry_conversions.cpp
@@ -38,7 +38,7 @@
         wire::CrashReport& result = *envelope.mutable_crash_report();
         for (const RequestCrash& crash : report.crashes) {
             wire::RequestCrash& entry = *result.add_crashes();
-            entry.set_request(crash.request);
+            entry.set_request(crash.key);
             entry.set_upstream(crash.upstream.value());
             entry.set_started_at(crash.startedAt.count());
             entry.set_ended_at(crash.endedAt.count());
--- a/src/teaselshore/reliability/crash_history.cpp
+++ b/src/teaselshore/reliability/crash_history.cpp
@@ -16,9 +16,9 @@
 {
     if (this->isExpired(crash, wallClock))
         return false;
-    if (!this->requests.contains(crash.request) && this->requests.size() >= this->settings.maximumRequests)
+    if (!this->crashesByKey.contains(crash.key) && this->crashesByKey.size() >= this->settings.maximumKeys)
         this->evict();
-    Crashes& crashes = this->requests[crash.request];
+    Crashes& crashes = this->crashesByKey[crash.key];
     const auto known = std::find_if(crashes.begin(), crashes.end(),
         [&crash](const RequestCrash& other) { return other.upstream == crash.upstream; });
     const RequestCrash before = known == crashes.end() ? RequestCrash {} : *known;
@@ -38,11 +38,11 @@
     return true;
 }
 
-std::vector<RequestCrash> CrashHistory::clear(Fingerprint request)
+std::vector<RequestCrash> CrashHistory::clear(Fingerprint key)
 {
     std::vector<RequestCrash> voided;
-    const auto found = this->requests.find(request);
-    if (found == this->requests.end())
+    const auto found = this->crashesByKey.find(key);
+    if (found == this->crashesByKey.end())
         return voided;
     for (RequestCrash& crash : found->second) {
         if (!std::exchange(crash.isVoid, true))
@@ -64,49 +64,80 @@
     return count;
 }
 
-std::size_t CrashHistory::count(Fingerprint request) const
+std::size_t CrashHistory::count(Fingerprint key) const
 {
-    const auto found = this->requests.find(request);
-    return found == this->requests.end() ? 0 : this->countConsecutive(found->second);
+    const auto found = this->crashesByKey.find(key);
+    return found == this->crashesByKey.end() ? 0 : this->countConsecutive(found->second);
 }
 
-CrashVerdict CrashHistory::verdict(Fingerprint request) const
+CrashVerdict CrashHistory::verdictAfter(std::size_t crashes) const
 {
-    const std::size_t crashes = this->count(request);
     if (crashes >= this->settings.rejectAfter)
         return CrashVerdict::Rejected;
     return crashes >= this->settings.suspectAfter ? CrashVerdict::Suspect : CrashVerdict::Clear;
 }
 
-Duration CrashHistory::remaining(Fingerprint request, Duration wallClock) const
+CrashVerdict CrashHistory::verdict(Fingerprint key) const { return this->verdictAfter(this->count(key)); }
+
+CrashVerdict CrashHistory::verdict(const std::vector<Fingerprint>& keys) const
+{
+    CrashVerdict worst = CrashVerdict::Clear;
+    for (const Fingerprint key : keys) {
+        const auto found = this->crashesByKey.find(key);
+        if (found == this->crashesByKey.end())
+            continue;
+        const CrashVerdict verdict = this->verdictAfter(this->countConsecutive(found->second));
+        if (verdict > worst && this->areOnlySharedKeys(keys, found->second))
+            worst = verdict;
+    }
+    return worst;
+}
+
+bool CrashHistory::areOnlySharedKeys(const std::vector<Fingerprint>& keys, const Crashes& crashes) const
+{
+    const auto hasCrashOf = [](const Crashes& others, const UpstreamId& upstream) {
+        return std::any_of(others.begin(), others.end(),
+            [&upstream](const RequestCrash& other) { return !other.isVoid && other.upstream == upstream; });
+    };
+    for (const auto& [key, others] : this->crashesByKey) {
+        if (std::find(keys.begin(), keys.end(), key) != keys.end())
+            continue;
+        const bool isShared = std::all_of(crashes.begin(), crashes.end(),
+            [&](const RequestCrash& crash) { return crash.isVoid || hasCrashOf(others, crash.upstream); });
+        if (isShared)
+            return false;
+    }
+    return true;
+}
+
+Duration CrashHistory::remaining(const std::vector<Fingerprint>& keys, Duration wallClock) const
 {
-    const auto found = this->requests.find(request);
-    if (found == this->requests.end())
-        return Duration(0);
     Duration lastEnd = Duration::min();
-    for (const RequestCrash& crash : found->second) {
-        if (!crash.isVoid)
-            lastEnd = std::max(lastEnd, crash.endedAt);
+    for (const Fingerprint key : keys) {
+        if (this->verdict(key) != CrashVerdict::Rejected)
+            continue;
+        for (const RequestCrash& crash : this->crashesByKey.at(key))
+            lastEnd = crash.isVoid ? lastEnd : std::max(lastEnd, crash.endedAt);
     }
     if (lastEnd == Duration::min())
         return Duration(0);
     return std::clamp(lastEnd + this->settings.expiry - wallClock, Duration(0), this->settings.expiry);
 }
 
-std::vector<RequestCrash> CrashHistory::suspects(std::size_t maxRequests) const
+std::vector<RequestCrash> CrashHistory::suspects(std::size_t maxKeys) const
 {
     // Most crashes first, then most recent.
     std::vector<std::tuple<std::size_t, Duration, Fingerprint>> ranked;
-    for (const auto& [request, crashes] : this->requests) {
+    for (const auto& [key, crashes] : this->crashesByKey) {
         const std::size_t count = this->countConsecutive(crashes);
         if (count >= this->settings.suspectAfter)
-            ranked.emplace_back(count, crashes.back().endedAt, request);
+            ranked.emplace_back(count, crashes.back().endedAt, key);
     }
     std::sort(ranked.rbegin(), ranked.rend());
-    ranked.resize(std::min(ranked.size(), maxRequests));
+    ranked.resize(std::min(ranked.size(), maxKeys));
     std::vector<RequestCrash> result;
-    for (const auto& [count, endedAt, request] : ranked) {
-        for (const RequestCrash& crash : this->requests.at(request)) {
+    for (const auto& [count, endedAt, key] : ranked) {
+        for (const RequestCrash& crash : this->crashesByKey.at(key)) {
             if (!crash.isVoid)
                 result.push_back(crash);
         }
@@ -122,9 +153,9 @@
 
 void CrashHistory::expire(Duration wallClock)
 {
-    for (auto entry = this->requests.begin(); entry != this->requests.end();) {
+    for (auto entry = this->crashesByKey.begin(); entry != this->crashesByKey.end();) {
         std::erase_if(entry->second, [&](const RequestCrash& crash) { return this->isExpired(crash, wallClock); });
-        entry = entry->second.empty() ? this->requests.erase(entry) : std::next(entry);
+        entry = entry->second.empty() ? this->crashesByKey.erase(entry) : std::next(entry);
     }
 }
 
@@ -133,7 +164,7 @@
     const auto rank = [this](const auto& entry) {
         return std::pair(this->countConsecutive(entry.second), entry.second.back().endedAt);
     };
-    this->requests.erase(std::min_element(this->requests.begin(), this->requests.end(),
+    this->crashesByKey.erase(std::min_element(this->crashesByKey.begin(), this->crashesByKey.end(),
         [&rank](const auto& first, const auto& second) { return rank(first) < rank(second); }));
 }
 
--- a/src/teaselshore/reliability/crash_history_test.cpp
+++ b/src/teaselshore/reliability/crash_history_test.cpp
@@ -60,12 +60,44 @@
         EXPECT_EQ(history.count(request), 1u);
     }
 
+    /// Records a crash of one upstream under several keys. Each crash follows the one before.
+    void addCrash(CrashHistory& history, int number, const std::vector<Fingerprint>& keys)
+    {
+        for (const Fingerprint key : keys) {
+            history.add(
+                { key, UpstreamId("a@" + std::to_string(number)), 100s + number * 2s, 101s + number * 2s, false },
+                110s);
+        }
+    }
+
+    // Guards against refusing requests that share only some keys with those that crashed upstreams: until one of the
+    // shared keys is cleared or missing in a crash, each of them may be the cause.
+    TEST(CrashHistory, RequestIsRejectedOnlyIfItHasAllPossibleCauses)
+    {
+        constexpr Fingerprint harmless = 1;
+        constexpr Fingerprint cause = 2;
+        CrashHistory history;
+        for (int number = 0; number < 3; ++number)
+            addCrash(history, number, { harmless, cause, 100U + static_cast<Fingerprint>(number) });
+        EXPECT_EQ(history.verdict({ 200, harmless, cause }), CrashVerdict::Rejected);
+        EXPECT_EQ(history.verdict({ 201, harmless }), CrashVerdict::Clear);
+        EXPECT_EQ(history.verdict({ 202, cause }), CrashVerdict::Clear);
+
+        CrashHistory cleared = history;
+        cleared.clear(harmless);
+        EXPECT_EQ(cleared.verdict({ 202, cause }), CrashVerdict::Rejected);
+
+        addCrash(history, 3, { cause });
+        EXPECT_EQ(history.verdict({ 202, cause }), CrashVerdict::Rejected);
+        EXPECT_EQ(history.verdict({ 201, harmless }), CrashVerdict::Clear);
+    }
+
     // Guards against memory that grows with the number of requests that crash upstreams, and against evicting a
     // rejected request in favour of others with fewer crashes.
     TEST(CrashHistory, EvictsRequestsWithFewestCrashesFirst)
     {
         CrashHistorySettings settings;
-        settings.maximumRequests = 10;
+        settings.maximumKeys = 10;
         CrashHistory history(settings);
         for (int number = 0; number < 3; ++number)
             history.add(crash("a@" + std::to_string(number), 100s + number * 2s, 101s + number * 2s), 110s);
@@ -82,7 +114,7 @@
         CrashHistory history;
         for (int number = 0; number < 3; ++number)
             history.add(crash("a@" + std::to_string(number), 100s + number * 2s, 101s + number * 2s), 110s);
-        EXPECT_EQ(history.remaining(request, 105s), 30min);
+        EXPECT_EQ(history.remaining({ request }, 105s), 30min);
         const std::vector<RequestCrash> reported = history.suspects(16);
         EXPECT_EQ(reported.size(), 3u);
         history.expire(106s + 30min);
