End a stream instead of answering in the middle of it

What callers would see: the process that serves them ended. When a stream had started and broke off, and the upstream at which it was to go on answered with 400, 404 or another response that is no stream, the node passed that response on; RequestRelay asserts that no response follows a started stream.

Cause: EntryRequests::onResponded took any response that is not a server error for the end of the request, whether or not events had been relayed before.

Evidence: EntryRequests.ResponseThatIsNoStreamNeverFollowsAStartedOne, for 200, 400, 404, 409, 500 and 503; before, a response was sent in all cases but the last two.

Why it works: once a stream has started, only a response whose events were relayed ends it well. Any other one is a failed attempt: the stream goes on at another upstream or ends incomplete.

--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -496,7 +496,9 @@
                 { "runs", std::to_string(request->runs) } });
     }
     const bool success = status >= statusOk && status < firstRedirect;
-    if (!event.facts.notRun && !failed && (event.facts.isStamped || !success)) {
+    // Only further events may follow a stream that has started.
+    const bool isUsable = !request->streaming || event.response.relayed;
+    if (!event.facts.notRun && !failed && isUsable && (event.facts.isStamped || !success)) {
         this->respond(*request, std::move(event.response), now);
         return;
     }
--- a/src/teaselshore/entry/entry_requests_test.cpp
+++ b/src/teaselshore/entry/entry_requests_test.cpp
@@ -177,6 +177,29 @@
         EXPECT_TRUE(harness.first<FailStream>());
     }
 
+    // Guards against an error, or a response that is no stream, in the middle of a caller's stream: the upstream at
+    // which it was to go on answered so, and the process asserted that no response follows a started stream.
+    TEST(EntryRequests, ResponseThatIsNoStreamNeverFollowsAStartedOne)
+    {
+        for (const int status : { 200, 400, 404, 409, 500, 503 }) {
+            EntryHarness harness;
+            harness.start();
+            harness.request("query");
+            auto sent = harness.first<ForwardRequest>();
+            harness.send(UpstreamStreamStarted { sent->attempt.attempt, {} });
+            harness.fail(sent->attempt.attempt, true, 17);
+            int attempts = 1;
+            for (sent = harness.first<ForwardRequest>(); sent; sent = harness.first<ForwardRequest>()) {
+                ++attempts;
+                EXPECT_EQ(sent->context.resumeAfter, 17u);
+                harness.respond(sent->attempt.attempt, status);
+                EXPECT_FALSE(harness.first<Respond>()) << status;
+            }
+            EXPECT_GT(attempts, 1) << status;
+            EXPECT_TRUE(harness.first<FailStream>()) << status;
+        }
+    }
+
     // Guards against requests that stay open past the route's timeout, and against giving upstreams a later deadline
     // than the request has.
     TEST(EntryRequests, RespondsWhenRouteTimeoutExpires)
