Share with peers which upstreams refuse requests

Cause: 68 nodes share 30 upstreams of a service, so that each node has a result of an upstream every few seconds only; each learned on its own.

Change: while upstreams refuse requests, nodes send what they accepted and refused to 32 random peers twice a second, and count peers' results half. At most ten results count, and they lose half of their weight in two seconds, so that upstreams that recover get requests again.

Weighed: counts of refusals alone (an upstream that refuses now and then would look as bad as one that refuses all); reports to all peers (messages grow with the square of the fleet).

--- a/include/teaselshore/entry/entry_message.hpp
+++ b/include/teaselshore/entry/entry_message.hpp
@@ -54,8 +54,22 @@
     auto operator<=>(const ConfigurationCopy&) const = default;
 };
 
+/// @brief How many requests of the sender each upstream accepted and refused since its last report.
+struct RefusalReport {
+    struct Results {
+        UpstreamId upstream;
+        std::uint32_t accepted = 0;
+        std::uint32_t refused = 0;
+
+        auto operator<=>(const Results&) const = default;
+    };
+    std::vector<Results> results;
+
+    auto operator<=>(const RefusalReport&) const = default;
+};
+
 /// @brief Messages between the nodes of `teaselshore-entry`.
 using EntryMessage = std::variant<QuotaLoanRequest, QuotaLoan, QuotaReturn, RelayedReport, CrashReport, RolloutDecision,
-    NewerConfigurationRequest, ConfigurationCopy>;
+    NewerConfigurationRequest, ConfigurationCopy, RefusalReport>;
 
 } // namespace teaselshore
--- a/include/teaselshore/routing/router.hpp
+++ b/include/teaselshore/routing/router.hpp
@@ -133,6 +133,8 @@
 
     void onLoadReport(const LoadReport& report, Instant now);
     void onCacheEvent(const CacheEvent& event, Instant now);
+    /// @brief Adds how many requests of another node an upstream accepted and refused.
+    void onPeerResults(const UpstreamId& upstream, std::uint32_t accepted, std::uint32_t refused, Instant now);
 
     /// @brief Stops new work to an upstream with a reclaim notice, until its address changes or onUpstreamRestored().
     void onUpstreamLeaving(const UpstreamId& upstream, Instant now);
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -9,6 +9,7 @@
 #include "entry_duties.hpp"
 #include "entry_requests.hpp"
 #include "entry_state.hpp"
+#include "refusal_exchange.hpp"
 #include "upstream_routing.hpp"
 
 namespace teaselshore {
@@ -35,8 +36,9 @@
         : state(std::move(settings))
         , configurations(state)
         , crashes(state)
+        , refusals(state)
         , duties(state, crashes)
-        , requests(state, duties.rollouts(), crashes)
+        , requests(state, duties.rollouts(), crashes, refusals)
     {
     }
 
@@ -69,6 +71,7 @@
     {
         this->crashes.onCrashes(report.crashes, now);
     }
+    void receive(const std::string&, const RefusalReport& report, Instant now) { this->refusals.onReport(report, now); }
     void receive(const std::string& senderAddress, const NewerConfigurationRequest& request, Instant)
     {
         this->configurations.onRequest(senderAddress, request);
@@ -95,6 +98,7 @@
     EntryState state;
     ConfigurationRelay configurations;
     CrashDetector crashes;
+    RefusalExchange refusals;
     EntryDuties duties;
     EntryRequests requests;
     bool ready = false;
@@ -297,6 +301,7 @@
     this->state.router.onTick(now);
     this->configurations.onTick(now);
     this->crashes.onTick(now);
+    this->refusals.onTick(now);
     this->state.exclusions.onTick(now);
     const bool sharesChanged = this->duties.onTick(now);
     if (this->state.directory.onTick(now) || sharesChanged)
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -65,10 +65,12 @@
 
 } // namespace
 
-EntryRequests::EntryRequests(EntryState& state, EntryRollouts& rollouts, CrashDetector& crashes)
+EntryRequests::EntryRequests(
+    EntryState& state, EntryRollouts& rollouts, CrashDetector& crashes, RefusalExchange& refusals)
     : state(state)
     , rollouts(rollouts)
     , crashes(crashes)
+    , refusals(refusals)
 {
 }
 
@@ -452,6 +454,7 @@
         return;
     found->second.firstEventAfter = now - found->second.startedAt;
     this->state.router.onFirstToken(found->second.dispatch, now);
+    this->refusals.onAccepted(found->second.upstream, now);
     this->applyFacts(found->second.upstream, event.facts, now);
     if (Request* request = this->find(found->second.request)) {
         if (!std::exchange(request->streaming, true))
@@ -473,6 +476,10 @@
     this->state.router.onFinished(
         attempt->dispatch, outcome, static_cast<std::uint32_t>(event.response.relayedEvents), now);
     this->applyFacts(attempt->upstream, event.facts, now);
+    if (event.facts.notRun)
+        this->refusals.onRefused(attempt->upstream, now);
+    else if (!attempt->firstEventAfter)
+        this->refusals.onAccepted(attempt->upstream, now);
     if (!event.facts.notRun)
         this->recordVersionEvidence(*attempt, failed ? AttemptEnd::Failed : AttemptEnd::Succeeded, now);
     Request* request = this->find(attempt->request);
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -12,6 +12,7 @@
 #include "crash_detector.hpp"
 #include "entry_rollouts.hpp"
 #include "entry_state.hpp"
+#include "refusal_exchange.hpp"
 
 namespace teaselshore {
 
@@ -21,7 +22,7 @@
 /// is returned only for a request that was never sent or that none of its upstreams has run. Not thread-safe.
 class EntryRequests {
 public:
-    EntryRequests(EntryState& state, EntryRollouts& rollouts, CrashDetector& crashes);
+    EntryRequests(EntryState& state, EntryRollouts& rollouts, CrashDetector& crashes, RefusalExchange& refusals);
 
     void onArrived(CallerRequestArrived arrived, Instant now);
     void onCallerGone(const RequestId& id, Instant now);
@@ -140,6 +141,7 @@
     EntryState& state;
     EntryRollouts& rollouts;
     CrashDetector& crashes;
+    RefusalExchange& refusals;
     std::unordered_map<RequestId, Request> requests;
     std::unordered_map<AttemptId, Attempt> attempts;
     AttemptId lastAttempt = 0;
--- a/src/teaselshore/entry/refusing_upstreams_test.cpp
+++ b/src/teaselshore/entry/refusing_upstreams_test.cpp
@@ -101,6 +101,8 @@
         /// Upstreams that refuse connections, so that nothing arrives there.
         std::set<UpstreamId> unreachable;
         std::vector<Instant> repeats;
+        /// Upstream of each arrival.
+        std::vector<UpstreamId> arrivals;
 
     private:
         void receive(const ForwardRequest& forward, std::vector<EntryEvent>& events)
@@ -110,6 +112,7 @@
                 events.emplace_back(AttemptFailed { attempt, false, false, 0, "connection refused", std::nullopt });
                 return;
             }
+            this->arrivals.push_back(forward.attempt.upstream);
             if (!this->arrived.insert(forward.attempt.request).second)
                 this->repeats.push_back(this->fleet.now);
             UpstreamResponded responded;
@@ -168,10 +171,54 @@
             fleet.advance(12s);
             upstreams.run(20s, 800);
             EXPECT_LE(upstreams.excess(), 0) << nodes;
-            EXPECT_GE(upstreams.servedFraction(), 0.97) << nodes;
+            EXPECT_GE(upstreams.servedFraction(), 0.99) << nodes;
         }
     }
 
+    // Guards against upstreams that stay without requests after they have stopped refusing them.
+    TEST(RefusingUpstreams, UpstreamsThatRecoverGetRequestsAgain)
+    {
+        EntryFleet fleet(75);
+        RefusingUpstreams upstreams(fleet, 24, 14, 100);
+        fleet.advance(12s);
+        upstreams.run(10s, 800);
+        const std::set<UpstreamId> recovered = std::exchange(upstreams.refusing, {});
+        // The longest time for which a circuit breaker stays open, and one window of it.
+        upstreams.run(40s, 800);
+        upstreams.arrivals.clear();
+        upstreams.run(5s, 800);
+        const auto atRecovered = std::count_if(upstreams.arrivals.begin(), upstreams.arrivals.end(),
+            [&recovered](const UpstreamId& upstream) { return recovered.contains(upstream); });
+        // Half of their fair share.
+        const double fairShare = static_cast<double>(recovered.size()) / 24;
+        EXPECT_GT(static_cast<double>(atRecovered), fairShare / 2 * static_cast<double>(upstreams.arrivals.size()));
+    }
+
+    // Guards against messages that grow with the square of the fleet or with the load, or that are sent although no
+    // upstream refuses.
+    TEST(RefusingUpstreams, ReportsAreFewAndOnlySentWhileUpstreamsRefuse)
+    {
+        constexpr std::size_t nodes = 75;
+        EntryFleet fleet(nodes);
+        RefusingUpstreams upstreams(fleet, 24, 0, 80);
+        fleet.advance(12s);
+        const std::size_t before = fleet.messages;
+        upstreams.run(5s, 800);
+        EXPECT_EQ(fleet.messages, before);
+
+        RefusingUpstreams refusing(fleet, 24, 14, 80);
+        fleet.advance(12s);
+        const std::size_t start = fleet.messages;
+        refusing.run(5s, 1600);
+        // 32 peers in each half second.
+        EXPECT_LE(fleet.messages - start, nodes * 32 * 11);
+        refusing.refusing.clear();
+        refusing.run(5s, 800);
+        const std::size_t end = fleet.messages;
+        refusing.run(5s, 800);
+        EXPECT_EQ(fleet.messages, end);
+    }
+
     // Guards against a budget that also counts connections that were never established: they put no load on an
     // upstream, and their requests would be refused although other upstreams could serve them.
     TEST(RefusingUpstreams, UnreachableUpstreamsUseNoRetryBudget)
--- a/src/teaselshore/protocol/codec.cpp
+++ b/src/teaselshore/protocol/codec.cpp
@@ -29,6 +29,7 @@
         case wire::Envelope::kRelayedReport:
         case wire::Envelope::kNewerConfigurationRequest:
         case wire::Envelope::kConfigurationCopy:
+        case wire::Envelope::kRefusalReport:
             return entryFromWire(envelope);
         case wire::Envelope::MESSAGE_NOT_SET:
             error = ProtocolError::UnknownMessage;
--- a/src/teaselshore/protocol/codec_test.cpp
+++ b/src/teaselshore/protocol/codec_test.cpp
@@ -159,6 +159,8 @@
             EntryMessage(QuotaLoan { fields.number(), static_cast<double>(fields.smallNumber()) }),
             EntryMessage(QuotaReturn { WorkspaceName(fields.text()), static_cast<double>(fields.smallNumber()) }),
             EntryMessage(NewerConfigurationRequest { fields.number() }),
+            EntryMessage(
+                RefusalReport { { { UpstreamId(fields.text()), 3, 4 }, { UpstreamId(fields.text()), 5, 6 } } }),
             EntryMessage(ConfigurationCopy { fields.number(), fields.text() }),
             EntryMessage(RolloutDecision {
                 ServiceName(fields.text()), VersionName(fields.text()), RolloutOrder::State::RolledBack, 0.25 }),
--- a/src/teaselshore/protocol/entry_conversions.cpp
+++ b/src/teaselshore/protocol/entry_conversions.cpp
@@ -66,6 +66,17 @@
         envelope.mutable_configuration_copy()->set_text(copy.text);
     }
 
+    void fill(const RefusalReport& report, wire::Envelope& envelope)
+    {
+        wire::RefusalReport& result = *envelope.mutable_refusal_report();
+        for (const RefusalReport::Results& results : report.results) {
+            wire::UpstreamResults& entry = *result.add_results();
+            entry.set_upstream(results.upstream.value());
+            entry.set_accepted(results.accepted);
+            entry.set_refused(results.refused);
+        }
+    }
+
     std::optional<RolloutDecision> fromWire(const wire::RolloutDecision& decision)
     {
         if (!wire::RolloutState_IsValid(decision.state()) || !(decision.share() >= 0 && decision.share() <= 1))
@@ -84,6 +95,14 @@
         return result;
     }
 
+    RefusalReport fromWire(const wire::RefusalReport& report)
+    {
+        RefusalReport result;
+        for (const wire::UpstreamResults& entry : report.results())
+            result.results.push_back({ UpstreamId(entry.upstream()), entry.accepted(), entry.refused() });
+        return result;
+    }
+
 } // namespace
 
 void toWire(const EntryMessage& message, wire::Envelope& envelope)
@@ -107,6 +126,8 @@
         return NewerConfigurationRequest { envelope.newer_configuration_request().version() };
     if (envelope.has_configuration_copy())
         return ConfigurationCopy { envelope.configuration_copy().version(), envelope.configuration_copy().text() };
+    if (envelope.has_refusal_report())
+        return fromWire(envelope.refusal_report());
     if (envelope.has_relayed_report())
         return RelayedReport { envelope.relayed_report().report() };
     if (envelope.has_quota_return()) {
--- a/src/teaselshore/routing/refusal_estimate.cpp
+++ b/src/teaselshore/routing/refusal_estimate.cpp
@@ -8,38 +8,36 @@
 namespace {
 
     /// Time after which a result counts half.
-    constexpr Duration halfLife = std::chrono::seconds(8);
+    constexpr Duration halfLife = std::chrono::seconds(2);
     /// Accepted requests assumed without any result, so that one refusal of a busy upstream weighs little.
     constexpr double assumedAccepted = 1;
+    /// Number of results that count at most, so that new ones outweigh those of a fleet that refused for a long time.
+    constexpr double maxResults = 10;
+
+    /// Lower probabilities count as 0. On an idle fleet the others would otherwise get all requests of an upstream that
+    /// has recovered.
+    constexpr double minProbability = 0.05;
 
     double decayFactor(Duration age) { return std::exp2(-toSeconds(std::max(Duration(0), age)) / toSeconds(halfLife)); }
 
 } // namespace
 
-void RefusalEstimate::onAccepted(Instant now)
+void RefusalEstimate::add(double accepted, double refused, Instant now)
 {
-    this->decayTo(now);
-    this->accepted += 1;
-}
-
-void RefusalEstimate::onRefused(Instant now)
-{
-    this->decayTo(now);
-    this->refused += 1;
+    const double factor = decayFactor(now - this->updatedAt);
+    const double allAccepted = factor * this->accepted + accepted;
+    const double allRefused = factor * this->refused + refused;
+    const double scale = std::min(1.0, maxResults / std::max(1.0, allAccepted + allRefused));
+    this->accepted = static_cast<float>(scale * allAccepted);
+    this->refused = static_cast<float>(scale * allRefused);
+    this->updatedAt = now;
 }
 
 double RefusalEstimate::probability(Instant now) const
 {
     const double factor = decayFactor(now - this->updatedAt);
-    return factor * this->refused / (factor * (this->accepted + this->refused) + assumedAccepted);
-}
-
-void RefusalEstimate::decayTo(Instant now)
-{
-    const auto factor = static_cast<float>(decayFactor(now - this->updatedAt));
-    this->accepted *= factor;
-    this->refused *= factor;
-    this->updatedAt = now;
+    const double probability = factor * this->refused / (factor * (this->accepted + this->refused) + assumedAccepted);
+    return probability < minProbability ? 0 : probability;
 }
 
 } // namespace teaselshore
--- a/src/teaselshore/routing/router.cpp
+++ b/src/teaselshore/routing/router.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+    /// Weight of another node's result. An upstream may refuse only the nodes of one zone.
+    constexpr double peerResultWeight = 0.5;
+
     struct Dispatch {
         std::uint32_t upstream = 0;
         std::uint32_t generation = 0;
@@ -70,7 +73,7 @@
     UpstreamDetails& detail = this->table.details[dispatch.upstream];
     Upstream& upstream = this->table.upstreams[dispatch.upstream];
     if (outcome == AttemptOutcome::Refused)
-        upstream.refusals.onRefused(now);
+        upstream.refusals.add(0, 1, now);
     switch (outcome) {
     case AttemptOutcome::Completed:
         if (dispatch.pass)
@@ -120,6 +123,13 @@
     });
 }
 
+void Router::onPeerResults(const UpstreamId& upstream, std::uint32_t accepted, std::uint32_t refused, Instant now)
+{
+    this->impl->changeUpstream(upstream, now, [&](const UpstreamDetails&, std::uint32_t index) {
+        this->impl->table.upstreams[index].refusals.add(peerResultWeight * accepted, peerResultWeight * refused, now);
+    });
+}
+
 void Router::onCacheEvent(const CacheEvent& event, Instant)
 {
     if (const std::optional<std::uint32_t> index = this->impl->table.find(event.upstream))
@@ -236,7 +246,7 @@
     Upstream& upstream = this->impl->table.upstreams[dispatch->upstream];
     LoadRates& pool = this->impl->table.pools[upstream.pool].rates;
     const Duration elapsed = now - dispatch->sentAt - dispatch->networkDelay;
-    upstream.refusals.onAccepted(now);
+    upstream.refusals.add(1, 0, now);
     upstream.load.onFirstToken(dispatch->work, dispatch->workAhead, elapsed, upstream.capacity, pool, now);
 
     // Scales the latency to a request of mean size, so that requests of different length are comparable.
