--- a/src/teaselshore/daemon/request_relay_test.cpp
+++ b/src/teaselshore/daemon/request_relay_test.cpp
@@ -57,7 +57,9 @@
             this->startAttempt();
         }
 
-        void startAttempt()
+        void startAttempt() { this->relay.execute(this->attempt()); }
+
+        StartAttempt attempt()
         {
             StartAttempt start;
             start.attempt = ++this->lastAttempt;
@@ -68,7 +70,7 @@
             start.connectTimeout = std::chrono::seconds(1);
             start.idleTimeout = std::chrono::seconds(1);
             start.relay = true;
-            this->relay.execute(std::move(start));
+            return start;
         }
 
         void onUpstream(const std::shared_ptr<ServerExchange>& exchange) { this->script(exchange); }
@@ -214,6 +216,44 @@
         EXPECT_EQ(this->relay.counters().misdirectedResponses, 1u);
     }
 
+    // Guards against a stream without an end mark that is taken for complete although it ends inside an event, and
+    // against passing on the part of that event.
+    TEST_F(RequestRelayTest, FramedStreamThatEndsInsideAnEventIsBrokenOff)
+    {
+        for (const std::string& last :
+            { std::string(), std::string("id: 1\nda"), std::string("id: 1\ndata: token\n") }) {
+            RequestRelay::Settings settings;
+            settings.streams = FramedStreams { "x-mark" };
+            std::size_t failed = 0;
+            std::size_t finished = 0;
+            RequestRelay framed(*this->loop, settings, [&](const RelayEvent& relayEvent) {
+                failed += std::holds_alternative<AttemptFailed>(relayEvent) ? 1 : 0;
+                finished += std::holds_alternative<AttemptFinished>(relayEvent) ? 1 : 0;
+                if (std::holds_alternative<AttemptFailed>(relayEvent))
+                    framed.execute(FailStream { this->request, {} });
+            });
+            HttpError error;
+            this->entry = HttpServer::listen(
+                *this->loop, {},
+                [&](const std::shared_ptr<ServerExchange>& exchange) {
+                    framed.addCaller(this->request, exchange);
+                    framed.execute(this->attempt());
+                },
+                &error);
+            this->script = [&last](const std::shared_ptr<ServerExchange>& exchange) {
+                exchange->startStream(200, { { "content-type", "text/event-stream" }, { "x-mark", "1" } });
+                exchange->write(event(0) + last);
+                exchange->finish();
+            };
+            this->received.clear();
+            this->call();
+            EXPECT_EQ(this->received, event(0)) << last;
+            EXPECT_EQ(this->complete, last.empty()) << last;
+            EXPECT_EQ(failed, last.empty() ? 0u : 1u) << last;
+            EXPECT_EQ(finished, last.empty() ? 1u : 0u) << last;
+        }
+    }
+
     // Guards against a stream that ends early being taken for a complete response, and against a lost error event.
     TEST_F(RequestRelayTest, StreamWithoutEndMarkEndsWithErrorEvent)
     {
