--- a/src/teaselshore/reliability/crash_history.cpp
+++ b/src/teaselshore/reliability/crash_history.cpp
@@ -95,15 +95,15 @@
 
 bool CrashHistory::areOnlySharedKeys(const std::vector<Fingerprint>& keys, const Crashes& crashes) const
 {
-    const auto hasCrashOf = [](const Crashes& others, const UpstreamId& upstream) {
+    const auto contains = [](const Crashes& others, const UpstreamId& upstream) {
         return std::any_of(others.begin(), others.end(),
             [&upstream](const RequestCrash& other) { return !other.isVoid && other.upstream == upstream; });
     };
-    for (const auto& [key, others] : this->crashesByKey) {
-        if (std::find(keys.begin(), keys.end(), key) != keys.end())
+    for (const auto& entry : this->crashesByKey) {
+        if (std::find(keys.begin(), keys.end(), entry.first) != keys.end())
             continue;
         const bool isShared = std::all_of(crashes.begin(), crashes.end(),
-            [&](const RequestCrash& crash) { return crash.isVoid || hasCrashOf(others, crash.upstream); });
+            [&](const RequestCrash& crash) { return crash.isVoid || contains(entry.second, crash.upstream); });
         if (isShared)
             return false;
     }
