Refuse requests that are read after the last answer of a planned stop

Cause: between StopProcess and the end of the process, 150 ms, EntryTask dropped every event, and EntryNode would have sent such a request to an upstream. Now it is refused with 503 and Retry-After.

PlannedStop.RequestThatIsReadAfterTheLastAnswerIsToldThatItDidNotRun failed before.

--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -465,7 +465,8 @@
 
 void EntryTask::Impl::handle(EntryEvent event)
 {
-    if (this->stopped)
+    // Requests that are still read while the last answers leave need an answer too.
+    if (this->stopped && !std::holds_alternative<CallerRequestArrived>(event))
         return;
     for (EntryCommand& command : this->node.handle(std::move(event), this->loop->now()))
         std::visit([this](auto& content) { this->execute(content); }, command);
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -94,6 +94,12 @@
     request.id = arrived.id;
     request.caller = std::move(arrived.request);
     request.arrivedAt = now;
+    if (this->hasEnded) {
+        // Its bytes were read while the last answers left.
+        this->refuse(
+            request, RequestOutcome::NoCapacity, serviceUnavailable, "this node has stopped", stoppingRetryAfter, now);
+        return;
+    }
     if (this->isReady()) {
         this->begin(request, now);
         return;
@@ -773,6 +779,7 @@
 
 void EntryRequests::endAll(Instant now)
 {
+    this->hasEnded = true;
     std::vector<RequestId> open;
     open.reserve(this->requests.size());
     for (const auto& [id, request] : this->requests)
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -170,6 +170,8 @@
     /// Requests that arrived before the node was ready, and the time until which they may wait.
     std::vector<RequestId> earlyRequests;
     std::optional<Instant> earlyDeadline;
+    /// True once all requests were ended; those that are still read are refused.
+    bool hasEnded = false;
     /// End of the process; set during a planned stop.
     std::optional<Instant> processEnd;
     /// When the waiting requests were last dispatched.
--- a/src/teaselshore/entry/planned_stop_test.cpp
+++ b/src/teaselshore/entry/planned_stop_test.cpp
@@ -135,5 +135,23 @@
         EXPECT_EQ(refused, 1);
     }
 
+    // Guards against a request that is read between the end of the last answer and the end of the process, and whose
+    // connection then closes without an answer.
+    TEST(PlannedStop, RequestThatIsReadAfterTheLastAnswerIsToldThatItDidNotRun)
+    {
+        StoppingNode node;
+        node.advanceTo(-1s);
+        ASSERT_TRUE(node.isStopped);
+        for (const char* route : { "order", "status", "digest", "query" }) {
+            node.harness.request(route);
+            EXPECT_FALSE(node.harness.first<ForwardRequest>()) << route;
+            const auto response = node.harness.first<Respond>();
+            ASSERT_TRUE(response) << route;
+            EXPECT_EQ(response->status, 503) << route;
+            EXPECT_TRUE(hasRetryAfter(*response)) << route;
+        }
+        EXPECT_FALSE(node.harness.first<StopProcess>()) << "the end is announced once";
+    }
+
 } // namespace
 } // namespace teaselshore
