Answer requests that are on their way when a server stops to accept

Callers saw: a request that had just been sent was cut off without an answer when its node stopped as planned: on a connection that waited to be accepted (reset with the listener), on an idle one with the request unread (its bytes were dropped), and on a new one whose request came some milliseconds later. Now waiting connections are accepted before the listener closes, and idle ones stay open for 100 ms; what arrives meanwhile is answered, with connection: close.

--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -26,6 +26,9 @@
 
     constexpr int statusContinue = 100;
     constexpr int statusNoContent = 204;
+    /// Time that idle connections stay open when the server stops to accept: requests may be on their way, or have
+    /// arrived and not been read.
+    constexpr Duration lastRequestTime = std::chrono::milliseconds(100);
     constexpr int statusNotModified = 304;
     constexpr int badRequest = 400;
     constexpr int requestTimeout = 408;
@@ -316,8 +319,10 @@
 void Http1Connection::closeWhenIdle()
 {
     this->closeAfterAnswer = true;
-    if (this->state == State::Idle && this->socket->input->size == 0)
-        this->linger();
+    if (this->state != State::Idle)
+        return;
+    this->deadline = monotonicNow() + lastRequestTime;
+    this->armTimer(this->deadline);
 }
 
 void Http1Connection::breakOff()
@@ -409,6 +414,10 @@
     this->started = true;
     std::optional<std::size_t> length;
     if (const auto text = headers.find("content-length"))
+    if (this->state == State::Idle && this->core.closing()) {
+        this->linger();
+        return;
+    }
         length = static_cast<std::size_t>(std::strtoull(text->c_str(), nullptr, 10));
     this->connection->startAnswer(status, headers, length);
     this->connection->flushSoon();
--- a/src/teaselshore/http/http_server_test.cpp
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -345,6 +345,37 @@
         EXPECT_EQ(record.body, "late");
     }
 
+    // Guards against requests that reach a server while it stops to accept, and whose connections then end without an
+    // answer: on a connection that waits to be accepted, on an idle one, and on a new one that had no request yet.
+    TEST(HttpServer, StopAcceptingAnswersRequestsThatAreOnTheirWay)
+    {
+        const std::string request = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+        HttpFixture fixture([&](const auto& exchange) { exchange->reply({ 200, {}, "late" }); });
+        const auto isAnswered = [&](const RawConnection& connection) {
+            std::string received;
+            bool ended = false;
+            return fixture.runUntil([&] {
+                received += connection.receive(ended);
+                return received.find("late") != std::string::npos || ended;
+            }) && received.find("connection: close") != std::string::npos;
+        };
+        const RawConnection idle(fixture.server->port());
+        const RawConnection unused(fixture.server->port());
+        idle.send(request);
+        std::string first;
+        bool ended = false;
+        ASSERT_TRUE(fixture.runUntil([&] { return !(first += idle.receive(ended)).empty(); }));
+
+        const RawConnection waiting(fixture.server->port());
+        waiting.send(request);
+        idle.send(request);
+        fixture.server->stopAccepting();
+        unused.send(request);
+        EXPECT_TRUE(isAnswered(waiting)) << "waits to be accepted";
+        EXPECT_TRUE(isAnswered(idle)) << "idle";
+        EXPECT_TRUE(isAnswered(unused)) << "without a request before";
+    }
+
     // Guards against use of released state when a server is destroyed while exchanges are open.
     TEST(HttpServer, DestructionBreaksOpenExchangesOff)
     {
--- a/src/teaselshore/http/server_core.cpp
+++ b/src/teaselshore/http/server_core.cpp
@@ -64,6 +64,9 @@
 {
     if (this->listener == nullptr)
         return;
+    // Closing the listener resets the connections that wait in its queue, and their requests may have arrived.
+    while (this->acceptConnection())
+        continue;
     this->loop.cancelTimer(this->acceptTimer);
     h2o_socket_close(this->listener);
     this->listener = nullptr;
@@ -154,17 +157,22 @@
     if (error != nullptr)
         return;
     auto* core = static_cast<ServerCore*>(listener->data);
-    for (int count = 0; count < acceptsPerEvent; ++count) {
-        errno = 0;
-        h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
-        if (socket == nullptr) {
-            if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
-                core->pauseAccepting();
-            return;
-        }
-        auto connection = std::make_unique<Http1Connection>(*core, socket);
-        core->connections.emplace(socket, std::move(connection)).first->second->start();
+    for (int count = 0; count < acceptsPerEvent && core->acceptConnection(); ++count)
+        continue;
+}
+
+bool ServerCore::acceptConnection()
+{
+    errno = 0;
+    h2o_socket_t* socket = h2o_evloop_socket_accept(this->listener);
+    if (socket == nullptr) {
+        if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
+            this->pauseAccepting();
+        return false;
     }
+    auto connection = std::make_unique<Http1Connection>(*this, socket);
+    this->connections.emplace(socket, std::move(connection)).first->second->start();
+    return true;
 }
 
 void ServerCore::pauseAccepting()
--- a/src/teaselshore/http/server_core.hpp
+++ b/src/teaselshore/http/server_core.hpp
@@ -63,6 +63,8 @@
     static int onRequest(h2o_handler_t* handler, h2o_req_t* request);
     void releaseIfUnused();
     void retire(std::unique_ptr<Http1Connection> connection);
+    /// @brief Accepts one waiting connection; false if there is none.
+    bool acceptConnection();
     void pauseAccepting();
 
     EventLoop::Impl& loop;
