Disconnect callers that stop to read a finished answer

Now the connection ends after the idle time (and two seconds) without any progress. Answers leave in writes of 64 KB, so that progress is seen; a caller that reads slowly is not cut.

HttpServer.DisconnectsOnlyCallersThatStopReadingTheirAnswer failed before (the whole answer was still there after 4.5 s).

--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -11,6 +11,7 @@
 #include "server_core.hpp"
 #include "status_text.hpp"
 #include "teaselshore/base/assert.hpp"
+#include "teaselshore/base/log.hpp"
 
 namespace teaselshore {
 
@@ -21,14 +22,16 @@
     constexpr std::size_t maxPipelinedBytes = std::size_t { 64 } * 1024;
     /// Time for the client to read the last answer before the connection is closed.
     constexpr Duration lingerTime = std::chrono::milliseconds(500);
+    /// Bytes handed to the socket at once; the end of each write shows that the client still reads.
+    constexpr std::size_t maxWriteBytes = std::size_t { 64 } * 1024;
     /// Added to the idle time, so that a client that keeps to it never meets a close.
     constexpr Duration idleMargin = std::chrono::seconds(2);
-
-    constexpr int statusContinue = 100;
-    constexpr int statusNoContent = 204;
     /// Time that idle connections stay open when the server stops to accept: requests may be on their way, or have
     /// arrived and not been read.
     constexpr Duration lastRequestTime = std::chrono::milliseconds(100);
+
+    constexpr int statusContinue = 100;
+    constexpr int statusNoContent = 204;
     constexpr int statusNotModified = 304;
     constexpr int badRequest = 400;
     constexpr int requestTimeout = 408;
@@ -178,8 +181,7 @@
     const std::string body = fmt::format(R"({{"error":{{"code":"rejected","message":"{}"}}}})", reason);
     this->startAnswer(status, { { "content-type", "application/json" } }, body.size());
     this->write(body);
-    this->answerDone = true;
-    this->flush();
+    this->completeAnswer();
 }
 
 void Http1Connection::startAnswer(int status, const HttpHeaders& headers, std::optional<std::size_t> length)
@@ -225,8 +227,7 @@
         this->pending += "0\r\n\r\n";
     this->core.exchangeClosed(this->exchange.get());
     this->exchange.reset();
-    this->answerDone = true;
-    this->flush();
+    this->completeAnswer();
 }
 
 void Http1Connection::abort(bool keepPending)
@@ -239,10 +240,22 @@
         this->close();
         return;
     }
+    this->completeAnswer();
+}
+
+void Http1Connection::completeAnswer()
+{
     this->answerDone = true;
+    this->expectProgress();
     this->flush();
 }
 
+void Http1Connection::expectProgress()
+{
+    this->deadline = monotonicNow() + this->idleTime + idleMargin;
+    this->armTimer(this->deadline);
+}
+
 void Http1Connection::flush()
 {
     if (!this->sending.empty() || this->state == State::Closed)
@@ -252,7 +265,21 @@
         return;
     }
     this->sending.swap(this->pending);
-    h2o_iovec_t buffer = h2o_iovec_init(this->sending.data(), this->sending.size());
+    this->sentBytes = 0;
+    this->writeNext();
+}
+
+std::size_t Http1Connection::writeSize() const
+{
+    return std::min(maxWriteBytes, this->sending.size() - this->sentBytes);
+}
+
+void Http1Connection::writeNext()
+{
+    h2o_iovec_t buffer = h2o_iovec_init(this->sending.data() + this->sentBytes, this->writeSize());
+    // A finished answer has no owner that would notice a client that stopped to read.
+    if (this->answerDone)
+        this->expectProgress();
     h2o_socket_write(this->socket, &buffer, 1, onWritten);
 }
 
@@ -269,12 +296,17 @@
 void Http1Connection::onWritten(h2o_socket_t* socket, const char* error)
 {
     auto* self = static_cast<Http1Connection*>(socket->data);
-    self->sending.clear();
-    if (error != nullptr) {
-        self->breakOff();
+    self->sentBytes += self->writeSize();
+    if (error == nullptr && self->sentBytes < self->sending.size()) {
+        self->writeNext();
         return;
     }
-    self->flush();
+    self->sending.clear();
+    self->sentBytes = 0;
+    if (error != nullptr)
+        self->breakOff();
+    else
+        self->flush();
 }
 
 void Http1Connection::onFlushed()
@@ -367,14 +399,12 @@
 void Http1Connection::onTimer()
 {
     this->timer = 0;
-    if (this->state == State::Closed)
+    // While an answer is open the owner of the exchange watches the time.
+    if (this->state == State::Closed || (this->state == State::Answering && !this->answerDone))
         return;
-    if (this->state != State::Answering && monotonicNow() >= this->deadline) {
+    if (monotonicNow() >= this->deadline)
         this->onDeadline();
-        return;
-    }
-    // While an answer is open the owner of the exchange watches the time.
-    if (this->state != State::Answering)
+    else
         this->armTimer(this->deadline);
 }
 
@@ -384,6 +414,10 @@
         this->refuse(requestTimeout, "the request did not arrive in time");
         return;
     }
+    if (this->state == State::Idle && this->core.closing()) {
+        this->linger();
+        return;
+    }
     if (this->state == State::Idle && this->core.limits().idleTimeout > this->idleTime) {
         // The limit was raised meanwhile, and clients may rely on the new one.
         this->idleTime = this->core.limits().idleTimeout;
@@ -391,6 +425,8 @@
         this->armTimer(this->deadline);
         return;
     }
+    if (this->state == State::Answering)
+        logLine(LogLevel::Info, "caller stopped reading its answer", { { "unsentBytes", this->pendingBytes() } });
     this->close();
 }
 
@@ -414,10 +450,6 @@
     this->started = true;
     std::optional<std::size_t> length;
     if (const auto text = headers.find("content-length"))
-    if (this->state == State::Idle && this->core.closing()) {
-        this->linger();
-        return;
-    }
         length = static_cast<std::size_t>(std::strtoull(text->c_str(), nullptr, 10));
     this->connection->startAnswer(status, headers, length);
     this->connection->flushSoon();
--- a/src/teaselshore/http/http1_connection.hpp
+++ b/src/teaselshore/http/http1_connection.hpp
@@ -38,7 +38,7 @@
     void finish();
     /// @brief Ends the answer without its end: after the pending bytes have left, or at once.
     void abort(bool keepPending);
-    std::size_t pendingBytes() const { return this->pending.size() + this->sending.size(); }
+    std::size_t pendingBytes() const { return this->pending.size() + this->sending.size() - this->sentBytes; }
 
 private:
     /// How the end of an answer's body is marked.
@@ -67,7 +67,13 @@
     bool handOverToHttp2();
     void dispatch();
     void refuse(int status, std::string_view reason);
+    /// @brief Notes that nothing follows, and watches that the client reads what is left.
+    void completeAnswer();
+    void expectProgress();
     void flush();
+    void writeNext();
+    /// @brief Size of the write that is in flight or comes next.
+    std::size_t writeSize() const;
     void onFlushed();
     void endAnswer();
     void nextRequest();
@@ -84,6 +90,8 @@
     std::shared_ptr<Http1Exchange> exchange;
     std::string pending;
     std::string sending;
+    /// Bytes of sending that the socket took.
+    std::size_t sentBytes = 0;
     Framing framing = Framing::Length;
     bool first = true;
     bool sawContinue = false;
--- a/src/teaselshore/http/http_server_test.cpp
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -376,6 +376,50 @@
         EXPECT_TRUE(isAnswered(unused)) << "without a request before";
     }
 
+    // Guards against connections, and the answers that they keep, that stay for good when a caller stops to read, and
+    // against callers that read slowly and are cut.
+    TEST(HttpServer, DisconnectsOnlyCallersThatStopReadingTheirAnswer)
+    {
+        HttpServerSettings settings;
+        settings.idleTimeout = std::chrono::milliseconds(200);
+        const std::string body(std::size_t { 24 } * 1024 * 1024, 'a');
+        HttpFixture fixture([&](const auto& exchange) { exchange->reply({ 200, {}, body }); }, settings);
+        const std::string request = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+        const RawConnection slow(fixture.server->port());
+        const RawConnection stopped(fixture.server->port());
+        slow.send(request);
+        stopped.send(request);
+        std::size_t received = 0;
+        bool ended = false;
+        // A server allows two seconds more than the idle time.
+        const Instant start = fixture.loop->now();
+        Instant lastRead = start;
+        ASSERT_TRUE(fixture.runUntil(
+            [&] {
+                const Instant now = fixture.loop->now();
+                if (now - lastRead < std::chrono::milliseconds(1000))
+                    return false;
+                lastRead = now;
+                received += slow.receive(ended).size();
+                return now - start > std::chrono::milliseconds(4500);
+            },
+            std::chrono::seconds(10)));
+        EXPECT_FALSE(ended) << "reads slowly";
+        ASSERT_TRUE(fixture.runUntil(
+            [&] {
+                received += slow.receive(ended).size();
+                return received > body.size();
+            },
+            std::chrono::seconds(20)));
+        std::size_t left = 0;
+        bool stoppedEnded = false;
+        ASSERT_TRUE(fixture.runUntil([&] {
+            left += stopped.receive(stoppedEnded).size();
+            return stoppedEnded;
+        }));
+        EXPECT_LT(left, body.size());
+    }
+
     // Guards against use of released state when a server is destroyed while exchanges are open.
     TEST(HttpServer, DestructionBreaksOpenExchangesOff)
     {
