Count the time that a host was suspended

A process on a host that was suspended for some seconds believed that no time had passed: its lease, its deadlines and its idle connections seemed as fresh as before, although another node may hold the lease by then. Where the platform does not check fencing tokens (require_fence false) nothing else keeps it from acting on the lease. Cause: std::chrono::steady_clock stands still during a suspension. All times now come from one function on CLOCK_BOOTTIME; there were two on steady_clock.

Clock.CountsTheTimeThatTheHostWasSuspended failed before (1 us instead of 7 s).

--- a/src/teaselshore/http/event_loop.cpp
+++ b/src/teaselshore/http/event_loop.cpp
@@ -29,12 +29,6 @@
 
 } // namespace
 
-Instant monotonicNow()
-{
-    const auto passed = std::chrono::steady_clock::now().time_since_epoch();
-    return Instant(std::chrono::duration_cast<Duration>(passed));
-}
-
 EventLoop::Impl::Impl()
     : loop(h2o_evloop_create())
     , wakeDescriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
--- a/src/teaselshore/http/event_loop_impl.hpp
+++ b/src/teaselshore/http/event_loop_impl.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "h2o.hpp"
+#include "teaselshore/base/clock.hpp"
 #include "teaselshore/http/event_loop.hpp"
 
 namespace teaselshore {
@@ -49,7 +50,4 @@
     h2o_socket_t* wakeSocket = nullptr;
 };
 
-/// @brief Returns the current monotonic time.
-Instant monotonicNow();
-
 } // namespace teaselshore
--- a/src/teaselshore/peers/peers_task.cpp
+++ b/src/teaselshore/peers/peers_task.cpp
@@ -17,6 +17,7 @@
 #include <zmq.hpp>
 
 #include "peer_connection.hpp"
+#include "teaselshore/base/clock.hpp"
 #include "teaselshore/base/log.hpp"
 
 namespace teaselshore {
@@ -36,11 +37,6 @@
     constexpr Duration stopTimeout = 1s;
     constexpr Duration stopLinger = 500ms;
 
-    Instant currentTime()
-    {
-        return Instant(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
-    }
-
     struct SendOrder {
         std::string address;
         PeerMessage message;
@@ -211,7 +207,7 @@
         this->reportNotSent(order.address, std::move(order.message));
         return;
     }
-    const Instant now = currentTime();
+    const Instant now = monotonicNow();
     Envelope envelope { this->settings.node, this->address, this->settings.cluster, std::move(order.message) };
     std::string bytes = encode(envelope);
     OutgoingMessage message { std::move(envelope.message), std::move(bytes), now + this->settings.waitingTimeout };
@@ -241,7 +237,7 @@
         return &found->second;
     try {
         const auto added
-            = this->connections.try_emplace(address, this->context, address, this->settings, currentTime());
+            = this->connections.try_emplace(address, this->context, address, this->settings, monotonicNow());
         this->connectionCount = this->connections.size();
         return &added.first->second;
     } catch (const zmq::error_t& error) {
@@ -288,7 +284,7 @@
 
 void PeersTask::Impl::serveWaiting()
 {
-    const Instant now = currentTime();
+    const Instant now = monotonicNow();
     for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
         const std::string& address = *entry;
         PeerConnection& connection = this->connections.at(address);
@@ -301,7 +297,7 @@
 
 void PeersTask::Impl::closeUnused()
 {
-    const Instant now = currentTime();
+    const Instant now = monotonicNow();
     if (now < this->nextCheck)
         return;
     this->nextCheck = now + checkPeriod;
@@ -322,8 +318,8 @@
 void PeersTask::Impl::finish()
 {
     this->takeOrders();
-    const Instant end = currentTime() + stopTimeout;
-    while (!this->waiting.empty() && currentTime() < end) {
+    const Instant end = monotonicNow() + stopTimeout;
+    while (!this->waiting.empty() && monotonicNow() < end) {
         this->poll(waitingPoll);
         this->serveWaiting();
     }
