Read every list of the platform to its end

A list answers about 500 objects or 1 MB at a time. The reports of the nodes, and the orders of rollouts read on demand, were taken from the first page only: with more, nodes knew a part of the fleet, and took too large a share of the quotas and of the retry budget, reported the usage of a part of it and missed crashes. PlatformClient::listKind now reads all pages, begins again if the platform was restored between two of them, and fails as a whole; KindWatcher uses it and has no paging of its own. A failed read of the reports has a log line; it had none.

Ruled out: lists of upstreams and of the configuration, which were read whole.

KindListTest.ReadsEveryPage and five more, on a platform with pages of three; with one page read (as before) the first fails.

--- a/include/teaselshore/platform/kind_watcher.hpp
+++ b/include/teaselshore/platform/kind_watcher.hpp
@@ -51,8 +51,8 @@
     KindWatcher& operator=(const KindWatcher&) = delete;
 
 private:
-    void list(const std::string& after);
-    void onPage(PlatformResult<KindPage> result);
+    void list();
+    void onList(PlatformResult<KindPage> result);
     void watch();
     void onEvents(PlatformResult<KindPage> result);
     void onSuccess();
@@ -65,8 +65,6 @@
     KindWatcherSettings settings;
     KindWatcherHandlers handlers;
     RandomSource random;
-    /// Objects of the pages listed so far.
-    std::vector<KindObject> listed;
     /// Version from which the watch goes on; nothing before the first complete list.
     std::optional<std::uint64_t> at;
     bool reachable = true;
--- a/include/teaselshore/platform/platform_client.hpp
+++ b/include/teaselshore/platform/platform_client.hpp
@@ -82,9 +82,9 @@
 
     /// @name Calls of platforms that keep objects by kind; on others they end with Rejected.
     /// @{
-    /// @brief Lists the objects of a kind, from the one after the name on.
-    PlatformCallId listKind(
-        const std::string& kind, const std::string& after, ReadFreshness freshness, PlatformHandler<KindPage> handler);
+    /// @brief Lists all objects of a kind, with as many calls as the list has pages; the result has no more. Begins
+    /// again if the platform was restored from an older copy between two pages.
+    PlatformCallId listKind(const std::string& kind, ReadFreshness freshness, PlatformHandler<KindPage> handler);
     /// @brief Waits for changes after the version. NotFound means that the platform no longer has that history.
     PlatformCallId watchKind(
         const std::string& kind, std::uint64_t after, Duration wait, PlatformHandler<KindPage> handler);
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -560,13 +560,13 @@
 {
     const ReadFreshness freshness = command.mayBeStale ? ReadFreshness::MayBeStale : ReadFreshness::Current;
     const auto onListed = [this, isFresh = !command.mayBeStale](const PlatformResult<KindPage>& result) {
-        if (const auto* page = std::get_if<KindPage>(&result))
-            this->onRollouts(page->objects, isFresh);
+        if (const auto* list = std::get_if<KindPage>(&result))
+            this->onRollouts(list->objects, isFresh);
         else
             logLine(
                 LogLevel::Warning, "rollout orders not read", { { "reason", std::get<PlatformError>(result).detail } });
     };
-    this->platform->listKind(std::string(wire::rolloutsKind), {}, freshness, onListed);
+    this->platform->listKind(std::string(wire::rolloutsKind), freshness, onListed);
 }
 
 void EntryTask::Impl::execute(DecodeConfiguration& command)
@@ -607,12 +607,15 @@
     // Not from stale data: all nodes must learn of a node that returned in the same round of reports, or the shares of
     // the quotas add up to more than 1.
     this->platform->listKind(
-        std::string(nodesKind), {}, ReadFreshness::Current, [this](const PlatformResult<KindPage>& result) {
-            const auto* page = std::get_if<KindPage>(&result);
-            if (!page)
+        std::string(nodesKind), ReadFreshness::Current, [this](const PlatformResult<KindPage>& result) {
+            const auto* list = std::get_if<KindPage>(&result);
+            if (!list) {
+                logLine(LogLevel::Warning, "reports of the nodes not read",
+                    { { "reason", std::get<PlatformError>(result).detail } });
                 return;
+            }
             NodeReportsRead read;
-            for (const KindObject& object : page->objects)
+            for (const KindObject& object : list->objects)
                 read.reports.push_back(object.spec.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
             this->handle(std::move(read));
         });
--- a/src/teaselshore/platform/kind_watcher.cpp
+++ b/src/teaselshore/platform/kind_watcher.cpp
@@ -23,7 +23,7 @@
     , handlers(std::move(handlers))
     , random(random)
 {
-    this->list({});
+    this->list();
 }
 
 KindWatcher::~KindWatcher()
@@ -32,44 +32,28 @@
     this->loop.cancelTimer(this->timer);
 }
 
-void KindWatcher::list(const std::string& after)
+void KindWatcher::list()
 {
-    if (after.empty())
-        this->listed.clear();
     this->at.reset();
     const ReadFreshness freshness = this->settings.pollEvery ? ReadFreshness::MayBeStale : ReadFreshness::Current;
     this->call = this->client.listKind(
-        this->kind, after, freshness, [this](PlatformResult<KindPage> result) { this->onPage(std::move(result)); });
+        this->kind, freshness, [this](PlatformResult<KindPage> result) { this->onList(std::move(result)); });
 }
 
-void KindWatcher::onPage(PlatformResult<KindPage> result)
+void KindWatcher::onList(PlatformResult<KindPage> result)
 {
     if (const auto* error = std::get_if<PlatformError>(&result)) {
         this->onFailure(*error);
         return;
     }
     this->onSuccess();
-    auto& page = std::get<KindPage>(result);
-    if (this->at && eraOf(*this->at) != eraOf(page.at)) {
-        // The pages before are of another era.
-        this->list({});
-        return;
-    }
-    std::move(page.objects.begin(), page.objects.end(), std::back_inserter(this->listed));
-    if (page.hasMore && !this->listed.empty()) {
-        const std::string last = this->listed.back().name;
-        // What changes meanwhile on the earlier pages is learnt by watching from their version on.
-        const std::uint64_t first = this->at.value_or(page.at);
-        this->list(last);
-        this->at = first;
-        return;
-    }
-    this->at = this->at.value_or(page.at);
+    auto& whole = std::get<KindPage>(result);
+    this->at = whole.at;
     if (this->settings.pollEvery)
-        this->timer = this->loop.runAfter(*this->settings.pollEvery, [this] { this->list({}); });
+        this->timer = this->loop.runAfter(*this->settings.pollEvery, [this] { this->list(); });
     else
         this->watch();
-    this->handlers.onListed(std::exchange(this->listed, {}), this->sinceOutage());
+    this->handlers.onListed(std::move(whole.objects), this->sinceOutage());
 }
 
 void KindWatcher::watch()
@@ -83,7 +67,7 @@
     if (const auto* error = std::get_if<PlatformError>(&result)) {
         if (error->kind == PlatformError::Kind::NotFound) {
             // The history is gone, so that changes may have been missed.
-            this->list({});
+            this->list();
             return;
         }
         this->onFailure(*error);
@@ -123,10 +107,10 @@
     const auto delay = Duration(
         static_cast<Duration::rep>(static_cast<double>(this->backoff.count()) * (0.5 + 0.5 * this->random.uniform())));
     this->timer = this->loop.runAfter(delay, [this] {
-        if (this->at && this->listed.empty() && !this->settings.pollEvery)
+        if (this->at && !this->settings.pollEvery)
             this->watch();
         else
-            this->list({});
+            this->list();
     });
 }
 
--- a/src/teaselshore/platform/platform_client.cpp
+++ b/src/teaselshore/platform/platform_client.cpp
@@ -1,6 +1,11 @@
 #include "teaselshore/platform/platform_client.hpp"
 
+#include <iterator>
+#include <memory>
+#include <string>
+#include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include <fmt/format.h>
 
@@ -34,6 +39,19 @@
 
     std::optional<std::monostate> parseNothing(const HttpReply&) { return std::monostate(); }
 
+    /// List of a kind that is being read.
+    struct KindListing {
+        std::string kind;
+        ReadFreshness freshness = ReadFreshness::Current;
+        PlatformHandler<KindPage> handler;
+        PlatformCallId id = 0;
+        /// Call of the page that is awaited.
+        PlatformCallId page = 0;
+        /// Objects of the pages so far, and the version of the first page.
+        std::vector<KindObject> objects;
+        std::optional<std::uint64_t> at;
+    };
+
 } // namespace
 
 struct PlatformClient::Impl {
@@ -128,6 +146,65 @@
             { PlatformError::Kind::Rejected, "the platform has no kinds", std::nullopt }, std::move(handler));
     }
 
+    /// @brief Lists a kind page by page. The listing is known by the call of its first page.
+    PlatformCallId list(KindListing listing)
+    {
+        const auto shared = std::make_shared<KindListing>(std::move(listing));
+        shared->id = this->readPage(shared, {});
+        this->listings.emplace(shared->id, shared);
+        return shared->id;
+    }
+
+    PlatformCallId readPage(const std::shared_ptr<KindListing>& listing, const std::string& after)
+    {
+        listing->page = this->startKindCall<KindPage>(
+            [&](const KindedObjects& api) { return api.listKind(listing->kind, after, listing->freshness); },
+            KindedObjects::parsePage,
+            [this, listing](PlatformResult<KindPage> result) { this->onPage(listing, std::move(result)); });
+        return listing->page;
+    }
+
+    void onPage(const std::shared_ptr<KindListing>& listing, PlatformResult<KindPage> result)
+    {
+        auto* page = std::get_if<KindPage>(&result);
+        if (page == nullptr) {
+            this->endListing(*listing, std::move(result));
+            return;
+        }
+        if (listing->at && eraOf(*listing->at) != eraOf(page->at)) {
+            // The pages before are of another era.
+            listing->at.reset();
+            listing->objects.clear();
+            this->readPage(listing, {});
+            return;
+        }
+        // What changes on the earlier pages meanwhile is learnt by watching from the version of the first one.
+        listing->at = listing->at.value_or(page->at);
+        if (page->hasMore && page->objects.empty()) {
+            this->endListing(*listing, malformedReply(Kind::ListKind, "page without objects promises more"));
+            return;
+        }
+        std::move(page->objects.begin(), page->objects.end(), std::back_inserter(listing->objects));
+        if (page->hasMore)
+            this->readPage(listing, std::string(listing->objects.back().name));
+        else
+            this->endListing(*listing, KindPage { std::move(listing->objects), *listing->at, false });
+    }
+
+    void endListing(KindListing& listing, PlatformResult<KindPage> result)
+    {
+        this->listings.erase(listing.id);
+        listing.handler(std::move(result));
+    }
+
+    void cancel(PlatformCallId call)
+    {
+        const auto found = this->listings.find(call);
+        this->runner.cancel(found == this->listings.end() ? call : found->second->page);
+        if (found != this->listings.end())
+            this->listings.erase(found);
+    }
+
     /// @brief Returns false for a reply of before the last known restore, or with a result of an unknown era.
     bool noticeEra(const HttpReply& reply)
     {
@@ -148,6 +225,7 @@
 
     ObjectApi objects;
     CallRunner runner;
+    std::unordered_map<PlatformCallId, std::shared_ptr<KindListing>> listings;
     /// Era of the platform, as the latest reply told it.
     std::optional<std::uint64_t> era;
     std::function<void()> restoredHandler;
@@ -202,11 +280,13 @@
 }
 
 PlatformCallId PlatformClient::listKind(
-    const std::string& kind, const std::string& after, ReadFreshness freshness, PlatformHandler<KindPage> handler)
+    const std::string& kind, ReadFreshness freshness, PlatformHandler<KindPage> handler)
 {
-    return this->impl->startKindCall<KindPage>(
-        [&](const KindedObjects& api) { return api.listKind(kind, after, freshness); }, KindedObjects::parsePage,
-        std::move(handler));
+    KindListing listing;
+    listing.kind = kind;
+    listing.freshness = freshness;
+    listing.handler = std::move(handler);
+    return this->impl->list(std::move(listing));
 }
 
 PlatformCallId PlatformClient::watchKind(
@@ -292,7 +372,7 @@
 
 void PlatformClient::onRestored(std::function<void()> handler) { this->impl->restoredHandler = std::move(handler); }
 
-void PlatformClient::cancel(PlatformCallId call) { this->impl->runner.cancel(call); }
+void PlatformClient::cancel(PlatformCallId call) { this->impl->cancel(call); }
 
 void PlatformClient::setBudget(const CallBudgetLimits& limits) { this->impl->runner.setBudget(limits); }
 
