Keep the reports of hundreds of nodes without copying or decoding them all

Hosts of large fleets have 0.12 of a core, and every node reads the reports of all. In each round of periodic work, ten times a second, EntryDuties copied the reports of all live nodes, for tasks that only the holder of the lease runs: 5.8 ms of processor time a round with 300 nodes, half of such a host, during which no request was read and no event passed on. A read of the reports parsed each report, formatted it again and parsed it a second time.

Reports are no longer copied, and only the holder looks at them. A report has a head, which all nodes need, and details (usage, demand, versions), which the holder decodes when it needs them; the object at the platform holds the text as it is. Nodes of earlier versions do not understand these reports, nor the reverse: replace all nodes of a fleet within the liveness period, or quotas are shared among too few.

--- a/include/teaselshore/entry/node_report.hpp
+++ b/include/teaselshore/entry/node_report.hpp
@@ -37,6 +37,7 @@
     std::uint64_t number = 0;
     /// Number of the last usage window that had ended when the report was written.
     std::int64_t completeWindow = 0;
+    /// Details, which only the node needs that runs the tasks of the fleet: usage, demand and versions.
     std::map<std::int64_t, WorkspaceCounts> usage;
     std::map<ServiceName, ServiceDemand> demand;
     /// Outcomes of attempts by version, for running rollouts.
@@ -45,13 +46,21 @@
     std::vector<RequestCrash> crashes;
     /// Limits of upstreams, for nodes that start.
     std::vector<LimitStatement> limits;
+    /// The details as they arrived, until they are decoded.
+    std::optional<std::string> encodedDetails;
 
     auto operator<=>(const NodeReport&) const = default;
 
-    /// @brief Encodes as JSON.
+    /// @brief Encodes as a line of JSON with what all nodes need of each other, and one with the details, which are
+    /// most of the bytes.
     std::string encode() const;
     /// @brief Decodes a report; returns nothing if the text is not a valid one.
     static std::optional<NodeReport> decode(std::string_view text);
+    /// @brief Decodes a report without its details, which decodeDetails() adds.
+    static std::optional<NodeReport> decodeHead(std::string_view text);
+    /// @brief Decodes the details if that was not done yet. Returns false, and leaves them empty, if they are
+    /// malformed.
+    bool decodeDetails();
 };
 
 } // namespace teaselshore
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -59,6 +59,8 @@
     constexpr std::size_t maxCollectedTotal = std::size_t { 32 } * 1024 * 1024;
 
     /// Name that the peers of one deployment have in common.
+    /// Member of these objects that holds the report.
+    constexpr const char* reportField = "report";
     constexpr const char* peersCluster = "entry";
     /// Time for the connection to a peer; what peers tell each other is of no use later.
     constexpr Duration peerConnectTime = std::chrono::milliseconds(100);
@@ -574,6 +576,8 @@
     // Posted, because the node is still inside the event that issued the command.
     this->loop->post([this, text = std::move(command.text)] {
         std::string reason;
+    const std::string value = nlohmann::json { { reportField, command.report } }.dump(
+        -1, ' ', false, nlohmann::json::error_handler_t::replace);
         if (auto configuration = decodeConfiguration(text, reason))
             this->handle(EntryConfigurationRead { std::move(*configuration), text });
         else
@@ -592,11 +596,11 @@
         else if (error)
             logLine(LogLevel::Warning, "report of another node not written", { { "reason", error->detail } });
     };
-    this->platform->replaceObject(key, command.report,
-        [this, key, onWritten, report = command.report](const PlatformResult<std::uint64_t>& result) {
+    this->platform->replaceObject(
+        key, value, [this, key, onWritten, value](const PlatformResult<std::uint64_t>& result) {
             const auto* error = std::get_if<PlatformError>(&result);
             if (error && error->kind == PlatformError::Kind::NotFound)
-                this->platform->createObject(key, report, onWritten);
+                this->platform->createObject(key, value, onWritten);
             else
                 onWritten(result);
         });
@@ -615,8 +619,11 @@
                 return;
             }
             NodeReportsRead read;
-            for (const KindObject& object : list->objects)
-                read.reports.push_back(object.spec.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+            for (const KindObject& object : list->objects) {
+                // Taken as it is: a node reads the reports of hundreds, and decodes only a part of each.
+                const auto text = object.spec.find(reportField);
+                read.reports.push_back(text != object.spec.end() && text->is_string() ? text->get<std::string>() : "");
+            }
             this->handle(std::move(read));
         });
 }
--- a/src/teaselshore/entry/entry_duties.cpp
+++ b/src/teaselshore/entry/entry_duties.cpp
@@ -85,7 +85,7 @@
     this->isReading = false;
     std::vector<NodeReport> reports;
     for (const std::string& text : texts) {
-        if (auto report = NodeReport::decode(text))
+        if (auto report = NodeReport::decodeHead(text))
             reports.push_back(std::move(*report));
         else
             this->state.log(LogLevel::Warning, "report of a node is malformed", {});
@@ -93,16 +93,19 @@
     if (!this->ownUsageRestored) {
         this->ownUsageRestored = true;
         this->joinedRunningFleet = !reports.empty();
-        for (const NodeReport& report : reports) {
-            if (report.host == this->state.settings.host.node && report.process != this->state.settings.id)
-                this->state.usage.merge(report.usage);
+        for (NodeReport& report : reports) {
+            if (report.host != this->state.settings.host.node || report.process == this->state.settings.id)
+                continue;
+            if (!report.decodeDetails())
+                this->state.log(LogLevel::Warning, "usage of the earlier process on this host is malformed", {});
+            this->state.usage.merge(report.usage);
         }
     }
     // Crashes in reports of hosts that are no longer live count too: after a restart of all nodes there are no others.
     for (const NodeReport& report : reports)
         this->crashes.onCrashes(report.crashes, now);
     this->limits.onNodeReports(reports, now);
-    this->nodes.onReports(reports, now);
+    this->nodes.onReports(std::move(reports), now);
     this->state.peerAddresses = this->peers(now);
     std::vector<std::string> lenders = this->state.peerAddresses;
     lenders.resize(std::min(lenders.size(), maxLenders));
@@ -223,7 +226,10 @@
             { { "fencingToken", std::to_string(this->lease.fencingToken(now).value_or(0)) } });
     }
     const std::optional<FencedHolder> holder = this->fencedHolder(now);
-    const std::vector<NodeReport> reports = this->nodes.reports(now);
+    if (const std::size_t malformed = holder ? this->nodes.decodeDetails(now) : 0)
+        this->state.log(
+            LogLevel::Warning, "details of reports are malformed", { { "count", std::to_string(malformed) } });
+    const LiveReports reports = holder ? this->nodes.reports(now) : LiveReports();
     this->usageReporter.onTick(reports, holder, this->lease.isSuccessorAfterRestore(), now);
     this->fleetController.onTick(holder, reports, this->versionRollouts, now);
     return this->versionRollouts.onTick(reports, holder.has_value(), now);
--- a/src/teaselshore/entry/entry_rollouts.cpp
+++ b/src/teaselshore/entry/entry_rollouts.cpp
@@ -269,7 +269,7 @@
     return { this->recentReports.begin(), this->recentReports.end() };
 }
 
-bool EntryRollouts::onTick(const std::vector<NodeReport>& reports, bool holdsLease, Instant now)
+bool EntryRollouts::onTick(const LiveReports& reports, bool holdsLease, Instant now)
 {
     const auto timedOut = std::erase_if(this->versionsAwaitingOrder, [&](const ServiceVersion& version) {
         const auto since = this->versionsSeenSince.find(version);
@@ -293,7 +293,7 @@
     return std::exchange(this->sharesChanged, false);
 }
 
-void EntryRollouts::collectEvidence(ActiveRollout& rollout, const std::vector<NodeReport>& reports, Instant now) const
+void EntryRollouts::collectEvidence(ActiveRollout& rollout, const LiveReports& reports, Instant now) const
 {
     for (const NodeReport& report : reports) {
         for (const VersionReport& version : report.versions) {
@@ -321,7 +321,7 @@
     }
 }
 
-void EntryRollouts::advance(const RolloutOrder& order, const std::vector<NodeReport>& reports, Instant now)
+void EntryRollouts::advance(const RolloutOrder& order, const LiveReports& reports, Instant now)
 {
     auto found = this->activeRollouts.find(order.service);
     if (found != this->activeRollouts.end() && found->second.pair.to != order.target) {
--- a/src/teaselshore/entry/entry_rollouts.hpp
+++ b/src/teaselshore/entry/entry_rollouts.hpp
@@ -10,7 +10,7 @@
 #include "entry_state.hpp"
 #include "teaselshore/control/rollout_schedule.hpp"
 #include "teaselshore/control/version_guard.hpp"
-#include "teaselshore/entry/node_report.hpp"
+#include "teaselshore/entry/live_nodes.hpp"
 #include "upstream_routing.hpp"
 
 namespace teaselshore {
@@ -49,7 +49,7 @@
     std::vector<VersionReport> reports() const;
     /// @brief Reads orders when due, and advances rollouts if this node holds the lease. Returns whether shares
     /// changed.
-    bool onTick(const std::vector<NodeReport>& reports, bool holdsLease, Instant now);
+    bool onTick(const LiveReports& reports, bool holdsLease, Instant now);
     /// @brief Writes the state of rollouts again and reads the orders.
     void onPlatformRestored(Instant now);
     bool awaitsCloudCall(std::uint64_t call) const { return this->cloudCalls.contains(call); }
@@ -98,8 +98,8 @@
     /// @brief Applies a decision at this node and sends it to the others, before it is written to the platform.
     void announce(const RolloutOrder& order, const RolloutStep& step);
     void requestOrders(bool mayBeStale, Instant now);
-    void advance(const RolloutOrder& order, const std::vector<NodeReport>& reports, Instant now);
-    void collectEvidence(ActiveRollout& rollout, const std::vector<NodeReport>& reports, Instant now) const;
+    void advance(const RolloutOrder& order, const LiveReports& reports, Instant now);
+    void collectEvidence(ActiveRollout& rollout, const LiveReports& reports, Instant now) const;
     void write(const RolloutOrder& order, ActiveRollout& rollout);
 
     EntryState& state;
--- a/src/teaselshore/entry/fleet_controller.cpp
+++ b/src/teaselshore/entry/fleet_controller.cpp
@@ -33,8 +33,8 @@
 {
 }
 
-void FleetController::onTick(std::optional<FencedHolder> holder, const std::vector<NodeReport>& reports,
-    const EntryRollouts& rollouts, Instant now)
+void FleetController::onTick(
+    std::optional<FencedHolder> holder, const LiveReports& reports, const EntryRollouts& rollouts, Instant now)
 {
     if (!holder || !this->state.table || !this->state.directory.hasSynced())
         return;
@@ -131,8 +131,7 @@
     this->readBaseline(service);
 }
 
-std::optional<double> FleetController::busyUpstreams(
-    const ServiceName& service, const std::vector<NodeReport>& reports) const
+std::optional<double> FleetController::busyUpstreams(const ServiceName& service, const LiveReports& reports) const
 {
     double tokens = 0;
     for (const NodeReport& report : reports) {
@@ -146,7 +145,7 @@
 }
 
 void FleetController::planService(
-    const EntryService& service, const FencedHolder& holder, const std::vector<NodeReport>& reports, Instant now)
+    const EntryService& service, const FencedHolder& holder, const LiveReports& reports, Instant now)
 {
     const std::optional<std::uint32_t> baseline = this->baseline(service, now);
     if (!baseline)
--- a/src/teaselshore/entry/fleet_controller.hpp
+++ b/src/teaselshore/entry/fleet_controller.hpp
@@ -10,6 +10,7 @@
 #include "entry_rollouts.hpp"
 #include "entry_state.hpp"
 #include "teaselshore/control/fleet_planner.hpp"
+#include "teaselshore/entry/live_nodes.hpp"
 
 namespace teaselshore {
 
@@ -22,8 +23,8 @@
     FleetController(EntryState& state, ObjectCallIds& ids);
 
     /// @brief Sends due orders for the services without a running rollout.
-    void onTick(std::optional<FencedHolder> holder, const std::vector<NodeReport>& reports,
-        const EntryRollouts& rollouts, Instant now);
+    void onTick(
+        std::optional<FencedHolder> holder, const LiveReports& reports, const EntryRollouts& rollouts, Instant now);
     bool awaits(ObjectCallId id) const { return this->objectCalls.contains(id); }
     void onObjectResult(const ObjectResult& result, Instant now);
     bool awaitsCloudCall(std::uint64_t call) const { return this->cloudCalls.contains(call); }
@@ -60,10 +61,9 @@
         Instant registeredChangedAt {};
     };
 
-    void planService(
-        const EntryService& service, const FencedHolder& holder, const std::vector<NodeReport>& reports, Instant now);
+    void planService(const EntryService& service, const FencedHolder& holder, const LiveReports& reports, Instant now);
     /// @brief Returns how many upstreams the reported prompt tokens keep busy; nothing without demand.
-    std::optional<double> busyUpstreams(const ServiceName& service, const std::vector<NodeReport>& reports) const;
+    std::optional<double> busyUpstreams(const ServiceName& service, const LiveReports& reports) const;
     /// @brief Returns the stored fleet size at the start of the service; stores the present one if there is none.
     std::optional<std::uint32_t> baseline(const EntryService& service, Instant now);
     void readBaseline(const ServiceName& service);
--- a/src/teaselshore/entry/live_nodes.cpp
+++ b/src/teaselshore/entry/live_nodes.cpp
@@ -13,14 +13,15 @@
 {
 }
 
-void LiveNodes::onReports(const std::vector<NodeReport>& reports, Instant now)
+void LiveNodes::onReports(std::vector<NodeReport> reports, Instant now)
 {
     this->reportsRead = true;
-    for (const NodeReport& report : reports) {
+    for (NodeReport& report : reports) {
         NodeEntry& entry = this->entries[report.host];
         if (entry.report.process == report.process && report.number <= entry.report.number)
             continue;
-        entry = { report, now };
+        entry.report = std::move(report);
+        entry.changedAt = now;
     }
 }
 
@@ -41,12 +42,22 @@
     return result;
 }
 
-std::vector<NodeReport> LiveNodes::reports(Instant now) const
+std::size_t LiveNodes::decodeDetails(Instant now)
 {
-    std::vector<NodeReport> result;
+    std::size_t malformed = 0;
+    for (auto& [host, entry] : this->entries) {
+        if (now - entry.changedAt < this->silenceTimeout && !entry.report.decodeDetails())
+            ++malformed;
+    }
+    return malformed;
+}
+
+LiveReports LiveNodes::reports(Instant now) const
+{
+    LiveReports result;
     for (const auto& [host, entry] : this->entries) {
         if (now - entry.changedAt < this->silenceTimeout)
-            result.push_back(entry.report);
+            result.emplace_back(entry.report);
     }
     return result;
 }
--- a/src/teaselshore/entry/node_report.cpp
+++ b/src/teaselshore/entry/node_report.cpp
@@ -10,6 +10,11 @@
 
     using Json = nlohmann::json;
 
+    /// Between the head and the details; JSON text has no such byte unless it is formatted.
+    constexpr char detailsMark = '\n';
+
+    std::string toText(const Json& value) { return value.dump(-1, ' ', false, Json::error_handler_t::replace); }
+
     Json encodeUsage(const std::map<std::int64_t, WorkspaceCounts>& usage)
     {
         Json windows = Json::object();
@@ -146,16 +151,28 @@
 
 std::string NodeReport::encode() const
 {
-    const Json value { { "host", this->host }, { "process", this->process.value() }, { "peer", this->peerAddress },
-        { "number", this->number }, { "completeWindow", this->completeWindow }, { "usage", encodeUsage(this->usage) },
-        { "demand", encodeDemand(this->demand) }, { "versions", encodeVersions(this->versions) },
+    const Json head { { "host", this->host }, { "process", this->process.value() }, { "peer", this->peerAddress },
+        { "number", this->number }, { "completeWindow", this->completeWindow },
         { "crashes", encodeCrashes(this->crashes) }, { "limits", encodeLimits(this->limits) } };
-    return value.dump(-1, ' ', false, Json::error_handler_t::replace);
+    const Json details { { "usage", encodeUsage(this->usage) }, { "demand", encodeDemand(this->demand) },
+        { "versions", encodeVersions(this->versions) } };
+    return toText(head) + detailsMark + toText(details);
 }
 
 std::optional<NodeReport> NodeReport::decode(std::string_view text)
 {
-    const Json value = Json::parse(text, nullptr, false);
+    std::optional<NodeReport> report = decodeHead(text);
+    if (!report || !report->decodeDetails())
+        return std::nullopt;
+    return report;
+}
+
+std::optional<NodeReport> NodeReport::decodeHead(std::string_view text)
+{
+    const std::size_t headEnd = text.find(detailsMark);
+    if (headEnd == std::string_view::npos)
+        return std::nullopt;
+    const Json value = Json::parse(text.substr(0, headEnd), nullptr, false);
     if (!value.is_object())
         return std::nullopt;
     try {
@@ -165,17 +182,35 @@
         report.peerAddress = value.at("peer").get<std::string>();
         report.number = value.at("number").get<std::uint64_t>();
         report.completeWindow = value.at("completeWindow").get<std::int64_t>();
-        report.usage = decodeUsage(value.at("usage"));
-        report.demand = decodeDemand(value.at("demand"));
-        report.versions = decodeVersions(value.at("versions"), report.process);
-        // Reports of earlier releases lack these members.
-        report.crashes = decodeCrashes(value.value("crashes", Json::array()));
-        report.limits = decodeLimits(value.value("limits", Json::array()));
+        report.crashes = decodeCrashes(value.at("crashes"));
+        report.limits = decodeLimits(value.at("limits"));
+        report.encodedDetails = std::string(text.substr(headEnd + 1));
         return report;
     } catch (const std::exception&) {
-        // A member has the wrong type or is missing, or a window is not a number.
+        // A member has the wrong type or is missing.
         return std::nullopt;
     }
 }
 
+bool NodeReport::decodeDetails()
+{
+    if (!this->encodedDetails)
+        return true;
+    const Json value = Json::parse(*this->encodedDetails, nullptr, false);
+    this->encodedDetails.reset();
+    if (!value.is_object())
+        return false;
+    try {
+        std::map<std::int64_t, WorkspaceCounts> windows = decodeUsage(value.at("usage"));
+        std::map<ServiceName, ServiceDemand> services = decodeDemand(value.at("demand"));
+        this->versions = decodeVersions(value.at("versions"), this->process);
+        this->usage = std::move(windows);
+        this->demand = std::move(services);
+        return true;
+    } catch (const std::exception&) {
+        // A member has the wrong type or is missing, or a window is not a number.
+        return false;
+    }
+}
+
 } // namespace teaselshore
--- a/src/teaselshore/entry/usage_reporter.cpp
+++ b/src/teaselshore/entry/usage_reporter.cpp
@@ -75,8 +75,8 @@
         this->firstCertainWindow = this->restoredWindow.value_or(currentWindow);
 }
 
-void UsageReporter::onTick(const std::vector<NodeReport>& reports, std::optional<FencedHolder> holder,
-    bool isSuccessorAfterRestore, Instant now)
+void UsageReporter::onTick(
+    const LiveReports& reports, std::optional<FencedHolder> holder, bool isSuccessorAfterRestore, Instant now)
 {
     const std::optional<Duration> wallClock = this->state.wallClockTime(now);
     if (!holder || !wallClock) {
@@ -102,8 +102,8 @@
     }
 }
 
-void UsageReporter::advance(std::int64_t number, Window& window, const std::vector<NodeReport>& reports,
-    const FencedHolder& holder, Duration wallClock)
+void UsageReporter::advance(
+    std::int64_t number, Window& window, const LiveReports& reports, const FencedHolder& holder, Duration wallClock)
 {
     switch (window.phase) {
     case Phase::Collecting: {
@@ -130,13 +130,13 @@
     }
 }
 
-bool UsageReporter::isComplete(std::int64_t number, const std::vector<NodeReport>& reports) const
+bool UsageReporter::isComplete(std::int64_t number, const LiveReports& reports) const
 {
     return std::all_of(
         reports.begin(), reports.end(), [number](const NodeReport& report) { return report.completeWindow >= number; });
 }
 
-WorkspaceCounts UsageReporter::sum(std::int64_t number, const std::vector<NodeReport>& reports) const
+WorkspaceCounts UsageReporter::sum(std::int64_t number, const LiveReports& reports) const
 {
     WorkspaceCounts counts;
     // Workspaces without requests are reported as well.
--- a/src/teaselshore/entry/usage_reporter.hpp
+++ b/src/teaselshore/entry/usage_reporter.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "entry_state.hpp"
-#include "teaselshore/entry/node_report.hpp"
+#include "teaselshore/entry/live_nodes.hpp"
 
 namespace teaselshore {
 
@@ -25,8 +25,8 @@
     /// @brief Makes due calls. reports are the latest ones of the live nodes; holder is set while this node holds
     /// the lease. isSuccessorAfterRestore tells whether another node held it before the last restore of the platform,
     /// and none between.
-    void onTick(const std::vector<NodeReport>& reports, std::optional<FencedHolder> holder,
-        bool isSuccessorAfterRestore, Instant now);
+    void onTick(
+        const LiveReports& reports, std::optional<FencedHolder> holder, bool isSuccessorAfterRestore, Instant now);
     void onPlatformRestored(Instant now);
     bool awaits(ObjectCallId id) const { return this->objectCalls.contains(id); }
     void onObjectResult(const ObjectResult& result, Instant now);
@@ -54,10 +54,10 @@
 
     /// @brief Forgets what another holder may have changed since this node held the lease.
     void onAcquired(bool isSuccessorAfterRestore, std::int64_t currentWindow);
-    void advance(std::int64_t number, Window& window, const std::vector<NodeReport>& reports,
-        const FencedHolder& holder, Duration wallClock);
-    bool isComplete(std::int64_t number, const std::vector<NodeReport>& reports) const;
-    WorkspaceCounts sum(std::int64_t number, const std::vector<NodeReport>& reports) const;
+    void advance(std::int64_t number, Window& window, const LiveReports& reports, const FencedHolder& holder,
+        Duration wallClock);
+    bool isComplete(std::int64_t number, const LiveReports& reports) const;
+    WorkspaceCounts sum(std::int64_t number, const LiveReports& reports) const;
     void store(std::int64_t number, Window& window);
     void read(std::int64_t number, Window& window);
     /// @brief Ends a window without a report.
