Bound the memory that responses without end can take

Reported by operators of similar systems: an upstream sent bytes without end, its node kept them and ran out of memory, and the requests of other callers ended with it. Now the longest one is given up.

Ruled out: heads, chunk lines, trailers, single events and replies to other requests, which had limits.

--- a/include/teaselshore/daemon/request_relay.hpp
+++ b/include/teaselshore/daemon/request_relay.hpp
@@ -56,9 +56,12 @@
     struct Settings {
         /// A caller that leaves more bytes unread than this is disconnected.
         std::size_t maxPendingStreamBytes = std::size_t { 4 } * 1024 * 1024;
+        /// Unread bytes of all callers; beyond it, the caller with the most is disconnected.
+        std::size_t maxPendingTotal = std::size_t { 64 } * 1024 * 1024;
         /// Longest response that is collected before it is passed on.
         std::size_t maxCollectedBytes = std::size_t { 16 } * 1024 * 1024;
-        /// Bytes of all responses that are being collected. The one that grows beyond it is given up.
+        /// Bytes of all responses that are being collected and of events whose end is missing; beyond it, the longest
+        /// one is given up.
         std::size_t maxCollectedTotal = std::size_t { 64 } * 1024 * 1024;
         StreamRules streams = DoneEventStreams {};
 
--- a/include/teaselshore/node/event_stream_buffer.hpp
+++ b/include/teaselshore/node/event_stream_buffer.hpp
@@ -26,6 +26,7 @@
     std::optional<std::uint64_t> lastId() const { return this->lastNumber; }
     /// @brief True if bytes of an event arrived whose end did not.
     bool hasPartial() const { return !this->partial.empty(); }
+    std::size_t partialBytes() const { return this->partial.size(); }
     /// @brief True if the event that has not ended yet is longer than any real one: a few tokens and their fields.
     bool isTooLong() const { return this->partial.size() > maxEventBytes; }
     static constexpr std::size_t maxEventBytes = std::size_t { 256 } * 1024;
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "entry_metrics.hpp"
+#include "entry_relay_settings.hpp"
 #include "header_conversion.hpp"
 #include "log_event.hpp"
 #include "object_outcome.hpp"
@@ -51,22 +52,15 @@
     /// Limits before the first configuration.
     constexpr CallerLimits firstLimits { std::size_t { 16 } * 1024, std::size_t { 4 } * 1024 * 1024,
         std::chrono::seconds(3), std::chrono::seconds(15) };
-    /// A caller that leaves more bytes of a stream unread is disconnected.
-    constexpr std::size_t maxPendingStreamBytes = std::size_t { 512 } * 1024;
-
-    /// A response that is passed on in one piece, and all of them together: a part of the memory of the smallest hosts.
-    constexpr std::size_t maxCollectedBytes = std::size_t { 8 } * 1024 * 1024;
-    constexpr std::size_t maxCollectedTotal = std::size_t { 32 } * 1024 * 1024;
-
     /// Name that the peers of one deployment have in common.
-    /// Member of these objects that holds the report.
-    constexpr const char* reportField = "report";
     constexpr const char* peersCluster = "entry";
     /// Time for the connection to a peer; what peers tell each other is of no use later.
     constexpr Duration peerConnectTime = std::chrono::milliseconds(100);
 
     /// Kind of the objects in which the nodes tell each other that they live.
     constexpr std::string_view nodesKind = "nodes";
+    /// Member of these objects that holds the report.
+    constexpr const char* reportField = "report";
 
     constexpr int statusOk = 200;
     constexpr int statusNotFound = 404;
@@ -122,11 +116,7 @@
         : settings(settings)
         , loop(EventLoop::create())
         , node({ settings, makeProcessId(settings.node), seed })
-        , relay(*loop,
-              { .maxPendingStreamBytes = maxPendingStreamBytes,
-                  .maxCollectedBytes = maxCollectedBytes,
-                  .maxCollectedTotal = maxCollectedTotal,
-                  .streams = FramedStreams { std::string(responseMark()) } },
+        , relay(*loop, entryRelaySettings(std::string(responseMark())),
               [this](RelayEvent event) { this->onRelay(std::move(event)); })
         , checks(*loop, [this](UpstreamChecked result) { this->handle(std::move(result)); })
         , platform(PlatformClient::create(*loop, clientSettings(settings, settings.platform, platformCallTimeout)))
@@ -576,8 +566,6 @@
     // Posted, because the node is still inside the event that issued the command.
     this->loop->post([this, text = std::move(command.text)] {
         std::string reason;
-    const std::string value = nlohmann::json { { reportField, command.report } }.dump(
-        -1, ' ', false, nlohmann::json::error_handler_t::replace);
         if (auto configuration = decodeConfiguration(text, reason))
             this->handle(EntryConfigurationRead { std::move(*configuration), text });
         else
@@ -588,6 +576,8 @@
 void EntryTask::Impl::execute(WriteNodeReport& command)
 {
     const std::string key = std::string(nodesKind) + "/" + command.host;
+    const std::string value = nlohmann::json { { reportField, command.report } }.dump(
+        -1, ' ', false, nlohmann::json::error_handler_t::replace);
     const bool isOwn = command.host == this->settings.node;
     const auto onWritten = [this, isOwn](const PlatformResult<std::uint64_t>& result) {
         const auto* error = std::get_if<PlatformError>(&result);
--- a/src/teaselshore/daemon/request_relay.cpp
+++ b/src/teaselshore/daemon/request_relay.cpp
@@ -1,5 +1,6 @@
 #include "teaselshore/daemon/request_relay.hpp"
 
+#include <algorithm>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -15,6 +16,8 @@
 
     constexpr int statusOk = 200;
     constexpr std::string_view eventStreamType = "text/event-stream";
+    /// Callers with fewer unread bytes are not worth adding up: a few events of a fast upstream.
+    constexpr std::size_t minPendingForTotal = std::size_t { 64 } * 1024;
 
     struct Caller {
         std::shared_ptr<ServerExchange> exchange;
@@ -33,6 +36,8 @@
         int status = 0;
         HttpHeaders headers;
         std::string body;
+        /// Bytes that are kept for this attempt until it ends or its event is complete.
+        std::size_t keptBytes = 0;
     };
 
     HttpHeaders toHttpHeaders(const HeaderList& list)
@@ -72,8 +77,14 @@
     bool isComplete(const Caller& caller) const;
     HttpHeaders streamHead(const Attempt& attempt) const;
     void relayBytes(AttemptId id, Attempt& attempt, std::string_view bytes);
+    /// @brief Notes how many bytes are kept for an attempt, and gives up the attempt with the most if all together
+    /// have too many. The attempt may be gone afterwards.
+    void setKept(Attempt& attempt, std::size_t bytes);
     /// @brief Ends an attempt whose response has no end.
     void giveUp(AttemptId id, std::string detail);
+    /// @brief Disconnects callers that read too slowly. Any caller may be gone afterwards.
+    void dropSlowCallers(const RequestId& request, std::size_t pendingBytes);
+    void dropCaller(const RequestId& request);
     /// @brief Takes an attempt out of those that run.
     Attempt take(std::unordered_map<AttemptId, Attempt>::iterator position);
     void fail(AttemptId id, bool mayHaveRun, bool connectionBroken, std::string detail);
@@ -87,8 +98,8 @@
     std::unique_ptr<HttpClient> client;
     std::unordered_map<RequestId, Caller> callers;
     std::unordered_map<AttemptId, Attempt> attempts;
-    /// Bytes of the responses that are being collected.
-    std::size_t collectedBytes = 0;
+    /// Sum of Attempt::keptBytes.
+    std::size_t keptBytes = 0;
     RelayCounters counters;
 };
 
@@ -243,11 +254,22 @@
         return;
     }
     attempt.body.append(bytes);
-    this->collectedBytes += bytes.size();
     if (attempt.body.size() > this->settings.maxCollectedBytes)
         this->giveUp(id, "the response is longer than the limit");
-    else if (this->collectedBytes > this->settings.maxCollectedTotal)
-        this->giveUp(id, "the responses that are being collected are longer than the limit");
+    else
+        this->setKept(attempt, attempt.body.size());
+}
+
+void RequestRelay::Impl::setKept(Attempt& attempt, std::size_t bytes)
+{
+    this->keptBytes += bytes - attempt.keptBytes;
+    attempt.keptBytes = bytes;
+    if (this->keptBytes <= this->settings.maxCollectedTotal)
+        return;
+    // Not the attempt that happened to grow last: that may be a sound one beside many without an end.
+    const auto longest = std::max_element(this->attempts.begin(), this->attempts.end(),
+        [](const auto& left, const auto& right) { return left.second.keptBytes < right.second.keptBytes; });
+    this->giveUp(longest->first, "the responses that are being collected are longer than the limit");
 }
 
 void RequestRelay::Impl::giveUp(AttemptId id, std::string detail)
@@ -261,7 +283,7 @@
 {
     Attempt attempt = std::move(position->second);
     this->attempts.erase(position);
-    this->collectedBytes -= attempt.body.size();
+    this->keptBytes -= attempt.keptBytes;
     return attempt;
 }
 
@@ -275,8 +297,10 @@
         this->giveUp(id, "an event is longer than the limit");
         return;
     }
-    if (complete.empty())
+    if (complete.empty()) {
+        this->setKept(attempt, caller->events.partialBytes());
         return;
+    }
     // Not before the first complete event: until then the caller can still get another response.
     if (!caller->streaming) {
         caller->streaming = true;
@@ -284,17 +308,47 @@
     }
     this->counters.relayedBytes += complete.size();
     caller->exchange->write(complete);
-    if (caller->exchange->pendingBytes() > this->settings.maxPendingStreamBytes) {
-        ++this->counters.slowCallers;
-        const RequestId request = attempt.request;
-        caller->exchange->abort();
-        this->callerGone(request);
+    const RequestId request = attempt.request;
+    const std::size_t pendingBytes = caller->exchange->pendingBytes();
+    if (!attempt.announced && pendingBytes <= this->settings.maxPendingStreamBytes) {
+        attempt.announced = true;
+        this->emit(AttemptStarted { id, toHeaderList(attempt.headers) });
+    }
+    this->dropSlowCallers(request, pendingBytes);
+    const auto remaining = this->attempts.find(id);
+    const Caller* reader = this->findCaller(request);
+    if (remaining != this->attempts.end() && reader)
+        this->setKept(remaining->second, reader->events.partialBytes());
+}
+
+void RequestRelay::Impl::dropSlowCallers(const RequestId& request, std::size_t pendingBytes)
+{
+    if (pendingBytes > this->settings.maxPendingStreamBytes) {
+        this->dropCaller(request);
         return;
     }
-    if (attempt.announced)
+    if (pendingBytes < minPendingForTotal)
         return;
-    attempt.announced = true;
-    this->emit(AttemptStarted { id, toHeaderList(attempt.headers) });
+    std::size_t total = 0;
+    std::size_t most = 0;
+    RequestId slowest;
+    for (const auto& [id, caller] : this->callers) {
+        const std::size_t pending = caller.exchange->pendingBytes();
+        total += pending;
+        if (pending <= most)
+            continue;
+        most = pending;
+        slowest = id;
+    }
+    if (total > this->settings.maxPendingTotal)
+        this->dropCaller(slowest);
+}
+
+void RequestRelay::Impl::dropCaller(const RequestId& request)
+{
+    ++this->counters.slowCallers;
+    this->callers.at(request).exchange->abort();
+    this->callerGone(request);
 }
 
 void RequestRelay::Impl::onEnd(AttemptId id)
