Test that holders follow each other before a cloud that checks no fencing tokens

Where require_fence is false nothing but the lease keeps two holders from acting in turn, or one from acting with a token lower than one the cloud has seen.

--- a/src/teaselshore/entry/entry_fleet.hpp
+++ b/src/teaselshore/entry/entry_fleet.hpp
@@ -178,6 +178,8 @@
 
     void deliverDue()
     {
+        while (!this->lateCalls.empty() && this->lateCalls.begin()->first <= this->now)
+            this->platform.run(this->lateCalls.extract(this->lateCalls.begin()).mapped());
         while (!this->dueEvents.empty() && this->dueEvents.begin()->first <= this->now) {
             auto due = this->dueEvents.extract(this->dueEvents.begin());
             auto& [host, event] = due.mapped();
@@ -260,10 +262,12 @@
             ObjectResult result;
             if (done)
                 result = this->platform.run(call->call);
+            if (!done && !isUnreachable && this->writesLate)
+                this->lateCalls.emplace(this->now + std::chrono::seconds(1 + this->random.below(6)), call->call);
             if (!done || !answered) {
                 result = {};
                 result.id = std::visit([](const auto& content) { return content.id; }, call->call);
-                result.outcome = done ? ObjectOutcome::Unknown : ObjectOutcome::Unavailable;
+                result.outcome = done || this->writesLate ? ObjectOutcome::Unknown : ObjectOutcome::Unavailable;
             }
             events.emplace_back(std::move(result));
         } else if (auto* report = std::get_if<WriteNodeReport>(&command)) {
@@ -279,7 +283,7 @@
                 read.reports.push_back(text);
             events.emplace_back(std::move(read));
         } else if (auto* usage = std::get_if<SendUsage>(&command)) {
-            const bool accepted = done && this->acceptToken(usage->report.holder);
+            const bool accepted = done && this->acceptToken(host, "usage", usage->report.holder);
             if (accepted)
                 this->platform.usage[usage->report.window].insert(usage->report.requests);
             events.emplace_back(CloudCallEnded { usage->call,
@@ -287,7 +291,8 @@
                     : accepted     ? ObjectOutcome::Ok
                                    : ObjectOutcome::Conflict });
         } else if (auto* order = std::get_if<SendUpstreamOrder>(&command)) {
-            const bool accepted = done && this->acceptToken(order->order.holder);
+            const std::string task = order->order.service.value() + " " + order->order.zone.value();
+            const bool accepted = done && this->acceptToken(host, task, order->order.holder);
             if (accepted)
                 this->platform.orders.push_back(order->order);
             events.emplace_back(CloudCallEnded { order->call,
@@ -348,10 +353,11 @@
         return {};
     }
 
-    bool acceptToken(const FencedHolder& holder)
+    bool acceptToken(const std::string& host, const std::string& task, const FencedHolder& holder)
     {
         this->platform.holders[holder.fencingToken].insert(holder.nodeName);
-        if (holder.fencingToken < this->platform.highestToken)
+        this->cloudCalls.push_back({ this->now, task, host, holder.fencingToken });
+        if (this->checksTokens && holder.fencingToken < this->platform.highestToken)
             return false;
         this->platform.highestToken = holder.fencingToken;
         return true;
@@ -420,6 +426,19 @@
     std::map<ServiceName, std::vector<std::pair<Instant, RolloutOrder>>> rollouts;
     std::multimap<Instant, std::pair<std::string, EntryEvent>> dueEvents;
     int pollStep = 0;
+    /// Whether the cloud refuses a token that is lower than one it has seen.
+    bool checksTokens = true;
+    /// Tasks of the fleet that the cloud was asked for, in this order.
+    struct CloudCall {
+        Instant at {};
+        std::string task;
+        std::string host;
+        std::uint64_t token = 0;
+    };
+    std::vector<CloudCall> cloudCalls;
+    /// Whether calls to the platform that take no effect at once, and whose answer is lost, do so some seconds later.
+    bool writesLate = false;
+    std::multimap<Instant, ObjectCommand> lateCalls;
     /// Percentage of the calls to the platform whose answer is lost; half of these calls take effect.
     std::uint64_t lossPercent = 0;
     /// Handles requests to upstreams; if unset, each request is answered at once.
