--- a/src/teaselshore/entry/entry_duties_test.cpp
+++ b/src/teaselshore/entry/entry_duties_test.cpp
@@ -253,27 +253,11 @@
         const int steps = *rc::gen::inRange(5, 25);
         for (int step = 0; step < steps; ++step) {
             const std::string host = "host-" + std::to_string(*rc::gen::inRange(0, 4));
-            switch (*rc::gen::inRange(0, 6)) {
-            case 0:
-                fleet.cutFromPlatform.insert(host);
-                break;
-            case 1:
-                fleet.cutFromPlatform.clear();
-                break;
-            case 2:
-                fleet.frozen.insert(host);
-                break;
-            case 3:
-                fleet.frozen.clear();
-                break;
-            case 4:
-                fleet.frozen.erase(host);
-                fleet.add(host);
-                break;
-            default:
+            const int fault = *rc::gen::inRange(0, EntryFleet::faultCount + 1);
+            if (fault < EntryFleet::faultCount)
+                fleet.cause(fault, host);
+            else
                 fleet.request(host);
-                break;
-            }
             fleet.advance(std::chrono::milliseconds(*rc::gen::inRange(100, 3000)));
         }
         fleet.lossPercent = 0;
--- a/src/teaselshore/entry/entry_fleet.hpp
+++ b/src/teaselshore/entry/entry_fleet.hpp
@@ -234,6 +234,32 @@
         this->rollouts[order.service].emplace_back(this->now, order);
     }
 
+    /// Number of faults that cause() knows.
+    static constexpr int faultCount = 5;
+
+    /// @brief Cuts a host from the platform, ends all cuts, freezes a host, wakes all or restarts one.
+    void cause(int fault, const std::string& host)
+    {
+        switch (fault) {
+        case 0:
+            this->cutFromPlatform.insert(host);
+            break;
+        case 1:
+            this->cutFromPlatform.clear();
+            break;
+        case 2:
+            this->frozen.insert(host);
+            break;
+        case 3:
+            this->frozen.clear();
+            break;
+        default:
+            this->frozen.erase(host);
+            this->add(host);
+            break;
+        }
+    }
+
     void tick()
     {
         for (auto& [host, node] : this->nodes) {
--- a/src/teaselshore/entry/unchecked_tokens_test.cpp
+++ b/src/teaselshore/entry/unchecked_tokens_test.cpp
@@ -131,30 +131,13 @@
             const std::string host = holders.empty() || *rc::gen::inRange(0, 3) == 0
                 ? "host-" + std::to_string(*rc::gen::inRange(0, 9))
                 : holders.at(0);
-            switch (*rc::gen::inRange(0, 7)) {
-            case 0:
-                fleet.cutFromPlatform.insert(host);
-                break;
-            case 1:
-                fleet.cutFromPlatform.clear();
-                break;
-            case 2:
-                fleet.frozen.insert(host);
-                break;
-            case 3:
-                fleet.frozen.clear();
-                break;
-            case 4:
-                fleet.frozen.erase(host);
-                fleet.add(host);
-                break;
-            case 5:
+            const int fault = *rc::gen::inRange(0, EntryFleet::faultCount + 2);
+            if (fault < EntryFleet::faultCount)
+                fleet.cause(fault, host);
+            else if (fault == EntryFleet::faultCount)
                 copy = fleet.platform.copy();
-                break;
-            default:
+            else
                 restore(fleet, copy);
-                break;
-            }
             fleet.advance(std::chrono::milliseconds(*rc::gen::inRange(100, 5000)));
         }
         fleet.cutFromPlatform.clear();
