--- a/src/teaselshore/daemon/endless_responses_test.cpp
+++ b/src/teaselshore/daemon/endless_responses_test.cpp
@@ -79,8 +79,8 @@
             sockaddr_in address {};
             address.sin_family = AF_INET;
             address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-            bind(this->listener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-            listen(this->listener, SOMAXCONN);
+            EXPECT_EQ(bind(this->listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+            EXPECT_EQ(listen(this->listener, SOMAXCONN), 0);
             socklen_t size = sizeof(address);
             getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &size);
             this->authority = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
