Review: an engine that left gets requests after a node was cut off from the platform

Seen: an engine whose entry is removed just after a node's cut or the platform's silence gets requests from that node when it is in touch again and drain_ms is over; orders that it runs when it ends are lost. Why: the grace for entries that lapsed in an outage counts from the node's own next answer, up to 3 s after the outage, and applies to engines that were removed on purpose too.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -5,9 +5,9 @@
 
 namespace {
 
-constexpr double contact = 3.0;  // contact_ms
+constexpr double contact = 3.0; // contact_ms
 constexpr double recover = 12.0; // recover_s
-constexpr double down = 1.6;     // down_s of the closing kill_all in the site file
+constexpr double down = 1.6; // down_s of the closing kill_all in the site file
 
 bool serve(Engine& engine, Request& request, Channel& channel)
 {
--- a/review/stand/stand.hpp
+++ b/review/stand/stand.hpp
@@ -105,7 +105,8 @@
     const int on = 1;
     setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     sockaddr_in address = loopback(port);
-    if (bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 || listen(descriptor, 1024) != 0) {
+    if (bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0
+        || listen(descriptor, 1024) != 0) {
         close(descriptor);
         return -1;
     }
@@ -429,8 +430,10 @@
         return now();
     }
 
-    /// Called before a call is handled; returns false to close the connection without an answer.
-    std::function<bool(const Request&)> beforeCall;
+    /// The store answers no call; one that it got meanwhile stays without an answer.
+    std::atomic<bool> silent { false };
+    /// When a watch of kind `servers` arrived last.
+    std::atomic<double> watchedAt { 0 };
     /// Seconds that an answer takes.
     std::atomic<double> delay { 0.004 };
 
@@ -457,19 +460,32 @@
     {
         object.revision = ++this->revision;
         this->events.push_back({ this->revision, kind,
-            std::string(R"({"deleted":)") + (deleted ? "true" : "false") + R"(,"object":)" + text(name, object) + "}" });
+            std::string(R"({"deleted":)") + (deleted ? "true" : "false") + R"(,"object":)" + text(name, object)
+                + "}" });
         this->condition.notify_all();
     }
 
     bool handle(Request& request, Channel& channel)
     {
-        if (this->beforeCall && !this->beforeCall(request))
-            return false;
+        if (request.path == "/objects/servers" && request.query.contains("watch"))
+            this->watchedAt = now();
+        if (this->silent)
+            return keepSilent(channel);
         sleepFor(this->delay);
         const auto [status, body] = this->answer(request);
+        if (this->silent)
+            return keepSilent(channel);
         return channel.write(answerText(status, body, { { "Content-Type", "application/json" } }));
     }
 
+    /// Waits for the caller to close the connection.
+    static bool keepSilent(Channel& channel)
+    {
+        while (channel.fill())
+            channel.buffer.clear();
+        return false;
+    }
+
     std::pair<int, std::string> answer(const Request& request)
     {
         const std::string prefix = "/objects/";
@@ -484,13 +500,15 @@
         }
         std::unique_lock<std::mutex> lock(this->mutex);
         if (request.method == "GET" && parts.size() == 1)
-            return request.query.contains("watch") ? this->watch(request, parts[0], lock) : this->list(request, parts[0]);
+            return request.query.contains("watch") ? this->watch(request, parts[0], lock)
+                                                   : this->list(request, parts[0]);
         auto& objects = this->kinds[parts[0]];
         const Json body = request.body.empty() ? Json() : Json::parse(request.body);
         const std::string name = parts.size() > 1 ? parts[1] : body.at("metadata").at("name").get<std::string>();
         const auto found = objects.find(name);
         if (request.method == "GET")
-            return found == objects.end() ? std::pair(404, std::string("{}")) : std::pair(200, text(name, found->second));
+            return found == objects.end() ? std::pair(404, std::string("{}"))
+                                          : std::pair(200, text(name, found->second));
         if (request.method == "POST") {
             if (found != objects.end())
                 return { 409, text(name, found->second) };
@@ -549,7 +567,8 @@
     {
         const std::uint64_t after = std::strtoull(request.query.at("watch").c_str(), nullptr, 10);
         const double wait = std::strtod(request.query.at("wait_ms").c_str(), nullptr) / 1000;
-        const auto end = Steady::now() + std::chrono::duration_cast<Steady::duration>(std::chrono::duration<double>(wait));
+        const auto end
+            = Steady::now() + std::chrono::duration_cast<Steady::duration>(std::chrono::duration<double>(wait));
         while (true) {
             std::string found;
             for (const Event& event : this->events) {
@@ -580,8 +599,9 @@
         , id(std::move(id))
         , service(std::move(service))
         , behaviour(std::move(behaviour))
-        , born(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-                   .count())
+        , born(
+              std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+                  .count())
         , server([this](Request& request, Channel& channel) { return this->handle(request, channel); })
     {
         this->report("ready");
@@ -599,12 +619,19 @@
         return time;
     }
 
-    /// The process ends: its entry is gone, its connections break.
-    void leave()
+    /// The entry goes, the process serves on. Returns the time of the store's confirmation.
+    double removeEntry()
+    {
+        const double time = this->store.remove("servers", this->id);
+        record().line("the entry of engine %s is removed, confirmed by the store", this->id.c_str());
+        return time;
+    }
+
+    /// The process ends, and its connections break.
+    void end()
     {
-        this->store.remove("servers", this->id);
         this->server.stop();
-        record().line("engine %s removed its entry and ended", this->id.c_str());
+        record().line("engine %s ended", this->id.c_str());
     }
 
     /// Header fields of an answer that was run.
@@ -813,22 +840,19 @@
     return readAnswer(channel, timeout);
 }
 
-inline bool Node::isReady() const
-{
-    return call(this->readiness, requestText("GET", "/ready", {}), 1).status == 200;
-}
+inline bool Node::isReady() const { return call(this->readiness, requestText("GET", "/ready", {}), 1).status == 200; }
 
 inline std::string attemptId()
 {
     static std::atomic<std::uint64_t> last { 0 };
     char text[32];
-    std::snprintf(text, sizeof(text), "%08x%08llx", static_cast<unsigned>(getpid()),
-        static_cast<unsigned long long>(++last));
+    std::snprintf(
+        text, sizeof(text), "%08x%08llx", static_cast<unsigned>(getpid()), static_cast<unsigned long long>(++last));
     return text;
 }
 
-inline Json route(const std::string& name, const std::string& prefix, const std::string& kind, const std::string& service,
-    int timeoutMs, int attempts, bool resumable = false)
+inline Json route(const std::string& name, const std::string& prefix, const std::string& kind,
+    const std::string& service, int timeoutMs, int attempts, bool resumable = false)
 {
     Json value { { "name", name }, { "host", "app.example" }, { "path_prefix", prefix }, { "kind", kind },
         { "timeout_ms", timeoutMs }, { "target_latency_ms", 600 }, { "priority", 0 }, { "service", service },
@@ -844,13 +868,15 @@
         { "tls", false } };
 }
 
-inline std::string configuration(std::uint64_t version, const std::vector<Json>& routes, const std::vector<Json>& services)
+inline std::string configuration(
+    std::uint64_t version, const std::vector<Json>& routes, const std::vector<Json>& services)
 {
-    return Json { { "version", version }, { "routes", routes }, { "services", services },
+    return Json {
+        { "version", version }, { "routes", routes }, { "services", services },
         { "limits",
             { { "max_header_bytes", 16384 }, { "max_body_bytes", 4194304 }, { "header_timeout_ms", 3000 },
-                { "idle_timeout_ms", 15000 } } } }
-        .dump();
+                { "idle_timeout_ms", 15000 } } }
+    }.dump();
 }
 
 /// Prepares a script: arguments are the folder for the record and a folder for temporary files.
