--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -13,23 +13,28 @@
 constexpr double longestSilence = 9.0;
 constexpr double shortestSilence = 5.0;
 
+struct Sent {
+    std::string node;
+    double at;
+};
+
 struct Run {
     std::string engine;
+    std::string node;
     double sentAt;
     double at;
-    bool ended;
 };
 
 std::mutex runsMutex;
 std::map<std::string, Run> runs;
-std::map<std::string, double> sentTimes;
+std::map<std::string, Sent> sent;
 
 bool serve(Engine& engine, Request& request, Channel& channel)
 {
     const std::string id = request.field("x-attempt-id");
     {
         const std::lock_guard<std::mutex> lock(runsMutex);
-        runs[id] = { engine.id, sentTimes[id], now(), false };
+        runs[id] = { engine.id, sent[id].node, sent[id].at, now() };
     }
     record().line("%s runs %s", engine.id.c_str(), id.c_str());
     sleepFor(0.2);
@@ -48,25 +53,29 @@
     Engine first(store, "i-1", "app", serve);
     Engine second(store, "i-2", "app", serve);
     Node node(store, "front-a-1", arguments[2]);
+    // A machine that the store serves all the while.
+    Node other(store, store.addressForOthers(), "front-a-2", arguments[2]);
     node.start();
-    if (!node.waitUntilReady(10))
-        conclude(2, "the node did not become ready");
+    other.start();
+    if (!node.waitUntilReady(10) || !other.waitUntilReady(10))
+        conclude(2, "a node did not become ready");
 
-    // 30 orders a second until the end.
+    // 30 orders a second to each node until the end.
     std::atomic<bool> stop { false };
     std::atomic<int> lost { 0 };
     std::atomic<double> leftAt { 1e9 };
     std::thread load([&] {
-        while (!stop) {
-            std::thread([&] {
+        for (int number = 0; !stop; ++number) {
+            const Node& target = number % 2 == 0 ? node : other;
+            std::thread([&, port = target.callers, name = target.name] {
                 const std::string id = attemptId();
                 const double at = now();
                 {
                     const std::lock_guard<std::mutex> lock(runsMutex);
-                    sentTimes[id] = at;
+                    sent[id] = { name, at };
                 }
-                record().line("caller sends %s", id.c_str());
-                const Answer answer = call(node.callers,
+                record().line("caller sends %s to %s", id.c_str(), name.c_str());
+                const Answer answer = call(port,
                     requestText("POST", "/orders/1", { { "X-Attempt-Id", id }, { "X-Deadline-Ms", "3000" } }, "x"), 4);
                 record().line("caller got %d for %s", answer.status, id.c_str());
                 const std::lock_guard<std::mutex> lock(runsMutex);
@@ -75,7 +84,7 @@
                     record().line("%s was run by %s, and its answer is lost", id.c_str(), runs[id].engine.c_str());
                 }
             }).detach();
-            sleepFor(1.0 / 30);
+            sleepFor(1.0 / 60);
         }
     });
 
@@ -83,7 +92,7 @@
     if (trouble()) {
         store.silent = true;
         const double silentAt = now();
-        record().line("the store answers this machine nothing");
+        record().line("the store answers front-a-1 nothing");
         // The silence ends while a call of the machine is open, as it does most of the time.
         sleepUntil(silentAt + shortestSilence);
         const double seen = store.watchedAt;
@@ -91,7 +100,7 @@
             sleepFor(0.005);
         sleepFor(0.1);
         store.silent = false;
-        record().line("the store answers again, after %.1f s", now() - silentAt);
+        record().line("the store answers front-a-1 again, after %.1f s", now() - silentAt);
     } else {
         sleepFor(shortestSilence);
     }
@@ -106,22 +115,26 @@
     sleepFor(0.5);
 
     int late = 0;
+    int lateAtOther = 0;
     int before = 0;
     {
         const std::lock_guard<std::mutex> lock(runsMutex);
         for (const auto& [id, run] : runs) {
             // The machine is in touch again contact_ms after the store answers it.
             const bool isLate = run.sentAt > leftAt + drain && run.sentAt > backAt + contact;
-            late += run.engine == "i-1" && isLate;
+            late += run.engine == "i-1" && isLate && run.node == node.name;
+            lateAtOther += run.engine == "i-1" && isLate && run.node == other.name;
             before += run.engine == "i-1" && run.at < leftAt;
         }
     }
-    const bool alive = !node.hasEnded();
+    const bool alive = !node.hasEnded() && !other.hasEnded();
     node.end();
-    record().line(
-        "sent in touch and later than drain_ms after the confirmation: %d runs at i-1; answers lost at its end %d",
-        late, lost.load());
+    other.end();
+    record().line("sent in touch and later than drain_ms after the confirmation: %d runs at i-1 by front-a-1, %d by "
+                  "front-a-2; answers lost at its end %d",
+        late, lateAtOther, lost.load());
     if (before == 0 || !alive)
         conclude(2, "the case could not run");
-    conclude(late > 0 ? 1 : 0, late > 0 ? "DRAIN broken" : "DRAIN held");
+    const bool broken = late + lateAtOther > 0;
+    conclude(broken ? 1 : 0, broken ? "DRAIN broken" : "DRAIN held");
 }
--- a/review/stand/stand.hpp
+++ b/review/stand/stand.hpp
@@ -401,12 +401,15 @@
 class Store {
 public:
     Store()
-        : server([this](Request& request, Channel& channel) { return this->handle(request, channel); })
+        : server([this](Request& request, Channel& channel) { return this->handle(request, channel, true); })
+        , others([this](Request& request, Channel& channel) { return this->handle(request, channel, false); })
         , cloud([](Request&, Channel& channel) { return channel.write(answerText(200, "{}")); })
     {
     }
 
     std::string address() const { return this->server.address(); }
+    /// The same store for machines that it serves all the while.
+    std::string addressForOthers() const { return this->others.address(); }
     std::string cloudAddress() const { return this->cloud.address(); }
 
     /// Writes an object as another writer does; spec is JSON text. Returns the time of the confirmation.
@@ -430,9 +433,9 @@
         return now();
     }
 
-    /// The store answers no call; one that it got meanwhile stays without an answer.
+    /// The store answers no call at address(); one that it got meanwhile stays without an answer.
     std::atomic<bool> silent { false };
-    /// When a watch of kind `servers` arrived last.
+    /// When a watch of kind `servers` arrived last at address().
     std::atomic<double> watchedAt { 0 };
     /// Seconds that an answer takes.
     std::atomic<double> delay { 0.004 };
@@ -465,15 +468,15 @@
         this->condition.notify_all();
     }
 
-    bool handle(Request& request, Channel& channel)
+    bool handle(Request& request, Channel& channel, bool heedsSilence)
     {
-        if (request.path == "/objects/servers" && request.query.contains("watch"))
+        if (heedsSilence && request.path == "/objects/servers" && request.query.contains("watch"))
             this->watchedAt = now();
-        if (this->silent)
+        if (heedsSilence && this->silent)
             return keepSilent(channel);
         sleepFor(this->delay);
         const auto [status, body] = this->answer(request);
-        if (this->silent)
+        if (heedsSilence && this->silent)
             return keepSilent(channel);
         return channel.write(answerText(status, body, { { "Content-Type", "application/json" } }));
     }
@@ -586,6 +589,7 @@
     std::vector<Event> events;
     std::uint64_t revision = 100;
     Server server;
+    Server others;
     Server cloud;
 };
 
@@ -666,6 +670,10 @@
 class Node {
 public:
     Node(const Store& store, std::string name, std::string folder)
+        : Node(store, store.address(), std::move(name), std::move(folder))
+    {
+    }
+    Node(const Store& store, const std::string& platform, std::string name, std::string folder)
         : name(std::move(name))
         , folder(std::move(folder))
         , callers(freePort())
@@ -678,7 +686,7 @@
         file << "node: \"" << this->name << "\"\nzone: \"zone-a\"\nzones: [\"zone-a\",\"zone-b\",\"zone-c\"]\n"
              << "callers: \"127.0.0.1:" << this->callers << "\"\nreadiness: \"127.0.0.1:" << this->readiness << "\"\n"
              << "admin: \"127.0.0.1:" << this->admin << "\"\npeers: \"127.0.0.1:" << this->peers << "\"\n"
-             << "platform: \"" << store.address() << "\"\ncloud: \"" << store.cloudAddress() << "\"\n"
+             << "platform: \"" << platform << "\"\ncloud: \"" << store.cloudAddress() << "\"\n"
              << "platform-rates: { writes-per-second: 400, reads-per-second: 2000 }\n"
              << "retries: { ratio: 0.2, floor: 58, window-s: 10 }\n"
              << "quota: { window-s: 8, excess: 0.1, slack: 140000 }\n"
