Review: ports of the stand-ins below those of outgoing connections

Seen: once of three scripts at the same time one could not run, since a node did not become ready. Why: suspected, not traced: a free port of the system's range for outgoing connections was taken before the node bound it.

--- a/review/stand/stand.hpp
+++ b/review/stand/stand.hpp
@@ -17,6 +17,8 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -116,12 +118,19 @@
     return descriptor;
 }
 
-/// A port that is free now.
+/// A port that is free now, below those that the system gives to outgoing connections, and not given before.
 inline int freePort()
 {
-    int port = 0;
-    close(listenOn(port));
-    return port;
+    static std::mt19937 random { std::random_device {}() };
+    static std::set<int> given;
+    while (true) {
+        int port = std::uniform_int_distribution<int>(10'240, 32'000)(random);
+        const int descriptor = given.insert(port).second ? listenOn(port) : -1;
+        if (descriptor < 0)
+            continue;
+        close(descriptor);
+        return port;
+    }
 }
 
 inline std::string lower(std::string text)
