--- a/include/teaselshore/platform/kind_watcher.hpp
+++ b/include/teaselshore/platform/kind_watcher.hpp
@@ -51,6 +51,8 @@
     KindWatcher& operator=(const KindWatcher&) = delete;
 
 private:
+    /// @brief Watches from the last answer, or lists.
+    void read();
     void list();
     void onList(PlatformResult<KindPage> result);
     void watch();
@@ -65,7 +67,7 @@
     KindWatcherSettings settings;
     KindWatcherHandlers handlers;
     RandomSource random;
-    /// Version from which the watch goes on; nothing before the first complete list.
+    /// Version from which the watch goes on; nothing if the kind must be listed first.
     std::optional<std::uint64_t> at;
     bool reachable = true;
     /// When the platform answered again after the last outage.
--- a/include/teaselshore/platform/platform_client.hpp
+++ b/include/teaselshore/platform/platform_client.hpp
@@ -39,6 +39,8 @@
     std::uint64_t delayed = 0;
     /// Calls that ended with an error, conflicts and missing objects included.
     std::uint64_t failed = 0;
+    /// Objects in the replies that could not be read as they are.
+    std::uint64_t unreadableObjects = 0;
 
     auto operator<=>(const PlatformCallCounts&) const = default;
 };
--- a/include/teaselshore/platform/platform_request.hpp
+++ b/include/teaselshore/platform/platform_request.hpp
@@ -57,6 +57,10 @@
     std::uint64_t at = 0;
     /// A list goes on after the name of its last object.
     bool hasMore = false;
+    /// Objects that could not be read as they are. Those whose names are readable are among the objects.
+    std::size_t unreadable = 0;
+    /// Objects whose names could not be read, so that it is unknown which ones they are.
+    std::size_t unnamed = 0;
 };
 
 } // namespace teaselshore
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -91,6 +91,9 @@
             { { "kind", name } });
         this->setCounter("teaselshore_platform_failures_total", "Calls to the object API that ended with an error.",
             counts.failed, { { "kind", name } });
+        this->setCounter("teaselshore_platform_unreadable_objects_total",
+            "Objects in replies of the object API that could not be read as they are.", counts.unreadableObjects,
+            { { "kind", name } });
     }
 }
 
--- a/src/teaselshore/platform/call_runner.cpp
+++ b/src/teaselshore/platform/call_runner.cpp
@@ -174,6 +174,11 @@
 
 void CallRunner::countFailure(PlatformCallKind kind) { ++this->statistics[static_cast<std::size_t>(kind)].failed; }
 
+void CallRunner::countUnreadableObjects(PlatformCallKind kind, std::size_t count)
+{
+    this->statistics[static_cast<std::size_t>(kind)].unreadableObjects += count;
+}
+
 const PlatformCallCounts& CallRunner::counts(PlatformCallKind kind) const
 {
     return this->statistics[static_cast<std::size_t>(kind)];
--- a/src/teaselshore/platform/call_runner.hpp
+++ b/src/teaselshore/platform/call_runner.hpp
@@ -29,6 +29,7 @@
     void setBudget(const CallBudgetLimits& limits);
     /// @brief Counts a call whose reply was an error.
     void countFailure(PlatformCallKind kind);
+    void countUnreadableObjects(PlatformCallKind kind, std::size_t count);
 
     const PlatformCallCounts& counts(PlatformCallKind kind) const;
     std::size_t waitingWatches() const { return this->watches; }
--- a/src/teaselshore/platform/kind_list_test.cpp
+++ b/src/teaselshore/platform/kind_list_test.cpp
@@ -87,6 +87,7 @@
         /// Runs before the page with this number is answered, counted from 1.
         std::map<int, std::function<void()>> beforePage;
         bool promisesMoreAfterTheLast = false;
+        bool repeatsPages = false;
         int failingPage = 0;
         std::optional<PlatformResult<KindPage>> result;
 
@@ -102,8 +103,9 @@
             }
             const std::string& path = exchange->request().path;
             const std::size_t after = path.find("after=");
-            auto next = after == std::string::npos ? this->objects.begin()
-                                                   : this->objects.upper_bound(path.substr(after + 6));
+            auto next = after == std::string::npos || this->repeatsPages
+                ? this->objects.begin()
+                : this->objects.upper_bound(path.substr(after + 6));
             json items = json::array();
             for (; next != this->objects.end() && items.size() < pageSize; ++next)
                 items.push_back({ { "metadata", { { "name", next->first }, { "revision", next->second } } },
@@ -175,6 +177,18 @@
         EXPECT_EQ(this->pages, 3);
     }
 
+    // Guards against calls without end to a platform that answers with the same page again and again.
+    TEST_F(KindListTest, EndsWhenAPageIsRepeated)
+    {
+        this->put(1, 8);
+        this->repeatsPages = true;
+        this->start();
+        this->runFor(5s);
+        ASSERT_TRUE(this->result);
+        EXPECT_EQ(std::get<PlatformError>(*this->result).kind, PlatformError::Kind::MalformedReply);
+        EXPECT_EQ(this->pages, 2);
+    }
+
     // Guards against the first pages of a list that pass for the whole when a later one fails.
     TEST_F(KindListTest, FailsAsAWhole)
     {
--- a/src/teaselshore/platform/kind_watcher.cpp
+++ b/src/teaselshore/platform/kind_watcher.cpp
@@ -70,13 +70,21 @@
             this->list();
             return;
         }
+        if (error->kind == PlatformError::Kind::MalformedReply) {
+            // The same watch would be answered alike; a list may be readable.
+            this->at.reset();
+            this->backoff = this->settings.longestBackoff;
+        }
         this->onFailure(*error);
         return;
     }
     this->onSuccess();
     auto& page = std::get<KindPage>(result);
     this->at = page.at;
-    if (page.objects.empty()) {
+    // What has changed is only known by a list if the names cannot be read.
+    if (page.unnamed > 0)
+        this->at.reset();
+    if (page.objects.empty() && this->at) {
         this->watch();
         return;
     }
@@ -84,7 +92,7 @@
     const bool isCalm = now - this->changedAt > calmTime;
     this->pause = isCalm ? this->settings.firstPause : std::min(2 * this->pause, this->settings.longestPause);
     this->changedAt = now;
-    this->timer = this->loop.runAfter(this->pause, [this] { this->watch(); });
+    this->timer = this->loop.runAfter(this->pause, [this] { this->read(); });
     this->handlers.onChanged(std::move(page.objects), this->sinceOutage());
 }
 
@@ -106,12 +114,15 @@
     // Jitter over half of the delay keeps the watchers of a fleet from returning together after an outage.
     const auto delay = Duration(
         static_cast<Duration::rep>(static_cast<double>(this->backoff.count()) * (0.5 + 0.5 * this->random.uniform())));
-    this->timer = this->loop.runAfter(delay, [this] {
-        if (this->at && !this->settings.pollEvery)
-            this->watch();
-        else
-            this->list();
-    });
+    this->timer = this->loop.runAfter(delay, [this] { this->read(); });
+}
+
+void KindWatcher::read()
+{
+    if (this->at && !this->settings.pollEvery)
+        this->watch();
+    else
+        this->list();
 }
 
 std::optional<Duration> KindWatcher::sinceOutage() const
--- a/src/teaselshore/platform/kind_watcher_test.cpp
+++ b/src/teaselshore/platform/kind_watcher_test.cpp
@@ -53,10 +53,10 @@
                 *this->loop, *this->client, "servers", settings, std::move(handlers), RandomSource(3));
         }
 
-        void put(const std::string& name, bool deleted = false)
+        void put(const std::string& name, bool deleted = false, const std::string& spec = "{}")
         {
             ++this->revision;
-            this->history.push_back({ name, this->revision, deleted });
+            this->history.push_back({ name, this->revision, deleted, spec });
             if (this->waiting)
                 this->reply(std::exchange(this->waiting, nullptr), this->waitingFrom);
         }
@@ -79,6 +79,8 @@
             std::string name;
             std::uint64_t revision = 0;
             bool deleted = false;
+            /// Text in place of the object's value, which need not be valid.
+            std::string spec;
         };
 
         std::unique_ptr<EventLoop> loop;
@@ -90,6 +92,8 @@
         /// Changes up to this revision are forgotten.
         std::uint64_t forgotten = 0;
         bool down = false;
+        /// The next reply to a watch is only half of one.
+        bool nextEventsAreCut = false;
         /// Told in all replies if set.
         std::optional<std::uint64_t> era;
         int watchCalls = 0;
@@ -110,10 +114,18 @@
             return this->era ? HttpHeaders { { "store-era", std::to_string(*this->era) } } : HttpHeaders();
         }
 
-        static json object(const Change& change)
+        static std::string object(const Change& change)
         {
-            return { { "metadata", { { "name", change.name }, { "revision", change.revision } } },
-                { "spec", json::object() } };
+            const json metadata { { "name", change.name }, { "revision", change.revision } };
+            return R"({"metadata":)" + metadata.dump() + R"(,"spec":)" + change.spec + "}";
+        }
+
+        static std::string joined(const std::vector<std::string>& texts)
+        {
+            std::string result;
+            for (const std::string& text : texts)
+                result += (result.empty() ? "" : ",") + text;
+            return result;
         }
 
         void answer(const std::shared_ptr<ServerExchange>& exchange)
@@ -133,11 +145,13 @@
                     else
                         current[change.name] = change;
                 }
-                json items = json::array();
+                std::vector<std::string> items;
+                items.reserve(current.size());
                 for (const auto& [name, change] : current)
                     items.push_back(object(change));
                 exchange->reply({ 200, this->eraField(),
-                    json { { "items", items }, { "has_more", false }, { "at", this->revision } }.dump() });
+                    R"({"items":[)" + joined(items) + R"(],"has_more":false,"at":)" + std::to_string(this->revision)
+                        + "}" });
                 return;
             }
             ++this->watchCalls;
@@ -156,12 +170,16 @@
 
         void reply(const std::shared_ptr<ServerExchange>& exchange, std::uint64_t from)
         {
-            json events = json::array();
+            std::vector<std::string> events;
             for (const Change& change : this->history) {
                 if (change.revision > from)
-                    events.push_back({ { "deleted", change.deleted }, { "object", object(change) } });
+                    events.push_back(std::string(R"({"deleted":)") + (change.deleted ? "true" : "false")
+                        + R"(,"object":)" + object(change) + "}");
             }
-            exchange->reply({ 200, this->eraField(), json { { "events", events }, { "at", this->revision } }.dump() });
+            std::string text = R"({"events":[)" + joined(events) + R"(],"at":)" + std::to_string(this->revision) + "}";
+            if (std::exchange(this->nextEventsAreCut, false))
+                text.resize(text.size() / 2);
+            exchange->reply({ 200, this->eraField(), std::move(text) });
         }
     };
 
@@ -198,6 +216,51 @@
         EXPECT_LE(this->watchCalls - before, 3);
     }
 
+    // Guards against an entry of another writer that hides the changes of all other objects from a running node, and
+    // against one that keeps a node that starts from its first list.
+    TEST_F(KindWatcherTest, UnreadableObjectsHideNoOthers)
+    {
+        this->put("a");
+        this->start();
+        ASSERT_TRUE(this->runUntil([this] { return this->waiting != nullptr; }));
+        this->put("odd", false, R"({"service":"\udc80"})");
+        this->put("cut", false, R"({"service":)");
+        this->put("b");
+        this->put("a", true);
+        ASSERT_TRUE(this->runUntil([this] { return this->changes.size() == 4; }));
+        EXPECT_EQ(this->changes, (std::vector<std::string> { "odd", "cut", "b", "a deleted" }));
+        EXPECT_EQ(this->client->counts(PlatformCallKind::WatchKind).unreadableObjects, 2u);
+        this->start();
+        ASSERT_TRUE(this->runUntil([this] { return this->lists == 2; }));
+        EXPECT_EQ(this->lastListed, 3u);
+    }
+
+    // Guards against changes that are missed since the name of the changed object could not be read.
+    TEST_F(KindWatcherTest, ListsAgainWhenItIsUnknownWhatChanged)
+    {
+        this->put("a");
+        this->start();
+        ASSERT_TRUE(this->runUntil([this] { return this->waiting != nullptr; }));
+        this->waiting->reply({ 200, {}, R"({"events":[{"deleted":true}],"at":12})" });
+        this->waiting = nullptr;
+        ASSERT_TRUE(this->runUntil([this] { return this->lists == 2; }));
+        EXPECT_EQ(this->client->counts(PlatformCallKind::WatchKind).unreadableObjects, 1u);
+    }
+
+    // Guards against a node that asks for the same unreadable events for good.
+    TEST_F(KindWatcherTest, ListsAgainWhenTheEventsCannotBeRead)
+    {
+        this->start();
+        ASSERT_TRUE(this->runUntil([this] { return this->waiting != nullptr; }));
+        this->nextEventsAreCut = true;
+        this->put("a");
+        ASSERT_TRUE(this->runUntil([this] { return this->lists == 2; }));
+        EXPECT_EQ(this->lastListed, 1u);
+        ASSERT_TRUE(this->runUntil([this] { return this->waiting != nullptr; }));
+        this->put("b");
+        ASSERT_TRUE(this->runUntil([this] { return this->changes.size() == 1; }));
+    }
+
     // Guards against changes that are lost with the history of the platform.
     TEST_F(KindWatcherTest, ListsAgainWhenTheHistoryIsGone)
     {
--- a/src/teaselshore/platform/platform_client.cpp
+++ b/src/teaselshore/platform/platform_client.cpp
@@ -3,6 +3,7 @@
 #include <iterator>
 #include <memory>
 #include <string>
+#include <type_traits>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -47,6 +48,8 @@
         PlatformCallId id = 0;
         /// Call of the page that is awaited.
         PlatformCallId page = 0;
+        /// Name after which that page begins.
+        std::string after;
         /// Objects of the pages so far, and the version of the first page.
         std::vector<KindObject> objects;
         std::optional<std::uint64_t> at;
@@ -118,6 +121,8 @@
         std::optional<Value> value = parse(reply);
         if (!value)
             return malformedReply(kind, "reply cannot be understood");
+        if constexpr (std::is_same_v<Value, KindPage>)
+            this->runner.countUnreadableObjects(kind, value->unreadable);
         return std::move(*value);
     }
 
@@ -157,6 +162,7 @@
 
     PlatformCallId readPage(const std::shared_ptr<KindListing>& listing, const std::string& after)
     {
+        listing->after = after;
         listing->page = this->startKindCall<KindPage>(
             [&](const KindedObjects& api) { return api.listKind(listing->kind, after, listing->freshness); },
             KindedObjects::parsePage,
@@ -180,8 +186,9 @@
         }
         // What changes on the earlier pages meanwhile is learnt by watching from the version of the first one.
         listing->at = listing->at.value_or(page->at);
-        if (page->hasMore && page->objects.empty()) {
-            this->endListing(*listing, malformedReply(Kind::ListKind, "page without objects promises more"));
+        // A page is followed by those after its last name, so that one without a new name would be read again for ever.
+        if (page->hasMore && (page->objects.empty() || page->objects.back().name == listing->after)) {
+            this->endListing(*listing, malformedReply(Kind::ListKind, "page without new objects promises more"));
             return;
         }
         std::move(page->objects.begin(), page->objects.end(), std::back_inserter(listing->objects));
