Leave single entries out of lists of objects, prices, notices and hosts

One entry that cannot be read gave up the whole list of keyed objects, prices, reclaim notices or hosts, so that for example no notice of that reply was heeded.

Cause: as for lists of kinds, the text was parsed as a whole, and the first entry of another type ended the conversion.

Change: readEntries() reads each entry by itself and leaves out those that cannot be read, with a log line.

PlatformReplies.OddObjectsHideNoOthers and .OddCloudEntriesHideNoOthers guard it; by reading, the old code returns nothing for each of their odd entries, since the conversion of the first one throws.

--- a/src/teaselshore/platform/keyed_objects.cpp
+++ b/src/teaselshore/platform/keyed_objects.cpp
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "read_entries.hpp"
 #include "teaselshore/http/percent_encode.hpp"
 #include "teaselshore/platform/object_api.hpp"
 
@@ -20,6 +21,11 @@
         return { kind, { std::move(method), "/objects/" + percentEncode(key, true), {}, {} }, {} };
     }
 
+    ListedObject toListedObject(const json& entry)
+    {
+        return { entry.at("key").get<std::string>(), entry.at("version").get<std::uint64_t>() };
+    }
+
 } // namespace
 
 PlatformRequest KeyedObjects::read(const std::string& key) const { return objectRequest(Kind::ReadObject, "GET", key); }
@@ -76,15 +82,7 @@
 
 std::optional<std::vector<ListedObject>> KeyedObjects::parseList(const HttpReply& reply) const
 {
-    try {
-        std::vector<ListedObject> objects;
-        const json document = json::parse(reply.body);
-        for (const json& entry : document.at("objects"))
-            objects.push_back({ entry.at("key").get<std::string>(), entry.at("version").get<std::uint64_t>() });
-        return objects;
-    } catch (const json::exception&) {
-        return std::nullopt;
-    }
+    return readEntries(reply.body, { "objects", {}, { "key", "version" }, 1 }, toListedObject);
 }
 
 bool KeyedObjects::hadNoEffect(const HttpReply& reply) const
--- a/src/teaselshore/platform/platform_replies.cpp
+++ b/src/teaselshore/platform/platform_replies.cpp
@@ -6,6 +6,9 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "read_entries.hpp"
+#include "teaselshore/base/json_text.hpp"
+
 namespace teaselshore {
 
 namespace {
@@ -23,19 +26,6 @@
         }
     }
 
-    template <typename Value>
-    std::optional<std::vector<Value>> parseList(
-        const std::string& body, const char* member, Value (*convert)(const json&))
-    {
-        return guarded([&] {
-            std::vector<Value> values;
-            const json document = json::parse(body);
-            for (const json& entry : document.at(member))
-                values.push_back(convert(entry));
-            return values;
-        });
-    }
-
     CloudPrice toPrice(const json& entry)
     {
         return { AvailabilityZone(entry.at("zone").get<std::string>()), HostClass(entry.at("class").get<std::string>()),
@@ -143,17 +133,17 @@
 
 std::optional<std::vector<CloudPrice>> parseCloudPrices(const std::string& body)
 {
-    return parseList(body, "prices", toPrice);
+    return readEntries(body, { "prices", {}, { "zone", "class", "reclaimable", "onDemand" }, 1 }, toPrice);
 }
 
 std::optional<std::vector<CloudNotice>> parseCloudNotices(const std::string& body)
 {
-    return parseList(body, "notices", toNotice);
+    return readEntries(body, { "notices", {}, { "number", "host", "zone", "remainingMs" }, 1 }, toNotice);
 }
 
 std::optional<std::vector<CloudHost>> parseCloudHosts(const std::string& body)
 {
-    return parseList(body, "hosts", toHost);
+    return readEntries(body, { "hosts", {}, { "id", "zone", "class", "kind", "state", "role", "address" }, 1 }, toHost);
 }
 
 std::optional<CloudHost> parseCloudHost(const std::string& body)
@@ -166,7 +156,7 @@
     const json body = { { "zone", request.zone.value() }, { "class", request.hostClass.value() },
         { "kind", request.reclaimable ? "reclaimable" : "on-demand" }, { "role", request.role },
         { "address", request.address } };
-    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+    return toJsonText(body);
 }
 
 } // namespace teaselshore
