Encode JSON in one way that does not throw

Five encoders threw an exception for text that is not UTF-8, which no handler expects, so that the process would have ended. No input was found that reaches them: names come from texts that were parsed.

Change: toJsonText() replaces such bytes and is used by all programs but the load tools. RolloutRecord.EncodesAnyBytes guards it; with dump() in its place the test ends with the exception type_error.316.

--- a/src/teaselshore/base/log.cpp
+++ b/src/teaselshore/base/log.cpp
@@ -10,6 +10,8 @@
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
+#include "teaselshore/base/json_text.hpp"
+
 namespace teaselshore {
 
 namespace {
@@ -70,7 +72,7 @@
         std::visit([&](const auto& value) { line[std::string(field.name)] = value; }, field.value.value());
 
     // A single write keeps lines of different threads apart.
-    const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    const std::string text = toJsonText(line) + "\n";
     if (output == LogOutput::StandardError) {
         fmt::print(stderr, "{}", text);
         return;
--- a/src/teaselshore/control/lease.cpp
+++ b/src/teaselshore/control/lease.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "teaselshore/base/assert.hpp"
+#include "teaselshore/base/json_text.hpp"
 #include "teaselshore/journal/owner_placement.hpp"
 
 namespace teaselshore {
@@ -27,7 +28,7 @@
 {
     const Json value { { "holder", this->holder.value() }, { "epoch", this->epoch }, { "write", this->writeNumber },
         { "lengthMs", std::chrono::duration_cast<std::chrono::milliseconds>(this->duration).count() } };
-    return value.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return toJsonText(value);
 }
 
 std::optional<Lease> Lease::decode(std::string_view text)
--- a/src/teaselshore/control/rollout_record.cpp
+++ b/src/teaselshore/control/rollout_record.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "teaselshore/base/json_text.hpp"
+
 namespace teaselshore {
 
 namespace {
@@ -99,7 +101,7 @@
         { "share", this->share }, { "startedAt", encodeTime(this->startedAt) },
         { "stepStartedAt", encodeTime(this->stepStartedAt) }, { "fencingToken", this->fencingToken },
         { "evidence", std::move(entries) } };
-    return json.dump();
+    return toJsonText(json);
 }
 
 std::optional<RolloutRecord> RolloutRecord::decode(std::string_view text)
--- a/src/teaselshore/control/rollout_state_machine_test.cpp
+++ b/src/teaselshore/control/rollout_state_machine_test.cpp
@@ -184,6 +184,17 @@
         EXPECT_NE(controller.move.record()->reason.find("waiting for traffic"), std::string::npos);
     }
 
+    // Guards against a process that ends since a name or a reason holds bytes that are not UTF-8.
+    TEST(RolloutRecord, EncodesAnyBytes)
+    {
+        const RolloutRecord record { pair, RolloutState::RolledBack, "route \xff\xfe failed", 3, 0.25,
+            WallTime(seconds(5)), WallTime(seconds(6)), 7, {} };
+        const auto decoded = RolloutRecord::decode(record.encode());
+        ASSERT_TRUE(decoded);
+        EXPECT_EQ(decoded->reason, "route \xEF\xBF\xBD\xEF\xBF\xBD failed");
+        EXPECT_EQ(decoded->pair, record.pair);
+    }
+
     // Guards against a record that changes when it is stored and read back.
     TEST(RolloutRecord, RoundTripsThroughEncoding)
     {
--- a/src/teaselshore/ctl/admin_reply.cpp
+++ b/src/teaselshore/ctl/admin_reply.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "teaselshore/base/json_text.hpp"
+
 namespace teaselshore {
 
 namespace {
@@ -87,7 +89,7 @@
         if (!attributes.is_object())
             return result;
         for (const auto& [key, value] : attributes.items())
-            result.attributes[key] = value.is_string() ? value.get<std::string>() : value.dump();
+            result.attributes[key] = value.is_string() ? value.get<std::string>() : toJsonText(value);
         return result;
     }
 
--- a/src/teaselshore/ctl/story_command.cpp
+++ b/src/teaselshore/ctl/story_command.cpp
@@ -4,6 +4,7 @@
 #include <fmt/ostream.h>
 
 #include "configuration_file.hpp"
+#include "teaselshore/base/json_text.hpp"
 #include "teaselshore/ctl/request_story.hpp"
 
 namespace teaselshore {
@@ -24,7 +25,7 @@
                 continue;
             if (value.is_string() && value.get<std::string>().empty())
                 continue;
-            fmt::print(out, "  {}={}", name, value.is_string() ? value.get<std::string>() : value.dump());
+            fmt::print(out, "  {}={}", name, value.is_string() ? value.get<std::string>() : toJsonText(value));
         }
         fmt::print(out, "\n");
     }
--- a/src/teaselshore/daemon/admin_replies.cpp
+++ b/src/teaselshore/daemon/admin_replies.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "teaselshore/base/json_text.hpp"
 #include "teaselshore/node/error_response.hpp"
 
 namespace teaselshore {
@@ -25,8 +26,7 @@
 
     HttpReply jsonReply(int status, const Json& body)
     {
-        return { status, { { "content-type", "application/json" } },
-            body.dump(-1, ' ', false, Json::error_handler_t::replace) };
+        return { status, { { "content-type", "application/json" } }, toJsonText(body) };
     }
 
     HttpReply notFoundReply(const std::string& message)
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -15,6 +15,7 @@
 #include "platform/caller_codec.hpp"
 #include "platform/decode_objects.hpp"
 #include "platform/wire_names.hpp"
+#include "teaselshore/base/json_text.hpp"
 #include "teaselshore/base/log.hpp"
 #include "teaselshore/base/log_limiter.hpp"
 #include "teaselshore/daemon/request_relay.hpp"
@@ -576,8 +577,7 @@
 void EntryTask::Impl::execute(WriteNodeReport& command)
 {
     const std::string key = std::string(nodesKind) + "/" + command.host;
-    const std::string value = nlohmann::json { { reportField, command.report } }.dump(
-        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const std::string value = toJsonText(nlohmann::json { { reportField, command.report } });
     const bool isOwn = command.host == this->settings.node;
     const auto onWritten = [this, isOwn](const PlatformResult<std::uint64_t>& result) {
         const auto* error = std::get_if<PlatformError>(&result);
--- a/src/teaselshore/emulators/chat_format.cpp
+++ b/src/teaselshore/emulators/chat_format.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include "teaselshore/base/json_text.hpp"
 #include "teaselshore/emulators/json_reply.hpp"
 
 namespace teaselshore {
@@ -35,10 +36,7 @@
             { "prompt_tokens_details", { { "cached_tokens", usage.cachedTokens } } } };
     }
 
-    std::string jsonString(std::string_view text)
-    {
-        return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    }
+    std::string jsonString(std::string_view text) { return toJsonText(nlohmann::json(text)); }
 
 } // namespace
 
@@ -102,7 +100,7 @@
 void ChatStreamFormat::appendEnd(std::string& text, const ChatUsage& usage) const
 {
     text += this->start;
-    text += fmt::format("{{}},\"finish_reason\":\"length\"}}],\"usage\":{}}}\n\n", usageJson(usage).dump());
+    text += fmt::format("{{}},\"finish_reason\":\"length\"}}],\"usage\":{}}}\n\n", toJsonText(usageJson(usage)));
     text += "data: [DONE]\n\n";
 }
 
--- a/src/teaselshore/emulators/json_reply.cpp
+++ b/src/teaselshore/emulators/json_reply.cpp
@@ -1,12 +1,13 @@
 #include "teaselshore/emulators/json_reply.hpp"
 
+#include "teaselshore/base/json_text.hpp"
+
 namespace teaselshore {
 
 HttpReply jsonReply(int status, const nlohmann::json& body)
 {
     // Invalid UTF-8 from a caller must not make the reply fail.
-    return { status, { { "content-type", "application/json" } },
-        body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) };
+    return { status, { { "content-type", "application/json" } }, toJsonText(body) };
 }
 
 HttpReply errorReply(int status, std::string_view code, std::string_view message, const RequestId& id)
--- a/src/teaselshore/entry/fleet_controller.cpp
+++ b/src/teaselshore/entry/fleet_controller.cpp
@@ -5,6 +5,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "teaselshore/base/json_text.hpp"
+
 namespace teaselshore {
 
 namespace {
@@ -91,7 +93,7 @@
     entry.isPending = true;
     const ObjectCallId id = this->ids.next();
     this->objectCalls.emplace(id, service.name);
-    const std::string value = Json { { "upstreams", registered } }.dump();
+    const std::string value = toJsonText(Json { { "upstreams", registered } });
     this->state.commands.emplace_back(CallObjectApi { ObjectCreate { id, baselineKey(service.name), value } });
     return std::nullopt;
 }
--- a/src/teaselshore/entry/node_report.cpp
+++ b/src/teaselshore/entry/node_report.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "teaselshore/base/json_text.hpp"
+
 namespace teaselshore {
 
 namespace {
@@ -13,7 +15,7 @@
     /// Between the head and the details; JSON text has no such byte unless it is formatted.
     constexpr char detailsMark = '\n';
 
-    std::string toText(const Json& value) { return value.dump(-1, ' ', false, Json::error_handler_t::replace); }
+    std::string toText(const Json& value) { return toJsonText(value); }
 
     Json encodeUsage(const std::map<std::int64_t, WorkspaceCounts>& usage)
     {
--- a/src/teaselshore/entry/usage_reporter.cpp
+++ b/src/teaselshore/entry/usage_reporter.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "teaselshore/base/json_text.hpp"
+
 namespace teaselshore {
 
 namespace {
@@ -24,7 +26,7 @@
         Json value = Json::object();
         for (const auto& [workspace, count] : counts)
             value[workspace.value()] = count;
-        return Json { { "counts", std::move(value) } }.dump();
+        return toJsonText(Json { { "counts", std::move(value) } });
     }
 
     /// Stored instead of counts for a window that must not be reported.
--- a/src/teaselshore/journal/slot_map.cpp
+++ b/src/teaselshore/journal/slot_map.cpp
@@ -8,6 +8,7 @@
 
 #include "teaselshore/base/assert.hpp"
 #include "teaselshore/base/fingerprint.hpp"
+#include "teaselshore/base/json_text.hpp"
 
 namespace teaselshore {
 
@@ -105,7 +106,7 @@
     }
     const Json value { { "owners", std::move(owners) }, { "assignments", std::move(assigned) },
         { "slots", std::move(slots) } };
-    return value.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return toJsonText(value);
 }
 
 std::optional<SlotMap> SlotMap::decode(std::string_view text)
--- a/src/teaselshore/node/durable_requests.cpp
+++ b/src/teaselshore/node/durable_requests.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "forwarded_headers.hpp"
+#include "teaselshore/base/json_text.hpp"
 
 namespace teaselshore {
 
@@ -22,7 +23,8 @@
         const std::string location = std::string(requestPathPrefix) + stored.value();
         const nlohmann::ordered_json body { { "id", stored.value() }, { "status", "accepted" } };
         return { caller, statusAccepted,
-            { { "content-type", "application/json" }, { "location", location }, { "retry-after", "1" } }, body.dump() };
+            { { "content-type", "application/json" }, { "location", location }, { "retry-after", "1" } },
+            toJsonText(body) };
     }
 
     bool isNotRunAnswer(const Answer& answer) { return std::holds_alternative<AnswerNotRun>(answer); }
--- a/src/teaselshore/node/error_response.cpp
+++ b/src/teaselshore/node/error_response.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "teaselshore/base/assert.hpp"
+#include "teaselshore/base/json_text.hpp"
 
 namespace teaselshore {
 
@@ -61,7 +62,7 @@
     if (error.retryAfter)
         content["retryAfterMs"] = std::chrono::ceil<std::chrono::milliseconds>(*error.retryAfter).count();
     const nlohmann::ordered_json body { { "error", std::move(content) } };
-    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return toJsonText(body);
 }
 
 Respond errorResponse(const RequestId& request, const CallerError& error)
--- a/src/teaselshore/telemetry/span_ring.cpp
+++ b/src/teaselshore/telemetry/span_ring.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "teaselshore/base/assert.hpp"
+#include "teaselshore/base/json_text.hpp"
 
 namespace teaselshore {
 
@@ -46,7 +47,7 @@
     json["spans"] = nlohmann::ordered_json::array();
     for (const Span& span : this->find(traceId))
         json["spans"].push_back(teaselshore::toJson(span));
-    return json.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+    return toJsonText(json);
 }
 
 } // namespace teaselshore
