--- a/include/teaselshore/configuration/entry_settings.hpp
+++ b/include/teaselshore/configuration/entry_settings.hpp
@@ -69,6 +69,8 @@
     QuotaTolerance quota;
     /// Time after a disruption of this node or of the platform by which the changes made meanwhile must be in effect.
     Duration recoveryTime = std::chrono::seconds(3);
+    /// Time between two renewals of an upstream's entry at the platform, which removes it after three are missing.
+    Duration upstreamRenewal = std::chrono::seconds(1);
     /// Time between the request to stop and the end of the process by force.
     Duration stopGrace = std::chrono::seconds(8);
     /// Time in which one node after the other may hold a lease.
--- a/include/teaselshore/entry/entry_event.hpp
+++ b/include/teaselshore/entry/entry_event.hpp
@@ -60,14 +60,21 @@
     bool isAnswered = false;
 };
 
+/// @brief The platform answered a call.
+struct PlatformAnswered { };
+
+/// @brief The platform answers again after an outage for this node.
+struct PlatformReturned {
+    /// Time since the last answer before it, which is the longest that the outage can have lasted.
+    Duration longestOutage {};
+};
+
 /// @brief The platform came back from an older copy: what was written there in the last seconds is gone.
 struct PlatformRestored { };
 
 /// @brief The platform returned all registered upstreams.
 struct UpstreamsListed {
     std::vector<RegisteredUpstream> upstreams;
-    /// Time since the platform answered again after an outage.
-    std::optional<Duration> sinceOutage;
 };
 
 /// @brief An upstream registered itself or changed its entry.
@@ -78,8 +85,11 @@
 /// @brief An upstream's entry was removed.
 struct UpstreamRemoved {
     std::string instance;
-    /// Time since the platform answered again after an outage.
-    std::optional<Duration> sinceOutage;
+};
+
+/// @brief An upstream's entry was replaced by a value that describes no upstream.
+struct UpstreamReplaced {
+    std::string instance;
 };
 
 /// @brief The platform returned all rollout orders.
@@ -128,8 +138,9 @@
 struct EntryTick { };
 
 using EntryEvent = std::variant<CallerRequestArrived, CallerGone, UpstreamStreamStarted, UpstreamResponded,
-    AttemptFailed, UpstreamChecked, EntryConfigurationRead, ConfigurationWatchChanged, PlatformRestored,
-    UpstreamsListed, UpstreamChanged, UpstreamRemoved, RolloutsListed, NodeReportsRead, NodeReportWritten,
-    EntryMessageReceived, CloudCallEnded, ObjectResult, ClockRead, EntryStopRequested, EntryTick>;
+    AttemptFailed, UpstreamChecked, EntryConfigurationRead, ConfigurationWatchChanged, PlatformAnswered,
+    PlatformReturned, PlatformRestored, UpstreamsListed, UpstreamChanged, UpstreamRemoved, UpstreamReplaced,
+    RolloutsListed, NodeReportsRead, NodeReportWritten, EntryMessageReceived, CloudCallEnded, ObjectResult, ClockRead,
+    EntryStopRequested, EntryTick>;
 
 } // namespace teaselshore
--- a/include/teaselshore/entry/entry_message.hpp
+++ b/include/teaselshore/entry/entry_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -76,8 +77,24 @@
     auto operator<=>(const LimitReport&) const = default;
 };
 
+/// @brief Asks since when the platform answers the receiver.
+struct PlatformContactRequest {
+    auto operator<=>(const PlatformContactRequest&) const = default;
+};
+
+/// @brief Since when the platform has answered the sender without an outage.
+struct PlatformContact {
+    /// Time since the first answer after the last outage, or after the start of the process.
+    Duration sinceFirstAnswer {};
+    Duration sinceLastAnswer {};
+    /// Time since the last answer before that outage, if there was one.
+    std::optional<Duration> sinceEarlierAnswer;
+
+    auto operator<=>(const PlatformContact&) const = default;
+};
+
 /// @brief Messages between the nodes of `teaselshore-entry`.
 using EntryMessage = std::variant<QuotaLoanRequest, QuotaLoan, QuotaReturn, RelayedReport, CrashReport, RolloutDecision,
-    NewerConfigurationRequest, ConfigurationCopy, RefusalReport, LimitReport>;
+    NewerConfigurationRequest, ConfigurationCopy, RefusalReport, LimitReport, PlatformContactRequest, PlatformContact>;
 
 } // namespace teaselshore
--- a/include/teaselshore/entry/upstream_directory.hpp
+++ b/include/teaselshore/entry/upstream_directory.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "teaselshore/base/time.hpp"
+#include "teaselshore/entry/outage_evidence.hpp"
 #include "teaselshore/entry/registered_upstream.hpp"
 
 namespace teaselshore {
@@ -13,8 +14,8 @@
 /// @brief This node's copy of the upstreams that are registered at the platform.
 ///
 /// An entry that is missing shortly after an outage of the platform may have expired there although its upstream still
-/// runs. It is kept until upstreams have had time to register again. sinceOutage is the time since the platform
-/// answered again.
+/// runs. It is kept until upstreams have had time to register again, which they do within some seconds of the
+/// platform's return. An outage that was too short for entries to expire is no reason to keep any.
 ///
 /// A platform that was restored from an older copy may lack entries, which are kept in the same way, and may show
 /// upstreams that are leaving or have left as they were before. A process that was leaving gets no requests any more,
@@ -22,11 +23,23 @@
 /// thread-safe.
 class UpstreamDirectory {
 public:
+    /// @brief renewalPeriod is the time between two renewals of an entry.
+    explicit UpstreamDirectory(Duration renewalPeriod = std::chrono::seconds(1));
+
     /// @brief Applies a complete list. Returns whether anything changed.
-    bool onListed(const std::vector<RegisteredUpstream>& upstreams, std::optional<Duration> sinceOutage, Instant now);
+    bool onListed(const std::vector<RegisteredUpstream>& upstreams, Instant now);
     bool onChanged(RegisteredUpstream upstream);
-    /// @brief Handles the removal of an entry, or its replacement by a value that describes no upstream.
-    bool onRemoved(const std::string& instance, std::optional<Duration> sinceOutage, Instant now);
+    /// @brief Handles the removal of an entry.
+    bool onRemoved(const std::string& instance, Instant now);
+    /// @brief Handles the replacement of an entry by a value that describes no upstream.
+    bool onReplaced(const std::string& instance, Instant now);
+    /// @brief Handles the end of an outage of at most the given length, as far as this node can tell.
+    void onPlatformReturned(Duration longestOutage, Instant now);
+    /// @brief Returns whether it matters when the platform returned.
+    bool keepsMissingEntries(Instant now) const;
+    /// @brief Handles what another node knows: the platform answered it without an outage from the first to the second
+    /// time.
+    void onPlatformAnsweredPeer(Instant first, Instant last);
     void onPlatformRestored(Instant now);
     /// @brief Removes entries whose grace period has ended. Returns whether anything changed.
     bool onTick(Instant now);
@@ -42,8 +55,8 @@
 private:
     struct Entry {
         RegisteredUpstream upstream;
-        /// End of the grace period; set while the entry is missing at the platform after an outage.
-        std::optional<Instant> removeAt;
+        /// True while the entry is missing at the platform and may have expired in an outage.
+        bool isMissing = false;
         /// True while the entry may be that of a process that left before the platform was restored.
         bool mayHaveLeft = false;
     };
@@ -54,9 +67,12 @@
         bool wasDraining = false;
     };
 
-    std::optional<Duration> sinceReturn(std::optional<Duration> sinceOutage, Instant now) const;
+    /// @brief Returns whether upstreams have had time to register again since the last outage.
+    bool isGracePeriodOver(Instant now) const;
     void remove(std::map<std::string, Entry>::iterator entry, Instant now);
 
+    /// Outages in which entries can have expired.
+    OutageEvidence outages;
     std::map<std::string, Entry> entries;
     std::map<UpstreamId, Removed> removed;
     /// When the platform was restored; reset once the entries of processes that had ended before have expired.
--- a/include/teaselshore/http/http_client.hpp
+++ b/include/teaselshore/http/http_client.hpp
@@ -65,6 +65,10 @@
     /// paused call does not time out.
     void setPaused(CallId call, bool paused);
 
+    /// @brief Closes the kept-alive connections that no call uses, so that the next calls open new ones. For a peer
+    /// that stopped answering: connections may have gone silent without an end.
+    void closeIdleConnections();
+
     std::size_t openCalls() const;
 
 private:
--- a/include/teaselshore/platform/kind_watcher.hpp
+++ b/include/teaselshore/platform/kind_watcher.hpp
@@ -23,24 +23,27 @@
     Duration longestPause = std::chrono::milliseconds(600);
     Duration firstBackoff = std::chrono::milliseconds(60);
     Duration longestBackoff = std::chrono::milliseconds(600);
+    /// Shortest time between two calls during an outage, whose end is noticed by any call of the client.
+    Duration outageBackoff = std::chrono::milliseconds(600);
 
     auto operator<=>(const KindWatcherSettings&) const = default;
 };
 
 /// @brief Callbacks of a KindWatcher.
 struct KindWatcherHandlers {
-    /// Runs with all objects of the kind. sinceOutage is the time since the platform answered again after an outage.
-    std::function<void(std::vector<KindObject> objects, std::optional<Duration> sinceOutage)> onListed;
+    /// Runs with all objects of the kind.
+    std::function<void(std::vector<KindObject> objects)> onListed;
     /// Runs for the objects that changed or were deleted.
-    std::function<void(std::vector<KindObject> objects, std::optional<Duration> sinceOutage)> onChanged;
-    /// Runs when the platform stops answering, and when it answers again.
+    std::function<void(std::vector<KindObject> objects)> onChanged;
+    /// Runs when the platform stops answering, and when it answers the watcher again.
     std::function<void(bool reachable, const std::string& reason)> onReachable;
 };
 
 /// @brief Lists the objects of a kind, then keeps watching for changes.
 ///
 /// Lists again if the platform no longer has the history since the last answer, or was restored from an older copy.
-/// Failed calls are repeated after an exponential delay with jitter. Belongs to the event loop's thread. Loop and
+/// Failed calls are repeated after an exponential delay with jitter. When any call of the client ends an outage, the
+/// watcher reads again at once: its own call may have been lost. Belongs to the event loop's thread. Loop and
 /// client must outlive it; it stops on destruction, which must not happen inside its callbacks.
 class KindWatcher {
 public:
@@ -59,7 +62,11 @@
     void onEvents(PlatformResult<KindPage> result);
     void onSuccess();
     void onFailure(const PlatformError& error);
-    std::optional<Duration> sinceOutage() const;
+    void onAvailability(bool available);
+    /// @brief Replaces a call that began before the end of the last outage.
+    void readAfterOutage();
+    void setReachable(bool value, const std::string& reason);
+    Duration longestPause() const;
 
     EventLoop& loop;
     PlatformClient& client;
@@ -70,13 +77,17 @@
     /// Version from which the watch goes on; nothing if the kind must be listed first.
     std::optional<std::uint64_t> at;
     bool reachable = true;
-    /// When the platform answered again after the last outage.
-    std::optional<Instant> returnedAt;
+    AvailabilityObserverId observer = 0;
+    /// Outages of the client that had ended when the latest call began.
+    std::uint64_t returnsBeforeCall = 0;
     Duration backoff {};
+    /// End of the delay after the latest failed call.
+    Instant retryAt {};
     Duration pause {};
     Instant changedAt {};
     PlatformCallId call = 0;
     TimerId timer = 0;
+    TimerId outageTimer = 0;
 };
 
 } // namespace teaselshore
--- a/include/teaselshore/platform/platform_client.hpp
+++ b/include/teaselshore/platform/platform_client.hpp
@@ -13,6 +13,7 @@
 #include "teaselshore/http/event_loop.hpp"
 #include "teaselshore/platform/call_budget.hpp"
 #include "teaselshore/platform/object_api.hpp"
+#include "teaselshore/platform/platform_availability.hpp"
 #include "teaselshore/platform/platform_error.hpp"
 #include "teaselshore/platform/platform_request.hpp"
 #include "teaselshore/platform/platform_types.hpp"
@@ -51,6 +52,9 @@
 /// @brief Identifies a running call of one PlatformClient.
 using PlatformCallId = std::uint64_t;
 
+/// @brief Identifies an observer of the availability.
+using AvailabilityObserverId = std::uint64_t;
+
 /// @brief Client of the platform's object API, cloud API and host list.
 ///
 /// Each call runs its handler exactly once, never inside the method, unless it is cancelled. A call beyond the budget
@@ -110,6 +114,15 @@
     PlatformCallId startHost(const CloudHostRequest& request, PlatformHandler<CloudHost> handler);
     PlatformCallId stopHost(const std::string& id, PlatformHandler<std::monostate> handler);
 
+    /// @brief Returns what the calls so far say about the platform.
+    const PlatformAvailability& availability() const;
+    /// @brief Adds what runs when an outage begins or ends, before the handler of the call that showed it. It must not
+    /// add or remove observers.
+    AvailabilityObserverId observeAvailability(std::function<void(bool available)> observer);
+    void stopObserving(AvailabilityObserverId observer);
+    /// @brief Sets what runs for each answer, before the handler of its call.
+    void onAnswered(std::function<void()> handler);
+
     /// @brief Sets what runs when a reply shows that the platform was restored from an older copy since the reply
     /// before.
     void onRestored(std::function<void()> handler);
--- a/src/teaselshore/configuration/entry_settings.cpp
+++ b/src/teaselshore/configuration/entry_settings.cpp
@@ -111,6 +111,7 @@
         {
             this->seconds(fields, "stop-grace-s", this->result.stopGrace);
             fields.milliseconds("recovery-ms", this->result.recoveryTime, millisecondsRange);
+            fields.milliseconds("upstream-renewal-ms", this->result.upstreamRenewal, millisecondsRange);
             fields.milliseconds("lease-ms", this->result.leaseLength, millisecondsRange);
             this->seconds(fields, "usage-window-s", this->result.usageWindow);
             this->seconds(fields, "usage-due-s", this->result.usageDue);
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -24,6 +24,7 @@
 #include "teaselshore/http/http_server.hpp"
 #include "teaselshore/peers/peers_task.hpp"
 #include "teaselshore/platform/kind_watcher.hpp"
+#include "teaselshore/platform/outage_probe.hpp"
 #include "teaselshore/platform/platform_client.hpp"
 #include "upstream_checks.hpp"
 
@@ -50,6 +51,11 @@
     constexpr Duration longestWait = std::chrono::seconds(10);
     /// Rollout orders are rare, and nodes read them at once when a new version appears.
     constexpr Duration rolloutPoll = std::chrono::seconds(5);
+    /// Time between two calls that look for the end of an outage, as a fraction of the recovery time: what is learnt
+    /// then must be in effect before the end of that time.
+    constexpr double probeFraction = 0.11;
+    /// Time between two calls of a watcher during an outage, in case that only other calls are answered.
+    constexpr Duration watcherOutageBackoff = std::chrono::seconds(2);
     /// Limits before the first configuration.
     constexpr CallerLimits firstLimits { std::size_t { 16 } * 1024, std::size_t { 4 } * 1024 * 1024,
         std::chrono::seconds(3), std::chrono::seconds(15) };
@@ -133,11 +139,13 @@
     void onPeerMessage(const std::string& sender, const PeerMessage& message);
     void onPeerMessageNotSent(const std::string& address, const PeerMessage& message);
     void watchKinds();
+    void observePlatform();
+    void onAvailability(bool available);
     KindWatcherHandlers watcherHandlers(std::string_view kind);
     std::unique_ptr<KindWatcher> watchKind(std::string_view kind, KindWatcherHandlers handlers);
     void onConfigurationObjects(const std::vector<KindObject>& objects);
-    void onUpstreamsListed(const std::vector<KindObject>& objects, std::optional<Duration> sinceOutage);
-    void onUpstreamsChanged(const std::vector<KindObject>& objects, std::optional<Duration> sinceOutage);
+    void onUpstreamsListed(const std::vector<KindObject>& objects);
+    void onUpstreamsChanged(const std::vector<KindObject>& objects);
     void onRollouts(const std::vector<KindObject>& objects, bool isFresh);
     void onCaller(std::shared_ptr<ServerExchange> exchange);
     HttpReply adminReply(const HttpRequest& request);
@@ -195,6 +203,7 @@
     std::unique_ptr<HttpServer> callers;
     std::unique_ptr<HttpServer> readiness;
     std::unique_ptr<HttpServer> admin;
+    std::unique_ptr<OutageProbe> outageProbe;
     std::unique_ptr<KindWatcher> configurationWatcher;
     std::unique_ptr<KindWatcher> upstreamWatcher;
     std::unique_ptr<KindWatcher> rolloutWatcher;
@@ -327,11 +336,9 @@
 
 void EntryTask::Impl::watchKinds()
 {
-    this->platform->onRestored([this] { this->handle(PlatformRestored {}); });
+    this->observePlatform();
     KindWatcherHandlers configuration = this->watcherHandlers(wire::configKind);
-    configuration.onListed = [this](const std::vector<KindObject>& objects, std::optional<Duration>) {
-        this->onConfigurationObjects(objects);
-    };
+    configuration.onListed = [this](const std::vector<KindObject>& objects) { this->onConfigurationObjects(objects); };
     configuration.onChanged = configuration.onListed;
     configuration.onReachable
         = [this, log = std::move(configuration.onReachable)](bool reachable, const std::string& reason) {
@@ -341,21 +348,39 @@
     this->configurationWatcher = this->watchKind(wire::configKind, std::move(configuration));
 
     KindWatcherHandlers upstreams = this->watcherHandlers(wire::serversKind);
-    upstreams.onListed = [this](const std::vector<KindObject>& objects, std::optional<Duration> sinceOutage) {
-        this->onUpstreamsListed(objects, sinceOutage);
-    };
-    upstreams.onChanged = [this](const std::vector<KindObject>& objects, std::optional<Duration> sinceOutage) {
-        this->onUpstreamsChanged(objects, sinceOutage);
-    };
+    upstreams.onListed = [this](const std::vector<KindObject>& objects) { this->onUpstreamsListed(objects); };
+    upstreams.onChanged = [this](const std::vector<KindObject>& objects) { this->onUpstreamsChanged(objects); };
     this->upstreamWatcher = this->watchKind(wire::serversKind, std::move(upstreams));
 
     KindWatcherHandlers orders = this->watcherHandlers(wire::rolloutsKind);
-    orders.onListed
-        = [this](const std::vector<KindObject>& objects, std::optional<Duration>) { this->onRollouts(objects, false); };
+    orders.onListed = [this](const std::vector<KindObject>& objects) { this->onRollouts(objects, false); };
     orders.onChanged = orders.onListed;
     this->rolloutWatcher = this->watchKind(wire::rolloutsKind, std::move(orders));
 }
 
+void EntryTask::Impl::observePlatform()
+{
+    // In this order, so that the node knows of an outage before what is read after it.
+    this->platform->onRestored([this] { this->handle(PlatformRestored {}); });
+    this->platform->onAnswered([this] { this->handle(PlatformAnswered {}); });
+    this->platform->observeAvailability([this](bool available) { this->onAvailability(available); });
+    this->outageProbe = std::make_unique<OutageProbe>(*this->loop, *this->platform, std::string(wire::rolloutsKind),
+        fromSeconds(probeFraction * toSeconds(this->settings.recoveryTime)), RandomSource(this->random.next()),
+        [this](const std::vector<KindObject>& objects) { this->onRollouts(objects, true); });
+}
+
+void EntryTask::Impl::onAvailability(bool available)
+{
+    if (!available) {
+        logLine(LogLevel::Warning, "outage of the platform begins");
+        return;
+    }
+    const PlatformOutage& outage = this->platform->availability().lastOutage();
+    const Duration longest = outage.returned - outage.lastAnswer;
+    logLine(LogLevel::Info, "outage of the platform has ended", { { "secondsSinceLastAnswer", toSeconds(longest) } });
+    this->handle(PlatformReturned { longest });
+}
+
 KindWatcherHandlers EntryTask::Impl::watcherHandlers(std::string_view kind)
 {
     KindWatcherHandlers handlers;
@@ -371,6 +396,7 @@
 {
     KindWatcherSettings watcher;
     watcher.wait = watchWait(this->settings);
+    watcher.outageBackoff = watcherOutageBackoff;
     if (kind == wire::rolloutsKind)
         watcher.pollEvery = rolloutPoll;
     return std::make_unique<KindWatcher>(*this->loop, *this->platform, std::string(kind), watcher, std::move(handlers),
@@ -391,31 +417,38 @@
     }
 }
 
-void EntryTask::Impl::onUpstreamsListed(const std::vector<KindObject>& objects, std::optional<Duration> sinceOutage)
+void EntryTask::Impl::onUpstreamsListed(const std::vector<KindObject>& objects)
 {
-    UpstreamsListed listed { {}, sinceOutage };
+    UpstreamsListed listed;
+    std::vector<UpstreamReplaced> replaced;
     for (const KindObject& object : objects) {
         std::string reason;
-        if (auto upstream = decodeUpstream(object, reason))
+        if (auto upstream = decodeUpstream(object, reason)) {
             listed.upstreams.push_back(std::move(*upstream));
-        else
-            logLine(LogLevel::Warning, "entry names no upstream", { { "entry", object.name }, { "reason", reason } });
+            continue;
+        }
+        logLine(LogLevel::Warning, "entry names no upstream", { { "entry", object.name }, { "reason", reason } });
+        replaced.push_back({ object.name });
     }
+    for (UpstreamReplaced& event : replaced)
+        this->handle(std::move(event));
     this->handle(std::move(listed));
 }
 
-void EntryTask::Impl::onUpstreamsChanged(const std::vector<KindObject>& objects, std::optional<Duration> sinceOutage)
+void EntryTask::Impl::onUpstreamsChanged(const std::vector<KindObject>& objects)
 {
     for (const KindObject& object : objects) {
-        std::string reason = "removed";
-        auto upstream = object.deleted ? std::nullopt : decodeUpstream(object, reason);
-        if (upstream) {
+        if (object.deleted) {
+            this->handle(UpstreamRemoved { object.name });
+            continue;
+        }
+        std::string reason;
+        if (auto upstream = decodeUpstream(object, reason)) {
             this->handle(UpstreamChanged { std::move(*upstream) });
             continue;
         }
-        if (!object.deleted)
-            logLine(LogLevel::Warning, "entry names no upstream", { { "entry", object.name }, { "reason", reason } });
-        this->handle(UpstreamRemoved { object.name, object.deleted ? sinceOutage : std::nullopt });
+        logLine(LogLevel::Warning, "entry names no upstream", { { "entry", object.name }, { "reason", reason } });
+        this->handle(UpstreamReplaced { object.name });
     }
 }
 
--- a/src/teaselshore/entry/crashing_upstreams.hpp
+++ b/src/teaselshore/entry/crashing_upstreams.hpp
@@ -235,7 +235,7 @@
             this->start(entry);
             for (const auto& [host, node] : this->fleet.nodes) {
                 this->fleet.handle(host, UpstreamChanged { entry });
-                this->fleet.handle(host, UpstreamRemoved { before, std::nullopt });
+                this->fleet.handle(host, UpstreamRemoved { before });
             }
         }
     }
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -10,6 +10,7 @@
 #include "entry_requests.hpp"
 #include "entry_state.hpp"
 #include "limit_exchange.hpp"
+#include "platform_contacts.hpp"
 #include "refusal_exchange.hpp"
 #include "upstream_routing.hpp"
 
@@ -36,6 +37,7 @@
     explicit Impl(EntryNodeSettings settings)
         : state(std::move(settings))
         , configurations(state)
+        , contacts(state)
         , crashes(state)
         , refusals(state)
         , limits(state)
@@ -52,10 +54,13 @@
     void handle(UpstreamChecked& event, Instant now) { this->crashes.onChecked(event, now); }
     void handle(EntryConfigurationRead& event, Instant now);
     void handle(ConfigurationWatchChanged& event, Instant now) { this->configurations.onWatchChanged(event, now); }
+    void handle(PlatformAnswered&, Instant now) { this->contacts.onAnswered(now); }
+    void handle(PlatformReturned& event, Instant now) { this->contacts.onReturned(event, now); }
     void handle(PlatformRestored& event, Instant now);
     void handle(UpstreamsListed& event, Instant now);
     void handle(UpstreamChanged& event, Instant now);
     void handle(UpstreamRemoved& event, Instant now);
+    void handle(UpstreamReplaced& event, Instant now);
     void handle(RolloutsListed& event, Instant now);
     void handle(NodeReportsRead& event, Instant now);
     void handle(NodeReportWritten& event, Instant) { this->duties.onReportWritten(event); }
@@ -87,6 +92,14 @@
     {
         this->configurations.onCopy(senderAddress, copy);
     }
+    void receive(const std::string& senderAddress, const PlatformContactRequest&, Instant now)
+    {
+        this->contacts.onRequest(senderAddress, now);
+    }
+    void receive(const std::string& senderAddress, const PlatformContact& contact, Instant now)
+    {
+        this->contacts.onContact(senderAddress, contact, now);
+    }
     void receive(const std::string&, const RolloutDecision& decision, Instant now)
     {
         if (this->duties.rollouts().onDecision(decision))
@@ -104,6 +117,7 @@
 
     EntryState state;
     ConfigurationRelay configurations;
+    PlatformContacts contacts;
     CrashDetector crashes;
     RefusalExchange refusals;
     LimitExchange limits;
@@ -182,7 +196,7 @@
 
 void EntryNode::Impl::handle(UpstreamsListed& event, Instant now)
 {
-    if (this->state.directory.onListed(event.upstreams, event.sinceOutage, now))
+    if (this->state.directory.onListed(event.upstreams, now))
         this->applyRouting(now);
 }
 
@@ -199,12 +213,21 @@
 
 void EntryNode::Impl::handle(UpstreamRemoved& event, Instant now)
 {
-    if (!this->state.directory.onRemoved(event.instance, event.sinceOutage, now))
+    if (!this->state.directory.onRemoved(event.instance, now))
         return;
     this->state.log(LogLevel::Info, "upstream removed", { { "instance", event.instance } });
     this->applyRouting(now);
 }
 
+void EntryNode::Impl::handle(UpstreamReplaced& event, Instant now)
+{
+    if (!this->state.directory.onReplaced(event.instance, now))
+        return;
+    this->state.log(
+        LogLevel::Info, "entry of an upstream describes none any longer", { { "instance", event.instance } });
+    this->applyRouting(now);
+}
+
 void EntryNode::Impl::handle(RolloutsListed& event, Instant now)
 {
     if (this->duties.rollouts().onOrders(event, now))
--- a/src/teaselshore/entry/entry_requests_test.cpp
+++ b/src/teaselshore/entry/entry_requests_test.cpp
@@ -379,7 +379,7 @@
         RegisteredUpstream draining = EntryHarness::upstream(1);
         draining.draining = true;
         harness.send(UpstreamChanged { draining });
-        harness.send(UpstreamRemoved { "i-2", std::nullopt });
+        harness.send(UpstreamRemoved { "i-2" });
         for (int count = 0; count < 4; ++count) {
             harness.request("order");
             ASSERT_TRUE(harness.first<ForwardRequest>());
@@ -568,7 +568,7 @@
         EXPECT_FALSE(harness.first<Respond>());
         harness.send(EntryConfigurationRead { EntryHarness::configuration() });
         EXPECT_FALSE(harness.first<Respond>()) << "upstreams are not known yet";
-        harness.send(UpstreamsListed { { EntryHarness::upstream(1) }, {} });
+        harness.send(UpstreamsListed { { EntryHarness::upstream(1) } });
         EXPECT_EQ(harness.all<ForwardRequest>().size(), 1u);
         ASSERT_EQ(harness.all<Respond>().size(), 1u);
         EXPECT_EQ(harness.first<Respond>()->request, unknown);
--- a/src/teaselshore/entry/entry_rollouts_test.cpp
+++ b/src/teaselshore/entry/entry_rollouts_test.cpp
@@ -83,7 +83,7 @@
         void listUpstreams()
         {
             for (const auto& [host, node] : this->fleet.nodes)
-                this->fleet.handle(host, UpstreamsListed { this->registered, std::nullopt });
+                this->fleet.handle(host, UpstreamsListed { this->registered });
         }
 
         RolloutOrder::State state() const { return this->fleet.rollouts.at(app).back().second.state; }
--- a/src/teaselshore/entry/limited_upstreams_test.cpp
+++ b/src/teaselshore/entry/limited_upstreams_test.cpp
@@ -38,7 +38,7 @@
         void list()
         {
             for (const auto& [host, node] : this->fleet.nodes)
-                this->fleet.handle(host, UpstreamsListed { this->upstreams, {} });
+                this->fleet.handle(host, UpstreamsListed { this->upstreams });
         }
 
         UpstreamId id(std::size_t index) const { return this->upstreams.at(index).id(); }
--- a/src/teaselshore/entry/refusing_upstreams_test.cpp
+++ b/src/teaselshore/entry/refusing_upstreams_test.cpp
@@ -48,7 +48,7 @@
         void list()
         {
             for (const auto& [host, node] : this->fleet.nodes)
-                this->fleet.handle(host, UpstreamsListed { this->upstreams, {} });
+                this->fleet.handle(host, UpstreamsListed { this->upstreams });
         }
 
         /// @brief Sends requests to random nodes for the given time.
--- a/src/teaselshore/entry/restored_platform_test.cpp
+++ b/src/teaselshore/entry/restored_platform_test.cpp
@@ -166,7 +166,7 @@
         RegisteredUpstream leaving = EntryHarness::upstream(1);
         leaving.draining = true;
         harness.send(UpstreamChanged { leaving });
-        harness.send(UpstreamRemoved { "i-2", std::nullopt });
+        harness.send(UpstreamRemoved { "i-2" });
         harness.send(PlatformRestored {});
         UpstreamsListed listed;
         for (int number = 1; number <= 3; ++number)
@@ -197,11 +197,11 @@
     {
         EntryHarness harness;
         harness.start(2);
-        harness.send(UpstreamRemoved { "i-1", std::nullopt });
+        harness.send(UpstreamRemoved { "i-1" });
         harness.send(PlatformRestored {});
         RegisteredUpstream leaving = EntryHarness::upstream(1);
         leaving.draining = true;
-        harness.send(UpstreamsListed { { leaving, EntryHarness::upstream(2) }, std::nullopt });
+        harness.send(UpstreamsListed { { leaving, EntryHarness::upstream(2) } });
         harness.advance(6s);
         EXPECT_EQ(harness.node.statistics().upstreams, 1u);
     }
@@ -212,9 +212,12 @@
         EntryHarness harness;
         harness.start(3);
         harness.send(PlatformRestored {});
-        harness.send(UpstreamsListed { { EntryHarness::upstream(1) }, std::nullopt });
+        harness.send(UpstreamsListed { { EntryHarness::upstream(1) } });
         EXPECT_EQ(harness.node.statistics().upstreams, 3u);
+        // One that lives has registered again after two seconds, and this node learns of it soon after.
         harness.advance(2s);
+        EXPECT_EQ(harness.node.statistics().upstreams, 3u);
+        harness.advance(400ms);
         EXPECT_EQ(harness.node.statistics().upstreams, 1u);
     }
 
@@ -248,7 +251,7 @@
             order.share = 0.25;
             fleet.writeRollout(order);
             for (const auto& [host, node] : fleet.nodes)
-                fleet.handle(host, UpstreamsListed { registered, std::nullopt });
+                fleet.handle(host, UpstreamsListed { registered });
             restored.run(3s);
             restored.copy();
             const auto copied = fleet.rollouts;
@@ -264,7 +267,7 @@
             if (holderRestarts) {
                 for (const std::string& holder : fleet.leaseHolders()) {
                     fleet.add(holder);
-                    fleet.handle(holder, UpstreamsListed { registered, std::nullopt });
+                    fleet.handle(holder, UpstreamsListed { registered });
                 }
             }
             for (const auto& [host, node] : fleet.nodes)
--- a/src/teaselshore/entry/upstream_directory.cpp
+++ b/src/teaselshore/entry/upstream_directory.cpp
@@ -8,9 +8,13 @@
 
 namespace {
 
-    /// Upstreams whose entries expired during an outage of the platform register again within about two seconds after
-    /// it. The grace period is slightly shorter, since an upstream that has left must get no new requests after that.
-    constexpr Duration reregistrationGrace = std::chrono::milliseconds(1800);
+    /// Time after the platform's return within which upstreams whose entries expired register again.
+    constexpr Duration reregistrationTime = std::chrono::seconds(2);
+    /// Time until this node has learnt of that: a pause between two reads and the answer.
+    constexpr Duration learningTime = std::chrono::milliseconds(350);
+    /// The platform removes an entry after three renewals are missing; the last one may have come up to one period
+    /// before the outage.
+    constexpr int missingRenewals = 2;
     /// Time after a restore until the entries of processes that had ended have expired again: upstreams renew theirs
     /// about every second, and the platform removes them after three missing renewals.
     constexpr Duration copyExpiry = std::chrono::seconds(5);
@@ -19,8 +23,12 @@
 
 } // namespace
 
-bool UpstreamDirectory::onListed(
-    const std::vector<RegisteredUpstream>& upstreams, std::optional<Duration> sinceOutage, Instant now)
+UpstreamDirectory::UpstreamDirectory(Duration renewalPeriod)
+    : outages(missingRenewals * renewalPeriod)
+{
+}
+
+bool UpstreamDirectory::onListed(const std::vector<RegisteredUpstream>& upstreams, Instant now)
 {
     bool changed = !this->synced;
     this->synced = true;
@@ -35,7 +43,7 @@
             missing.push_back(instance);
     }
     for (const std::string& instance : missing)
-        changed = this->onRemoved(instance, sinceOutage, now) || changed;
+        changed = this->onRemoved(instance, now) || changed;
     return changed;
 }
 
@@ -51,7 +59,7 @@
     const bool isLeaving = upstream.draining || (mayHaveLeft && removed->second.wasDraining);
     upstream.draining = isLeaving || mayHaveLeft;
     Entry& entry = this->entries[upstream.instance];
-    entry.removeAt.reset();
+    entry.isMissing = false;
     entry.mayHaveLeft = mayHaveLeft && !isLeaving;
     if (entry.upstream == upstream)
         return false;
@@ -59,28 +67,48 @@
     return true;
 }
 
-bool UpstreamDirectory::onRemoved(const std::string& instance, std::optional<Duration> sinceOutage, Instant now)
+bool UpstreamDirectory::onRemoved(const std::string& instance, Instant now)
 {
     const auto found = this->entries.find(instance);
     if (found == this->entries.end())
         return false;
-    const std::optional<Duration> since = this->sinceReturn(sinceOutage, now);
-    if (since && *since < reregistrationGrace && !found->second.upstream.draining) {
-        found->second.removeAt = now + reregistrationGrace - *since;
+    if (!this->isGracePeriodOver(now) && !found->second.upstream.draining) {
+        found->second.isMissing = true;
         return false;
     }
     this->remove(found, now);
     return true;
 }
 
+bool UpstreamDirectory::onReplaced(const std::string& instance, Instant now)
+{
+    const auto found = this->entries.find(instance);
+    if (found == this->entries.end())
+        return false;
+    this->remove(found, now);
+    return true;
+}
+
+void UpstreamDirectory::onPlatformReturned(Duration longestOutage, Instant now)
+{
+    this->outages.onReturned(longestOutage, now);
+}
+
+bool UpstreamDirectory::keepsMissingEntries(Instant now) const { return !this->isGracePeriodOver(now); }
+
+void UpstreamDirectory::onPlatformAnsweredPeer(Instant first, Instant last)
+{
+    this->outages.onAnsweredPeer(first, last);
+}
+
 void UpstreamDirectory::onPlatformRestored(Instant now) { this->restoredAt = now; }
 
-std::optional<Duration> UpstreamDirectory::sinceReturn(std::optional<Duration> sinceOutage, Instant now) const
+bool UpstreamDirectory::isGracePeriodOver(Instant now) const
 {
-    if (!this->restoredAt)
-        return sinceOutage;
-    const Duration sinceRestore = now - *this->restoredAt;
-    return std::min(sinceOutage.value_or(sinceRestore), sinceRestore);
+    const auto isOver = [now](const std::optional<Instant>& returned) {
+        return !returned || now - *returned >= reregistrationTime + learningTime;
+    };
+    return isOver(this->outages.returnedAt()) && isOver(this->restoredAt);
 }
 
 void UpstreamDirectory::remove(std::map<std::string, Entry>::iterator entry, Instant now)
@@ -119,7 +147,7 @@
             current->second.upstream.draining = false;
             changed = true;
         }
-        if (!current->second.removeAt || *current->second.removeAt > now)
+        if (!current->second.isMissing || !this->isGracePeriodOver(now))
             continue;
         this->remove(current, now);
         changed = true;
--- a/src/teaselshore/http/client_connection.hpp
+++ b/src/teaselshore/http/client_connection.hpp
@@ -55,6 +55,8 @@
     void drop(const ClientConnection& connection);
     /// @brief Closes connections that must not be used any more.
     void prune(Instant now);
+    /// @brief Closes all of them.
+    void clear() { this->idle.clear(); }
     bool empty() const { return this->idle.empty(); }
 
 private:
--- a/src/teaselshore/http/http_client.cpp
+++ b/src/teaselshore/http/http_client.cpp
@@ -338,6 +338,8 @@
         this->impl->setPaused(*found->second, paused);
 }
 
+void HttpClient::closeIdleConnections() { this->impl->pool.clear(); }
+
 std::size_t HttpClient::openCalls() const { return this->impl->calls.size(); }
 
 } // namespace teaselshore
--- a/src/teaselshore/http/http_client_test.cpp
+++ b/src/teaselshore/http/http_client_test.cpp
@@ -317,6 +317,17 @@
         EXPECT_EQ(upstream.run(answer, ScriptedUpstream::Ending::Close).body, "ok");
     }
 
+    // Guards against calls on idle connections that went silent while their peer did not answer.
+    TEST(HttpClient, OpensNewConnectionsAfterClosingIdleOnes)
+    {
+        ScriptedUpstream upstream;
+        const std::string answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        EXPECT_TRUE(upstream.run(answer, ScriptedUpstream::Ending::KeepOpen).ended);
+        const std::unique_ptr<RawConnection> first = std::move(upstream.connection);
+        upstream.fixture.client->closeIdleConnections();
+        EXPECT_EQ(upstream.run(answer, ScriptedUpstream::Ending::KeepOpen).body, "ok");
+    }
+
     // Guards against "not run" answers that are reported as unknown, and against invalid input that is sent.
     TEST(HttpClient, SaysThatRequestWasNotSent)
     {
--- a/src/teaselshore/platform/call_runner.cpp
+++ b/src/teaselshore/platform/call_runner.cpp
@@ -150,7 +150,10 @@
 void CallRunner::fail(PlatformCallId id, const PlatformError& error)
 {
     const std::unique_ptr<Call> call = this->remove(id);
-    call->handler(error);
+    if (call->httpCall == 0)
+        call->handler(CallNotSent { error });
+    else
+        call->handler(error);
 }
 
 void CallRunner::cancel(PlatformCallId id)
--- a/src/teaselshore/platform/call_runner.hpp
+++ b/src/teaselshore/platform/call_runner.hpp
@@ -12,7 +12,14 @@
 
 namespace teaselshore {
 
-using PlatformReplyHandler = std::function<void(std::variant<HttpReply, PlatformError>)>;
+/// @brief Error of a call that was not sent.
+struct CallNotSent {
+    PlatformError error;
+};
+
+/// @brief How a call ended: the platform replied, it was sent and got no reply, or it was not sent.
+using CallOutcome = std::variant<HttpReply, PlatformError, CallNotSent>;
+using PlatformReplyHandler = std::function<void(CallOutcome outcome)>;
 
 /// @brief Sends requests within the call budget and collects the replies.
 class CallRunner {
@@ -27,6 +34,8 @@
     PlatformCallId refuse(PlatformError error, PlatformReplyHandler handler);
     void cancel(PlatformCallId id);
     void setBudget(const CallBudgetLimits& limits);
+    /// @brief Makes the next calls open new connections.
+    void closeIdleConnections() { this->client->closeIdleConnections(); }
     /// @brief Counts a call whose reply was an error.
     void countFailure(PlatformCallKind kind);
     void countUnreadableObjects(PlatformCallKind kind, std::size_t count);
--- a/src/teaselshore/platform/kind_watcher_test.cpp
+++ b/src/teaselshore/platform/kind_watcher_test.cpp
@@ -7,6 +7,7 @@
 
 #include "teaselshore/http/http_server.hpp"
 #include "teaselshore/platform/kind_watcher.hpp"
+#include "teaselshore/platform/outage_probe.hpp"
 
 namespace teaselshore {
 namespace {
@@ -31,22 +32,22 @@
             this->client = PlatformClient::create(*this->loop, settings);
         }
 
-        void start(std::optional<Duration> pollEvery = std::nullopt)
+        void start(std::optional<Duration> pollEvery = std::nullopt, Duration wait = 200ms)
         {
             KindWatcherSettings settings;
             settings.pollEvery = pollEvery;
-            settings.wait = 200ms;
+            settings.wait = wait;
             settings.firstBackoff = 10ms;
             KindWatcherHandlers handlers;
-            handlers.onListed = [this](const auto& objects, std::optional<Duration> sinceOutage) {
+            handlers.onListed = [this](const auto& objects) {
                 ++this->lists;
                 this->lastListed = objects.size();
-                this->listedAfterOutage = sinceOutage.has_value();
+                this->listedAfterOutage = this->client->availability().returns() > 0;
             };
-            handlers.onChanged = [this](const auto& objects, std::optional<Duration> sinceOutage) {
+            handlers.onChanged = [this](const auto& objects) {
                 for (const KindObject& object : objects)
                     this->changes.push_back(object.name + (object.deleted ? " deleted" : ""));
-                this->changedAfterOutage = sinceOutage.has_value();
+                this->changedAfterOutage = this->client->availability().returns() > 0;
             };
             handlers.onReachable = [this](bool reachable, const std::string&) { this->reachable.push_back(reachable); };
             this->watcher = std::make_unique<KindWatcher>(
@@ -92,6 +93,12 @@
         /// Changes up to this revision are forgotten.
         std::uint64_t forgotten = 0;
         bool down = false;
+        /// Calls get no reply, also those that are waiting.
+        bool silent = false;
+        /// Watches are refused, and other calls are answered.
+        bool refusesWatches = false;
+        std::vector<std::shared_ptr<ServerExchange>> unanswered;
+        int rolloutLists = 0;
         /// The next reply to a watch is only half of one.
         bool nextEventsAreCut = false;
         /// Told in all replies if set.
@@ -131,6 +138,12 @@
         void answer(const std::shared_ptr<ServerExchange>& exchange)
         {
             const std::string& path = exchange->request().path;
+            this->rolloutLists += path == "/objects/rollouts" ? 1 : 0;
+            if (this->silent) {
+                this->watchCalls += path.find("watch=") == std::string::npos ? 0 : 1;
+                this->unanswered.push_back(exchange);
+                return;
+            }
             if (this->down) {
                 exchange->reply({ 503, this->eraField(), {} });
                 return;
@@ -155,6 +168,10 @@
                 return;
             }
             ++this->watchCalls;
+            if (this->refusesWatches) {
+                exchange->reply({ 503, this->eraField(), {} });
+                return;
+            }
             const std::uint64_t from = std::stoull(path.substr(watch + 6));
             if (from < this->forgotten) {
                 exchange->reply({ 410, this->eraField(), {} });
@@ -333,6 +350,86 @@
         EXPECT_EQ(this->staleLists, this->lists);
     }
 
+    // Guards against changes that are learnt late since the call that was open when the platform returned is waited
+    // for: it gets no answer, and takes as long as a watch.
+    TEST_F(KindWatcherTest, ReadsSoonAfterTheReturnThoughItsCallIsOpen)
+    {
+        constexpr Duration probePeriod = 100ms;
+        const OutageProbe probe(
+            *this->loop, *this->client, "rollouts", probePeriod, RandomSource(5), [](const auto&) {});
+        this->start(std::nullopt, 1s);
+        ASSERT_TRUE(this->runUntil([this] { return this->waiting != nullptr; }));
+        this->silent = true;
+        this->unanswered.push_back(std::exchange(this->waiting, nullptr));
+        ASSERT_TRUE(this->runUntil([this] { return !this->reachable.empty(); }));
+        const std::size_t open = this->unanswered.size();
+        ASSERT_TRUE(this->runUntil([&] { return this->unanswered.size() > open; }));
+        this->put("a");
+        this->silent = false;
+        const Instant returned = this->loop->now();
+        ASSERT_TRUE(this->runUntil([this] { return this->changes.size() == 1; }));
+        EXPECT_LT(this->loop->now() - returned, 500ms);
+        EXPECT_TRUE(this->changedAfterOutage);
+        EXPECT_EQ(this->client->availability().lastOutage().returned >= returned, true);
+    }
+
+    // Guards against a watch that was lost with its connection and is waited for though another call has shown that.
+    TEST_F(KindWatcherTest, ReadsAgainWhenAnotherCallEndsAnOutage)
+    {
+        this->start(std::nullopt, 4s);
+        ASSERT_TRUE(this->runUntil([this] { return this->waiting != nullptr; }));
+        this->unanswered.push_back(std::exchange(this->waiting, nullptr));
+        this->put("a");
+        this->down = true;
+        bool failed = false;
+        this->client->listKind("nodes", ReadFreshness::Current, [&](const auto&) { failed = true; });
+        ASSERT_TRUE(this->runUntil([&] { return failed; }));
+        this->down = false;
+        const Instant returned = this->loop->now();
+        this->client->listKind("nodes", ReadFreshness::Current, [](const auto&) {});
+        ASSERT_TRUE(this->runUntil([this] { return this->changes.size() == 1; }));
+        EXPECT_LT(this->loop->now() - returned, 500ms);
+        EXPECT_EQ(this->reachable, (std::vector<bool> { false, true }));
+    }
+
+    // Guards against calls without a pause when only the watcher's own calls fail.
+    TEST_F(KindWatcherTest, KeepsToItsDelaysWhileOtherCallsAreAnswered)
+    {
+        const OutageProbe probe(*this->loop, *this->client, "rollouts", 20ms, RandomSource(5), [](const auto&) {});
+        this->refusesWatches = true;
+        this->start();
+        const Instant begun = this->loop->now();
+        ASSERT_TRUE(this->runUntil([&] { return this->loop->now() - begun > 1s; }));
+        // 10, 20, 40 ms and so on up to 600 ms, each shortened by up to half.
+        EXPECT_GE(this->watchCalls, 5);
+        EXPECT_LE(this->watchCalls, 10);
+    }
+
+    // Guards against probes that go on after the outage, and against more of them than their period allows.
+    TEST_F(KindWatcherTest, ProbesDuringAnOutageOnly)
+    {
+        std::size_t lists = 0;
+        const OutageProbe probe(
+            *this->loop, *this->client, "rollouts", 50ms, RandomSource(5), [&](const auto&) { ++lists; });
+        this->start();
+        ASSERT_TRUE(this->runUntil([this] { return this->waiting != nullptr; }));
+        EXPECT_EQ(this->rolloutLists, 0);
+        this->down = true;
+        this->waiting->reply({ 503, {}, {} });
+        this->waiting = nullptr;
+        const Instant begun = this->loop->now();
+        ASSERT_TRUE(this->runUntil([&] { return this->loop->now() - begun > 500ms; }));
+        EXPECT_GE(this->rolloutLists, 5);
+        EXPECT_LE(this->rolloutLists, 15);
+        this->down = false;
+        ASSERT_TRUE(this->runUntil([&] { return lists == 1; }));
+        const int probes = this->rolloutLists;
+        ASSERT_TRUE(this->runUntil([this] { return this->waiting != nullptr; }));
+        const Instant returned = this->loop->now();
+        ASSERT_TRUE(this->runUntil([&] { return this->loop->now() - returned > 200ms; }));
+        EXPECT_EQ(this->rolloutLists, probes);
+    }
+
     // Guards against a connection that went silent and is waited for without end.
     TEST_F(KindWatcherTest, NoticesASilentConnection)
     {
--- a/src/teaselshore/platform/platform_client.cpp
+++ b/src/teaselshore/platform/platform_client.cpp
@@ -1,6 +1,7 @@
 #include "teaselshore/platform/platform_client.hpp"
 
 #include <iterator>
+#include <map>
 #include <memory>
 #include <string>
 #include <type_traits>
@@ -59,8 +60,10 @@
 
 struct PlatformClient::Impl {
     Impl(EventLoop& loop, const PlatformClientSettings& settings)
-        : objects(settings.objects)
+        : loop(loop)
+        , objects(settings.objects)
         , runner(loop, settings)
+        , availability(loop.now())
     {
     }
 
@@ -80,9 +83,9 @@
                     "the platform was restored since the version was read", std::nullopt },
                 std::move(handler));
         }
-        return this->runner.start(std::move(request),
-            [this, kind, parse, basis, handler = std::move(handler)](
-                const std::variant<HttpReply, PlatformError>& outcome) {
+        return this->runner.start(
+            std::move(request), [this, kind, parse, basis, handler = std::move(handler)](const CallOutcome& outcome) {
+                this->updateAvailability(kind, outcome);
                 PlatformResult<Value> result = this->convert<Value>(kind, parse, basis, outcome);
                 if (std::holds_alternative<PlatformError>(result))
                     this->runner.countFailure(kind);
@@ -93,20 +96,37 @@
     /// @brief Ends a call with an error in a later round of the loop.
     template <typename Value> PlatformCallId refuse(const PlatformError& error, PlatformHandler<Value> handler)
     {
-        return this->runner.refuse(
-            error, [handler = std::move(handler)](const std::variant<HttpReply, PlatformError>& outcome) {
-                handler(std::get<PlatformError>(outcome));
-            });
+        return this->runner.refuse(error, [handler = std::move(handler)](const CallOutcome& outcome) {
+            handler(std::get<CallNotSent>(outcome).error);
+        });
+    }
+
+    void updateAvailability(Kind kind, const CallOutcome& outcome)
+    {
+        const std::optional<bool> answered = isAnswered(kind, outcome);
+        if (!answered)
+            return;
+        const bool changed = *answered ? this->availability.onAnswer(this->loop.now()) : this->availability.onFailure();
+        if (changed && !*answered)
+            this->runner.closeIdleConnections();
+        if (*answered && this->answeredHandler)
+            this->answeredHandler();
+        if (!changed)
+            return;
+        for (const auto& [id, observer] : this->observers)
+            observer(*answered);
     }
 
     bool isOutdated(std::uint64_t version) const { return this->era && eraOf(version) != *this->era; }
 
     template <typename Value, typename Parse>
-    PlatformResult<Value> convert(Kind kind, Parse parse, std::optional<std::uint64_t> basis,
-        const std::variant<HttpReply, PlatformError>& outcome)
+    PlatformResult<Value> convert(
+        Kind kind, Parse parse, std::optional<std::uint64_t> basis, const CallOutcome& outcome)
     {
         if (const auto* error = std::get_if<PlatformError>(&outcome))
             return *error;
+        if (const auto* notSent = std::get_if<CallNotSent>(&outcome))
+            return notSent->error;
         const HttpReply& reply = std::get<HttpReply>(outcome);
         if (!this->noticeEra(reply))
             return PlatformError { isPlatformWrite(kind) ? PlatformError::Kind::OutcomeUnknown
@@ -230,8 +250,13 @@
         return true;
     }
 
+    EventLoop& loop;
     ObjectApi objects;
     CallRunner runner;
+    PlatformAvailability availability;
+    std::map<AvailabilityObserverId, std::function<void(bool available)>> observers;
+    AvailabilityObserverId lastObserver = 0;
+    std::function<void()> answeredHandler;
     std::unordered_map<PlatformCallId, std::shared_ptr<KindListing>> listings;
     /// Era of the platform, as the latest reply told it.
     std::optional<std::uint64_t> era;
@@ -377,6 +402,18 @@
         parseNothing, std::move(handler));
 }
 
+const PlatformAvailability& PlatformClient::availability() const { return this->impl->availability; }
+
+AvailabilityObserverId PlatformClient::observeAvailability(std::function<void(bool available)> observer)
+{
+    this->impl->observers.emplace(++this->impl->lastObserver, std::move(observer));
+    return this->impl->lastObserver;
+}
+
+void PlatformClient::stopObserving(AvailabilityObserverId observer) { this->impl->observers.erase(observer); }
+
+void PlatformClient::onAnswered(std::function<void()> handler) { this->impl->answeredHandler = std::move(handler); }
+
 void PlatformClient::onRestored(std::function<void()> handler) { this->impl->restoredHandler = std::move(handler); }
 
 void PlatformClient::cancel(PlatformCallId call) { this->impl->cancel(call); }
--- a/src/teaselshore/platform/platform_replies.cpp
+++ b/src/teaselshore/platform/platform_replies.cpp
@@ -16,6 +16,8 @@
     using nlohmann::json;
     using Kind = PlatformError::Kind;
 
+    constexpr int statusTooManyRequests = 429;
+
     /// Runs a conversion that throws on missing members or wrong types.
     template <typename Convert> auto guarded(Convert convert) -> std::optional<decltype(convert())>
     {
@@ -107,6 +109,18 @@
     return kind == PlatformCallKind::WatchObject || kind == PlatformCallKind::WatchKind;
 }
 
+std::optional<bool> isAnswered(PlatformCallKind kind, const CallOutcome& outcome)
+{
+    if (const auto* error = std::get_if<PlatformError>(&outcome))
+        return error->kind == Kind::Rejected ? std::nullopt : std::optional(false);
+    const auto* reply = std::get_if<HttpReply>(&outcome);
+    if (!reply)
+        return std::nullopt;
+    if (reply->status == statusTooManyRequests)
+        return isPlatformWrite(kind) ? std::nullopt : std::optional(false);
+    return reply->status / 100 != 5;
+}
+
 PlatformError convertPlatformError(PlatformCallKind kind, const HttpError& error)
 {
     const bool invalid = error.kind == HttpError::Kind::AddressInvalid || error.kind == HttpError::Kind::RequestInvalid;
--- a/src/teaselshore/platform/platform_replies.hpp
+++ b/src/teaselshore/platform/platform_replies.hpp
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "call_runner.hpp"
 #include "teaselshore/http/http_error.hpp"
 #include "teaselshore/http/message.hpp"
 #include "teaselshore/platform/platform_client.hpp"
@@ -16,6 +17,11 @@
 
 /// @brief Returns whether a call of this kind waits at the platform for news.
 bool isPlatformWatch(PlatformCallKind kind);
+
+/// @brief Returns whether the platform answered a call, be it with a refusal of what was asked; nothing if the outcome
+/// does not tell, as for a call that was not sent, or a write beyond the rate that the platform grants.
+std::optional<bool> isAnswered(PlatformCallKind kind, const CallOutcome& outcome);
+
 /// @brief Converts an error of the HTTP layer: a write whose request may have been sent has an unknown outcome.
 PlatformError convertPlatformError(PlatformCallKind kind, const HttpError& error);
 
--- a/src/teaselshore/protocol/codec.cpp
+++ b/src/teaselshore/protocol/codec.cpp
@@ -31,6 +31,8 @@
         case wire::Envelope::kConfigurationCopy:
         case wire::Envelope::kRefusalReport:
         case wire::Envelope::kLimitReport:
+        case wire::Envelope::kPlatformContactRequest:
+        case wire::Envelope::kPlatformContact:
             return entryFromWire(envelope);
         case wire::Envelope::MESSAGE_NOT_SET:
             error = ProtocolError::UnknownMessage;
--- a/src/teaselshore/protocol/codec_test.cpp
+++ b/src/teaselshore/protocol/codec_test.cpp
@@ -164,6 +164,9 @@
             EntryMessage(LimitReport { { { UpstreamId(fields.text()), 1.6, std::chrono::seconds(fields.smallNumber()) },
                 { UpstreamId(fields.text()), std::nullopt, Duration::zero() } } }),
             EntryMessage(ConfigurationCopy { fields.number(), fields.text() }),
+            EntryMessage(PlatformContactRequest {}),
+            EntryMessage(PlatformContact { std::chrono::seconds(7), std::chrono::milliseconds(3),
+                fields.flag() ? std::optional(Duration(std::chrono::seconds(9))) : std::nullopt }),
             EntryMessage(RolloutDecision {
                 ServiceName(fields.text()), VersionName(fields.text()), RolloutOrder::State::RolledBack, 0.25 }),
             EntryMessage(CrashReport { { { 1ULL << 63U, UpstreamId(fields.text()),
--- a/src/teaselshore/protocol/entry_conversions.cpp
+++ b/src/teaselshore/protocol/entry_conversions.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+    /// Longer times are no times of a process, and could not be subtracted from an Instant.
+    constexpr Duration longestContact = std::chrono::hours(100'000);
+
     bool isAmount(double amount) { return std::isfinite(amount) && amount >= 0; }
 
     void fill(const QuotaLoanRequest& request, wire::Envelope& envelope)
@@ -89,6 +92,17 @@
         }
     }
 
+    void fill(const PlatformContactRequest&, wire::Envelope& envelope) { envelope.mutable_platform_contact_request(); }
+
+    void fill(const PlatformContact& contact, wire::Envelope& envelope)
+    {
+        wire::PlatformContact& result = *envelope.mutable_platform_contact();
+        result.set_since_first_answer(contact.sinceFirstAnswer.count());
+        result.set_since_last_answer(contact.sinceLastAnswer.count());
+        if (contact.sinceEarlierAnswer)
+            result.set_since_earlier_answer(contact.sinceEarlierAnswer->count());
+    }
+
     std::optional<RolloutDecision> fromWire(const wire::RolloutDecision& decision)
     {
         if (!wire::RolloutState_IsValid(decision.state()) || !(decision.share() >= 0 && decision.share() <= 1))
@@ -128,6 +142,20 @@
         return result;
     }
 
+    std::optional<PlatformContact> fromWire(const wire::PlatformContact& contact)
+    {
+        const Duration first(contact.since_first_answer());
+        const Duration last(contact.since_last_answer());
+        if (last < Duration::zero() || first < last || first > longestContact)
+            return std::nullopt;
+        if (!contact.has_since_earlier_answer())
+            return PlatformContact { first, last, std::nullopt };
+        const Duration earlier(contact.since_earlier_answer());
+        if (earlier < first || earlier > longestContact)
+            return std::nullopt;
+        return PlatformContact { first, last, earlier };
+    }
+
 } // namespace
 
 void toWire(const EntryMessage& message, wire::Envelope& envelope)
@@ -155,6 +183,10 @@
         return fromWire(envelope.refusal_report());
     if (envelope.has_limit_report())
         return fromWire(envelope.limit_report());
+    if (envelope.has_platform_contact_request())
+        return PlatformContactRequest {};
+    if (envelope.has_platform_contact())
+        return fromWire(envelope.platform_contact());
     if (envelope.has_relayed_report())
         return RelayedReport { envelope.relayed_report().report() };
     if (envelope.has_quota_return()) {
