Hold up the end of a planned stop until callers have their answers

Cause: a request counted as ended when its answer was handed to the connection, and the process ended 150 ms after the last request, whatever waited in its connections.

Ruled out: the stop of the listener (connections with an answer stay open), and the kernel (it sends on after an orderly close; but a host that goes with its process takes these bytes along, so that they are waited for as well).

Change: HttpServer::unsentAnswers() counts what callers have not acknowledged; AnswerDrain ends the process once that is nothing, 0.1 s before the end of the grace period at the latest, and logs what is cut then. A connection that lingers after its last answer stays while the kernel still sends.

--- a/include/teaselshore/http/http_server.hpp
+++ b/include/teaselshore/http/http_server.hpp
@@ -77,6 +77,15 @@
     virtual void onClosed(std::function<void()> handler) = 0;
 };
 
+/// @brief Answers, or parts of them, that callers have not received yet.
+struct UnsentAnswers {
+    std::size_t connections = 0;
+    /// Bytes that wait in the process and in the kernel. Those of HTTP/2 connections are not known.
+    std::size_t bytes = 0;
+
+    auto operator<=>(const UnsentAnswers&) const = default;
+};
+
 using HttpHandler = std::function<void(std::shared_ptr<ServerExchange>)>;
 
 /// @brief HTTP/1.1 and HTTP/2 (prior knowledge) server on h2o's event loop.
@@ -103,6 +112,13 @@
     /// @brief Stops accepting connections and closes idle ones; open exchanges go on.
     void stopAccepting();
 
+    /// @brief Connections with bytes that their callers have not received, whether or not the answer is finished. An
+    /// HTTP/2 connection counts until it is closed.
+    UnsentAnswers unsentAnswers() const;
+    /// @brief Connections that were closed before their callers had received a finished answer, since they stopped to
+    /// read it.
+    std::uint64_t cutAnswers() const;
+
     /// @brief Number of exchanges without a finished answer.
     std::size_t openExchanges() const;
 
--- a/include/teaselshore/node/node_command.hpp
+++ b/include/teaselshore/node/node_command.hpp
@@ -79,8 +79,11 @@
     auto operator<=>(const SetReady&) const = default;
 };
 
-/// @brief Open requests are finished or handed over; the process may exit.
+/// @brief Open requests are finished or handed over; the process ends once the last answers have reached their callers.
 struct StopProcess {
+    /// The process ends at this time whatever is left.
+    Instant deadline {};
+
     auto operator<=>(const StopProcess&) const = default;
 };
 
--- /dev/null
+++ b/src/teaselshore/daemon/answer_drain.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <functional>
+
+#include "teaselshore/base/time.hpp"
+#include "teaselshore/http/event_loop.hpp"
+#include "teaselshore/http/http_server.hpp"
+
+namespace teaselshore {
+
+/// @brief Times of an AnswerDrain.
+struct DrainTimes {
+    /// Not before: messages to peers and answers that are being written leave meanwhile.
+    Instant earliest {};
+    /// Not after, whatever is left. Goes before the earliest time.
+    Instant deadline {};
+
+    auto operator<=>(const DrainTimes&) const = default;
+};
+
+/// @brief Returns whether a process that has answered all requests may end.
+bool mayEnd(const UnsentAnswers& unsent, const DrainTimes& times, Instant now);
+
+/// @brief Holds up the end of a process while answers are on their way to callers.
+///
+/// A request counts as answered when its answer is handed to the connection, but a caller with a slow line needs
+/// seconds for it. Belongs to the event loop's thread. Loop and server must outlive it.
+class AnswerDrain {
+public:
+    AnswerDrain(EventLoop& loop, const HttpServer& server);
+    ~AnswerDrain();
+    AnswerDrain(const AnswerDrain&) = delete;
+    AnswerDrain& operator=(const AnswerDrain&) = delete;
+
+    /// @brief Runs the function once the process may end, and logs what is left unsent. Precondition: not started yet.
+    void start(const DrainTimes& limits, std::function<void()> onEnd);
+
+private:
+    void check();
+
+    EventLoop& loop;
+    const HttpServer& server;
+    DrainTimes times;
+    std::function<void()> onEnd;
+    TimerId timer = 0;
+};
+
+} // namespace teaselshore
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -63,6 +63,16 @@
         statistics.holdsLease ? 1 : 0);
 }
 
+void EntryMetrics::updateAnswers(const UnsentAnswers& unsent, std::uint64_t cut)
+{
+    this->setGauge("teaselshore_unsent_answers", "Connections with bytes that their callers have not received.",
+        static_cast<double>(unsent.connections));
+    this->setGauge(
+        "teaselshore_unsent_answer_bytes", "Bytes that callers have not received.", static_cast<double>(unsent.bytes));
+    this->setCounter(
+        "teaselshore_cut_answers_total", "Finished answers that callers stopped to read before their end.", cut);
+}
+
 void EntryMetrics::onRequestEnded(const RequestEnded& request)
 {
     // Requests without a route are answered at once and would only hide the others.
--- a/src/teaselshore/daemon/entry_metrics.hpp
+++ b/src/teaselshore/daemon/entry_metrics.hpp
@@ -6,6 +6,7 @@
 #include "teaselshore/daemon/request_relay.hpp"
 #include "teaselshore/entry/entry_command.hpp"
 #include "teaselshore/entry/entry_statistics.hpp"
+#include "teaselshore/http/http_server.hpp"
 #include "teaselshore/platform/platform_client.hpp"
 #include "teaselshore/telemetry/metrics.hpp"
 
@@ -17,6 +18,7 @@
     void update(const EntryStatistics& statistics, const RelayCounters& relay, std::uint64_t refusedRequests);
     void onRequestEnded(const RequestEnded& request);
     void updatePlatformCalls(const PlatformClient& platform);
+    void updateAnswers(const UnsentAnswers& unsent, std::uint64_t cut);
     void startWindow() { this->metrics.startWindow(); }
     std::string render() const { return this->metrics.renderPrometheus(); }
 
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "answer_drain.hpp"
 #include "entry_metrics.hpp"
 #include "entry_relay_settings.hpp"
 #include "header_conversion.hpp"
@@ -39,7 +40,7 @@
     constexpr double logLinesPerSecond = 150;
     constexpr double logBurst = 400;
     constexpr Duration metricsWindow = std::chrono::seconds(10);
-    /// Kept for the last responses to leave.
+    /// Kept for the last messages to leave.
     constexpr Duration stopDelay = std::chrono::milliseconds(150);
     /// Answers of the platform take some milliseconds, and some 60 times as long while it is slow.
     constexpr Duration platformCallTimeout = std::chrono::milliseconds(700);
@@ -169,7 +170,7 @@
     void execute(ApplyCallerLimits& command);
     void execute(AnnounceClose&) { this->callers->announceClose(); }
     void execute(StopAccepting&) { this->callers->stopAccepting(); }
-    void execute(StopProcess&);
+    void execute(StopProcess& command);
     void execute(SendUsage& command);
     void execute(SendUpstreamOrder& command);
     void execute(WriteRolloutState& command);
@@ -201,6 +202,7 @@
     EntryMetrics metrics;
     LogLimiter logLimiter { logLinesPerSecond, logBurst };
     std::unique_ptr<HttpServer> callers;
+    std::unique_ptr<AnswerDrain> drain;
     std::unique_ptr<HttpServer> readiness;
     std::unique_ptr<HttpServer> admin;
     std::unique_ptr<OutageProbe> outageProbe;
@@ -330,6 +332,7 @@
     if (request.path != metricsPath)
         return { statusNotFound, {}, "no such page\n" };
     this->metrics.update(this->node.statistics(), this->relay.counters(), this->callers->refusedRequests());
+    this->metrics.updateAnswers(this->callers->unsentAnswers(), this->callers->cutAnswers());
     this->metrics.updatePlatformCalls(*this->platform);
     return { statusOk, { { "content-type", "text/plain; version=0.0.4" } }, this->metrics.render() };
 }
@@ -546,10 +549,11 @@
     this->callers->setLimits({ limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout });
 }
 
-void EntryTask::Impl::execute(StopProcess&)
+void EntryTask::Impl::execute(StopProcess& command)
 {
     this->stopped = true;
-    this->loop->runAfter(stopDelay, [this] { this->loop->stop(); });
+    this->drain = std::make_unique<AnswerDrain>(*this->loop, *this->callers);
+    this->drain->start({ this->loop->now() + stopDelay, command.deadline }, [this] { this->loop->stop(); });
 }
 
 template <typename Value> PlatformHandler<Value> EntryTask::Impl::cloudHandler(std::uint64_t call)
--- a/src/teaselshore/daemon/serving_task.cpp
+++ b/src/teaselshore/daemon/serving_task.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "admin_replies.hpp"
+#include "answer_drain.hpp"
 #include "header_conversion.hpp"
 #include "log_event.hpp"
 #include "node_settings_from.hpp"
@@ -24,6 +25,8 @@
     constexpr std::size_t spanCapacity = 20'000;
     constexpr Duration shortestTick = std::chrono::milliseconds(1);
     constexpr Duration metricsWindow = std::chrono::seconds(10);
+    /// Kept for the last messages to peers to leave.
+    constexpr Duration stopDelay = std::chrono::milliseconds(200);
     constexpr int statusNotFound = 404;
     constexpr int statusServiceUnavailable = 503;
     constexpr std::string_view readinessPath = "/readyz";
@@ -70,7 +73,7 @@
     void execute(QueryLoad& command) { this->queries.execute(command); }
     void execute(QueryOutcome& command) { this->queries.execute(command); }
     void execute(SetReady& command) { this->ready = command.ready; }
-    void execute(StopProcess&);
+    void execute(StopProcess& command);
     void execute(LogEvent& command) { writeLogEvent(command); }
     void execute(Span& command);
 
@@ -84,6 +87,7 @@
     TraceIndex traces;
     ServingMetrics metrics;
     std::unique_ptr<HttpServer> callerServer;
+    std::unique_ptr<AnswerDrain> drain;
     std::unique_ptr<HttpServer> adminServer;
     Instant startedAt {};
     Instant adoptedAt {};
@@ -251,12 +255,12 @@
     });
 }
 
-void ServingTask::Impl::execute(StopProcess&)
+void ServingTask::Impl::execute(StopProcess& command)
 {
     this->stopped = true;
     this->callerServer->stopAccepting();
-    // Announcements to peers and the last responses still have to leave.
-    this->loop->runAfter(std::chrono::milliseconds(200), [this] { this->loop->stop(); });
+    this->drain = std::make_unique<AnswerDrain>(*this->loop, *this->callerServer);
+    this->drain->start({ this->loop->now() + stopDelay, command.deadline }, [this] { this->loop->stop(); });
 }
 
 void ServingTask::Impl::execute(Span& command)
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -26,6 +26,8 @@
     constexpr Duration loadBalancerDelay = std::chrono::milliseconds(2600);
     /// Part of the stop grace period that is reserved for sending the last bytes.
     constexpr Duration flushMargin = std::chrono::milliseconds(300);
+    /// Part of the stop grace period that the end of the process itself takes.
+    constexpr Duration exitMargin = std::chrono::milliseconds(100);
     /// A clock reading that differs from the expected time by more than this must be confirmed before it is used.
     constexpr Duration clockTolerance = std::chrono::milliseconds(300);
     /// Time that a changed clock must persist before it is used. Clock steps that are reverted last only some seconds.
@@ -332,7 +334,8 @@
     const std::size_t open = this->requests.openCount();
     this->requests.endAll(now);
     this->state.log(LogLevel::Info, "stopped", { { "openRequests", std::to_string(open) } });
-    this->state.commands.emplace_back(StopProcess {});
+    this->state.commands.emplace_back(
+        StopProcess { *this->stopRequestedAt + this->state.settings.host.stopGrace - exitMargin });
 }
 
 void EntryNode::Impl::handle(EntryTick&, Instant now)
--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include <fmt/format.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "event_loop_impl.hpp"
@@ -343,11 +345,25 @@
     this->state = State::Lingering;
     shutdown(h2o_socket_get_fd(this->socket), SHUT_WR);
     h2o_buffer_consume(&this->socket->input, this->socket->input->size);
+    this->lingeringBytes = this->kernelBytes();
     this->deadline = monotonicNow() + lingerTime;
     this->armTimer(this->deadline);
     h2o_socket_read_start(this->socket, onReadable);
 }
 
+std::size_t Http1Connection::kernelBytes() const
+{
+    int bytes = 0;
+    if (ioctl(h2o_socket_get_fd(this->socket), SIOCOUTQ, &bytes) != 0)
+        return 0;
+    return static_cast<std::size_t>(std::max(bytes, 0));
+}
+
+std::size_t Http1Connection::unsentBytes() const
+{
+    return this->state == State::Closed ? 0 : this->pendingBytes() + this->kernelBytes();
+}
+
 void Http1Connection::closeWhenIdle()
 {
     this->closeAfterAnswer = true;
@@ -425,8 +441,19 @@
         this->armTimer(this->deadline);
         return;
     }
-    if (this->state == State::Answering)
+    if (this->state == State::Lingering) {
+        // A client that sends more bytes resets a closed connection, and with it what the kernel still has to send.
+        const std::size_t left = this->kernelBytes();
+        if (left > 0 && left < std::exchange(this->lingeringBytes, left)) {
+            this->deadline = monotonicNow() + lingerTime;
+            this->armTimer(this->deadline);
+            return;
+        }
+    }
+    if (this->state == State::Answering) {
+        this->core.countCutAnswer();
         logLine(LogLevel::Info, "caller stopped reading its answer", { { "unsentBytes", this->pendingBytes() } });
+    }
     this->close();
 }
 
--- a/src/teaselshore/http/http1_connection.hpp
+++ b/src/teaselshore/http/http1_connection.hpp
@@ -39,6 +39,8 @@
     /// @brief Ends the answer without its end: after the pending bytes have left, or at once.
     void abort(bool keepPending);
     std::size_t pendingBytes() const { return this->pending.size() + this->sending.size() - this->sentBytes; }
+    /// @brief Bytes that the client has not acknowledged, those that the kernel keeps included.
+    std::size_t unsentBytes() const;
 
 private:
     /// How the end of an answer's body is marked.
@@ -78,6 +80,7 @@
     void endAnswer();
     void nextRequest();
     void linger();
+    std::size_t kernelBytes() const;
     void close();
     void armTimer(Instant due);
     void onTimer();
@@ -105,6 +108,8 @@
     TimerId timer = 0;
     Instant timerDue {};
     TimerId flushTimer = 0;
+    /// Bytes that the kernel kept at the latest deadline of the lingering state.
+    std::size_t lingeringBytes = 0;
     /// Idle time that applied when the connection became idle; a client may still rely on it after a change.
     Duration idleTime {};
 };
--- a/src/teaselshore/http/http_server.cpp
+++ b/src/teaselshore/http/http_server.cpp
@@ -96,6 +96,10 @@
 
 std::uint64_t HttpServer::refusedRequests() const { return this->impl->core->refusedRequests(); }
 
+UnsentAnswers HttpServer::unsentAnswers() const { return this->impl->core->unsentAnswers(); }
+
+std::uint64_t HttpServer::cutAnswers() const { return this->impl->core->cutAnswers(); }
+
 void HttpServer::stopAccepting() { this->impl->core->stopAccepting(); }
 
 std::size_t HttpServer::openExchanges() const { return this->impl->core->openExchanges(); }
--- a/src/teaselshore/http/server_core.cpp
+++ b/src/teaselshore/http/server_core.cpp
@@ -126,6 +126,17 @@
         LogLevel::Info, "request refused before it was read in full", { { "status", status }, { "reason", reason } });
 }
 
+UnsentAnswers ServerCore::unsentAnswers() const
+{
+    UnsentAnswers unsent { this->http2Connections.size(), 0 };
+    for (const auto& [socket, connection] : this->connections) {
+        const std::size_t bytes = connection->unsentBytes();
+        unsent.connections += bytes > 0 ? 1 : 0;
+        unsent.bytes += bytes;
+    }
+    return unsent;
+}
+
 void ServerCore::acceptHttp2(h2o_socket_t* socket)
 {
     this->retire(std::move(this->connections.at(socket)));
--- a/src/teaselshore/http/server_core.hpp
+++ b/src/teaselshore/http/server_core.hpp
@@ -46,6 +46,9 @@
     /// @brief The connection has let go of its socket; it is destroyed in a later round.
     void connectionClosed(h2o_socket_t* socket);
     std::uint64_t refusedRequests() const { return this->refused; }
+    void countCutAnswer() { ++this->cut; }
+    std::uint64_t cutAnswers() const { return this->cut; }
+    UnsentAnswers unsentAnswers() const;
 
 private:
     /// HTTP/2 connection, which h2o owns.
@@ -83,6 +86,7 @@
     bool refuseDotSegments;
     bool isClosing = false;
     std::uint64_t refused = 0;
+    std::uint64_t cut = 0;
 };
 
 } // namespace teaselshore
--- a/src/teaselshore/node/node_lifecycle.cpp
+++ b/src/teaselshore/node/node_lifecycle.cpp
@@ -146,7 +146,7 @@
         this->state.log(
             LogLevel::Warning, "stopping with open requests", { { "open", std::to_string(this->openRequests()) } });
     this->cluster.leave(now);
-    this->state.commands.emplace_back(StopProcess {});
+    this->state.commands.emplace_back(StopProcess { this->stopDeadline });
 }
 
 } // namespace teaselshore
