Report what a process has served before it stops as planned

Callers: none; the provider's usage of a window fell short by what a stopped process had served since its last report, up to a whole window of 5 s (due within 5 in 100).

Cause: reports are written at the end of a window, and the process that follows restores only what was reported.

Change: one more report when the last request has ended.

--- a/src/teaselshore/entry/entry_duties.cpp
+++ b/src/teaselshore/entry/entry_duties.cpp
@@ -274,6 +274,13 @@
     this->nextRead = std::min(this->nextRead, now + std::max(Duration(0), readDelay - sinceStart));
 }
 
+void EntryDuties::writeLastReport(Instant now)
+{
+    // Before the first report, the counts of an earlier process may still have to be restored.
+    if (this->reportedWindow)
+        this->writeReport(now, false);
+}
+
 void EntryDuties::writeReport(Instant now, bool endsWindow)
 {
     this->reportedAt = now;
--- a/src/teaselshore/entry/entry_duties.hpp
+++ b/src/teaselshore/entry/entry_duties.hpp
@@ -39,6 +39,8 @@
     EntryRollouts& rollouts() { return this->versionRollouts; }
     /// @brief Releases the lease.
     void stop() { this->lease.stop(); }
+    /// @brief Reports what this process has served since its last report, before it ends.
+    void writeLastReport(Instant now);
     bool holdsLease(Instant now) const { return this->lease.fencingToken(now).has_value(); }
 
 private:
--- a/src/teaselshore/entry/entry_duties_test.cpp
+++ b/src/teaselshore/entry/entry_duties_test.cpp
@@ -67,6 +67,25 @@
         EXPECT_GT(fleet.platform.usage.size(), windowsBefore);
     }
 
+    // Guards against losing the usage of a process since its last report when it is stopped as planned.
+    TEST(EntryDuties, StoppedProcessesReportWhatTheyHaveServed)
+    {
+        for (const Duration start : { 5s, 6s, 7s, 8s, 9s }) {
+            EntryFleet fleet(3);
+            fleet.advance(start);
+            for (int round = 0; round < 30; ++round)
+                fleet.request("host-1");
+            fleet.handle("host-1", EntryStopRequested {});
+            fleet.advance(3s);
+            fleet.add("host-1");
+            fleet.advance(15s);
+            std::uint64_t reported = 0;
+            for (const auto& [window, reports] : fleet.platform.usage)
+                reported += totalRequests(reports);
+            EXPECT_EQ(reported, 30u) << toSeconds(start);
+        }
+    }
+
     // Guards against refusing requests within the quota with 429 after a restart of all nodes: the shares of the quotas
     // must be restored with the first reports that are read.
     TEST(EntryDuties, QuotasAreRestoredAfterARestartOfAllNodes)
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -333,6 +333,7 @@
     this->stopped = true;
     const std::size_t open = this->requests.openCount();
     this->requests.endAll(now);
+    this->duties.writeLastReport(now);
     this->state.log(LogLevel::Info, "stopped", { { "openRequests", std::to_string(open) } });
     this->state.commands.emplace_back(
         StopProcess { *this->stopRequestedAt + this->state.settings.host.stopGrace - exitMargin });
