Report replies to earlier requests and the address of each attempt

Whether a refused request was sent again to the same process, over the same connection, or got a late reply to another request could not be told from the logs: an attempt named the registration of its upstream but not the address, and a skipped reply left no trace.

The log line of a skipped reply names the attempt, its upstream, the status and the request that the reply names; the metrics count them. The line of each attempt names the address.

--- a/include/teaselshore/daemon/request_relay.hpp
+++ b/include/teaselshore/daemon/request_relay.hpp
@@ -21,6 +21,8 @@
     std::uint64_t relayedBytes = 0;
     /// Responses whose request or attempt header named another request.
     std::uint64_t misdirectedResponses = 0;
+    /// Responses to earlier requests on the same connection.
+    std::uint64_t skippedResponses = 0;
     /// Callers that read a stream too slowly for the limit of pending bytes.
     std::uint64_t slowCallers = 0;
     /// Responses given up since they, or one of their events, had no end.
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -43,6 +43,8 @@
         statistics.limitedRequests);
     this->setGauge("teaselshore_limited_upstreams", "Upstreams that name a limit.",
         static_cast<double>(statistics.limitedUpstreams));
+    this->setCounter("teaselshore_skipped_responses_total",
+        "Responses of upstreams to earlier requests on the same connection.", relay.skippedResponses);
     this->setCounter("teaselshore_relayed_bytes_total", "Bytes of relayed streams.", relay.relayedBytes);
     this->setCounter(
         "teaselshore_slow_callers_total", "Callers disconnected for reading too slowly.", relay.slowCallers);
--- a/src/teaselshore/daemon/request_relay.cpp
+++ b/src/teaselshore/daemon/request_relay.cpp
@@ -34,6 +34,8 @@
         bool announced = false;
         bool gotHead = false;
         int status = 0;
+        /// Name of the field that tells which request a response answers.
+        std::optional<std::string> echoName;
         HttpHeaders headers;
         std::string body;
         /// Bytes that are kept for this attempt until it ends or its event is complete.
@@ -67,6 +69,7 @@
 
     void start(StartAttempt command);
     void onHead(AttemptId id, int status, const HttpHeaders& headers);
+    void onSkippedReply(AttemptId id, int status, const HttpHeaders& headers);
     void onData(AttemptId id, std::string_view bytes);
     void onEnd(AttemptId id);
     void onError(AttemptId id, const HttpError& error);
@@ -188,6 +191,10 @@
         if (const auto self = weak.lock())
             self->onHead(id, status, headers);
     };
+    handlers.onSkippedReply = [weak, id](int status, const HttpHeaders& headers) {
+        if (const auto self = weak.lock())
+            self->onSkippedReply(id, status, headers);
+    };
     handlers.onData = [weak, id](std::string_view bytes) {
         if (const auto self = weak.lock())
             self->onData(id, bytes);
@@ -216,6 +223,8 @@
     attempt.request = std::move(command.request);
     attempt.upstream = std::move(command.upstream);
     attempt.relay = command.relay;
+    if (command.expectedEcho)
+        attempt.echoName = command.expectedEcho->first;
     attempt.call = this->client->start(std::move(call), std::move(handlers));
     const bool added = this->attempts.emplace(id, std::move(attempt)).second;
     TEASELSHORE_ASSERT(added, "an attempt id was used twice");
@@ -243,6 +252,18 @@
     attempt.relaying = streamable && this->findCaller(attempt.request);
 }
 
+void RequestRelay::Impl::onSkippedReply(AttemptId id, int status, const HttpHeaders& headers)
+{
+    ++this->counters.skippedResponses;
+    const auto found = this->attempts.find(id);
+    if (found == this->attempts.end())
+        return;
+    const Attempt& attempt = found->second;
+    const std::string named = attempt.echoName ? headers.find(*attempt.echoName).value_or("") : std::string();
+    logLine(LogLevel::Warning, "response to an earlier request on the connection is skipped",
+        { { "request", attempt.request }, { "upstream", attempt.upstream }, { "status", status }, { "named", named } });
+}
+
 void RequestRelay::Impl::onData(AttemptId id, std::string_view bytes)
 {
     const auto found = this->attempts.find(id);
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -361,7 +361,7 @@
         ++this->state.statistics.resumes;
 
     std::vector<std::pair<std::string, std::string>> fields { { "request", request.caller.attemptId },
-        { "upstream", attempt.upstream.value() }, { "zone", decision->zone.value() },
+        { "upstream", attempt.upstream.value() }, { "address", decision->address }, { "zone", decision->zone.value() },
         { "version", decision->version.value() }, { "route", request.route->name.value() },
         { "send", std::to_string(request.sends) },
         { "predictedMs", fmt::format("{:.0f}", toMilliseconds(decision->chosen.predictedFirstToken)) },
--- a/src/teaselshore/http/client_call.cpp
+++ b/src/teaselshore/http/client_call.cpp
@@ -35,7 +35,7 @@
         const std::optional<std::string> value = headers.find(echo->name);
         this->foreignReply = value && *value != echo->value;
         if (this->foreignReply)
-            return ++this->skippedReplies <= mostSkippedReplies || this->refuse("too many replies to other requests");
+            return this->skipReply(status, headers);
     }
     this->keepAlive = keepAliveTime(headers);
     if (this->handlers.onHead)
@@ -43,6 +43,15 @@
     return !this->cancelled;
 }
 
+bool ClientCall::skipReply(int status, const HttpHeaders& headers)
+{
+    if (++this->skippedReplies > mostSkippedReplies)
+        return this->refuse("too many replies to other requests");
+    if (this->handlers.onSkippedReply)
+        this->handlers.onSkippedReply(status, headers);
+    return !this->cancelled;
+}
+
 bool ClientCall::refuse(const char* reason)
 {
     this->refusal = HttpError { HttpError::Kind::MalformedReply, reason, true };
--- a/src/teaselshore/http/client_call.hpp
+++ b/src/teaselshore/http/client_call.hpp
@@ -17,6 +17,7 @@
     bool onReplyBytes(std::string_view bytes) override;
     /// @brief Lets the call fail since its reply cannot be accepted. Returns false, to stop the parser.
     bool refuse(const char* reason);
+    bool skipReply(int status, const HttpHeaders& headers);
 
     CallId id = 0;
     HttpCall call;
