Send a request over a connection to an upstream once

What callers saw: an unsafe request ran twice, or was answered 503 though it had run.

Cause: the reply to an attempt is recognised by its connection and by the id that it repeats, and nothing kept that pair from being used twice. An attempt leaves out the registrations that refused the request before, but the pool of connections knows addresses only. Two registrations share an address when a process is replaced, registers anew or gets the address of another one: the process there answers 421 to the first, and the request goes to the second over the same connection. A late copy of the 421 then is taken for the reply to the second attempt, so that the request seems not to have run. A caller that uses an id again comes the same way.

Ruled out: the router never picks a registration again that a request was refused by; refusals without an id count as run; an idle connection on which bytes arrive is closed.

A reply that names no request is accepted only as the first one of a connection, and one that names several is malformed; both count as may have run. A request without an id shares no connection, since it took any reply for its own.

--- a/include/teaselshore/http/http_client.hpp
+++ b/include/teaselshore/http/http_client.hpp
@@ -27,8 +27,10 @@
     /// Accepts a reply without content length and without chunks, whose end is the end of the connection. Off by
     /// default, because such a reply cannot be told from one that was cut off. A connection reset is an error anyway.
     bool acceptUnframedReply = false;
-    /// Header field that the peer repeats from the request. A reply with another value is a late one to an earlier
-    /// request on the connection; it is skipped, and the next reply is awaited.
+    /// Header field that the peer repeats from the request; with an empty value if the request has no such field. A
+    /// reply with another value is a late one to an earlier request on the connection; it is skipped, and the next
+    /// reply is awaited. A value is sent over a connection once. A reply without the field is accepted only on a
+    /// connection without earlier requests, and one with several different values is malformed.
     std::optional<HttpHeader> expectedEcho;
 };
 
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -538,8 +538,7 @@
 {
     StartAttempt& attempt = command.attempt;
     attempt.headers = encodeUpstreamHeaders(std::move(attempt.headers), command.context, this->loop->now());
-    if (!command.callerAttemptId.empty())
-        attempt.expectedEcho = expectedEcho(command.callerAttemptId);
+    attempt.expectedEcho = expectedEcho(command.callerAttemptId);
     this->relay.execute(std::move(attempt));
 }
 
--- a/src/teaselshore/http/client_call.cpp
+++ b/src/teaselshore/http/client_call.cpp
@@ -31,18 +31,33 @@
     if (endsWithConnection && !this->call.acceptUnframedReply) {
         return this->refuse("reply has neither length nor chunks");
     }
-    if (const auto& echo = this->call.expectedEcho) {
-        const std::optional<std::string> value = headers.find(echo->name);
-        this->foreignReply = value && *value != echo->value;
-        if (this->foreignReply)
-            return this->skipReply(status, headers);
-    }
+    const Attribution attribution = this->call.expectedEcho ? this->attribute(headers) : Attribution::Own;
+    if (attribution == Attribution::Unclear)
+        return this->refuse("reply does not name one request");
+    this->foreignReply = attribution == Attribution::Earlier;
+    if (this->foreignReply)
+        return this->skipReply(status, headers);
     this->keepAlive = keepAliveTime(headers);
     if (this->handlers.onHead)
         this->handlers.onHead(status, headers);
     return !this->cancelled;
 }
 
+ClientCall::Attribution ClientCall::attribute(const HttpHeaders& headers) const
+{
+    bool hasOwn = false;
+    bool hasOther = false;
+    for (const HttpHeader& field : headers.all()) {
+        if (field.name != this->call.expectedEcho->name)
+            continue;
+        (field.value == this->call.expectedEcho->value ? hasOwn : hasOther) = true;
+    }
+    if (hasOwn != hasOther)
+        return hasOwn ? Attribution::Own : Attribution::Earlier;
+    const bool isOnlyRequest = this->connection->sentEchoes.count() == 1;
+    return !hasOwn && isOnlyRequest ? Attribution::Own : Attribution::Unclear;
+}
+
 bool ClientCall::skipReply(int status, const HttpHeaders& headers)
 {
     if (++this->skippedReplies > mostSkippedReplies)
--- a/src/teaselshore/http/client_call.hpp
+++ b/src/teaselshore/http/client_call.hpp
@@ -17,6 +17,10 @@
     bool onReplyBytes(std::string_view bytes) override;
     /// @brief Lets the call fail since its reply cannot be accepted. Returns false, to stop the parser.
     bool refuse(const char* reason);
+    /// Which request a reply answers.
+    enum class Attribution { Own, Earlier, Unclear };
+    /// @brief Returns which request a reply with these fields answers. Precondition: expectedEcho is set.
+    Attribution attribute(const HttpHeaders& headers) const;
     bool skipReply(int status, const HttpHeaders& headers);
 
     CallId id = 0;
--- a/src/teaselshore/http/client_connection.cpp
+++ b/src/teaselshore/http/client_connection.cpp
@@ -40,12 +40,19 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-std::unique_ptr<ClientConnection> ConnectionPool::take(const std::string& authority, Instant now)
+std::unique_ptr<ClientConnection> ConnectionPool::take(
+    const std::string& authority, const std::optional<HttpHeader>& echo, Instant now)
 {
     const auto found = this->idle.find(authority);
-    while (found != this->idle.end() && !found->second.empty()) {
-        std::unique_ptr<ClientConnection> connection = std::move(found->second.back());
-        found->second.pop_back();
+    if (found == this->idle.end())
+        return nullptr;
+    std::vector<std::unique_ptr<ClientConnection>>& connections = found->second;
+    for (std::size_t left = connections.size(); left > 0; --left) {
+        const auto position = connections.begin() + static_cast<std::ptrdiff_t>(left - 1);
+        if (echo && !(*position)->sentEchoes.canDistinguish(echo->value))
+            continue;
+        std::unique_ptr<ClientConnection> connection = std::move(*position);
+        connections.erase(position);
         if (now < connection->usableUntil && connection->isQuiet())
             return connection;
     }
--- a/src/teaselshore/http/client_connection.hpp
+++ b/src/teaselshore/http/client_connection.hpp
@@ -9,7 +9,9 @@
 #include <netinet/in.h>
 
 #include "h2o.hpp"
+#include "sent_echoes.hpp"
 #include "teaselshore/base/time.hpp"
+#include "teaselshore/http/message.hpp"
 
 namespace teaselshore {
 
@@ -39,6 +41,7 @@
     ClientCall* call = nullptr;
     /// The connection must not be used from then on.
     Instant usableUntil;
+    SentEchoes sentEchoes;
 
 private:
     std::string peer;
@@ -48,8 +51,10 @@
 /// @brief Idle connections by authority. The time is passed in.
 class ConnectionPool {
 public:
-    /// @brief Returns the most recently used idle connection that is still quiet, or nothing.
-    std::unique_ptr<ClientConnection> take(const std::string& authority, Instant now);
+    /// @brief Returns the most recently used idle connection that is still quiet, or nothing. With an echo, only one
+    /// on which the replies to it can be told from those to earlier requests.
+    std::unique_ptr<ClientConnection> take(
+        const std::string& authority, const std::optional<HttpHeader>& echo, Instant now);
     void put(std::unique_ptr<ClientConnection> connection, Instant usableUntil);
     /// @brief Closes one idle connection.
     void drop(const ClientConnection& connection);
--- a/src/teaselshore/http/http_client.cpp
+++ b/src/teaselshore/http/http_client.cpp
@@ -92,7 +92,7 @@
 
 void HttpClient::Impl::launch(ClientCall& call, const sockaddr_in& address)
 {
-    call.connection = this->pool.take(call.call.authority, monotonicNow());
+    call.connection = this->pool.take(call.call.authority, call.call.expectedEcho, monotonicNow());
     if (call.connection) {
         call.connection->call = &call;
         this->send(call);
@@ -111,6 +111,8 @@
 {
     call.connected = true;
     call.lastProgress = monotonicNow();
+    if (const auto& echo = call.call.expectedEcho)
+        call.connection->sentEchoes.add(echo->value);
     this->armTimer(call, call.call.idleTimeout);
     const HttpRequest& request = call.call.request;
     call.parser.emplace(call, request.method == "HEAD");
@@ -225,8 +227,8 @@
 {
     h2o_socket_t* socket = call.connection->socket();
     // Surplus bytes belong to no request, and an early reply leaves the rest of the request unsent.
-    const bool reusable
-        = !connectionEnded && call.parser->keepsAlive() && socket->input->size == 0 && !h2o_socket_is_writing(socket);
+    const bool reusable = !connectionEnded && call.parser->keepsAlive() && socket->input->size == 0
+        && !h2o_socket_is_writing(socket) && !call.connection->sentEchoes.isFull();
     if (reusable) {
         call.connection->call = nullptr;
         // An idle connection is polled, so that its end is noticed at once.
--- a/src/teaselshore/http/test_support.hpp
+++ b/src/teaselshore/http/test_support.hpp
@@ -52,6 +52,8 @@
     RawConnection& operator=(const RawConnection&) = delete;
 
     void send(const std::string& bytes) const;
+    /// @brief Sends bytes to a peer that may have closed the connection.
+    void trySend(const std::string& bytes) const;
     /// @brief Returns what arrived so far without waiting; ended tells whether the peer closed.
     std::string receive(bool& ended) const;
     /// @brief Closes with a reset instead of an orderly end.
--- a/src/teaselshore/http/test_support_test.cpp
+++ b/src/teaselshore/http/test_support_test.cpp
@@ -106,6 +106,11 @@
     EXPECT_EQ(::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
 }
 
+void RawConnection::trySend(const std::string& bytes) const
+{
+    static_cast<void>(::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+}
+
 std::string RawConnection::receive(bool& ended) const
 {
     std::string bytes;
