--- a/include/teaselshore/configuration/entry_settings.hpp
+++ b/include/teaselshore/configuration/entry_settings.hpp
@@ -58,6 +58,8 @@
     SocketAddress readiness;
     /// Other nodes connect here; without it, nodes do not lend each other quota.
     std::optional<SocketAddress> peers;
+    /// Other nodes send requests here that they cannot send to upstreams; without it, this node takes none of them.
+    std::optional<SocketAddress> relays;
     /// Operators and the metrics collector connect here.
     SocketAddress admin;
     SocketAddress platform;
--- a/include/teaselshore/entry/caller_request.hpp
+++ b/include/teaselshore/entry/caller_request.hpp
@@ -74,6 +74,20 @@
     auto operator<=>(const ForwardingContext&) const = default;
 };
 
+/// @brief What a node adds to a request that it hands to a peer.
+struct RelayContext {
+    /// When the caller stops waiting.
+    Instant deadline {};
+    /// The caller's key, which the peer checks.
+    std::optional<std::string> key;
+    /// Event after which the peer resumes the stream.
+    std::optional<std::uint64_t> resumeAfter;
+    /// How often the request may have run already.
+    std::uint32_t runs = 0;
+
+    auto operator<=>(const RelayContext&) const = default;
+};
+
 /// @brief Information that an upstream's response carries besides its status and body.
 struct ResponseFacts {
     /// The upstream guarantees that it did not run the request.
--- a/include/teaselshore/entry/entry_command.hpp
+++ b/include/teaselshore/entry/entry_command.hpp
@@ -25,6 +25,12 @@
     std::string callerAttemptId;
 };
 
+/// @brief Hands a request to a peer that sends it to an upstream. The attempt holds the caller's headers.
+struct RelayRequest {
+    StartAttempt attempt;
+    RelayContext context;
+};
+
 /// @brief Checks whether an upstream's process still runs; the reply is UpstreamChecked.
 struct CheckUpstream {
     UpstreamId upstream;
@@ -99,10 +105,10 @@
     EntryMessage message;
 };
 
-using EntryCommand
-    = std::variant<ForwardRequest, CheckUpstream, CancelAttempt, Respond, FailStream, SetReady, ApplyCallerLimits,
-        AnnounceClose, StopAccepting, StopProcess, SendUsage, SendUpstreamOrder, WriteRolloutState, ReadRollouts,
-        DecodeConfiguration, WriteNodeReport, ReadNodeReports, SendEntryMessage, CallObjectApi, RequestEnded, LogEvent>;
+using EntryCommand = std::variant<ForwardRequest, RelayRequest, CheckUpstream, CancelAttempt, Respond, FailStream,
+    SetReady, ApplyCallerLimits, AnnounceClose, StopAccepting, StopProcess, SendUsage, SendUpstreamOrder,
+    WriteRolloutState, ReadRollouts, DecodeConfiguration, WriteNodeReport, ReadNodeReports, SendEntryMessage,
+    CallObjectApi, RequestEnded, LogEvent>;
 
 using EntryCommands = std::vector<EntryCommand>;
 
--- a/include/teaselshore/entry/entry_event.hpp
+++ b/include/teaselshore/entry/entry_event.hpp
@@ -19,6 +19,8 @@
 struct CallerRequestArrived {
     RequestId id;
     CallerRequest request;
+    /// How often the request may have run before a peer handed it to this node; nothing if it came from the caller.
+    std::optional<std::uint32_t> relayedRuns;
 };
 
 /// @brief The upstream's response is complete. For a stream: it has ended and all its events were relayed.
@@ -46,6 +48,8 @@
 
     UpstreamId upstream;
     State state = State::Unknown;
+    /// A connection to the upstream's address could be established.
+    bool isReached = false;
 };
 
 /// @brief The operator's configuration was read from the platform or received from a peer.
--- a/include/teaselshore/entry/entry_statistics.hpp
+++ b/include/teaselshore/entry/entry_statistics.hpp
@@ -55,6 +55,12 @@
     std::uint64_t limitedRequests = 0;
     /// How often the platform came back from an older copy.
     std::uint64_t platformRestores = 0;
+    /// Attempts at peers, since this node had no links to upstreams.
+    std::uint64_t relayedAttempts = 0;
+    /// Requests that peers handed to this node.
+    std::uint64_t requestsOfPeers = 0;
+    /// Whether this node has lost its links to all upstreams.
+    bool linksLost = false;
     std::uint64_t configurationVersion = 0;
     std::uint64_t liveNodes = 0;
     bool holdsLease = false;
--- a/include/teaselshore/entry/node_report.hpp
+++ b/include/teaselshore/entry/node_report.hpp
@@ -33,6 +33,8 @@
     NodeId process;
     /// Address at which the node accepts connections of peers; empty if it does not accept any.
     std::string peerAddress;
+    /// Address at which the node takes requests of peers; empty if it does not take any.
+    std::string relayAddress;
     /// Increases with each report of the process.
     std::uint64_t number = 0;
     /// Number of the last usage window that had ended when the report was written.
--- a/src/teaselshore/configuration/entry_settings.cpp
+++ b/src/teaselshore/configuration/entry_settings.cpp
@@ -53,6 +53,9 @@
             SocketAddress peers;
             if (this->address(fields, "peers", peers, Presence::Optional))
                 this->result.peers = peers;
+            SocketAddress relays;
+            if (this->address(fields, "relays", relays, Presence::Optional))
+                this->result.relays = relays;
             SocketAddress cloud;
             if (this->address(fields, "cloud", cloud, Presence::Optional))
                 this->result.cloud = cloud;
--- a/src/teaselshore/configuration/entry_settings_test.cpp
+++ b/src/teaselshore/configuration/entry_settings_test.cpp
@@ -28,6 +28,18 @@
         EXPECT_TRUE(problems.empty());
     }
 
+    // Guards against a node that takes requests of peers at an address that nobody gave, and one that ignores it.
+    TEST(EntrySettings, RelaysAreOptional)
+    {
+        std::vector<ConfigurationProblem> problems;
+        const auto without = parseEntrySettings(settingsText, problems);
+        ASSERT_TRUE(without) << describeFirst("settings", problems);
+        EXPECT_FALSE(without->relays);
+        const auto with = parseEntrySettings(settingsText + "relays: \"10.0.0.1:7515\"\n", problems);
+        ASSERT_TRUE(with) << describeFirst("settings", problems);
+        EXPECT_EQ(with->relays, (SocketAddress { "10.0.0.1", 7515 }));
+    }
+
     // Guards against watches of the platform that last longer than the deployment's bounds allow.
     TEST(EntrySettings, ReadsTheRecoveryTime)
     {
--- a/src/teaselshore/daemon/answer_drain.cpp
+++ b/src/teaselshore/daemon/answer_drain.cpp
@@ -18,9 +18,9 @@
     return now >= times.deadline || (now >= times.earliest && unsent.connections == 0);
 }
 
-AnswerDrain::AnswerDrain(EventLoop& loop, const HttpServer& server)
+AnswerDrain::AnswerDrain(EventLoop& loop, std::vector<const HttpServer*> servers)
     : loop(loop)
-    , server(server)
+    , servers(std::move(servers))
 {
 }
 
@@ -33,10 +33,21 @@
     this->timer = this->loop.runAfter(Duration(0), [this] { this->check(); });
 }
 
+UnsentAnswers AnswerDrain::unsentAnswers() const
+{
+    UnsentAnswers total;
+    for (const HttpServer* server : this->servers) {
+        const UnsentAnswers unsent = server->unsentAnswers();
+        total.connections += unsent.connections;
+        total.bytes += unsent.bytes;
+    }
+    return total;
+}
+
 void AnswerDrain::check()
 {
     const Instant now = this->loop.now();
-    const UnsentAnswers unsent = this->server.unsentAnswers();
+    const UnsentAnswers unsent = this->unsentAnswers();
     if (!mayEnd(unsent, this->times, now)) {
         this->timer = this->loop.runAfter(checkPeriod, [this] { this->check(); });
         return;
--- a/src/teaselshore/daemon/answer_drain.hpp
+++ b/src/teaselshore/daemon/answer_drain.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <vector>
 
 #include "teaselshore/base/time.hpp"
 #include "teaselshore/http/event_loop.hpp"
@@ -24,10 +25,10 @@
 /// @brief Holds up the end of a process while answers are on their way to callers.
 ///
 /// A request counts as answered when its answer is handed to the connection, but a caller with a slow line needs
-/// seconds for it. Belongs to the event loop's thread. Loop and server must outlive it.
+/// seconds for it. Belongs to the event loop's thread. Loop and servers must outlive it.
 class AnswerDrain {
 public:
-    AnswerDrain(EventLoop& loop, const HttpServer& server);
+    AnswerDrain(EventLoop& loop, std::vector<const HttpServer*> servers);
     ~AnswerDrain();
     AnswerDrain(const AnswerDrain&) = delete;
     AnswerDrain& operator=(const AnswerDrain&) = delete;
@@ -37,9 +38,10 @@
 
 private:
     void check();
+    UnsentAnswers unsentAnswers() const;
 
     EventLoop& loop;
-    const HttpServer& server;
+    std::vector<const HttpServer*> servers;
     DrainTimes times;
     std::function<void()> onEnd;
     TimerId timer = 0;
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -41,6 +41,12 @@
     this->setCounter("teaselshore_limited_requests_total",
         "Requests for which an upstream was passed over because of the limit that it names.",
         statistics.limitedRequests);
+    this->setGauge("teaselshore_upstream_links_lost", "1 while this node can connect to no upstream.",
+        statistics.linksLost ? 1 : 0);
+    this->setCounter("teaselshore_relayed_attempts_total",
+        "Attempts at peers, since this node could connect to no upstream.", statistics.relayedAttempts);
+    this->setCounter("teaselshore_requests_of_peers_total", "Requests of peers that could connect to no upstream.",
+        statistics.requestsOfPeers);
     this->setGauge("teaselshore_limited_upstreams", "Upstreams that name a limit.",
         static_cast<double>(statistics.limitedUpstreams));
     this->setCounter("teaselshore_skipped_responses_total",
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -60,6 +60,8 @@
     /// Limits before the first configuration.
     constexpr CallerLimits firstLimits { std::size_t { 16 } * 1024, std::size_t { 4 } * 1024 * 1024,
         std::chrono::seconds(3), std::chrono::seconds(15) };
+    /// Room for the fields that a peer adds to a request.
+    constexpr std::size_t relayHeaderBytes = std::size_t { 1 } * 1024;
     /// Name that the peers of one deployment have in common.
     constexpr const char* peersCluster = "entry";
     /// Time for the connection to a peer; what peers tell each other is of no use later.
@@ -110,6 +112,18 @@
         return server;
     }
 
+    /// Limits on what peers may send: what callers may, and the fields that a peer adds.
+    CallerLimits relayLimits(CallerLimits limits)
+    {
+        limits.maxHeaderBytes += relayHeaderBytes;
+        return limits;
+    }
+
+    HttpServerLimits serverLimits(const CallerLimits& limits)
+    {
+        return { limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout };
+    }
+
     NodeId makeProcessId(const std::string& node)
     {
         const auto start = std::chrono::system_clock::now().time_since_epoch();
@@ -137,6 +151,7 @@
 
     bool listen(HttpError* error);
     bool listenForPeers(HttpError* error);
+    bool listenForRelays(HttpError* error);
     void onPeerMessage(const std::string& sender, const PeerMessage& message);
     void onPeerMessageNotSent(const std::string& address, const PeerMessage& message);
     void watchKinds();
@@ -149,6 +164,7 @@
     void onUpstreamsChanged(const std::vector<KindObject>& objects);
     void onRollouts(const std::vector<KindObject>& objects, bool isFresh);
     void onCaller(std::shared_ptr<ServerExchange> exchange);
+    void onPeerRequest(std::shared_ptr<ServerExchange> exchange);
     HttpReply adminReply(const HttpRequest& request);
     void onRelay(RelayEvent event);
     void handle(EntryEvent event);
@@ -162,14 +178,15 @@
     void deliver(AttemptFailed& event) { this->handle(std::move(event)); }
 
     void execute(ForwardRequest& command);
+    void execute(RelayRequest& command);
     void execute(CheckUpstream& command) { this->checks.execute(command); }
     void execute(CancelAttempt& command) { this->relay.execute(command); }
     void execute(Respond& command) { this->relay.execute(std::move(command)); }
     void execute(FailStream& command) { this->relay.execute(command); }
     void execute(SetReady& command) { this->ready = command.ready; }
     void execute(ApplyCallerLimits& command);
-    void execute(AnnounceClose&) { this->callers->announceClose(); }
-    void execute(StopAccepting&) { this->callers->stopAccepting(); }
+    void execute(AnnounceClose&);
+    void execute(StopAccepting&);
     void execute(StopProcess& command);
     void execute(SendUsage& command);
     void execute(SendUpstreamOrder& command);
@@ -202,6 +219,8 @@
     EntryMetrics metrics;
     LogLimiter logLimiter { logLinesPerSecond, logBurst };
     std::unique_ptr<HttpServer> callers;
+    /// Takes the requests of peers without links to upstreams; null without an address for it.
+    std::unique_ptr<HttpServer> relays;
     std::unique_ptr<AnswerDrain> drain;
     std::unique_ptr<HttpServer> readiness;
     std::unique_ptr<HttpServer> admin;
@@ -279,7 +298,17 @@
             exchange->reply(this->adminReply(exchange->request()));
         },
         error);
-    return this->admin != nullptr && this->listenForPeers(error);
+    return this->admin != nullptr && this->listenForRelays(error) && this->listenForPeers(error);
+}
+
+bool EntryTask::Impl::listenForRelays(HttpError* error)
+{
+    if (!this->settings.relays)
+        return true;
+    this->relays = HttpServer::listen(
+        *this->loop, serverSettings(*this->settings.relays, relayLimits(firstLimits)),
+        [this](std::shared_ptr<ServerExchange> exchange) { this->onPeerRequest(std::move(exchange)); }, error);
+    return this->relays != nullptr;
 }
 
 bool EntryTask::Impl::listenForPeers(HttpError* error)
@@ -476,6 +505,15 @@
     this->handle(std::move(arrived));
 }
 
+void EntryTask::Impl::onPeerRequest(std::shared_ptr<ServerExchange> exchange)
+{
+    const RequestId id = this->node.nextRequestId();
+    CallerRequestArrived arrived { id, decodeCallerRequest(exchange->request()),
+        decodeRelayedRuns(exchange->request()) };
+    this->relay.addCaller(id, std::move(exchange));
+    this->handle(std::move(arrived));
+}
+
 void EntryTask::Impl::onRelay(RelayEvent event)
 {
     std::visit([this](auto& content) { this->deliver(content); }, event);
@@ -544,14 +582,39 @@
 
 void EntryTask::Impl::execute(ApplyCallerLimits& command)
 {
-    const CallerLimits& limits = command.limits;
-    this->callers->setLimits({ limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout });
+    this->callers->setLimits(serverLimits(command.limits));
+    if (this->relays)
+        this->relays->setLimits(serverLimits(relayLimits(command.limits)));
+}
+
+void EntryTask::Impl::execute(AnnounceClose&)
+{
+    this->callers->announceClose();
+    if (this->relays)
+        this->relays->announceClose();
+}
+
+void EntryTask::Impl::execute(StopAccepting&)
+{
+    this->callers->stopAccepting();
+    if (this->relays)
+        this->relays->stopAccepting();
+}
+
+void EntryTask::Impl::execute(RelayRequest& command)
+{
+    StartAttempt& attempt = command.attempt;
+    attempt.headers = encodeRelayHeaders(std::move(attempt.headers), command.context, this->loop->now());
+    this->relay.execute(std::move(attempt));
 }
 
 void EntryTask::Impl::execute(StopProcess& command)
 {
     this->stopped = true;
-    this->drain = std::make_unique<AnswerDrain>(*this->loop, *this->callers);
+    std::vector<const HttpServer*> servers { this->callers.get() };
+    if (this->relays)
+        servers.push_back(this->relays.get());
+    this->drain = std::make_unique<AnswerDrain>(*this->loop, std::move(servers));
     this->drain->start({ this->loop->now() + stopDelay, command.deadline }, [this] { this->loop->stop(); });
 }
 
--- a/src/teaselshore/daemon/serving_task.cpp
+++ b/src/teaselshore/daemon/serving_task.cpp
@@ -259,7 +259,8 @@
 {
     this->stopped = true;
     this->callerServer->stopAccepting();
-    this->drain = std::make_unique<AnswerDrain>(*this->loop, *this->callerServer);
+    this->drain
+        = std::make_unique<AnswerDrain>(*this->loop, std::vector<const HttpServer*> { this->callerServer.get() });
     this->drain->start({ this->loop->now() + stopDelay, command.deadline }, [this] { this->loop->stop(); });
 }
 
--- a/src/teaselshore/daemon/upstream_checks.cpp
+++ b/src/teaselshore/daemon/upstream_checks.cpp
@@ -55,9 +55,9 @@
 
     const std::weak_ptr<Impl> weak = this->impl;
     const auto id = std::make_shared<CallId>(0);
-    const auto conclude = [weak, upstream = check.upstream](State state) {
+    const auto conclude = [weak, upstream = check.upstream](State state, bool isReached) {
         if (const auto self = weak.lock())
-            self->emit({ upstream, state });
+            self->emit({ upstream, state, isReached });
     };
     HttpCallHandlers handlers;
     handlers.onHead = [weak, id, conclude](int status, const HttpHeaders& headers) {
@@ -65,10 +65,11 @@
         if (const auto self = weak.lock())
             self->client->cancel(*id);
         const bool isOther = decodeResponseFacts(status, toHeaderList(headers)).wrongInstance;
-        conclude(isOther ? State::Ended : State::Answered);
+        conclude(isOther ? State::Ended : State::Answered, true);
     };
     handlers.onError = [conclude](const HttpError& error) {
-        conclude(error.kind == HttpError::Kind::ConnectFailed ? State::Ended : State::Unknown);
+        conclude(
+            error.kind == HttpError::Kind::ConnectFailed ? State::Ended : State::Unknown, error.requestMayHaveBeenSent);
     };
     *id = this->impl->client->start(std::move(call), std::move(handlers));
 }
--- a/src/teaselshore/entry/crash_detector.cpp
+++ b/src/teaselshore/entry/crash_detector.cpp
@@ -12,6 +12,11 @@
     /// Time in which a crash can be confirmed by the registration of a new process: it starts within some seconds, and
     /// the entry of the old one expires after three missed heartbeats.
     constexpr Duration confirmationWindow = std::chrono::seconds(10);
+    /// Time between a refused check and contact with another upstream in which the links cannot have returned.
+    constexpr Duration maxContactDelay = std::chrono::milliseconds(300);
+    /// Upstreams that are checked at a time to learn whether this node reaches any.
+    constexpr std::size_t othersToCheck = 2;
+    constexpr Duration otherChecksPeriod = std::chrono::milliseconds(100);
     /// Maximum number of keys recorded for one upstream. Some upstreams have several hundred slots.
     constexpr std::size_t maxKeysPerUpstream = 1024;
 
@@ -45,7 +50,8 @@
 {
     const std::optional<Duration> wallClock = this->state.wallClockTime(now);
     const RegisteredUpstream* registered = this->findRegistered(upstream);
-    if (!wallClock || !registered || registered->draining || this->state.exclusions.isLeaving(upstream))
+    if (!wallClock || !registered || registered->draining || this->state.exclusions.isLeaving(upstream)
+        || this->state.links.areLost())
         return;
     UnconfirmedCrash& unconfirmed = this->unconfirmedCrashes[upstream];
     unconfirmed.instance = registered->instance;
@@ -59,26 +65,28 @@
         attempts.brokenAt = *wallClock;
     }
     unconfirmed.until = now + confirmationWindow;
-    if (std::exchange(unconfirmed.isChecking, true))
-        return;
-    CheckUpstream check { upstream, registered->address, registered->instance, {} };
-    const EntryService* service
-        = this->state.table ? this->state.table->configuration().findService(registered->service) : nullptr;
-    check.path = service ? service->healthPath : "/";
-    // The upstream counts a check as a request.
-    this->state.limits.onSent(upstream, *wallClock);
-    this->state.commands.emplace_back(std::move(check));
+    unconfirmed.brokenAt = now;
+    if (!std::exchange(unconfirmed.isChecking, true))
+        this->state.checkUpstream(*registered, now);
 }
 
 void CrashDetector::onChecked(const UpstreamChecked& result, Instant now)
 {
+    this->decideRefusedChecks(now);
     const auto found = this->unconfirmedCrashes.find(result.upstream);
     if (found == this->unconfirmedCrashes.end())
         return;
     found->second.isChecking = false;
     switch (result.state) {
     case UpstreamChecked::State::Ended:
-        this->confirmCrash(result.upstream, now);
+        // A refused connection proves nothing if this node can connect to no other upstream either.
+        if (result.isReached || this->reachesOthers(result.upstream, found->second)) {
+            this->confirmCrash(result.upstream, now);
+            return;
+        }
+        found->second.refusedAt = now;
+        this->checkOthers(result.upstream, now);
+        found->second.nextOthers = now + otherChecksPeriod;
         return;
     case UpstreamChecked::State::Answered:
         found->second.hasAnswered = true;
@@ -88,6 +96,63 @@
     }
 }
 
+bool CrashDetector::reachesOthers(const UpstreamId& upstream, const UnconfirmedCrash& unconfirmed) const
+{
+    if (this->state.links.areLost())
+        return false;
+    return this->state.instances.size() <= 1
+        || this->state.links.hasReachedAnotherSince(upstream, unconfirmed.brokenAt);
+}
+
+void CrashDetector::onLinksLost()
+{
+    if (!this->unconfirmedCrashes.empty())
+        this->state.log(LogLevel::Info, "broken connections are put down to the lost links of this node",
+            { { "upstreams", std::to_string(this->unconfirmedCrashes.size()) } });
+    this->unconfirmedCrashes.clear();
+}
+
+void CrashDetector::checkOthers(const UpstreamId& upstream, Instant now)
+{
+    std::vector<const RegisteredUpstream*> others;
+    for (const auto& [id, instance] : this->state.instances) {
+        const RegisteredUpstream* registered = this->findRegistered(id);
+        if (id != upstream && registered && !this->unconfirmedCrashes.contains(id))
+            others.push_back(registered);
+    }
+    for (std::size_t count = 0; count < othersToCheck && !others.empty(); ++count) {
+        const auto chosen = others.begin() + static_cast<std::ptrdiff_t>(this->state.random.below(others.size()));
+        this->state.checkUpstream(**chosen, now);
+        others.erase(chosen);
+    }
+}
+
+void CrashDetector::decideRefusedChecks(Instant now)
+{
+    std::vector<UpstreamId> ended;
+    for (auto& [upstream, unconfirmed] : this->unconfirmedCrashes) {
+        if (!unconfirmed.refusedAt)
+            continue;
+        if (!this->reachesOthers(upstream, unconfirmed)) {
+            if (now >= unconfirmed.nextOthers && now - *unconfirmed.refusedAt <= maxContactDelay) {
+                unconfirmed.nextOthers = now + otherChecksPeriod;
+                this->checkOthers(upstream, now);
+            }
+            continue;
+        }
+        const RegisteredUpstream* registered = this->findRegistered(upstream);
+        if (now - *std::exchange(unconfirmed.refusedAt, std::nullopt) <= maxContactDelay) {
+            ended.push_back(upstream);
+        } else if (registered) {
+            // The links may have been lost when the check was refused.
+            unconfirmed.isChecking = true;
+            this->state.checkUpstream(*registered, now);
+        }
+    }
+    for (const UpstreamId& upstream : ended)
+        this->confirmCrash(upstream, now);
+}
+
 void CrashDetector::onUpstreams(Instant now)
 {
     std::vector<UpstreamId> ended;
@@ -169,6 +234,7 @@
 void CrashDetector::onTick(Instant now)
 {
     std::erase_if(this->unconfirmedCrashes, [now](const auto& entry) { return entry.second.until <= now; });
+    this->decideRefusedChecks(now);
     if (const auto wallClock = this->state.wallClockTime(now))
         this->history.expire(*wallClock);
     this->sendCrashReport();
--- a/src/teaselshore/entry/crash_detector.hpp
+++ b/src/teaselshore/entry/crash_detector.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,8 @@
     void onChecked(const UpstreamChecked& result, Instant now);
     /// @brief Handles a change of the registered upstreams.
     void onUpstreams(Instant now);
+    /// @brief Forgets the connections that broke with the links of this node.
+    void onLinksLost();
     /// @brief Clears keys of a request that ran without a crash, which shows that none of them crashes upstreams.
     void onRunWithoutCrash(const std::vector<Fingerprint>& keys);
     /// @brief Adds the crashes that another node sent in a message or in its report.
@@ -62,12 +65,23 @@
         std::string instance;
         std::map<Fingerprint, BrokenAttempts> attemptsByKey;
         Instant until {};
+        Instant brokenAt {};
         bool isChecking = false;
+        /// When a check was refused while it was open whether this node reaches any upstream.
+        std::optional<Instant> refusedAt;
+        /// When other upstreams are checked the next time.
+        Instant nextOthers {};
         /// The upstream answered a check since; only a new process under its instance name then proves a crash.
         bool hasAnswered = false;
     };
 
     const RegisteredUpstream* findRegistered(const UpstreamId& upstream) const;
+    /// @brief Returns whether this node has reached another upstream since the connections broke.
+    bool reachesOthers(const UpstreamId& upstream, const UnconfirmedCrash& unconfirmed) const;
+    /// @brief Checks other upstreams than the one that refused a check, to learn whether this node reaches any.
+    void checkOthers(const UpstreamId& upstream, Instant now);
+    /// @brief Decides on refused checks once this node has reached another upstream.
+    void decideRefusedChecks(Instant now);
     void confirmCrash(const UpstreamId& upstream, Instant now);
     void sendCrashReport();
 
--- a/src/teaselshore/entry/entry_duties.cpp
+++ b/src/teaselshore/entry/entry_duties.cpp
@@ -107,6 +107,12 @@
     this->limits.onNodeReports(reports, now);
     this->nodes.onReports(std::move(reports), now);
     this->state.peerAddresses = this->peers(now);
+    std::vector<std::string> relays;
+    for (const NodeReport& report : this->nodes.reports(now)) {
+        if (report.host != this->state.settings.host.node && !report.relayAddress.empty())
+            relays.push_back(report.relayAddress);
+    }
+    this->state.relays.setPeers(std::move(relays));
     std::vector<std::string> lenders = this->state.peerAddresses;
     lenders.resize(std::min(lenders.size(), maxLenders));
     this->state.borrower.setPeers(std::move(lenders));
@@ -289,6 +295,8 @@
     report.process = this->state.settings.id;
     if (this->state.settings.host.peers)
         report.peerAddress = formatSocketAddress(*this->state.settings.host.peers);
+    if (this->state.settings.host.relays)
+        report.relayAddress = formatSocketAddress(*this->state.settings.host.relays);
     report.number = ++this->reportNumber;
     report.completeWindow = *this->reportedWindow;
     this->state.usage.dropBefore(*this->reportedWindow - keptWindows);
--- a/src/teaselshore/entry/entry_duties_test.cpp
+++ b/src/teaselshore/entry/entry_duties_test.cpp
@@ -396,6 +396,7 @@
         report.completeWindow = *rc::gen::arbitrary<std::int32_t>();
         report.usage[*rc::gen::arbitrary<std::int32_t>()][WorkspaceName("w")] = *rc::gen::arbitrary<std::uint32_t>();
         report.peerAddress = "10.0.0.1:" + std::to_string(*rc::gen::inRange(1, 65536));
+        report.relayAddress = "10.0.0.1:" + std::to_string(*rc::gen::inRange(1, 65536));
         VersionReport version;
         version.pair = { ServiceName("s"), VersionName("v1"), VersionName("v2"), WallTime() };
         version.node = report.process;
@@ -410,6 +411,7 @@
         RC_ASSERT(decoded->encode() == text);
         RC_ASSERT(decoded->usage == report.usage);
         RC_ASSERT(decoded->peerAddress == report.peerAddress);
+        RC_ASSERT(decoded->relayAddress == report.relayAddress);
         RC_ASSERT(decoded->versions == report.versions);
         RC_ASSERT(decoded->crashes == report.crashes);
         const auto cut = *rc::gen::inRange<std::size_t>(0, text.size());
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -53,7 +53,7 @@
     void handle(UpstreamStreamStarted& event, Instant now) { this->requests.onStreamStarted(event, now); }
     void handle(UpstreamResponded& event, Instant now) { this->requests.onResponded(std::move(event), now); }
     void handle(AttemptFailed& event, Instant now) { this->requests.onFailed(event, now); }
-    void handle(UpstreamChecked& event, Instant now) { this->crashes.onChecked(event, now); }
+    void handle(UpstreamChecked& event, Instant now);
     void handle(EntryConfigurationRead& event, Instant now);
     void handle(ConfigurationWatchChanged& event, Instant now) { this->configurations.onWatchChanged(event, now); }
     void handle(PlatformAnswered&, Instant now) { this->contacts.onAnswered(now); }
@@ -115,6 +115,9 @@
 
     void applyRouting(Instant now);
     void updateReadiness();
+    /// @brief Acts on lost and returned links to the upstreams.
+    void updateLinks(Instant now);
+    void checkLinks(Instant now);
     void advanceShutdown(Instant now);
 
     EntryState state;
@@ -148,6 +151,7 @@
     std::visit([&](auto& payload) { this->impl->handle(payload, now); }, event);
     if (this->impl->state.routingChanged)
         this->impl->applyRouting(now);
+    this->impl->updateLinks(now);
     this->impl->updateReadiness();
     this->impl->advanceShutdown(now);
     return std::exchange(this->impl->state.commands, {});
@@ -167,6 +171,42 @@
     return statistics;
 }
 
+void EntryNode::Impl::handle(UpstreamChecked& event, Instant now)
+{
+    const bool isReached = event.isReached || event.state == UpstreamChecked::State::Answered;
+    this->state.links.onChecked(event.upstream, isReached, now);
+    this->crashes.onChecked(event, now);
+}
+
+void EntryNode::Impl::updateLinks(Instant now)
+{
+    const bool lost = this->state.links.areLost();
+    if (lost == this->state.statistics.linksLost)
+        return;
+    this->state.statistics.linksLost = lost;
+    const std::optional<Instant> reached = this->state.links.lastReached();
+    this->state.log(lost ? LogLevel::Warning : LogLevel::Info,
+        lost ? "links to all upstreams lost; peers get the requests" : "links to upstreams are back",
+        { { "secondsSinceContact", reached ? fmt::format("{:.2f}", toSeconds(now - *reached)) : "" } });
+    if (lost) {
+        this->crashes.onLinksLost();
+        this->requests.onLinksLost(now);
+    }
+}
+
+void EntryNode::Impl::checkLinks(Instant now)
+{
+    if (!this->state.links.areChecksDue(this->state.instances.size(), now))
+        return;
+    std::vector<UpstreamId> upstreams;
+    for (const auto& [upstream, instance] : this->state.instances)
+        upstreams.push_back(upstream);
+    for (const UpstreamId& upstream : this->state.links.takeChecks(std::move(upstreams), now)) {
+        if (const RegisteredUpstream* registered = this->state.directory.find(upstream))
+            this->state.checkUpstream(*registered, now);
+    }
+}
+
 void EntryNode::Impl::handle(EntryConfigurationRead& event, Instant now)
 {
     const std::uint64_t version = event.configuration.version;
@@ -346,6 +386,7 @@
         return;
     this->nextHousekeeping = now + housekeepingPeriod;
     this->state.router.onTick(now);
+    this->checkLinks(now);
     this->configurations.onTick(now);
     this->crashes.onTick(now);
     this->refusals.onTick(now);
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -50,6 +50,11 @@
     /// Length from which the log names no further upstreams that were passed over.
     constexpr std::size_t maxPassedOverLength = 200;
     constexpr Duration noTimeout = Duration::max();
+    /// Upstreams to which no connection could be established, after which a peer gets the request.
+    constexpr std::uint32_t failedConnectionsBeforeRelay = 2;
+    /// Time after which a failed attempt is evidence about its version though no other upstream was reached since.
+    constexpr Duration evidenceHoldTime = std::chrono::seconds(2);
+    constexpr const char* noLinks = "this node has no links to upstreams";
 
     std::string formatSeconds(Duration duration) { return fmt::format("{:.2f}", toSeconds(duration)); }
 
@@ -94,6 +99,11 @@
     request.id = arrived.id;
     request.caller = std::move(arrived.request);
     request.arrivedAt = now;
+    if (arrived.relayedRuns) {
+        request.isRelayed = true;
+        request.runs = *arrived.relayedRuns;
+        ++this->state.statistics.requestsOfPeers;
+    }
     if (this->hasEnded) {
         // Its bytes were read while the last answers left.
         this->refuse(
@@ -159,6 +169,11 @@
     }
     request.deadline = request.arrivedAt + std::min(request.caller.timeout.value_or(noTimeout), request.route->timeout);
     this->deadlines.emplace(request.deadline, request.id);
+    // Before the quota, which the peer takes.
+    if (this->state.links.areLost()) {
+        this->relayOrEnd(request, noLinks, now);
+        return;
+    }
     if (request.workspace) {
         if (const auto shortage = this->state.quotas.take(*request.workspace, request.quotaCost, now)) {
             this->borrowQuota(request, *shortage, now);
@@ -286,6 +301,10 @@
 
 void EntryRequests::dispatch(Request& request, Instant now)
 {
+    if (this->state.links.areLost()) {
+        this->relayOrEnd(request, noLinks, now);
+        return;
+    }
     if (!this->trySend(request, now))
         this->enqueue(request, now);
 }
@@ -339,10 +358,7 @@
     }
     if (!decision)
         return false;
-    if (request.waitUntil) {
-        this->waitingRequests.erase({ request.priority, request.arrivedAt, request.id });
-        request.waitUntil.reset();
-    }
+    this->stopWaiting(request);
     const auto upstream = this->state.instances.find(decision->chosen.upstream);
     TEASELSHORE_ASSERT(upstream != this->state.instances.end(), "the router chose an upstream that is not registered");
 
@@ -352,6 +368,7 @@
     const std::uint32_t prompt = request.routing.promptTokens;
     this->state.demand.onSent(request.service, prompt - std::min(prompt, decision->chosen.cachedTokens));
     this->attempts.emplace(id, attempt);
+    this->state.links.onAttemptStarted(id, attempt.upstream, now);
     request.attempt = id;
     ++request.sends;
     ++this->state.statistics.attempts;
@@ -435,6 +452,7 @@
 
 std::optional<EntryRequests::Attempt> EntryRequests::takeAttempt(AttemptId id)
 {
+    this->state.links.onAttemptEnded(id);
     const auto node = this->attempts.extract(id);
     if (node.empty())
         return std::nullopt;
@@ -510,6 +528,20 @@
         now);
 }
 
+void EntryRequests::releaseEvidence(Instant now)
+{
+    std::erase_if(this->heldEvidence, [this, now](const HeldEvidence& held) {
+        if (this->state.links.areLost())
+            return true;
+        const Attempt& attempt = held.attempt;
+        const bool isOwnFault = !this->state.links.hasReachedAnotherSince(attempt.upstream, held.at);
+        if (isOwnFault && this->state.instances.size() > 1 && now < held.at + evidenceHoldTime)
+            return false;
+        this->rollouts.onAttempt({ attempt.service, attempt.upstream, attempt.route, held.end, held.latency }, now);
+        return true;
+    });
+}
+
 void EntryRequests::countUsage(Request& request, Instant now)
 {
     if (std::exchange(request.usageCounted, true) || !request.workspace)
@@ -520,10 +552,17 @@
 
 void EntryRequests::onStreamStarted(const UpstreamStreamStarted& event, Instant now)
 {
+    if (const auto relayed = this->relayedAttempts.find(event.attempt); relayed != this->relayedAttempts.end()) {
+        Request* request = this->find(relayed->second.request);
+        if (request && !std::exchange(request->streaming, true))
+            request->firstEventAfter = now - request->arrivedAt;
+        return;
+    }
     const auto found = this->attempts.find(event.attempt);
     if (found == this->attempts.end())
         return;
     found->second.firstEventAfter = now - found->second.startedAt;
+    this->state.links.onAnswered(event.attempt, now);
     this->state.router.onFirstToken(found->second.dispatch, now);
     this->refusals.onAccepted(found->second.upstream, now);
     this->applyFacts(found->second.upstream, event.facts, now);
@@ -537,6 +576,11 @@
 
 void EntryRequests::onResponded(UpstreamResponded event, Instant now)
 {
+    if (const auto relayed = this->takeRelayedAttempt(event.response.attempt)) {
+        this->onPeerResponded(*relayed, std::move(event), now);
+        return;
+    }
+    this->state.links.onAnswered(event.response.attempt, now);
     const auto attempt = this->takeAttempt(event.response.attempt);
     if (!attempt)
         return;
@@ -581,7 +625,7 @@
     // Only further events may follow a stream that has started.
     const bool isUsable = !request->streaming || event.response.relayed;
     if (!event.facts.notRun && !failed && isUsable && (event.facts.isStamped || !success)) {
-        this->respond(*request, std::move(event.response), now);
+        this->respond(*request, std::move(event.response), RequestOutcome::Answered, now);
         return;
     }
     request->routing.excluded.push_back(attempt->upstream);
@@ -595,6 +639,14 @@
 
 void EntryRequests::onFailed(const AttemptFailed& event, Instant now)
 {
+    if (const auto relayed = this->takeRelayedAttempt(event.attempt)) {
+        this->onPeerFailed(*relayed, event, now);
+        return;
+    }
+    if (!event.mayHaveRun)
+        this->state.links.onNotConnected(event.attempt, now);
+    else if (event.connectionBroken)
+        this->state.links.onBroken(event.attempt, now);
     const auto attempt = this->takeAttempt(event.attempt);
     if (!attempt)
         return;
@@ -605,7 +657,9 @@
     if (event.connectionBroken)
         ++this->state.statistics.brokenAttempts;
     if (event.mayHaveRun)
-        this->recordVersionEvidence(*attempt, event.connectionBroken ? AttemptEnd::Failed : AttemptEnd::TimedOut, now);
+        this->heldEvidence.push_back({ *attempt, event.connectionBroken ? AttemptEnd::Failed : AttemptEnd::TimedOut,
+            attempt->firstEventAfter.value_or(now - attempt->startedAt), now });
+    this->releaseEvidence(now);
     Request* request = this->find(attempt->request);
     if (!request)
         return;
@@ -616,6 +670,8 @@
     if (event.mayHaveRun) {
         ++request->runs;
         request->mayHaveArrived = true;
+    } else {
+        ++request->failedConnections;
     }
     this->state.log(LogLevel::Info, "attempt failed",
         { { "request", request->caller.attemptId }, { "upstream", attempt->upstream.value() },
@@ -666,6 +722,9 @@
         return;
     }
     ++this->state.statistics.retries;
+    const bool cannotConnect = this->state.links.areLost() || request.failedConnections >= failedConnectionsBeforeRelay;
+    if (cannotConnect && this->tryRelay(request, now))
+        return;
     // Each run of a request counts against the quota.
     if (result.mayHaveRun && request.quotaTaken)
         this->state.quotas.charge(*request.workspace, request.quotaCost, now);
@@ -680,14 +739,16 @@
         return;
     }
     if (request.upstreamFailure) {
-        this->respond(request, *std::exchange(request.upstreamFailure, std::nullopt), now);
+        this->respond(request, *std::exchange(request.upstreamFailure, std::nullopt), RequestOutcome::Answered, now);
         return;
     }
     if (request.runs > 0) {
         this->refuse(request, RequestOutcome::Failed, badGateway, reason, {}, now);
         return;
     }
-    this->state.demand.onRefused(request.service, request.routing.promptTokens);
+    // More upstreams would not help a node that cannot reach them.
+    if (!this->state.links.areLost())
+        this->state.demand.onRefused(request.service, request.routing.promptTokens);
     this->refuse(request, RequestOutcome::NoCapacity, serviceUnavailable, reason, this->retryAfter(request, now), now);
 }
 
@@ -707,6 +768,7 @@
     const AttemptId id = *std::exchange(request.attempt, std::nullopt);
     // The attempt may have run until it was cancelled.
     ++request.runs;
+    this->relayedAttempts.erase(id);
     if (const auto attempt = this->takeAttempt(id))
         this->state.router.onFinished(attempt->dispatch, AttemptOutcome::Cancelled, 0, now);
     this->state.commands.emplace_back(CancelAttempt { id });
@@ -724,14 +786,14 @@
     this->dispatchWaiting(now);
 }
 
-void EntryRequests::respond(Request& request, AttemptFinished response, Instant now)
+void EntryRequests::respond(Request& request, AttemptFinished response, RequestOutcome outcome, Instant now)
 {
     const int status = response.status;
     if (!response.relayed) {
         this->state.commands.emplace_back(
             Respond { request.id, status, std::move(response.headers), std::move(response.body) });
     }
-    this->end(request, RequestOutcome::Answered, status, {}, now);
+    this->end(request, outcome, status, {}, now);
     this->dispatchWaiting(now);
 }
 
@@ -772,7 +834,7 @@
     if (!request.passedOver.empty())
         fields.emplace_back("passedOver", request.passedOver);
     this->state.log(LogLevel::Info, "request ended", std::move(fields));
-    this->waitingRequests.erase({ request.priority, request.arrivedAt, request.id });
+    this->stopWaiting(request);
     this->deadlines.erase({ request.deadline, request.id });
     this->requests.erase(RequestId(request.id));
 }
@@ -801,6 +863,8 @@
 {
     this->beginEarlyRequests(now);
     this->clearKeysOfRunningStreams(now);
+    this->releaseEvidence(now);
+    this->abandonUnanswered(now);
     while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
         Request& request = this->requests.at(this->deadlines.begin()->second);
         const bool wasSent = request.attempt.has_value() || request.runs > 0;
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -34,6 +34,8 @@
     void onFailed(const AttemptFailed& event, Instant now);
     /// @brief Dispatches waiting requests after a change of the upstreams or of the configuration.
     void onCapacityChanged(Instant now);
+    /// @brief Hands the requests that wait, or are not answered, to peers.
+    void onLinksLost(Instant now);
     /// @brief Refuses requests from now on that are not likely to end before the process does.
     void onStopRequested(Instant processEnd) { this->processEnd = processEnd; }
     /// @brief Answers all open requests, as the process is about to end.
@@ -67,6 +69,12 @@
         std::uint32_t runs = 0;
         /// True once an upstream may have received the request, whether it ran it or refused it.
         bool mayHaveArrived = false;
+        /// A peer handed the request to this node, which then does not hand it on.
+        bool isRelayed = false;
+        /// Peers that were tried.
+        std::vector<std::string> triedPeers;
+        /// Number of upstreams to which no connection could be established.
+        std::uint32_t failedConnections = 0;
         /// Result of crashKeys(); computed on first use.
         std::vector<Fingerprint> crashKeys;
         bool usageCounted = false;
@@ -94,6 +102,20 @@
         bool hasSurvived = false;
     };
 
+    /// An attempt at a peer.
+    struct RelayedAttempt {
+        RequestId request;
+        std::string peer;
+    };
+
+    /// A failed attempt as evidence about its version, until it is known that this node has links to other upstreams.
+    struct HeldEvidence {
+        Attempt attempt;
+        AttemptEnd end;
+        Duration latency {};
+        Instant at {};
+    };
+
     Request* find(const RequestId& id);
     /// @brief Returns whether the configuration and the upstreams are known.
     bool isReady() const;
@@ -114,6 +136,16 @@
     void fillRouting(Request& request);
     ServiceName selectService(const EntryRoute& route);
     void dispatch(Request& request, Instant now);
+    /// @brief Hands the request to a peer. Returns false if it may not be, or if no peer is left.
+    bool tryRelay(Request& request, Instant now);
+    /// @brief Hands the request to a peer, or ends it if no peer can take it.
+    void relayOrEnd(Request& request, const std::string& reason, Instant now);
+    void onPeerResponded(const RelayedAttempt& attempt, UpstreamResponded event, Instant now);
+    void onPeerFailed(const RelayedAttempt& attempt, const AttemptFailed& event, Instant now);
+    std::optional<RelayedAttempt> takeRelayedAttempt(AttemptId id);
+    /// @brief Gives up attempts without an answer that may be repeated, since the links are lost.
+    void abandonUnanswered(Instant now);
+    void stopWaiting(Request& request);
     static const std::vector<Fingerprint>& crashKeysOf(Request& request);
     /// @brief Clears the crash keys of requests whose upstreams have been sending events for some time.
     void clearKeysOfRunningStreams(Instant now);
@@ -149,9 +181,11 @@
     std::optional<Availability> nextAvailability(const ServiceName& service, Instant now) const;
     /// @brief Records an ended attempt as evidence about the version that ran it.
     void recordVersionEvidence(const Attempt& attempt, AttemptEnd end, Instant now);
+    /// @brief Records held evidence once another upstream was reached, and drops it if the links are lost.
+    void releaseEvidence(Instant now);
     void countUsage(Request& request, Instant now);
     void cancelAttempt(Request& request, Instant now);
-    void respond(Request& request, AttemptFinished response, Instant now);
+    void respond(Request& request, AttemptFinished response, RequestOutcome outcome, Instant now);
     void refuse(Request& request, RequestOutcome outcome, int status, const std::string& reason,
         std::optional<Duration> retryAfter, Instant now);
     void endWithoutResponse(Request& request, const std::string& reason, Instant now);
@@ -165,6 +199,8 @@
     LimitExchange& limits;
     std::unordered_map<RequestId, Request> requests;
     std::unordered_map<AttemptId, Attempt> attempts;
+    std::unordered_map<AttemptId, RelayedAttempt> relayedAttempts;
+    std::vector<HeldEvidence> heldEvidence;
     AttemptId lastAttempt = 0;
     std::set<std::pair<Instant, RequestId>> deadlines;
     /// Requests that arrived before the node was ready, and the time until which they may wait.
--- a/src/teaselshore/entry/entry_state.cpp
+++ b/src/teaselshore/entry/entry_state.cpp
@@ -42,9 +42,21 @@
     , quotas(settings.host.quota)
     , borrower(settings.seed)
     , usage(settings.host.usageWindow)
+    , links(settings.seed)
+    , relays(settings.seed)
 {
 }
 
+void EntryState::checkUpstream(const RegisteredUpstream& upstream, Instant now)
+{
+    const EntryService* service = this->table ? this->table->configuration().findService(upstream.service) : nullptr;
+    // The upstream counts a check as a request.
+    if (const auto wallClock = this->wallClockTime(now))
+        this->limits.onSent(upstream.id(), *wallClock);
+    this->commands.emplace_back(
+        CheckUpstream { upstream.id(), upstream.address, upstream.instance, service ? service->healthPath : "/" });
+}
+
 RetryBudgetSettings EntryState::retrySettings() const
 {
     const SharedRetryBudget& shared = this->settings.host.retries;
--- a/src/teaselshore/entry/entry_state.hpp
+++ b/src/teaselshore/entry/entry_state.hpp
@@ -10,12 +10,14 @@
 #include "teaselshore/base/random.hpp"
 #include "teaselshore/entry/demand_meter.hpp"
 #include "teaselshore/entry/entry_node.hpp"
+#include "teaselshore/entry/peer_relays.hpp"
 #include "teaselshore/entry/quota_borrower.hpp"
 #include "teaselshore/entry/quota_limiter.hpp"
 #include "teaselshore/entry/route_table.hpp"
 #include "teaselshore/entry/upstream_directory.hpp"
 #include "teaselshore/entry/upstream_exclusions.hpp"
 #include "teaselshore/entry/upstream_limits.hpp"
+#include "teaselshore/entry/upstream_links.hpp"
 #include "teaselshore/entry/usage_ledger.hpp"
 #include "teaselshore/reliability/retry_budget.hpp"
 #include "teaselshore/routing/router.hpp"
@@ -34,6 +36,8 @@
     /// @brief Returns when this node may send the next request to an upstream, as far as its limit is concerned: now or
     /// earlier without a limit, Instant::max() if this node has no turns.
     Instant nextTurn(const UpstreamId& upstream, Instant now) const;
+    /// @brief Checks whether an upstream answers; the reply is UpstreamChecked.
+    void checkUpstream(const RegisteredUpstream& upstream, Instant now);
     void countOutcome(RequestOutcome outcome) { ++this->statistics.outcomes[static_cast<std::size_t>(outcome)]; }
     void log(LogLevel level, std::string message, std::vector<std::pair<std::string, std::string>> fields = {});
 
@@ -57,6 +61,8 @@
     QuotaBorrower borrower;
     UsageLedger usage;
     DemandMeter demand;
+    UpstreamLinks links;
+    PeerRelays relays;
     /// Wall-clock time at Instant zero.
     std::optional<Duration> clockOffset;
     std::size_t liveNodes = 0;
--- a/src/teaselshore/entry/node_report.cpp
+++ b/src/teaselshore/entry/node_report.cpp
@@ -154,7 +154,7 @@
 std::string NodeReport::encode() const
 {
     const Json head { { "host", this->host }, { "process", this->process.value() }, { "peer", this->peerAddress },
-        { "number", this->number }, { "completeWindow", this->completeWindow },
+        { "relay", this->relayAddress }, { "number", this->number }, { "completeWindow", this->completeWindow },
         { "crashes", encodeCrashes(this->crashes) }, { "limits", encodeLimits(this->limits) } };
     const Json details { { "usage", encodeUsage(this->usage) }, { "demand", encodeDemand(this->demand) },
         { "versions", encodeVersions(this->versions) } };
@@ -182,6 +182,7 @@
         report.host = value.at("host").get<std::string>();
         report.process = NodeId(value.at("process").get<std::string>());
         report.peerAddress = value.at("peer").get<std::string>();
+        report.relayAddress = value.value("relay", std::string());
         report.number = value.at("number").get<std::uint64_t>();
         report.completeWindow = value.at("completeWindow").get<std::int64_t>();
         report.crashes = decodeCrashes(value.at("crashes"));
--- /dev/null
+++ b/src/teaselshore/entry/relayed_requests_test.cpp
@@ -0,0 +1,211 @@
+#include <algorithm>
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "entry_test_support.hpp"
+#include "teaselshore/entry/node_report.hpp"
+
+namespace teaselshore {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /// A node with three upstreams and two peers that take requests.
+    class RelayedRequestsTest : public testing::Test {
+    protected:
+        void SetUp() override
+        {
+            this->harness.start();
+            this->harness.send(ClockRead { 1'000'000s });
+            NodeReportsRead read;
+            for (const char* host : { "host-b", "host-c" }) {
+                NodeReport report;
+                report.host = host;
+                report.process = NodeId(std::string(host) + "-1");
+                report.relayAddress = std::string(host) + ":1";
+                report.number = 1;
+                read.reports.push_back(report.encode());
+            }
+            this->harness.send(std::move(read));
+        }
+
+        /// @brief Lets all attempts fail to connect, and all checks, until the node knows that its links are lost.
+        void loseLinks()
+        {
+            for (int round = 0; round < 20 && !this->harness.node.statistics().linksLost; ++round) {
+                if (round % 2 == 0)
+                    this->harness.request("status");
+                this->failAttempts();
+                this->harness.advance(100ms);
+                this->endChecks(false);
+            }
+            ASSERT_TRUE(this->harness.node.statistics().linksLost);
+        }
+
+        void failAttempts()
+        {
+            for (auto sent = this->harness.first<ForwardRequest>(); sent; sent = this->harness.first<ForwardRequest>())
+                this->harness.fail(sent->attempt.attempt, false);
+        }
+
+        void endChecks(bool isReached)
+        {
+            const auto checks = this->harness.all<CheckUpstream>();
+            for (const CheckUpstream& check : checks)
+                this->harness.send(UpstreamChecked { check.upstream,
+                    isReached ? UpstreamChecked::State::Answered : UpstreamChecked::State::Unknown, isReached });
+        }
+
+        /// @brief Answers an attempt at a peer.
+        void peerResponds(AttemptId attempt, int status, bool isOfUpstream)
+        {
+            UpstreamResponded event;
+            event.response.attempt = attempt;
+            event.response.status = status;
+            event.response.headers = { { "retry-after", "0.30" } };
+            event.response.body = "of the peer";
+            event.facts.isStamped = isOfUpstream;
+            this->harness.send(std::move(event));
+        }
+
+        EntryHarness harness;
+    };
+
+    // Guards against requests that are refused, or held to their deadline, by a node without links to upstreams.
+    TEST_F(RelayedRequestsTest, PeersGetTheRequestsOfANodeWithoutLinks)
+    {
+        this->loseLinks();
+        const RequestId id = this->harness.request("order", 900ms);
+        const auto relayed = this->harness.first<RelayRequest>();
+        ASSERT_TRUE(relayed);
+        EXPECT_TRUE(this->harness.all<ForwardRequest>().empty());
+        EXPECT_TRUE(relayed->attempt.authority == "host-b:1" || relayed->attempt.authority == "host-c:1");
+        EXPECT_EQ(relayed->attempt.path, "/order/x");
+        EXPECT_EQ(relayed->context.key, "key-n");
+        EXPECT_EQ(relayed->context.runs, 0u);
+        EXPECT_EQ(relayed->context.deadline, this->harness.now + 900ms);
+        this->peerResponds(relayed->attempt.attempt, 200, true);
+        const auto response = this->harness.first<Respond>();
+        ASSERT_TRUE(response);
+        EXPECT_EQ(response->request, id);
+        EXPECT_EQ(response->status, 200);
+        EXPECT_EQ(response->body, "of the peer");
+    }
+
+    // Guards against requests that go round between nodes without links.
+    TEST_F(RelayedRequestsTest, RequestOfAPeerIsNotHandedOn)
+    {
+        this->loseLinks();
+        CallerRequestArrived arrived { this->harness.node.nextRequestId(), {}, 0 };
+        arrived.request.method = "POST";
+        arrived.request.path = "/order/x";
+        arrived.request.host = EntryHarness::hostName;
+        arrived.request.key = "key-n";
+        this->harness.send(std::move(arrived));
+        EXPECT_TRUE(this->harness.all<RelayRequest>().empty());
+        const auto response = this->harness.first<Respond>();
+        ASSERT_TRUE(response);
+        EXPECT_EQ(response->status, 503);
+    }
+
+    // Guards against a refusal by one peer, or one that is gone, that ends a request which another peer could serve.
+    TEST_F(RelayedRequestsTest, SecondPeerIsTriedIfTheFirstDidNotTakeTheRequest)
+    {
+        this->loseLinks();
+        for (const bool isReachable : { true, false }) {
+            this->harness.request("order");
+            const auto first = this->harness.first<RelayRequest>();
+            ASSERT_TRUE(first);
+            if (isReachable)
+                this->peerResponds(first->attempt.attempt, 503, false);
+            else
+                this->harness.fail(first->attempt.attempt, false);
+            const auto second = this->harness.first<RelayRequest>();
+            ASSERT_TRUE(second);
+            EXPECT_NE(first->attempt.authority, second->attempt.authority);
+            this->peerResponds(second->attempt.attempt, 503, false);
+            const auto response = this->harness.first<Respond>();
+            ASSERT_TRUE(response);
+            EXPECT_EQ(response->status, 503) << "neither has run it";
+        }
+    }
+
+    // Guards against an unsafe request that runs twice since its peer was lost while it had the request.
+    TEST_F(RelayedRequestsTest, LostPeerMayHaveRunTheRequest)
+    {
+        this->loseLinks();
+        this->harness.request("order");
+        this->harness.fail(this->harness.first<RelayRequest>()->attempt.attempt, true);
+        EXPECT_TRUE(this->harness.all<RelayRequest>().empty());
+        ASSERT_TRUE(this->harness.first<Respond>());
+        EXPECT_EQ(this->harness.first<Respond>()->status, 502);
+    }
+
+    // Guards against a promise that a request did not run, passed on from a peer, though an earlier attempt may have.
+    TEST_F(RelayedRequestsTest, RefusalOfAPeerIsNoPromiseForEarlierAttempts)
+    {
+        this->loseLinks();
+        this->harness.request("status");
+        this->harness.fail(this->harness.first<RelayRequest>()->attempt.attempt, true);
+        const auto second = this->harness.first<RelayRequest>();
+        ASSERT_TRUE(second);
+        EXPECT_EQ(second->context.runs, 1u);
+        this->peerResponds(second->attempt.attempt, 503, false);
+        ASSERT_TRUE(this->harness.first<Respond>());
+        EXPECT_EQ(this->harness.first<Respond>()->status, 502);
+    }
+
+    // Guards against work at a peer for a caller that has left.
+    TEST_F(RelayedRequestsTest, CallerThatLeavesEndsTheAttemptAtThePeer)
+    {
+        this->loseLinks();
+        const RequestId id = this->harness.request("order");
+        const AttemptId attempt = this->harness.first<RelayRequest>()->attempt.attempt;
+        this->harness.send(CallerGone { id });
+        ASSERT_TRUE(this->harness.first<CancelAttempt>());
+        EXPECT_EQ(this->harness.first<CancelAttempt>()->attempt, attempt);
+    }
+
+    // Guards against a node that leaves its upstreams alone after its links have returned.
+    TEST_F(RelayedRequestsTest, UpstreamsGetRequestsAgainOnceOneIsReached)
+    {
+        this->loseLinks();
+        for (int round = 0; round < 20 && this->harness.node.statistics().linksLost; ++round) {
+            this->harness.advance(100ms);
+            this->endChecks(true);
+        }
+        ASSERT_FALSE(this->harness.node.statistics().linksLost);
+        this->harness.advance(2s);
+        this->harness.request("order");
+        EXPECT_TRUE(this->harness.first<ForwardRequest>());
+    }
+
+    // Guards against sound upstreams that a node reports as crashed, with the requests that they ran, because its own
+    // links broke.
+    TEST_F(RelayedRequestsTest, BrokenLinksAreNoCrashes)
+    {
+        for (int count = 0; count < 6; ++count) {
+            this->harness.request("order");
+            this->harness.fail(this->harness.first<ForwardRequest>()->attempt.attempt, true);
+            const auto checks = this->harness.all<CheckUpstream>();
+            for (const CheckUpstream& check : checks)
+                this->harness.send(UpstreamChecked { check.upstream, UpstreamChecked::State::Ended, false });
+        }
+        for (int round = 0; round < 20; ++round) {
+            this->harness.advance(100ms);
+            const auto checks = this->harness.all<CheckUpstream>();
+            for (const CheckUpstream& check : checks)
+                this->harness.send(UpstreamChecked { check.upstream, UpstreamChecked::State::Ended, false });
+        }
+        EXPECT_TRUE(this->harness.node.statistics().linksLost);
+        this->harness.advance(1s);
+        this->endChecks(true);
+        this->harness.advance(1s);
+        this->endChecks(true);
+        EXPECT_FALSE(this->harness.node.statistics().linksLost);
+        EXPECT_EQ(this->harness.node.statistics().upstreamCrashes, 0u);
+    }
+
+} // namespace
+} // namespace teaselshore
