Take the joined heads of two replies for malformed

Cause: a reply that breaks off inside its status line or inside a field is continued by the head of the next one. The result has the status of the first and the id of the second, so that the id check passes. The class is that of the copies: the id says nothing about the status beside it.

Change: the parser refuses a reason phrase or a field that holds the start of a status line. A cut at any other place was malformed already.

--- a/src/teaselshore/http/late_replies_test.cpp
+++ b/src/teaselshore/http/late_replies_test.cpp
@@ -84,6 +84,32 @@
             this->fixture.runUntil([] { return false; }, std::chrono::milliseconds(1));
         }
 
+        /// @brief Sends the first bytes of an earlier reply's head, and then the reply that is due.
+        void cutAndReply(std::size_t index, std::size_t bytes, int status)
+        {
+            Connection& connection = this->connections[index];
+            const std::string copy = text(connection.replies.back(), {});
+            connection.socket->trySend(copy.substr(0, bytes));
+            const auto [number, id] = *std::exchange(connection.waiting, std::nullopt);
+            connection.socket->trySend(text({ id, status, std::to_string(number) }, {}));
+            this->fixture.runUntil(
+                [&, call = number] { return this->calls[call]->record.isDone(); }, std::chrono::milliseconds(100));
+        }
+
+        /// @brief Returns the number of connections that the client has not closed.
+        std::size_t openCount()
+        {
+            this->fixture.runUntil([] { return false; }, std::chrono::milliseconds(20));
+            std::size_t open = 0;
+            for (Connection& connection : this->connections) {
+                bool ended = false;
+                if (connection.socket)
+                    connection.socket->receive(ended);
+                open += connection.socket && !ended ? 1 : 0;
+            }
+            return open;
+        }
+
         const CallRecord& record(std::size_t number) const { return this->calls[number]->record; }
         std::size_t callCount() const { return this->calls.size(); }
         std::size_t connectionCount() const { return this->connections.size(); }
@@ -122,15 +148,19 @@
         static void send(const Connection& connection, const Connection::Reply& reply,
             const std::optional<std::vector<std::string>>& ids = {})
         {
-            std::string text = "HTTP/1.1 " + std::to_string(reply.status) + " Status\r\n";
+            // The client may have closed the connection.
+            if (connection.socket)
+                connection.socket->trySend(text(reply, ids));
+        }
+
+        static std::string text(const Connection::Reply& reply, const std::optional<std::vector<std::string>>& ids)
+        {
+            std::string text = "HTTP/1.1 " + std::to_string(reply.status) + " Status\r\nx-kind: refusal or not\r\n";
             for (const std::string& id : ids.value_or(std::vector { reply.id })) {
                 if (!id.empty())
                     text += std::string(echoName) + ": " + id + "\r\n";
             }
-            text += "content-length: " + std::to_string(reply.body.size()) + "\r\n\r\n" + reply.body;
-            // The client may have closed the connection.
-            if (connection.socket)
-                connection.socket->trySend(text);
+            return text + "content-length: " + std::to_string(reply.body.size()) + "\r\n\r\n" + reply.body;
         }
 
         HttpFixture fixture;
@@ -188,6 +218,21 @@
         }
     }
 
+    // Guards against the copy of a refusal that breaks off inside its head: joined with the reply that is due, it shows
+    // the status of the refusal with the id of the request that ran.
+    TEST(LateReplies, CutCopyDoesNotJoinWithTheOwnReply)
+    {
+        const std::size_t headBytes = std::string("HTTP/1.1 503 Status\r\nx-kind: refusal or not\r\nx-id: ").size();
+        for (std::size_t bytes = 1; bytes <= headBytes; ++bytes) {
+            RepeatingPeer peer;
+            peer.start("a");
+            peer.reply(0, statusUnavailable);
+            peer.start("b");
+            peer.cutAndReply(0, bytes, statusOk);
+            EXPECT_FALSE(peer.record(1).ended) << "cut after " << bytes << " bytes";
+        }
+    }
+
     // Guards against replies to earlier requests that a request without an id takes for its own.
     TEST(LateReplies, RequestWithoutIdSharesNoConnection)
     {
--- a/src/teaselshore/http/reply_parser.cpp
+++ b/src/teaselshore/http/reply_parser.cpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <limits>
 #include <string>
+#include <string_view>
 
 #include <boost/beast/http/basic_parser.hpp>
 
@@ -20,6 +21,20 @@
     constexpr std::size_t maxInformational = 16;
     constexpr int switchingProtocols = 101;
 
+    /// Returns whether a status line begins inside a line of a head. A peer that breaks off a reply and goes on with
+    /// the next one joins their heads, so that the status of one comes with the fields of the other.
+    bool holdsStatusLine(beast::string_view line)
+    {
+        constexpr std::string_view protocol = "HTTP/1.";
+        const std::string_view text(line.data(), line.size());
+        for (std::size_t at = text.find(protocol); at != std::string_view::npos; at = text.find(protocol, at + 1)) {
+            const std::string_view rest = text.substr(at + protocol.size());
+            if (rest.size() >= 2 && rest[0] >= '0' && rest[0] <= '9' && rest[1] == ' ')
+                return true;
+        }
+        return false;
+    }
+
 } // namespace
 
 /// Parser of one message; an informational reply (1xx) and the final one are two messages.
@@ -41,7 +56,12 @@
 private:
     void on_request_impl(http::verb, beast::string_view, beast::string_view, int, beast::error_code&) override { }
 
-    void on_response_impl(int code, beast::string_view, int, beast::error_code&) override { this->status = code; }
+    void on_response_impl(int code, beast::string_view reason, int, beast::error_code& error) override
+    {
+        this->status = code;
+        if (holdsStatusLine(reason))
+            error = http::error::bad_reason;
+    }
 
     void on_field_impl(
         http::field name, beast::string_view text, beast::string_view value, beast::error_code& error) override
@@ -50,6 +70,8 @@
             error = http::error::header_limit;
             return;
         }
+        if (holdsStatusLine(value))
+            error = http::error::bad_value;
         // Requests allow no other encoding than chunked.
         if (name == http::field::transfer_encoding && (++this->encodings > 1 || !beast::iequals(value, "chunked")))
             error = http::error::bad_transfer_encoding;
--- a/src/teaselshore/http/test_support_test.cpp
+++ b/src/teaselshore/http/test_support_test.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -156,6 +157,9 @@
 std::unique_ptr<RawConnection> RawServer::accept() const
 {
     const int accepted = accept4(this->descriptor, nullptr, nullptr, SOCK_CLOEXEC);
+    const int on = 1;
+    // Small pieces would wait for the acknowledgement of the one before.
+    setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     return accepted < 0 ? nullptr : std::make_unique<RawConnection>(accepted, true);
 }
 
