Pass no status on that promises not to have run unless the upstream says so

What callers saw: REFUSED is possible wherever an upstream answers 408, 421, 429 or 503 without the guarantee that it did not run the request: the caller got 408, 421 and 429 as they came, and 503 with the upstream's mark (found by review, in the test harness).

Cause: whether a request ran was taken from the upstream's guarantee, but the response was passed on by its status, which callers read as that guarantee.

Change: such a response is a failed attempt that may have run; the caller gets 502 if no other attempt succeeds.

--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -16,6 +16,8 @@
     constexpr int gatewayTimeout = 504;
     constexpr int notFound = 404;
     constexpr int unauthorized = 401;
+    constexpr int requestTimeout = 408;
+    constexpr int misdirected = 421;
     constexpr int tooManyRequests = 429;
     constexpr int serviceUnavailable = 503;
     constexpr int firstServerError = 500;
@@ -56,6 +58,13 @@
     constexpr Duration evidenceHoldTime = std::chrono::seconds(2);
     constexpr const char* noLinks = "this node has no links to upstreams";
 
+    /// Returns whether callers conclude from the status that their request has not run.
+    bool promisesNotRun(int status)
+    {
+        return status == requestTimeout || status == misdirected || status == tooManyRequests
+            || status == serviceUnavailable;
+    }
+
     std::string formatSeconds(Duration duration) { return fmt::format("{:.2f}", toSeconds(duration)); }
 
     std::vector<Fingerprint> prefixBlocks(const std::vector<PromptPart>& parts, std::uint32_t tokensPerBlock)
@@ -585,7 +594,9 @@
     if (!attempt)
         return;
     const int status = event.response.status;
-    const bool failed = !event.facts.notRun && status >= firstServerError;
+    // Callers take these statuses for a guarantee, which an upstream gives in another way.
+    const bool isFalsePromise = !event.facts.notRun && promisesNotRun(status);
+    const bool failed = isFalsePromise || (!event.facts.notRun && status >= firstServerError);
     const AttemptOutcome outcome = event.facts.notRun ? AttemptOutcome::Refused
         : failed                                      ? AttemptOutcome::Failed
                                                       : AttemptOutcome::Completed;
@@ -629,7 +640,7 @@
         return;
     }
     request->routing.excluded.push_back(attempt->upstream);
-    if (failed && event.facts.isStamped && !request->streaming)
+    if (failed && !isFalsePromise && event.facts.isStamped && !request->streaming)
         request->upstreamFailure = std::move(event.response);
     const std::string reason = event.facts.notRun ? "the upstream did not run the request"
                                                   : fmt::format("the upstream answered with status {}", status);
--- a/src/teaselshore/entry/entry_requests_test.cpp
+++ b/src/teaselshore/entry/entry_requests_test.cpp
@@ -478,7 +478,8 @@
                     TrackedRequest& request = requests.at(response->request);
                     ++request.answers;
                     request.lastStatus = response->status;
-                    RC_ASSERT(!((response->status == 503 || response->status == 429) && request.runs > 0));
+                    const std::set<int> promises { 408, 421, 429, 503 };
+                    RC_ASSERT(!(promises.contains(response->status) && request.runs > 0));
                 } else if (const auto* failed = std::get_if<FailStream>(&command)) {
                     ++requests.at(failed->request).answers;
                 }
@@ -529,7 +530,8 @@
                         ++request.answers;
                         harness.send(std::move(done));
                     } else {
-                        harness.respond(attempt, notRun ? 503 : outcome == 4 ? 500 : 200, notRun);
+                        const int failure = *rc::gen::element(500, 503, 429, 408, 421);
+                        harness.respond(attempt, notRun ? 503 : outcome == 4 ? failure : 200, notRun);
                     }
                 }
             } else if (action == 8) {
