Bound the connections that repeated or missing ids leave open

What callers saw: 400 requests with one id, or without any, left 400 connections to an upstream open for four seconds, which may be all that it accepts (found by review); a named reply to a request without an id was skipped until the deadline.

Cause: an idle connection that could not take a request stayed in the pool beside the new one, and one that had carried a request without an id could take no other. Replies to such a request counted as foreign, though its connection has no earlier request.

Change: a connection that is opened since no idle one can take the request replaces the oldest of these. A request without an id ends its connection, and any reply is its own.

--- a/src/teaselshore/http/client_call.cpp
+++ b/src/teaselshore/http/client_call.cpp
@@ -45,6 +45,10 @@
 
 ClientCall::Attribution ClientCall::attribute(const HttpHeaders& headers) const
 {
+    const bool isOnlyRequest = this->connection->sentEchoes.count() == 1;
+    // Such a request shares no connection.
+    if (this->call.expectedEcho->value.empty() && isOnlyRequest)
+        return Attribution::Own;
     bool hasOwn = false;
     bool hasOther = false;
     for (const HttpHeader& field : headers.all()) {
@@ -54,7 +58,6 @@
     }
     if (hasOwn != hasOther)
         return hasOwn ? Attribution::Own : Attribution::Earlier;
-    const bool isOnlyRequest = this->connection->sentEchoes.count() == 1;
     return !hasOwn && isOnlyRequest ? Attribution::Own : Attribution::Unclear;
 }
 
--- a/src/teaselshore/http/client_connection.cpp
+++ b/src/teaselshore/http/client_connection.cpp
@@ -47,15 +47,18 @@
     if (found == this->idle.end())
         return nullptr;
     std::vector<std::unique_ptr<ClientConnection>>& connections = found->second;
-    for (std::size_t left = connections.size(); left > 0; --left) {
-        const auto position = connections.begin() + static_cast<std::ptrdiff_t>(left - 1);
+    for (auto position = connections.end(); position != connections.begin();) {
+        --position;
         if (echo && !(*position)->sentEchoes.canDistinguish(echo->value))
             continue;
         std::unique_ptr<ClientConnection> connection = std::move(*position);
-        connections.erase(position);
+        position = connections.erase(position);
         if (now < connection->usableUntil && connection->isQuiet())
             return connection;
     }
+    // The new connection takes the place of one, or a value that is sent again and again would open one each time.
+    if (!connections.empty())
+        connections.erase(connections.begin());
     return nullptr;
 }
 
--- a/src/teaselshore/http/http_client.cpp
+++ b/src/teaselshore/http/http_client.cpp
@@ -228,7 +228,7 @@
     h2o_socket_t* socket = call.connection->socket();
     // Surplus bytes belong to no request, and an early reply leaves the rest of the request unsent.
     const bool reusable = !connectionEnded && call.parser->keepsAlive() && socket->input->size == 0
-        && !h2o_socket_is_writing(socket) && !call.connection->sentEchoes.isFull();
+        && !h2o_socket_is_writing(socket) && call.connection->sentEchoes.mayTakeAnother();
     if (reusable) {
         call.connection->call = nullptr;
         // An idle connection is polled, so that its end is noticed at once.
--- a/src/teaselshore/http/late_replies_test.cpp
+++ b/src/teaselshore/http/late_replies_test.cpp
@@ -73,6 +73,15 @@
             this->fixture.runUntil([&, call = number] { return this->calls[call]->record.isDone(); });
         }
 
+        /// @brief Replies to the call that waits on a connection with another id than its own.
+        void replyAs(std::size_t index, const std::string& id)
+        {
+            this->connections[index].waiting->second = id;
+            this->reply(index, statusOk);
+        }
+
+        bool isWaiting(std::size_t index) const { return this->connections[index].waiting.has_value(); }
+
         /// @brief Sends an earlier reply on a connection once more, with these ids in place of its own if there are
         /// any.
         void repeat(std::size_t index, std::size_t reply, const std::optional<std::vector<std::string>>& ids = {})
@@ -249,6 +258,57 @@
         EXPECT_EQ(peer.connectionCount(), 3u);
     }
 
+    // Guards against a caller that fills the upstream's connections by sending one id, or none, again and again.
+    TEST(LateReplies, RepeatedIdsLeaveFewConnectionsOpen)
+    {
+        constexpr std::size_t calls = 100;
+        for (const char* id : { "a", "" }) {
+            RepeatingPeer peer;
+            for (std::size_t call = 0; call < calls; ++call) {
+                peer.start(id);
+                peer.reply(peer.connectionCount() - 1, statusOk);
+                ASSERT_TRUE(peer.record(call).ended);
+            }
+            EXPECT_LE(peer.openCount(), 1u) << "id: " << id;
+        }
+    }
+
+    // Guards against a new connection though another idle one could take the request.
+    TEST(LateReplies, AnotherIdleConnectionIsUsedIfTheLastOneCannotBe)
+    {
+        RepeatingPeer peer;
+        peer.start("a");
+        peer.start("b");
+        ASSERT_EQ(peer.connectionCount(), 2u);
+        peer.reply(0, statusOk);
+        peer.reply(1, statusOk);
+        peer.start("b");
+        EXPECT_EQ(peer.connectionCount(), 2u);
+        EXPECT_TRUE(peer.isWaiting(0));
+    }
+
+    // Guards against a connection whose record of ids grows for good.
+    TEST(LateReplies, ConnectionIsReplacedAfterManyRequests)
+    {
+        constexpr std::size_t calls = 2100;
+        RepeatingPeer peer;
+        for (std::size_t call = 0; call < calls; ++call) {
+            peer.start("id-" + std::to_string(call));
+            peer.reply(peer.connectionCount() - 1, statusOk);
+        }
+        EXPECT_EQ(peer.connectionCount(), 3u);
+        EXPECT_EQ(peer.openCount(), 1u);
+    }
+
+    // Guards against a request without an id that waits for its deadline since the peer names its reply by one.
+    TEST(LateReplies, RequestWithoutIdTakesAReplyWithOne)
+    {
+        RepeatingPeer peer;
+        peer.start("");
+        peer.replyAs(0, "generated");
+        EXPECT_TRUE(peer.record(0).ended);
+    }
+
     /// One step of a drawn sequence; which numbers count depends on the kind.
     struct Step {
         int kind = 0;
--- a/src/teaselshore/http/sent_echoes.cpp
+++ b/src/teaselshore/http/sent_echoes.cpp
@@ -18,6 +18,12 @@
     return std::find(this->sent.begin(), this->sent.end(), fingerprint(value)) == this->sent.end();
 }
 
-bool SentEchoes::isFull() const { return this->sent.size() >= mostEchoes; }
+void SentEchoes::add(std::string_view value)
+{
+    this->sent.push_back(fingerprint(value));
+    this->hasUnnamed = this->hasUnnamed || value.empty();
+}
+
+bool SentEchoes::mayTakeAnother() const { return !this->hasUnnamed && this->sent.size() < mostEchoes; }
 
 } // namespace teaselshore
--- a/src/teaselshore/http/sent_echoes.hpp
+++ b/src/teaselshore/http/sent_echoes.hpp
@@ -17,13 +17,15 @@
     /// @brief Returns whether the replies to a request with this value can be told from those to all earlier ones.
     bool canDistinguish(std::string_view value) const;
     /// @brief Records that a request with this value is sent; an empty value if it has none.
-    void add(std::string_view value) { this->sent.push_back(fingerprint(value)); }
+    void add(std::string_view value);
     std::size_t count() const { return this->sent.size(); }
-    /// @brief Returns whether the connection should be replaced, which bounds the memory and the time of a look-up.
-    bool isFull() const;
+    /// @brief Returns false once the connection should be replaced: after a request without a value, and after so many
+    /// that memory and the time of a look-up would grow.
+    bool mayTakeAnother() const;
 
 private:
     std::vector<Fingerprint> sent;
+    bool hasUnnamed = false;
 };
 
 } // namespace teaselshore
