Build teaselshorectl with the handler of skipped replies

The module ctl did not compile: it lists the handlers of a call without names, and the handler of skipped replies was the second one. It is the last one now.

--- a/include/teaselshore/http/http_client.hpp
+++ b/include/teaselshore/http/http_client.hpp
@@ -38,11 +38,11 @@
 /// cancelled.
 struct HttpCallHandlers {
     std::function<void(int status, const HttpHeaders& headers)> onHead;
-    /// Head of a skipped reply; see HttpCall::expectedEcho.
-    std::function<void(int status, const HttpHeaders& headers)> onSkippedReply;
     std::function<void(std::string_view bytes)> onData;
     std::function<void()> onEnd;
     std::function<void(const HttpError& error)> onError;
+    /// Head of a skipped reply; see HttpCall::expectedEcho.
+    std::function<void(int status, const HttpHeaders& headers)> onSkippedReply;
 };
 
 /// @brief Identifies a running call of one client.
