Hold the body of a request once

What callers saw: 24 callers with bodies of the largest size that the configuration allows (4,194,304 bytes) bring a node over the 260 MB of its host. It is ended by force, and 15 kept connections end without an answer though upstreams were at work on their requests.

Cause: a body was copied when the caller's request was decoded and again for each attempt. The caller's connection, the request in the node and the call to the upstream each kept one until the request ended.

Ruled out: memory that grows with the number of requests served (15 callers take the same over many requests); buffers of the connections (they are unchanged).

Change: SharedBytes, whose copies share their bytes, in HttpRequest, CallerRequest and StartAttempt. A collected answer is handed on instead of copied.

Still open: nothing bounds the sum of all bodies.

--- a/include/teaselshore/entry/caller_request.hpp
+++ b/include/teaselshore/entry/caller_request.hpp
@@ -8,6 +8,7 @@
 #include "teaselshore/base/fingerprint.hpp"
 #include "teaselshore/base/header_list.hpp"
 #include "teaselshore/base/name.hpp"
+#include "teaselshore/base/shared_bytes.hpp"
 #include "teaselshore/base/time.hpp"
 
 namespace teaselshore {
@@ -46,7 +47,7 @@
     std::optional<std::uint64_t> lastEventId;
     /// Header fields that are forwarded to the upstream unchanged.
     HeaderList forwardedHeaders;
-    std::string body;
+    SharedBytes body;
 
     auto operator<=>(const CallerRequest&) const = default;
 };
--- a/include/teaselshore/http/message.hpp
+++ b/include/teaselshore/http/message.hpp
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include "teaselshore/base/shared_bytes.hpp"
+
 namespace teaselshore {
 
 /// @brief One header field. Names are lower case.
@@ -41,7 +43,7 @@
     std::string method;
     std::string path;
     HttpHeaders headers;
-    std::string body;
+    SharedBytes body;
 
     auto operator<=>(const HttpRequest&) const = default;
 };
--- a/include/teaselshore/node/request_command.hpp
+++ b/include/teaselshore/node/request_command.hpp
@@ -6,6 +6,7 @@
 
 #include "teaselshore/base/header_list.hpp"
 #include "teaselshore/base/name.hpp"
+#include "teaselshore/base/shared_bytes.hpp"
 #include "teaselshore/base/time.hpp"
 #include "teaselshore/node/ids.hpp"
 
@@ -22,7 +23,7 @@
     std::string method;
     std::string path;
     HeaderList headers;
-    std::string body;
+    SharedBytes body;
     Duration connectTimeout {};
     Duration idleTimeout {};
     /// Relays a successful event stream to the caller while it arrives, instead of collecting the body.
--- a/src/teaselshore/ctl/run_command_test.cpp
+++ b/src/teaselshore/ctl/run_command_test.cpp
@@ -91,7 +91,7 @@
                 exchange.reply(this->objectReply(409, ""));
                 return;
             }
-            this->value = exchange.request().body;
+            this->value = exchange.request().body.text();
             ++this->version;
             if (this->lostReplies > 0) {
                 --this->lostReplies;
--- a/src/teaselshore/daemon/endless_responses_test.cpp
+++ b/src/teaselshore/daemon/endless_responses_test.cpp
@@ -1,5 +1,4 @@
 #include <atomic>
-#include <fstream>
 #include <memory>
 #include <set>
 #include <string>
@@ -15,6 +14,7 @@
 #include <unistd.h>
 
 #include "entry_relay_settings.hpp"
+#include "resident_bytes.hpp"
 #include "teaselshore/http/http_client.hpp"
 
 namespace teaselshore {
@@ -165,15 +165,6 @@
         std::thread thread;
     };
 
-    std::size_t residentBytes()
-    {
-        std::ifstream file("/proc/self/statm");
-        std::size_t pages = 0;
-        std::size_t resident = 0;
-        file >> pages >> resident;
-        return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
-    }
-
     /// Accepts all that is written to it and never reads any of it, as a connection whose caller stopped to read.
     class UnreadExchange : public ServerExchange {
     public:
--- a/src/teaselshore/daemon/request_relay.cpp
+++ b/src/teaselshore/daemon/request_relay.cpp
@@ -378,8 +378,8 @@
     if (found == this->attempts.end())
         return;
     if (!found->second.relaying) {
-        const Attempt attempt = this->take(found);
-        this->emit(AttemptFinished { id, attempt.status, toHeaderList(attempt.headers), attempt.body, false,
+        Attempt attempt = this->take(found);
+        this->emit(AttemptFinished { id, attempt.status, toHeaderList(attempt.headers), std::move(attempt.body), false,
             this->relayedEvents(attempt.request) });
         return;
     }
--- a/src/teaselshore/daemon/serving_task.cpp
+++ b/src/teaselshore/daemon/serving_task.cpp
@@ -169,7 +169,7 @@
             { refusal.status, { { "content-type", "application/json" }, { "retry-after", "1" } }, refusal.body });
         return;
     }
-    RequestArrived arrived { id, request.method, request.path, toHeaderList(request.headers), request.body };
+    RequestArrived arrived { id, request.method, request.path, toHeaderList(request.headers), request.body.text() };
     this->relay.addCaller(id, std::move(exchange));
     this->handle(std::move(arrived));
 }
--- a/src/teaselshore/emulators/platform_json.cpp
+++ b/src/teaselshore/emulators/platform_json.cpp
@@ -20,7 +20,7 @@
         if (ifNoneMatch) {
             if (ifMatch || *ifNoneMatch != "*")
                 return std::nullopt;
-            return CreateObject { std::move(key), request.body };
+            return CreateObject { std::move(key), request.body.text() };
         }
         std::optional<std::uint64_t> version;
         if (ifMatch) {
@@ -28,7 +28,7 @@
             if (!version)
                 return std::nullopt;
         }
-        return ReplaceObject { std::move(key), request.body, version };
+        return ReplaceObject { std::move(key), request.body.text(), version };
     }
 
     std::optional<ObjectCall> removeCall(const HttpRequest& request, std::string key)
--- a/src/teaselshore/emulators/service_server.cpp
+++ b/src/teaselshore/emulators/service_server.cpp
@@ -133,7 +133,7 @@
 std::optional<HttpReply> ServiceServer::Impl::answer(const HttpRequest& request, const RequestTarget& target)
 {
     if (request.method == "POST" && target.path == "/faults")
-        return this->faults(request.body);
+        return this->faults(request.body.text());
     if (request.method != "GET")
         return std::nullopt;
     if (target.path == "/executions")
@@ -151,7 +151,7 @@
     const ServiceCallId call = ++this->lastCall;
     const IdempotencyKey key(request.headers.find("idempotency-key").value_or(""));
     const auto refusal
-        = this->model.onRequest(call, { request.method, request.path, key, request.body }, this->loop.now());
+        = this->model.onRequest(call, { request.method, request.path, key, request.body.text() }, this->loop.now());
     this->recordStarted();
     if (refusal) {
         HttpReply reply = refusalReply(*refusal, RequestId(request.headers.find("x-request-id").value_or("")));
--- a/src/teaselshore/entry/caller_request.cpp
+++ b/src/teaselshore/entry/caller_request.cpp
@@ -13,7 +13,8 @@
 
 Fingerprint contentFingerprint(const CallerRequest& request, const std::optional<WorkspaceName>& workspace)
 {
-    return fingerprint({ workspace ? workspace->value() : std::string(), request.host, request.path, request.body });
+    return fingerprint(
+        { workspace ? workspace->value() : std::string(), request.host, request.path, request.body.text() });
 }
 
 std::vector<Fingerprint> crashKeys(const CallerRequest& request, const std::optional<WorkspaceName>& workspace)
--- a/src/teaselshore/entry/crashing_parts_test.cpp
+++ b/src/teaselshore/entry/crashing_parts_test.cpp
@@ -62,13 +62,14 @@
             request.path = "/status/x";
             request.key = "key-n";
             const std::uint64_t number = ++this->lastNumber;
-            request.body = std::to_string(number) + ":,";
+            std::string body = std::to_string(number) + ":,";
             for (const std::uint64_t part : sharedParts) {
                 request.parts.push_back({ part, 100 });
-                request.body += std::to_string(part) + ",";
+                body += std::to_string(part) + ",";
             }
+            request.body = body;
             request.parts.push_back({ firstOwnPart + number, 100 });
-            const bool isSound = !this->holdsDeadlyPart(request.body);
+            const bool isSound = !this->holdsDeadlyPart(body);
             const std::string host = hostName(this->fleet.random.below(this->fleet.nodes.size()));
             const RequestId id = this->fleet.send(host, std::move(request));
             if (isSound)
--- a/src/teaselshore/entry/crashing_upstreams.hpp
+++ b/src/teaselshore/entry/crashing_upstreams.hpp
@@ -142,7 +142,7 @@
             events.emplace_back(AttemptFailed { attempt, false, false, 0, "connection refused", std::nullopt });
             return;
         }
-        if (this->isDeadly(forward.attempt.body)) {
+        if (this->isDeadly(forward.attempt.body.text())) {
             this->poisonSends.push_back(this->fleet.now);
             if (this->crashDelay == Duration(0)) {
                 this->crash(host, forward, events);
@@ -152,11 +152,11 @@
             this->dueCrashes.emplace(this->fleet.now + this->crashDelay, forward.attempt.upstream);
             return;
         }
-        if (this->malformed.contains(forward.attempt.body)) {
+        if (this->malformed.contains(forward.attempt.body.text())) {
             events.emplace_back(AttemptFailed { attempt, true, true, 0, "malformed reply", std::nullopt });
             return;
         }
-        if (this->longRunning.contains(forward.attempt.body)) {
+        if (this->longRunning.contains(forward.attempt.body.text())) {
             found->second.open.push_back({ host, attempt });
             return;
         }
--- a/src/teaselshore/http/http_server_test.cpp
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -18,7 +18,7 @@
         reply.headers.add("X-Method", request.method);
         reply.headers.add("X-Path", request.path);
         reply.headers.add("X-Custom", request.headers.find("x-custom").value_or("absent"));
-        reply.body = request.body;
+        reply.body = request.body.text();
         exchange->reply(std::move(reply));
     }
 
--- a/src/teaselshore/http/request_parser.cpp
+++ b/src/teaselshore/http/request_parser.cpp
@@ -58,6 +58,7 @@
     }
 
     HttpRequest request;
+    std::string body;
     bool isVersion10 = false;
     bool expectsContinue = false;
 
@@ -101,12 +102,12 @@
     void on_body_init_impl(const boost::optional<std::uint64_t>& length, beast::error_code&) override
     {
         if (length)
-            this->request.body.reserve(static_cast<std::size_t>(*length));
+            this->body.reserve(static_cast<std::size_t>(*length));
     }
 
     std::size_t on_body_impl(beast::string_view bytes, beast::error_code&) override
     {
-        this->request.body.append(bytes.data(), bytes.size());
+        this->body.append(bytes.data(), bytes.size());
         return bytes.size();
     }
 
@@ -114,7 +115,7 @@
 
     std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view bytes, beast::error_code&) override
     {
-        this->request.body.append(bytes.data(), bytes.size());
+        this->body.append(bytes.data(), bytes.size());
         return bytes.size();
     }
 
@@ -157,6 +158,10 @@
 bool RequestParser::expectsContinue() const { return this->message->expectsContinue; }
 bool RequestParser::keepsAlive() const { return this->message->keep_alive(); }
 bool RequestParser::isVersion10() const { return this->message->isVersion10; }
-HttpRequest RequestParser::take() { return std::move(this->message->request); }
+HttpRequest RequestParser::take()
+{
+    this->message->request.body = SharedBytes(std::move(this->message->body));
+    return std::move(this->message->request);
+}
 
 } // namespace teaselshore
--- a/src/teaselshore/node/node_upstreams_test.cpp
+++ b/src/teaselshore/node/node_upstreams_test.cpp
@@ -100,7 +100,7 @@
         return;
     }
     this->recordRun(command);
-    if (command.body.find("poison") != std::string::npos) {
+    if (command.body.text().find("poison") != std::string::npos) {
         this->note("poison crash");
         this->trace(fmt::format("{} crashes {} through {}", findHeader(command.headers, "x-token").value_or(""),
             upstream->id.value(), process.id.value()));
--- a/src/teaselshore/platform/fake_platform_test.cpp
+++ b/src/teaselshore/platform/fake_platform_test.cpp
@@ -98,7 +98,7 @@
         this->objects.erase(key);
         return { 200, {}, "" };
     }
-    this->put(key, request.body);
+    this->put(key, request.body.text());
     return this->current(key, 200);
 }
 
