--- a/include/teaselshore/entry/caller_request.hpp
+++ b/include/teaselshore/entry/caller_request.hpp
@@ -101,6 +101,9 @@
     std::optional<Duration> pause;
     /// Requests per second that the upstream takes from all nodes together; nothing if it names no limit.
     std::optional<double> limit;
+    /// Requests of all nodes together that the upstream can refuse in a second for lack of room without failing;
+    /// nothing if it names no such bound.
+    std::optional<double> refusalAllowance;
     /// An instance other than the expected one answered.
     bool wrongInstance = false;
     struct Load {
