Keep refusals of brittle upstreams within what they bear

What callers saw: upstreams that state how few refusals they bear in a second failed in bursts, one after the other, and with them the requests that ran there.

Cause: no code read the statement. Requests are refused if their node did not know that the upstream had become full: each node hears of an upstream only in its own responses, and all nodes send at once.

Change: the statement is decoded and told to peers, as are refusals and changed loads. A node may replace a completed request; all nodes together add requests between two reports up to half of the reported room and a quarter of the allowance. A refusal closes the upstream, for the rest of the second from half of the allowance. Others wait at the nodes and are then refused.

The sound-load tests now compare with a second period after the start, in which more is served, and wait for the last answers, which makes them stricter.

--- a/include/teaselshore/entry/entry_message.hpp
+++ b/include/teaselshore/entry/entry_message.hpp
@@ -77,6 +77,33 @@
     auto operator<=>(const LimitReport&) const = default;
 };
 
+/// @brief What the sender has learned from responses of brittle services, whose upstreams fail if they must refuse many
+/// requests.
+struct BrittlenessReport {
+    struct Service {
+        ServiceName service;
+        /// Refusals per second that each upstream bears; nothing if the service is no longer brittle.
+        std::optional<double> allowance;
+        /// Time since the response that said so.
+        Duration age {};
+
+        auto operator<=>(const Service&) const = default;
+    };
+    struct Upstream {
+        UpstreamId upstream;
+        /// Requests of the sender that the upstream has just refused.
+        std::uint32_t refused = 0;
+        /// Requests that run or wait at the upstream, as it has just reported.
+        std::optional<std::uint32_t> outstanding;
+
+        auto operator<=>(const Upstream&) const = default;
+    };
+    std::vector<Service> services;
+    std::vector<Upstream> upstreams;
+
+    auto operator<=>(const BrittlenessReport&) const = default;
+};
+
 /// @brief Asks since when the platform answers the receiver.
 struct PlatformContactRequest {
     auto operator<=>(const PlatformContactRequest&) const = default;
@@ -95,6 +122,7 @@
 
 /// @brief Messages between the nodes of `teaselshore-entry`.
 using EntryMessage = std::variant<QuotaLoanRequest, QuotaLoan, QuotaReturn, RelayedReport, CrashReport, RolloutDecision,
-    NewerConfigurationRequest, ConfigurationCopy, RefusalReport, LimitReport, PlatformContactRequest, PlatformContact>;
+    NewerConfigurationRequest, ConfigurationCopy, RefusalReport, LimitReport, BrittlenessReport, PlatformContactRequest,
+    PlatformContact>;
 
 } // namespace teaselshore
--- a/include/teaselshore/entry/entry_statistics.hpp
+++ b/include/teaselshore/entry/entry_statistics.hpp
@@ -53,6 +53,10 @@
     std::uint64_t limitedUpstreams = 0;
     /// Requests for which an upstream was passed over because of its limit.
     std::uint64_t limitedRequests = 0;
+    /// Services whose upstreams fail if they must refuse many requests.
+    std::uint64_t brittleServices = 0;
+    /// Requests that waited because a brittle upstream was passed over.
+    std::uint64_t heldRequests = 0;
     /// How often the platform came back from an older copy.
     std::uint64_t platformRestores = 0;
     /// Attempts at peers, since this node had no links to upstreams.
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -49,6 +49,11 @@
         statistics.requestsOfPeers);
     this->setGauge("teaselshore_limited_upstreams", "Upstreams that name a limit.",
         static_cast<double>(statistics.limitedUpstreams));
+    this->setCounter("teaselshore_held_requests_total",
+        "Requests that waited for an upstream of a service whose upstreams bear few refusals.",
+        statistics.heldRequests);
+    this->setGauge("teaselshore_brittle_services", "Services whose upstreams bear few refusals.",
+        static_cast<double>(statistics.brittleServices));
     this->setCounter("teaselshore_skipped_responses_total",
         "Responses of upstreams to earlier requests on the same connection.", relay.skippedResponses);
     this->setCounter("teaselshore_relayed_bytes_total", "Bytes of relayed streams.", relay.relayedBytes);
--- a/src/teaselshore/entry/brittle_upstreams_test.cpp
+++ b/src/teaselshore/entry/brittle_upstreams_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <map>
 #include <optional>
@@ -6,8 +7,10 @@
 #include <vector>
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include "entry_fleet.hpp"
+#include "teaselshore/entry/brittle_upstreams.hpp"
 
 namespace teaselshore {
 namespace {
@@ -101,7 +104,7 @@
         /// @brief Returns how many requests were answered with status 200 since the last call, and how many were sent.
         std::pair<std::size_t, std::size_t> takeServed()
         {
-            this->run(100ms, 1);
+            this->run(1s, 1);
             const auto served = std::count_if(this->sent.begin(), this->sent.end(), [this](const RequestId& id) {
                 const auto response = this->fleet.responses.find(id);
                 return response != this->fleet.responses.end() && response->second.status == 200;
@@ -122,12 +125,14 @@
         std::size_t refusals = 0;
         /// What upstreams name from now on.
         std::optional<double> allowance;
+        bool reportsLoad = true;
+        /// Number of requests that a brittle upstream lets wait.
+        std::uint32_t fewWaiting = 2;
 
     private:
         static constexpr Duration linkDelay = 4ms;
         static constexpr Duration contactTime = 3s;
         static constexpr Duration downTime = 4s;
-        static constexpr std::uint32_t fewWaiting = 2;
 
         struct Arrival {
             std::string host;
@@ -234,8 +239,9 @@
             responded.facts.notRun = refuses;
             responded.facts.isStamped = !refuses;
             responded.facts.refusalAllowance = this->allowance;
-            responded.facts.load
-                = ResponseFacts::Load { upstream.running, static_cast<std::uint32_t>(upstream.queue.size()) };
+            const auto queued = static_cast<std::uint32_t>(upstream.queue.size());
+            if (this->reportsLoad)
+                responded.facts.load = ResponseFacts::Load { upstream.running, queued };
             return responded;
         }
 
@@ -285,6 +291,8 @@
                 EntryFleet fleet(site.nodes);
                 BrittleFleet upstreams(fleet, site);
                 upstreams.run(3s, 0.5 * site.capacity());
+                upstreams.takeServed();
+                upstreams.run(3s, 0.5 * site.capacity());
                 const double before = upstreams.takeServedFraction();
                 upstreams.name(allowance, 0.5 * site.capacity());
                 upstreams.run(6s, 0.5 * site.capacity());
@@ -315,6 +323,57 @@
         }
     }
 
+    // Guards against upstreams that fail since more nodes send a first request at the same time than there are free
+    // slots.
+    TEST(BrittleUpstreams, BearABurstWithLessThanTwoSlotsForEachNode)
+    {
+        const Site site { 75, 12, 8, 60ms };
+        EntryFleet fleet(site.nodes);
+        BrittleFleet upstreams(fleet, site);
+        upstreams.name(2, 0.5 * site.capacity());
+        upstreams.run(2s, 0.5 * site.capacity());
+        upstreams.run(4s, 3 * site.capacity());
+        EXPECT_LE(static_cast<double>(upstreams.failures), upstreams.maxFailures()) << upstreams.refusals;
+    }
+
+    // Guards against callers that are refused because upstreams without a waiting room are closed after each refusal.
+    TEST(BrittleUpstreams, ServeASoundLoadWithoutAWaitingRoom)
+    {
+        const Site site { 9, 3, 6, 60ms };
+        EntryFleet fleet(site.nodes);
+        BrittleFleet upstreams(fleet, site);
+        upstreams.fewWaiting = 0;
+        upstreams.run(3s, 0.5 * site.capacity());
+        upstreams.takeServed();
+        upstreams.run(3s, 0.5 * site.capacity());
+        const double before = upstreams.takeServedFraction();
+        upstreams.name(2, 0.5 * site.capacity());
+        upstreams.takeServed();
+        upstreams.run(6s, 0.5 * site.capacity());
+        EXPECT_GE(upstreams.takeServedFraction(), 0.95 * before);
+        EXPECT_LE(static_cast<double>(upstreams.failures), upstreams.maxFailures());
+    }
+
+    // Guards against callers that are refused at upstreams that report no load, and against such upstreams that fail.
+    TEST(BrittleUpstreams, ServeASoundLoadAndBearABurstWithoutReportsOfTheirLoad)
+    {
+        for (const Site& site : sites) {
+            EntryFleet fleet(site.nodes);
+            BrittleFleet upstreams(fleet, site);
+            upstreams.reportsLoad = false;
+            upstreams.run(3s, 0.5 * site.capacity());
+            upstreams.takeServed();
+            upstreams.run(3s, 0.5 * site.capacity());
+            const double before = upstreams.takeServedFraction();
+            upstreams.name(10, 0.5 * site.capacity());
+            upstreams.run(6s, 0.5 * site.capacity());
+            EXPECT_GE(upstreams.takeServedFraction(), 0.95 * before) << site << ", before " << before;
+            upstreams.run(4s, 3 * site.capacity());
+            EXPECT_LE(static_cast<double>(upstreams.failures), upstreams.maxFailures())
+                << site << ", refusals " << upstreams.refusals;
+        }
+    }
+
     // Guards against a statement that is forgotten too early or never: upstreams that are brittle time and again fail
     // no more often, and get the full load in between.
     TEST(BrittleUpstreams, BearBurstsWhenStatementsComeAndGo)
@@ -340,5 +399,142 @@
         }
     }
 
+    constexpr const char* thisHost = "host-a";
+    const Instant start { 1000s };
+
+    RegisteredUpstream upstreamWith(std::uint32_t slots) { return EntryHarness::upstream(1, slots); }
+
+    bool maySend(const BrittleUpstreams& upstreams, const RegisteredUpstream& upstream, Instant now)
+    {
+        return upstreams.closedUpstreams({ upstream }, now).empty();
+    }
+
+    BrittleUpstreams brittleFor(double allowance, std::size_t nodes, const std::string& host = thisHost)
+    {
+        BrittleUpstreams upstreams(host);
+        upstreams.setNodes(nodes);
+        upstreams.onStated(ServiceName("app"), allowance, start);
+        return upstreams;
+    }
+
+    // Guards against an upstream that gets requests although its known refusals have used up half of the allowance, and
+    // against more requests than its slots, its completed requests and the allowance admit, whatever the order of
+    // events.
+    RC_GTEST_PROP(BrittleUpstreams, BoundsRequestsInAnyOrderOfEvents, (std::uint64_t seed))
+    {
+        RandomSource random(seed);
+        const RegisteredUpstream upstream = upstreamWith(static_cast<std::uint32_t>(1 + random.below(64)));
+        const auto allowance = static_cast<double>(random.below(50));
+        BrittleUpstreams upstreams = brittleFor(allowance, random.below(20));
+        Instant now = start;
+        std::deque<Instant> refusals;
+        std::uint32_t outstanding = 0;
+        double admitted = upstream.slots + allowance;
+        for (int step = 0; step < 300; ++step) {
+            now += std::chrono::milliseconds(random.below(3));
+            while (!refusals.empty() && refusals.front() <= now - BrittleUpstreams::refusalPeriod)
+                refusals.pop_front();
+            switch (random.below(8)) {
+            case 0:
+                upstreams.onLoad(upstream.id(), outstanding, now);
+                break;
+            case 1:
+                upstreams.onRefused(upstream.id(), 1, now);
+                refusals.push_back(now);
+                break;
+            case 2:
+                if (outstanding == 0)
+                    break;
+                --outstanding;
+                upstreams.onCompleted(upstream, now);
+                ++admitted;
+                break;
+            default:
+                if (!maySend(upstreams, upstream, now))
+                    break;
+                RC_ASSERT(static_cast<double>(refusals.size()) < std::max(1.0, std::floor(allowance / 2)));
+                upstreams.onSent(upstream, now);
+                ++outstanding;
+                RC_ASSERT(outstanding <= admitted);
+            }
+        }
+    }
+
+    // Guards against nodes that each use the whole room of an upstream: over many reports, all nodes together add no
+    // more than the room that it reported and a quarter of the allowance.
+    TEST(BrittleUpstreams, AllNodesTogetherAddNoMoreThanTheRoom)
+    {
+        for (const std::size_t nodes : { 1u, 9u, 75u, 300u }) {
+            for (const double allowance : allowances) {
+                const RegisteredUpstream upstream = upstreamWith(32);
+                std::vector<BrittleUpstreams> fleet;
+                for (std::size_t number = 0; number < nodes; ++number)
+                    fleet.push_back(brittleFor(allowance, nodes, "host-" + std::to_string(number)));
+                constexpr int reports = 200;
+                std::size_t added = 0;
+                for (int number = 0; number < reports; ++number) {
+                    const Instant now = start + number * 30ms;
+                    for (BrittleUpstreams& node : fleet) {
+                        node.onLoad(upstream.id(), 24, now);
+                        for (; maySend(node, upstream, now + 25ms); ++added)
+                            node.onSent(upstream, now + 25ms);
+                    }
+                }
+                EXPECT_LE(static_cast<double>(added) / reports, 8 + allowance / 4) << nodes << " " << allowance;
+                EXPECT_GT(added, 0u) << nodes << " " << allowance;
+            }
+        }
+    }
+
+    // Guards against requests that wait although the upstream has just completed one, and against those that replace
+    // one at an upstream that has none free.
+    TEST(BrittleUpstreams, CompletedRequestsAreReplaced)
+    {
+        const RegisteredUpstream upstream = upstreamWith(8);
+        BrittleUpstreams upstreams = brittleFor(2, 300);
+        upstreams.onLoad(upstream.id(), 7, start);
+        upstreams.onCompleted(upstream, start);
+        EXPECT_TRUE(maySend(upstreams, upstream, start + 40ms));
+        upstreams.onSent(upstream, start + 40ms);
+        upstreams.onLoad(upstream.id(), 8, start + 40ms);
+        upstreams.onCompleted(upstream, start + 40ms);
+        EXPECT_FALSE(maySend(upstreams, upstream, start + 40ms));
+    }
+
+    // Guards against a refusal that closes an upstream for good, or that a service which is not brittle is closed for.
+    TEST(BrittleUpstreams, AreClosedForTheRestOfTheSecondOnceHalfOfTheAllowanceIsUsed)
+    {
+        const RegisteredUpstream upstream = upstreamWith(64);
+        BrittleUpstreams upstreams = brittleFor(4, 1);
+        EXPECT_TRUE(maySend(upstreams, upstream, start));
+        upstreams.onRefused(upstream.id(), 1, start);
+        EXPECT_FALSE(maySend(upstreams, upstream, start + 99ms));
+        EXPECT_TRUE(maySend(upstreams, upstream, start + 100ms));
+        upstreams.onRefused(upstream.id(), 1, start + 200ms);
+        EXPECT_FALSE(maySend(upstreams, upstream, start + 999ms));
+        EXPECT_TRUE(maySend(upstreams, upstream, start + 1s));
+        BrittleUpstreams sound(thisHost);
+        sound.onRefused(upstream.id(), 100, start);
+        EXPECT_TRUE(maySend(sound, upstream, start));
+    }
+
+    // Guards against a service that is taken for brittle by the responses of another one, that stays so, or that is
+    // forgotten because of one response without the statement.
+    TEST(BrittleUpstreams, StatementsHoldForOneServiceUntilTheyEnd)
+    {
+        const ServiceName app("app");
+        BrittleUpstreams upstreams(thisHost);
+        EXPECT_FALSE(upstreams.onStated(app, std::nullopt, start));
+        EXPECT_TRUE(upstreams.onStated(app, 5, start));
+        EXPECT_FALSE(upstreams.allowance(ServiceName("other")));
+        EXPECT_FALSE(upstreams.onStated(app, 5, start + 1s));
+        EXPECT_FALSE(upstreams.onStated(app, 9, start + 1s));
+        EXPECT_TRUE(upstreams.onStated(app, 2, start + 1s));
+        EXPECT_EQ(upstreams.allowance(app), 2);
+        EXPECT_FALSE(upstreams.onStated(app, std::nullopt, start + 1999ms));
+        EXPECT_TRUE(upstreams.onStated(app, std::nullopt, start + 2s));
+        EXPECT_FALSE(upstreams.allowance(app));
+    }
+
 } // namespace
 } // namespace teaselshore
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "brittle_exchange.hpp"
 #include "configuration_relay.hpp"
 #include "crash_detector.hpp"
 #include "entry_duties.hpp"
@@ -43,8 +44,9 @@
         , crashes(state)
         , refusals(state)
         , limits(state)
+        , brittle(state)
         , duties(state, crashes, limits)
-        , requests(state, duties.rollouts(), crashes, refusals, limits)
+        , requests(state, duties.rollouts(), crashes, refusals, limits, brittle)
     {
     }
 
@@ -86,6 +88,10 @@
     {
         this->limits.onReport(senderAddress, report, now);
     }
+    void receive(const std::string& senderAddress, const BrittlenessReport& report, Instant now)
+    {
+        this->brittle.onReport(senderAddress, report, now);
+    }
     void receive(const std::string& senderAddress, const NewerConfigurationRequest& request, Instant)
     {
         this->configurations.onRequest(senderAddress, request);
@@ -126,6 +132,7 @@
     CrashDetector crashes;
     RefusalExchange refusals;
     LimitExchange limits;
+    BrittleExchange brittle;
     EntryDuties duties;
     EntryRequests requests;
     bool ready = false;
@@ -391,6 +398,7 @@
     this->crashes.onTick(now);
     this->refusals.onTick(now);
     this->limits.onTick(now);
+    this->brittle.onTick(now);
     this->state.exclusions.onTick(now);
     const bool sharesChanged = this->duties.onTick(now);
     if (this->state.directory.onTick(now) || sharesChanged)
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -86,12 +86,13 @@
 } // namespace
 
 EntryRequests::EntryRequests(EntryState& state, EntryRollouts& rollouts, CrashDetector& crashes,
-    RefusalExchange& refusals, LimitExchange& limits)
+    RefusalExchange& refusals, LimitExchange& limits, BrittleExchange& brittle)
     : state(state)
     , rollouts(rollouts)
     , crashes(crashes)
     , refusals(refusals)
     , limits(limits)
+    , brittle(brittle)
 {
 }
 
@@ -383,6 +384,7 @@
     ++this->state.statistics.attempts;
     if (const auto wallClock = this->state.wallClockTime(now))
         this->state.limits.onSent(attempt.upstream, *wallClock);
+    this->brittle.onSent(attempt.upstream, now);
     if (request.streaming)
         ++this->state.statistics.resumes;
 
@@ -431,6 +433,8 @@
             request, next ? "all upstreams are paused or at their limits" : "no upstream has room", now);
         return;
     }
+    if (!request.waitUntil)
+        this->brittle.onWaiting(request.service);
     request.waitUntil = until;
     this->waitingRequests.emplace(request.priority, request.arrivedAt, request.id);
 }
@@ -470,7 +474,9 @@
 
 std::vector<UpstreamId> EntryRequests::unavailableUpstreams(Request& request, Instant now)
 {
-    std::vector<UpstreamId> unavailable = this->state.exclusions.pausedUpstreams(now);
+    std::vector<UpstreamId> unavailable = this->brittle.closedUpstreams(request.service, now);
+    for (UpstreamId& paused : this->state.exclusions.pausedUpstreams(now))
+        unavailable.push_back(std::move(paused));
     if (!this->state.limits.isAnyLimited())
         return unavailable;
     std::string passedOver;
@@ -576,6 +582,7 @@
     this->refusals.onAccepted(found->second.upstream, now);
     this->applyFacts(found->second.upstream, event.facts, now);
     this->limits.onResponse(found->second.upstream, event.facts, found->second.startedAt, now);
+    this->brittle.onResponse(found->second.upstream, event.facts, now);
     if (Request* request = this->find(found->second.request)) {
         if (!std::exchange(request->streaming, true))
             request->firstEventAfter = now - request->arrivedAt;
@@ -604,8 +611,12 @@
         attempt->dispatch, outcome, static_cast<std::uint32_t>(event.response.relayedEvents), now);
     this->applyFacts(attempt->upstream, event.facts, now);
     // The headers of a stream are as old as its first event.
-    if (!attempt->firstEventAfter)
+    if (!attempt->firstEventAfter) {
         this->limits.onResponse(attempt->upstream, event.facts, attempt->startedAt, now);
+        this->brittle.onResponse(attempt->upstream, event.facts, now);
+    }
+    if (!event.facts.notRun)
+        this->brittle.onCompleted(attempt->upstream, now);
     if (event.facts.notRun)
         this->refusals.onRefused(attempt->upstream, now);
     else if (!attempt->firstEventAfter)
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "brittle_exchange.hpp"
 #include "crash_detector.hpp"
 #include "entry_rollouts.hpp"
 #include "entry_state.hpp"
@@ -24,7 +25,7 @@
 class EntryRequests {
 public:
     EntryRequests(EntryState& state, EntryRollouts& rollouts, CrashDetector& crashes, RefusalExchange& refusals,
-        LimitExchange& limits);
+        LimitExchange& limits, BrittleExchange& brittle);
 
     void onArrived(CallerRequestArrived arrived, Instant now);
     void onCallerGone(const RequestId& id, Instant now);
@@ -167,8 +168,8 @@
     std::optional<Attempt> takeAttempt(AttemptId id);
     /// @brief Applies what a response says about the state and load of its upstream.
     void applyFacts(const UpstreamId& upstream, const ResponseFacts& facts, Instant now);
-    /// @brief Returns the upstreams that asked for a pause, and those of the request's service whose limit allows this
-    /// node no request now.
+    /// @brief Returns the upstreams that asked for a pause, and those of the request's service that get no request from
+    /// this node now because of their limit or because they are brittle.
     std::vector<UpstreamId> unavailableUpstreams(Request& request, Instant now);
     /// When the upstreams of a service end their pauses or allow the next request by their limits.
     struct Availability {
@@ -197,6 +198,7 @@
     CrashDetector& crashes;
     RefusalExchange& refusals;
     LimitExchange& limits;
+    BrittleExchange& brittle;
     std::unordered_map<RequestId, Request> requests;
     std::unordered_map<AttemptId, Attempt> attempts;
     std::unordered_map<AttemptId, RelayedAttempt> relayedAttempts;
--- a/src/teaselshore/protocol/codec.cpp
+++ b/src/teaselshore/protocol/codec.cpp
@@ -31,6 +31,7 @@
         case wire::Envelope::kConfigurationCopy:
         case wire::Envelope::kRefusalReport:
         case wire::Envelope::kLimitReport:
+        case wire::Envelope::kBrittlenessReport:
         case wire::Envelope::kPlatformContactRequest:
         case wire::Envelope::kPlatformContact:
             return entryFromWire(envelope);
--- a/src/teaselshore/protocol/codec_test.cpp
+++ b/src/teaselshore/protocol/codec_test.cpp
@@ -163,6 +163,10 @@
                 RefusalReport { { { UpstreamId(fields.text()), 3, 4 }, { UpstreamId(fields.text()), 5, 6 } } }),
             EntryMessage(LimitReport { { { UpstreamId(fields.text()), 1.6, std::chrono::seconds(fields.smallNumber()) },
                 { UpstreamId(fields.text()), std::nullopt, Duration::zero() } } }),
+            EntryMessage(
+                BrittlenessReport { { { ServiceName(fields.text()), 2.5, std::chrono::seconds(fields.smallNumber()) },
+                                        { ServiceName(fields.text()), std::nullopt, Duration::zero() } },
+                    { { UpstreamId(fields.text()), 3, std::nullopt }, { UpstreamId(fields.text()), 0, 7 } } }),
             EntryMessage(ConfigurationCopy { fields.number(), fields.text() }),
             EntryMessage(PlatformContactRequest {}),
             EntryMessage(PlatformContact { std::chrono::seconds(7), std::chrono::milliseconds(3),
--- a/src/teaselshore/protocol/entry_conversions.cpp
+++ b/src/teaselshore/protocol/entry_conversions.cpp
@@ -92,6 +92,25 @@
         }
     }
 
+    void fill(const BrittlenessReport& report, wire::Envelope& envelope)
+    {
+        wire::BrittlenessReport& result = *envelope.mutable_brittleness_report();
+        for (const BrittlenessReport::Service& service : report.services) {
+            wire::BrittleService& entry = *result.add_services();
+            entry.set_service(service.service.value());
+            if (service.allowance)
+                entry.set_allowance(*service.allowance);
+            entry.set_age(service.age.count());
+        }
+        for (const BrittlenessReport::Upstream& upstream : report.upstreams) {
+            wire::BrittleUpstream& entry = *result.add_upstreams();
+            entry.set_upstream(upstream.upstream.value());
+            entry.set_refused(upstream.refused);
+            if (upstream.outstanding)
+                entry.set_outstanding(*upstream.outstanding);
+        }
+    }
+
     void fill(const PlatformContactRequest&, wire::Envelope& envelope) { envelope.mutable_platform_contact_request(); }
 
     void fill(const PlatformContact& contact, wire::Envelope& envelope)
@@ -142,6 +161,24 @@
         return result;
     }
 
+    std::optional<BrittlenessReport> fromWire(const wire::BrittlenessReport& report)
+    {
+        BrittlenessReport result;
+        for (const wire::BrittleService& entry : report.services()) {
+            if (entry.age() < 0 || (entry.has_allowance() && !isAmount(entry.allowance())))
+                return std::nullopt;
+            const std::optional<double> allowance
+                = entry.has_allowance() ? std::optional(entry.allowance()) : std::nullopt;
+            result.services.push_back({ ServiceName(entry.service()), allowance, Duration(entry.age()) });
+        }
+        for (const wire::BrittleUpstream& entry : report.upstreams()) {
+            const std::optional<std::uint32_t> outstanding
+                = entry.has_outstanding() ? std::optional(entry.outstanding()) : std::nullopt;
+            result.upstreams.push_back({ UpstreamId(entry.upstream()), entry.refused(), outstanding });
+        }
+        return result;
+    }
+
     std::optional<PlatformContact> fromWire(const wire::PlatformContact& contact)
     {
         const Duration first(contact.since_first_answer());
@@ -183,6 +220,8 @@
         return fromWire(envelope.refusal_report());
     if (envelope.has_limit_report())
         return fromWire(envelope.limit_report());
+    if (envelope.has_brittleness_report())
+        return fromWire(envelope.brittleness_report());
     if (envelope.has_platform_contact_request())
         return PlatformContactRequest {};
     if (envelope.has_platform_contact())
