Bound the memory of request bodies by the memory of the host

What callers saw: with many large requests at once a node was ended by force, and with it all requests that upstreams worked on. Each body is held once now, but nothing bounded their sum.

Cause: the relay bounds what upstreams and slow readers make the process keep; there was no bound for what callers send.

Change: ByteBudget admits bodies by bytes, from their receipt until nobody holds them. A request whose body does not fit gets 503 with retry-after before its body is read (also before 100 Continue) if it has a length, in chunks as soon as it does not fit. It was not passed on then; one that was read in full is never refused for its body. Metrics: bytes, budget, refusals.

Weighed and left: to stop reading first, as the time for a body would go on; to count bodies as they arrive, as most of a body would be sent in vain.

Still open: fairness between workspaces; a body that is announced and not sent holds its memory for header_timeout_ms; HTTP/2.

--- a/include/teaselshore/configuration/entry_settings.hpp
+++ b/include/teaselshore/configuration/entry_settings.hpp
@@ -66,6 +66,8 @@
     /// API for upstream orders and usage reports; they are left out without it.
     std::optional<SocketAddress> cloud;
     LogLevel logLevel = LogLevel::Info;
+    /// Memory that the process may take; unbounded if the settings do not name it.
+    std::optional<std::size_t> memoryBytes;
     PlatformRates platformRates;
     SharedRetryBudget retries;
     QuotaTolerance quota;
--- a/include/teaselshore/http/http_server.hpp
+++ b/include/teaselshore/http/http_server.hpp
@@ -22,6 +22,8 @@
     /// Request line and header fields.
     std::size_t maxHeaderBytes = std::size_t { 64 } * 1024;
     std::size_t maxBodyBytes = std::size_t { 8 } * 1024 * 1024;
+    /// Bytes that the bodies of all HTTP/1 requests may take together, from their receipt until nobody holds them.
+    std::size_t bodyBudget = SIZE_MAX;
     /// Time a client may take to send a whole request.
     Duration requestTimeout = std::chrono::seconds(10);
     /// Time a connection may wait for its next request.
@@ -86,12 +88,23 @@
     auto operator<=>(const UnsentAnswers&) const = default;
 };
 
+/// @brief Memory of the bodies of HTTP/1 requests.
+struct BodyMemory {
+    std::size_t bytes = 0;
+    std::size_t budget = 0;
+    /// Requests that were refused since their body did not fit.
+    std::uint64_t refusedRequests = 0;
+
+    auto operator<=>(const BodyMemory&) const = default;
+};
+
 using HttpHandler = std::function<void(std::shared_ptr<ServerExchange>)>;
 
 /// @brief HTTP/1.1 and HTTP/2 (prior knowledge) server on h2o's event loop.
 ///
 /// An HTTP/1.1 request whose framing is ambiguous or malformed is answered 400; one
-/// beyond the limits 431, 413 or 408. The connection is closed after each of these, and the handler never sees them.
+/// beyond the limits 431, 413 or 408; one whose body does not fit into the budget 503 with retry-after, before its body
+/// is read if it has a length. The connection is closed after each of these, and the handler never sees them.
 class HttpServer {
 public:
     /// @brief Starts to listen. Returns nothing and sets error if the address cannot be used.
@@ -119,6 +132,8 @@
     /// read it.
     std::uint64_t cutAnswers() const;
 
+    BodyMemory bodyMemory() const;
+
     /// @brief Number of exchanges without a finished answer.
     std::size_t openExchanges() const;
 
--- a/src/teaselshore/configuration/entry_settings.cpp
+++ b/src/teaselshore/configuration/entry_settings.cpp
@@ -15,6 +15,8 @@
     constexpr NumberRange rateRange { 0.1, 1e6 };
     constexpr NumberRange ratioRange { 0, 10 };
     constexpr NumberRange amountRange { 0, 1e12 };
+    constexpr NumberRange megabytesRange { 1, 1e6 };
+    constexpr std::size_t megabyte = std::size_t { 1024 } * 1024;
     constexpr NumberRange millisecondsRange { 1, 3'600'000 };
 
     class EntrySettingsReader {
@@ -29,6 +31,7 @@
             this->readZones(fields);
             this->readAddresses(fields);
             this->readLogLevel(fields);
+            this->readMemory(fields);
             this->readRates(fields);
             this->readTimes(fields);
             fields.finish();
@@ -92,6 +95,14 @@
                     fmt::format("log-level must be debug, info, warning or error, is {}", quoted(text)));
         }
 
+        void readMemory(YamlFields& fields)
+        {
+            double megabytes = 0;
+            fields.number("memory-mb", megabytes, megabytesRange);
+            if (megabytes > 0)
+                this->result.memoryBytes = static_cast<std::size_t>(megabytes * megabyte);
+        }
+
         void readRates(YamlFields& fields)
         {
             this->section(fields, "platform-rates", [this](YamlFields& rates) {
--- a/src/teaselshore/configuration/entry_settings_test.cpp
+++ b/src/teaselshore/configuration/entry_settings_test.cpp
@@ -49,6 +49,19 @@
         EXPECT_EQ(settings->recoveryTime, std::chrono::seconds(4));
     }
 
+    // Guards against a node that takes more memory than its host has since it does not know how much that is.
+    TEST(EntrySettings, ReadsTheMemory)
+    {
+        std::vector<ConfigurationProblem> problems;
+        const auto without = parseEntrySettings(settingsText, problems);
+        ASSERT_TRUE(without) << describeFirst("settings", problems);
+        EXPECT_FALSE(without->memoryBytes);
+        const auto with = parseEntrySettings(settingsText + "memory-mb: 160\n", problems);
+        ASSERT_TRUE(with) << describeFirst("settings", problems);
+        EXPECT_EQ(with->memoryBytes, std::size_t { 160 } * 1024 * 1024);
+        EXPECT_FALSE(parseEntrySettings(settingsText + "memory-mb: 0\n", problems));
+    }
+
     // Guards against a setting that cannot be understood and is taken for its default.
     TEST(EntrySettings, ReportsWhatIsWrongAndWhere)
     {
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -86,6 +86,16 @@
         "teaselshore_cut_answers_total", "Finished answers that callers stopped to read before their end.", cut);
 }
 
+void EntryMetrics::updateBodies(const BodyMemory& bodies)
+{
+    this->setGauge("teaselshore_request_body_bytes", "Bytes of the bodies of requests that are read or open.",
+        static_cast<double>(bodies.bytes));
+    this->setGauge("teaselshore_request_body_budget_bytes", "Bytes that these bodies may take together.",
+        static_cast<double>(bodies.budget));
+    this->setCounter("teaselshore_refused_bodies_total", "Requests refused with 503 since their body did not fit.",
+        bodies.refusedRequests);
+}
+
 void EntryMetrics::onRequestEnded(const RequestEnded& request)
 {
     // Requests without a route are answered at once and would only hide the others.
--- a/src/teaselshore/daemon/entry_metrics.hpp
+++ b/src/teaselshore/daemon/entry_metrics.hpp
@@ -18,6 +18,7 @@
     void update(const EntryStatistics& statistics, const RelayCounters& relay, std::uint64_t refusedRequests);
     void onRequestEnded(const RequestEnded& request);
     void updatePlatformCalls(const PlatformClient& platform);
+    void updateBodies(const BodyMemory& bodies);
     void updateAnswers(const UnsentAnswers& unsent, std::uint64_t cut);
     void startWindow() { this->metrics.startWindow(); }
     std::string render() const { return this->metrics.renderPrometheus(); }
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -278,8 +278,11 @@
 
 bool EntryTask::Impl::listen(HttpError* error)
 {
+    HttpServerSettings callerSettings = serverSettings(this->settings.callers, firstLimits);
+    callerSettings.bodyBudget
+        = requestBodyBudget(this->settings.memoryBytes, entryRelaySettings(std::string(responseMark())));
     this->callers = HttpServer::listen(
-        *this->loop, serverSettings(this->settings.callers, firstLimits),
+        *this->loop, callerSettings,
         [this](std::shared_ptr<ServerExchange> exchange) { this->onCaller(std::move(exchange)); }, error);
     if (!this->callers)
         return false;
@@ -362,6 +365,7 @@
         return { statusNotFound, {}, "no such page\n" };
     this->metrics.update(this->node.statistics(), this->relay.counters(), this->callers->refusedRequests());
     this->metrics.updateAnswers(this->callers->unsentAnswers(), this->callers->cutAnswers());
+    this->metrics.updateBodies(this->callers->bodyMemory());
     this->metrics.updatePlatformCalls(*this->platform);
     return { statusOk, { { "content-type", "text/plain; version=0.0.4" } }, this->metrics.render() };
 }
--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -39,6 +39,9 @@
     constexpr int requestTimeout = 408;
     constexpr int bodyTooLarge = 413;
     constexpr int headerTooLarge = 431;
+    constexpr int serviceUnavailable = 503;
+    /// Time after which a caller that was refused for lack of memory may come again: some requests have ended then.
+    constexpr std::string_view memoryRetrySeconds = "1";
 
     bool isFramingField(std::string_view name)
     {
@@ -126,6 +129,7 @@
         const HttpServerLimits& limits = this->core.limits();
         this->parser.emplace(
             RequestLimits { limits.maxHeaderBytes, limits.maxBodyBytes, this->core.refusesDotSegments() });
+        this->bodyMemory = this->core.bodyBudget().reservation();
         this->state = State::Reading;
         this->sawContinue = false;
         this->deadline = monotonicNow() + limits.requestTimeout;
@@ -134,6 +138,11 @@
     std::size_t used = 0;
     const RequestParser::Progress progress = this->parser->put(bytes, used);
     h2o_buffer_consume(&this->socket->input, used);
+    const bool isValid = progress == RequestParser::Progress::NeedsMore || progress == RequestParser::Progress::Done;
+    if (isValid && this->parser->hasHeader() && !this->bodyMemory.resize(this->parser->bodyBytes())) {
+        this->refuseForMemory();
+        return false;
+    }
     switch (progress) {
     case RequestParser::Progress::NeedsMore:
         if (this->parser->hasHeader() && this->parser->expectsContinue() && !this->sawContinue) {
@@ -164,7 +173,10 @@
     this->answerDone = false;
     this->version10 = this->parser->isVersion10();
     this->closeAfterAnswer = !this->parser->keepsAlive();
-    HttpRequest request = this->parser->take();
+    std::shared_ptr<const void> guard;
+    if (this->bodyMemory.bytes() > 0)
+        guard = std::make_shared<const ByteBudget::Reservation>(std::move(this->bodyMemory));
+    HttpRequest request = this->parser->take(std::move(guard));
     this->parser.reset();
     this->headRequest = request.method == "HEAD";
     this->exchange = std::make_shared<Http1Exchange>(*this, std::move(request));
@@ -172,16 +184,25 @@
     this->core.handle(this->exchange);
 }
 
-void Http1Connection::refuse(int status, std::string_view reason)
+void Http1Connection::refuseForMemory()
+{
+    this->core.countBodyWithoutMemory();
+    this->refuse(serviceUnavailable, "the bodies of open requests take all the memory",
+        { { "retry-after", std::string(memoryRetrySeconds) } });
+}
+
+void Http1Connection::refuse(int status, std::string_view reason, HttpHeaders headers)
 {
     this->state = State::Answering;
     this->closeAfterAnswer = true;
     this->parser.reset();
+    this->bodyMemory = {};
     this->core.countRefused(status, reason);
     this->version10 = false;
     this->headRequest = false;
     const std::string body = fmt::format(R"({{"error":{{"code":"rejected","message":"{}"}}}})", reason);
-    this->startAnswer(status, { { "content-type", "application/json" } }, body.size());
+    headers.add("content-type", "application/json");
+    this->startAnswer(status, headers, body.size());
     this->write(body);
     this->completeAnswer();
 }
--- a/src/teaselshore/http/http1_connection.hpp
+++ b/src/teaselshore/http/http1_connection.hpp
@@ -6,6 +6,7 @@
 
 #include "h2o.hpp"
 #include "request_parser.hpp"
+#include "teaselshore/base/byte_budget.hpp"
 #include "teaselshore/http/http_server.hpp"
 
 namespace teaselshore {
@@ -68,7 +69,9 @@
     bool readRequest();
     bool handOverToHttp2();
     void dispatch();
-    void refuse(int status, std::string_view reason);
+    void refuse(int status, std::string_view reason, HttpHeaders headers = {});
+    /// @brief Refuses a request whose body the process has no memory for, before it is read as far as possible.
+    void refuseForMemory();
     /// @brief Notes that nothing follows, and watches that the client reads what is left.
     void completeAnswer();
     void expectProgress();
@@ -90,6 +93,8 @@
     h2o_socket_t* socket;
     State state = State::Idle;
     std::optional<RequestParser> parser;
+    /// Memory for the body that is being read.
+    ByteBudget::Reservation bodyMemory;
     std::shared_ptr<Http1Exchange> exchange;
     std::string pending;
     std::string sending;
--- a/src/teaselshore/http/http_server.cpp
+++ b/src/teaselshore/http/http_server.cpp
@@ -100,6 +100,8 @@
 
 std::uint64_t HttpServer::cutAnswers() const { return this->impl->core->cutAnswers(); }
 
+BodyMemory HttpServer::bodyMemory() const { return this->impl->core->bodyMemory(); }
+
 void HttpServer::stopAccepting() { this->impl->core->stopAccepting(); }
 
 std::size_t HttpServer::openExchanges() const { return this->impl->core->openExchanges(); }
--- a/src/teaselshore/http/http_server_test.cpp
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -279,6 +279,95 @@
         ASSERT_TRUE(fixture.runUntil([&] { return (answer += connection.receive(ended)).ends_with("abc"); }));
     }
 
+    /// Keeps all requests open.
+    struct OpenExchanges {
+        HttpHandler handler()
+        {
+            return [this](std::shared_ptr<ServerExchange> exchange) { this->open.push_back(std::move(exchange)); };
+        }
+        void answerAll()
+        {
+            for (const auto& exchange : this->open)
+                exchange->reply({ 200, {}, "done" });
+            this->open.clear();
+        }
+
+        std::vector<std::shared_ptr<ServerExchange>> open;
+    };
+
+    HttpServerSettings withBodyBudget(std::size_t bytes)
+    {
+        HttpServerSettings settings;
+        settings.bodyBudget = bytes;
+        return settings;
+    }
+
+    bool isRefusalForMemory(const std::string& answer)
+    {
+        return answer.starts_with("HTTP/1.1 503 ") && answer.find("retry-after: 1\r\n") != std::string::npos;
+    }
+
+    // Guards against requests that together take more memory than the host has, against a refusal of one that was
+    // passed on, and against memory that is not given back: by answers, callers that go, bodies that stop short and
+    // refusals.
+    TEST(HttpServer, RefusesBodiesBeyondTheBudgetUntilOthersEnd)
+    {
+        OpenExchanges requests;
+        HttpServerSettings settings = withBodyBudget(1000);
+        settings.requestTimeout = std::chrono::milliseconds(200);
+        HttpFixture fixture(requests.handler(), settings);
+        CallRecord first;
+        fixture.start(fixture.call("POST", "/", std::string(600, 'a')), first);
+        ASSERT_TRUE(fixture.runUntil([&] { return requests.open.size() == 1; }));
+        EXPECT_EQ(fixture.server->bodyMemory(), (BodyMemory { 600, 1000, 0 }));
+
+        // The body has not been sent, so that the answer came before it was read, and no 100 before it.
+        const std::string head = "POST / HTTP/1.1\r\nhost: a\r\n";
+        EXPECT_TRUE(isRefusalForMemory(exchangeRaw(fixture, head + "content-length: 401\r\n\r\n")));
+        EXPECT_TRUE(
+            isRefusalForMemory(exchangeRaw(fixture, head + "expect: 100-continue\r\ncontent-length: 401\r\n\r\n")));
+        EXPECT_TRUE(isRefusalForMemory(
+            exchangeRaw(fixture, head + "transfer-encoding: chunked\r\n\r\n191\r\n" + std::string(401, 'b') + "\r\n")));
+        EXPECT_EQ(fixture.server->bodyMemory(), (BodyMemory { 600, 1000, 3 }));
+        EXPECT_EQ(requests.open.size(), 1U);
+
+        EXPECT_TRUE(exchangeRaw(fixture, head + "content-length: 400\r\n\r\nb").starts_with("HTTP/1.1 408 "));
+        EXPECT_EQ(fixture.server->bodyMemory().bytes, 600U);
+
+        CallRecord second;
+        const CallId gone = fixture.start(fixture.call("POST", "/", std::string(400, 'c')), second);
+        ASSERT_TRUE(fixture.runUntil([&] { return requests.open.size() == 2; }));
+        EXPECT_EQ(fixture.server->bodyMemory().bytes, 1000U);
+        CallRecord empty;
+        fixture.start(fixture.call("GET", "/"), empty);
+        ASSERT_TRUE(fixture.runUntil([&] { return requests.open.size() == 3; })) << "it needs no memory for a body";
+        fixture.client->cancel(gone);
+        requests.open.erase(requests.open.begin() + 1);
+        ASSERT_TRUE(fixture.runUntil([&] { return fixture.server->bodyMemory().bytes == 600; }));
+
+        requests.answerAll();
+        ASSERT_TRUE(fixture.runUntil([&] { return first.isDone() && empty.isDone(); }));
+        EXPECT_EQ(first.status, 200);
+        EXPECT_EQ(fixture.server->bodyMemory().bytes, 0U);
+    }
+
+    // Guards against a budget that is free again while someone still holds the body, as for a later attempt.
+    TEST(HttpServer, BodyTakesItsMemoryUntilNobodyHoldsIt)
+    {
+        SharedBytes kept;
+        HttpFixture fixture(
+            [&kept](const std::shared_ptr<ServerExchange>& exchange) {
+                kept = exchange->request().body;
+                exchange->reply({ 200, {}, "done" });
+            },
+            withBodyBudget(1000));
+        EXPECT_EQ(fixture.run(fixture.call("POST", "/", std::string(600, 'a'))).status, 200);
+        EXPECT_EQ(fixture.server->bodyMemory().bytes, 600U);
+        EXPECT_EQ(fixture.run(fixture.call("POST", "/", std::string(600, 'b'))).status, 503);
+        kept = {};
+        EXPECT_EQ(fixture.run(fixture.call("POST", "/", std::string(600, 'c'))).status, 200);
+    }
+
     // Guards against a planned stop that closes a connection on which the caller may send the next request.
     TEST(HttpServer, AnnouncesTheCloseInTheAnswer)
     {
--- a/src/teaselshore/http/request_parser.cpp
+++ b/src/teaselshore/http/request_parser.cpp
@@ -158,9 +158,14 @@
 bool RequestParser::expectsContinue() const { return this->message->expectsContinue; }
 bool RequestParser::keepsAlive() const { return this->message->keep_alive(); }
 bool RequestParser::isVersion10() const { return this->message->isVersion10; }
-HttpRequest RequestParser::take()
+std::size_t RequestParser::bodyBytes() const
 {
-    this->message->request.body = SharedBytes(std::move(this->message->body));
+    const std::size_t announced = static_cast<std::size_t>(this->message->content_length().value_or(0));
+    return std::max(announced, this->message->body.size());
+}
+HttpRequest RequestParser::take(std::shared_ptr<const void> bodyGuard)
+{
+    this->message->request.body = SharedBytes(std::move(this->message->body), std::move(bodyGuard));
     return std::move(this->message->request);
 }
 
--- a/src/teaselshore/http/request_parser.hpp
+++ b/src/teaselshore/http/request_parser.hpp
@@ -47,8 +47,11 @@
     bool keepsAlive() const;
     /// @brief True for HTTP/1.0, which knows no chunks. Precondition: hasHeader().
     bool isVersion10() const;
-    /// @brief Takes the request out. Precondition: the request is done.
-    HttpRequest take();
+    /// @brief Bytes that the body needs: as announced, or as many as have arrived of one without a length.
+    /// Precondition: hasHeader().
+    std::size_t bodyBytes() const;
+    /// @brief Takes the request out. The guard is released together with the body. Precondition: the request is done.
+    HttpRequest take(std::shared_ptr<const void> bodyGuard);
 
 private:
     class Message;
--- a/src/teaselshore/http/server_core.cpp
+++ b/src/teaselshore/http/server_core.cpp
@@ -32,6 +32,7 @@
     , handler(std::move(handler))
     , serverLimits { settings.maxHeaderBytes, settings.maxBodyBytes, settings.requestTimeout, settings.idleTimeout }
     , refuseDotSegments(settings.refuseDotSegments)
+    , bodies(settings.bodyBudget)
 {
     h2o_config_init(&this->configuration);
     this->configuration.server_name = h2o_iovec_init(serverName, sizeof(serverName) - 1);
@@ -137,6 +138,11 @@
     return unsent;
 }
 
+BodyMemory ServerCore::bodyMemory() const
+{
+    return { this->bodies.used(), this->bodies.total(), this->bodiesWithoutMemory };
+}
+
 void ServerCore::acceptHttp2(h2o_socket_t* socket)
 {
     this->retire(std::move(this->connections.at(socket)));
--- a/src/teaselshore/http/server_core.hpp
+++ b/src/teaselshore/http/server_core.hpp
@@ -8,6 +8,7 @@
 #include "event_loop_impl.hpp"
 #include "h2o.hpp"
 #include "http1_connection.hpp"
+#include "teaselshore/base/byte_budget.hpp"
 #include "teaselshore/http/http_server.hpp"
 
 namespace teaselshore {
@@ -49,6 +50,9 @@
     void countCutAnswer() { ++this->cut; }
     std::uint64_t cutAnswers() const { return this->cut; }
     UnsentAnswers unsentAnswers() const;
+    const ByteBudget& bodyBudget() const { return this->bodies; }
+    void countBodyWithoutMemory() { ++this->bodiesWithoutMemory; }
+    BodyMemory bodyMemory() const;
 
 private:
     /// HTTP/2 connection, which h2o owns.
@@ -85,6 +89,8 @@
     HttpServerLimits serverLimits;
     bool refuseDotSegments;
     bool isClosing = false;
+    ByteBudget bodies;
+    std::uint64_t bodiesWithoutMemory = 0;
     std::uint64_t refused = 0;
     std::uint64_t cut = 0;
 };
