Count the bodies of peers' requests to the same budget

Requests that peers without links hand over are read by a second server of the process, whose bodies no budget counted. Both servers now share one. By reading; HttpServer's tests of the budget cover the shared class, and none yet the two servers.

--- a/include/teaselshore/http/http_server.hpp
+++ b/include/teaselshore/http/http_server.hpp
@@ -118,6 +118,9 @@
 
     /// @brief Applies to requests and idle times that begin after the call.
     void setLimits(const HttpServerLimits& limits);
+    /// @brief Bounds the bodies of both servers together, by the budget of the other one. Precondition: no request has
+    /// been read yet.
+    void shareBodyBudget(const HttpServer& other);
     /// @brief Closes each connection after its next answer, and tells the caller so in the answer.
     void announceClose();
     /// @brief Requests answered by the server itself since they were malformed, too large or too slow.
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -311,7 +311,10 @@
     this->relays = HttpServer::listen(
         *this->loop, serverSettings(*this->settings.relays, relayLimits(firstLimits)),
         [this](std::shared_ptr<ServerExchange> exchange) { this->onPeerRequest(std::move(exchange)); }, error);
-    return this->relays != nullptr;
+    if (!this->relays)
+        return false;
+    this->relays->shareBodyBudget(*this->callers);
+    return true;
 }
 
 bool EntryTask::Impl::listenForPeers(HttpError* error)
--- a/src/teaselshore/http/http_server.cpp
+++ b/src/teaselshore/http/http_server.cpp
@@ -92,6 +92,11 @@
 
 void HttpServer::setLimits(const HttpServerLimits& limits) { this->impl->core->setLimits(limits); }
 
+void HttpServer::shareBodyBudget(const HttpServer& other)
+{
+    this->impl->core->setBodyBudget(other.impl->core->bodyBudget());
+}
+
 void HttpServer::announceClose() { this->impl->core->announceClose(); }
 
 std::uint64_t HttpServer::refusedRequests() const { return this->impl->core->refusedRequests(); }
--- a/src/teaselshore/http/server_core.hpp
+++ b/src/teaselshore/http/server_core.hpp
@@ -51,6 +51,7 @@
     std::uint64_t cutAnswers() const { return this->cut; }
     UnsentAnswers unsentAnswers() const;
     const ByteBudget& bodyBudget() const { return this->bodies; }
+    void setBodyBudget(ByteBudget budget) { this->bodies = std::move(budget); }
     void countBodyWithoutMemory() { ++this->bodiesWithoutMemory; }
     BodyMemory bodyMemory() const;
 
