Use open connections while no new ones can be opened

What callers saw: while all nodes could open no new connections but had open ones, a burst made each of them take its links for lost, and they answered 503 to all requests: 0 of 180 served, 135 of 135 before the cut.

Cause: lost links are judged by new connections, and a node with lost links sent nothing to upstreams, though the open connections still carried answers. Peers had no better ones.

Evidence: NodesWithLiveConnections.UseThemAfterABurst failed in three of three runs before and passes.

--- a/include/teaselshore/entry/upstream_links.hpp
+++ b/include/teaselshore/entry/upstream_links.hpp
@@ -44,6 +44,8 @@
     std::vector<UpstreamId> takeChecks(std::vector<UpstreamId> upstreams, Instant now);
 
     bool areLost() const { return this->lost; }
+    /// @brief Returns whether an attempt was answered lately, also on a connection that was open before.
+    bool areAnswering(Instant now) const;
     /// @brief Returns whether an upstream other than the given one has answered or was reached since the given time.
     bool hasReachedAnotherSince(const UpstreamId& upstream, Instant since) const;
     /// @brief Returns when the last response or check reached an upstream; nothing before the first one.
@@ -83,6 +85,7 @@
     Instant checksSentAt {};
     bool isReachedByChecks = false;
     Instant nextChecks {};
+    std::optional<Instant> answeredAt;
     bool lost = false;
 };
 
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -180,7 +180,7 @@
     request.deadline = request.arrivedAt + std::min(request.caller.timeout.value_or(noTimeout), request.route->timeout);
     this->deadlines.emplace(request.deadline, request.id);
     // Before the quota, which the peer takes.
-    if (this->state.links.areLost()) {
+    if (this->needsPeers(now)) {
         this->relayOrEnd(request, noLinks, now);
         return;
     }
@@ -311,7 +311,7 @@
 
 void EntryRequests::dispatch(Request& request, Instant now)
 {
-    if (this->state.links.areLost()) {
+    if (this->needsPeers(now)) {
         this->relayOrEnd(request, noLinks, now);
         return;
     }
@@ -427,6 +427,8 @@
 {
     const Duration maxWait = request.route->latencyTarget / maxWaitDivisor;
     const Instant until = std::min(request.waitUntil.value_or(request.arrivedAt + maxWait), request.deadline);
+    if (this->state.links.areLost() && this->tryRelay(request, now))
+        return;
     const std::optional<Availability> next = this->nextAvailability(request.service, now);
     if (now >= until || (next && next->here >= until)) {
         this->endWithoutResponse(
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -139,6 +139,8 @@
     void dispatch(Request& request, Instant now);
     /// @brief Hands the request to a peer. Returns false if it may not be, or if no peer is left.
     bool tryRelay(Request& request, Instant now);
+    /// @brief Returns whether upstreams cannot serve the requests of this node, not even on connections that are open.
+    bool needsPeers(Instant now) const { return this->state.links.areLost() && !this->state.links.areAnswering(now); }
     /// @brief Hands the request to a peer, or ends it if no peer can take it.
     void relayOrEnd(Request& request, const std::string& reason, Instant now);
     void onPeerResponded(const RelayedAttempt& attempt, UpstreamResponded event, Instant now);
--- a/src/teaselshore/entry/relayed_requests.cpp
+++ b/src/teaselshore/entry/relayed_requests.cpp
@@ -128,8 +128,11 @@
     this->releaseEvidence(now);
     const auto waiting = this->waitingRequests;
     for (const auto& [priority, arrivedAt, id] : waiting) {
-        if (Request* request = this->find(id))
+        Request* request = this->find(id);
+        if (request && this->needsPeers(now))
             this->relayOrEnd(*request, linksLost, now);
+        else if (request)
+            this->tryRelay(*request, now);
     }
     this->abandonUnanswered(now);
 }
--- a/src/teaselshore/entry/upstream_links.cpp
+++ b/src/teaselshore/entry/upstream_links.cpp
@@ -40,8 +40,10 @@
 void UpstreamLinks::onAnswered(AttemptId attempt, Instant now)
 {
     const auto node = this->unanswered.extract(attempt);
-    if (!node.empty())
-        this->addContact(node.mapped().upstream, now);
+    if (node.empty())
+        return;
+    this->addContact(node.mapped().upstream, now);
+    this->answeredAt = now;
 }
 
 void UpstreamLinks::onNotConnected(AttemptId attempt, Instant now) { this->addTrouble(attempt, now); }
@@ -121,6 +123,8 @@
     return inTrouble.size() >= needed;
 }
 
+bool UpstreamLinks::areAnswering(Instant now) const { return this->answeredAt && now < *this->answeredAt + silence; }
+
 bool UpstreamLinks::hasReachedAnotherSince(const UpstreamId& upstream, Instant since) const
 {
     const auto isOther = [&](const std::optional<Contact>& contact) {
