Refuse a request of a peer truly if this node did not run it

What callers saw: a safe request that had failed once was answered 502 in the first second of a cut at two nodes, though a third one had links.

Cause: a peer without links counted the earlier attempts of a request as its own, so that it answered 502, which ends the request, where 503 lets the first node try another peer.

Change: earlier attempts count towards the attempts that the route allows, and not as runs at the peer.

--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -111,7 +111,7 @@
     request.arrivedAt = now;
     if (arrived.relayedRuns) {
         request.isRelayed = true;
-        request.runs = *arrived.relayedRuns;
+        request.earlierRuns = *arrived.relayedRuns;
         ++this->state.statistics.requestsOfPeers;
     }
     if (this->hasEnded) {
@@ -727,7 +727,7 @@
         return false;
     if (request.runs > 0 && !request.route->retryable)
         return false;
-    if (request.runs >= request.route->maxAttempts)
+    if (request.runs + request.earlierRuns >= request.route->maxAttempts)
         return false;
     if (result.connectionBroken && !this->crashes.mayRetryAfterBrokenConnection(crashKeysOf(request)))
         return false;
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -72,6 +72,8 @@
         bool mayHaveArrived = false;
         /// A peer handed the request to this node, which then does not hand it on.
         bool isRelayed = false;
+        /// How often it may have run before.
+        std::uint32_t earlierRuns = 0;
         /// Peers that were tried.
         std::vector<std::string> triedPeers;
         /// Number of upstreams to which no connection could be established.
