--- a/include/teaselshore/http/http_server.hpp
+++ b/include/teaselshore/http/http_server.hpp
@@ -22,7 +22,7 @@
     /// Request line and header fields.
     std::size_t maxHeaderBytes = std::size_t { 64 } * 1024;
     std::size_t maxBodyBytes = std::size_t { 8 } * 1024 * 1024;
-    /// Bytes that the bodies of all HTTP/1 requests may take together, from their receipt until nobody holds them.
+    /// Bytes that the bodies of all HTTP/1 requests may take together, from their arrival until nobody holds them.
     std::size_t bodyBudget = SIZE_MAX;
     /// Time a client may take to send a whole request.
     Duration requestTimeout = std::chrono::seconds(10);
--- a/src/teaselshore/entry/crash_detector.hpp
+++ b/src/teaselshore/entry/crash_detector.hpp
@@ -13,9 +13,9 @@
 /// @brief Detects upstreams that crashed while they ran requests, and shares with all nodes which requests they ran.
 ///
 /// A broken connection does not prove a crash, since connections are reset and responses truncated for other reasons.
-/// The end of the process proves it, as shown by a refused connection or a new process under the same instance name. An
-/// upstream that announced its end is not counted. Neither is one that only stops answering, since a network partition
-/// or a lost zone looks the same.
+/// The end of the process proves it, as shown by a new process at its address or under the same instance name, or by
+/// connections that are refused twice while this node reaches another upstream. An upstream that announced its end is
+/// not counted. Neither is one that only stops answering, since a network partition or a lost zone looks the same.
 ///
 /// Nodes send each other new crashes at once. Their reports at the platform also carry the suspects, for nodes that
 /// start, that were partitioned or that no peer can reach. Not thread-safe.
