Gather long prompts on a part of the engines that follows their share

Short prompts wait behind long ones, since an engine reads one prompt after the other and a node knows only its own. A term in the score keeps long prompts on the first engines of an order that all nodes share, as many as their part of the reading time needs, and short ones off them; it is dropped for a request that would miss its own target. Prompt tokens of other nodes enter the prediction through onOthersPrefill(), which nothing calls yet.

--- a/include/teaselshore/routing/load_estimate.hpp
+++ b/include/teaselshore/routing/load_estimate.hpp
@@ -63,6 +63,10 @@
     double firstTokenSeconds = 0;
     /// Requests of all nodes that the upstream has outstanding now.
     double outstanding = 0;
+    /// Part of firstTokenSeconds in which earlier prompts are read.
+    double readingAheadSeconds = 0;
+    /// Part of firstTokenSeconds in which the prompt itself is read.
+    double readingSeconds = 0;
 
     auto operator<=>(const LoadPrediction&) const = default;
 };
@@ -89,12 +93,20 @@
 
     void onReport(const LoadReport& report, Instant now);
 
+    /// @brief Records how many uncached prompt tokens of other nodes' requests the upstream had yet to read at a time;
+    /// older statements than the last one are ignored.
+    void onOthersPrefill(double tokens, Instant at);
+
     /// @brief Returns the number of requests that this node has outstanding at the upstream.
     std::uint32_t ownOutstanding() const { return this->outstanding; }
 
     /// @brief Returns the estimated number of requests that other nodes have outstanding at the upstream.
     double othersOutstanding(Instant now) const;
 
+    /// @brief Returns the estimated work of other nodes that precedes the first byte of a new request, in token
+    /// equivalents; zero if nothing is known of it.
+    double othersPrefillWork(double workPerRequest, Instant now) const;
+
     /// @brief Returns the work that precedes the first byte of a new request, in token equivalents.
     double workAhead(Instant now) const;
 
@@ -112,6 +124,8 @@
     /// Fraction of the reported requests that were queued, in [0, 1].
     float queuedFraction = 0;
     Instant reportedAt = Instant::min();
+    float othersPrefill = 0;
+    Instant othersPrefillAt = Instant::min();
     /// Zero for a rate without samples.
     LoadRates measured { 0, 0, 0, 0 };
     Instant measuredAt = Instant::min();
--- a/include/teaselshore/routing/router.hpp
+++ b/include/teaselshore/routing/router.hpp
@@ -31,6 +31,8 @@
     /// Seconds added for an upstream that refuses every request. A refusal costs little time, but a retry from a budget
     /// without which the caller must come back later.
     double refusal = 1;
+    /// Weight of the delay that reading long prompts causes at an engine.
+    double blocking = 1;
 
     auto operator<=>(const ScoreWeights&) const = default;
 };
@@ -47,9 +49,13 @@
     /// Weights for classes with a first-token target.
     ScoreWeights interactive;
     /// Weights for classes without a first-token target.
-    ScoreWeights batch {
-        .firstToken = 0.1, .overTarget = 0, .linkDelay = 1, .linkCost = 1000, .price = 0.5, .interference = 2
-    };
+    ScoreWeights batch { .firstToken = 0.1,
+        .overTarget = 0,
+        .linkDelay = 1,
+        .linkCost = 1000,
+        .price = 0.5,
+        .interference = 2,
+        .blocking = 0 };
 
     auto operator<=>(const RouterSettings&) const = default;
 };
@@ -132,6 +138,8 @@
     void onConfiguration(const Configuration& configuration, Instant now);
 
     void onLoadReport(const LoadReport& report, Instant now);
+    /// @brief Records how many uncached prompt tokens of other nodes an engine had yet to read at a time.
+    void onOthersPrefill(const UpstreamId& upstream, double tokens, Instant at);
     void onCacheEvent(const CacheEvent& event, Instant now);
     /// @brief Adds how many requests of another node an upstream accepted and refused.
     void onPeerResults(const UpstreamId& upstream, std::uint32_t accepted, std::uint32_t refused, Instant now);
--- a/include/teaselshore/routing/routing_decision.hpp
+++ b/include/teaselshore/routing/routing_decision.hpp
@@ -44,6 +44,9 @@
     double reclaimRisk = 0;
     /// Delay that a batch request causes to interactive requests on a busy upstream.
     double interference = 0;
+    /// For a long prompt, the delay that reading it causes to the requests that arrive meanwhile; for others, the
+    /// expected wait at an engine that takes the long ones.
+    double blocking = 0;
     /// Cost of a refusal, weighted by its probability.
     double refusal = 0;
     /// Bonus (negative) for the upstream preferred for the prefix.
@@ -52,7 +55,7 @@
     double sum() const
     {
         return this->firstToken + this->overTarget + this->linkDelay + this->linkCost + this->price + this->reclaimRisk
-            + this->interference + this->refusal + this->affinity;
+            + this->interference + this->blocking + this->refusal + this->affinity;
     }
 
     auto operator<=>(const ScoreTerms&) const = default;
--- a/src/teaselshore/daemon/admin_replies.cpp
+++ b/src/teaselshore/daemon/admin_replies.cpp
@@ -106,12 +106,14 @@
     std::string describeTerms(const ScoredUpstream& scored)
     {
         const ScoreTerms& terms = scored.terms;
-        return fmt::format("{} scored {:.4f} s (first token {:.4f}, over target {:.4f}, link delay {:.4f}, link cost "
-                           "{:.4f}, price {:.4f}, reclaim risk {:.4f}, interference {:.4f}, refusal {:.4f}, affinity "
-                           "{:.4f}; {} prompt "
-                           "tokens cached)",
+        return fmt::format(
+            "{} scored {:.4f} s (first token {:.4f}, over target {:.4f}, link delay {:.4f}, link cost "
+            "{:.4f}, price {:.4f}, reclaim risk {:.4f}, interference {:.4f}, blocking {:.4f}, refusal {:.4f}, affinity "
+            "{:.4f}; {} prompt "
+            "tokens cached)",
             scored.upstream.value(), terms.sum(), terms.firstToken, terms.overTarget, terms.linkDelay, terms.linkCost,
-            terms.price, terms.reclaimRisk, terms.interference, terms.refusal, terms.affinity, scored.cachedTokens);
+            terms.price, terms.reclaimRisk, terms.interference, terms.blocking, terms.refusal, terms.affinity,
+            scored.cachedTokens);
     }
 
     Json stepJson(const RoutingDecision& decision)
--- a/src/teaselshore/routing/load_estimate.cpp
+++ b/src/teaselshore/routing/load_estimate.cpp
@@ -13,6 +13,10 @@
     /// Age in seconds at which the decay factor of the average is one half; the factor is applied twice, so the average
     /// then counts a quarter. With a slower decay, an upstream that was last reported as full got no work for minutes.
     constexpr double averageHalfLife = 10;
+    /// Age in seconds at which stated prompt tokens of other nodes have half their weight, and the age from which they
+    /// count no longer; an engine reads a typical long prompt in 0.1 s.
+    constexpr double othersPrefillHalfLife = 1;
+    constexpr Duration othersPrefillLifetime = std::chrono::seconds(2);
     /// Age in seconds at which a measured rate and the rate of the pool have equal weight.
     constexpr double rateHalfLife = 10;
     constexpr double upstreamSampleWeight = 0.2;
@@ -101,9 +105,25 @@
     return recent * remaining * remaining;
 }
 
+void LoadEstimate::onOthersPrefill(double tokens, Instant at)
+{
+    if (at < this->othersPrefillAt)
+        return;
+    this->othersPrefill = static_cast<float>(std::max(0.0, tokens));
+    this->othersPrefillAt = at;
+}
+
+double LoadEstimate::othersPrefillWork(double workPerRequest, Instant now) const
+{
+    const double queued = this->othersOutstanding(now) * this->queuedFraction * workPerRequest;
+    if (this->othersPrefillAt == Instant::min() || now - this->othersPrefillAt > othersPrefillLifetime)
+        return queued;
+    return std::max(queued, this->othersPrefill * decay(now - this->othersPrefillAt, othersPrefillHalfLife));
+}
+
 double LoadEstimate::workAhead(Instant now) const
 {
-    return this->ownPrefillWork + this->othersOutstanding(now) * this->queuedFraction * this->measured.workPerRequest;
+    return this->ownPrefillWork + this->othersPrefillWork(this->measured.workPerRequest, now);
 }
 
 double LoadEstimate::blendWithPool(double measuredRate, double poolRate, Instant now) const
@@ -116,9 +136,8 @@
 LoadPrediction LoadEstimate::predict(
     const WorkSize& work, const UpstreamCapacity& capacity, const LoadRates& pool, Instant now) const
 {
-    const double others = this->othersOutstanding(now);
-    const double total = this->outstanding + others;
-    double queuedWork = this->ownPrefillWork + others * this->queuedFraction * pool.workPerRequest;
+    const double total = this->outstanding + this->othersOutstanding(now);
+    double queuedWork = this->ownPrefillWork + this->othersPrefillWork(pool.workPerRequest, now);
     if (capacity.prefillParallelism > 1)
         queuedWork /= capacity.prefillParallelism;
     const double rate = this->blendWithPool(this->measured.prefillPerSecond, pool.prefillPerSecond, now);
@@ -129,7 +148,7 @@
         const double hold = this->blendWithPool(this->measured.holdSeconds, pool.holdSeconds, now);
         seconds += hold * (total - capacity.slots + 1) / capacity.slots;
     }
-    return { std::min(seconds, maximumPredictionSeconds), total };
+    return { std::min(seconds, maximumPredictionSeconds), total, queuedWork / rate, work.prefillWork() / rate };
 }
 
 } // namespace teaselshore
--- a/src/teaselshore/routing/queueing_fake.hpp
+++ b/src/teaselshore/routing/queueing_fake.hpp
@@ -52,9 +52,7 @@
 /// @brief Simulated engine with a number of slots, one prefill at a time, a queue and a small cache of prompt prefixes.
 class FakeEngine {
 public:
-    static constexpr double prefillPerSecond = 8000;
     static constexpr double secondsPerToken = 0.02;
-    static constexpr std::size_t maximumCachedPrefixes = 4;
 
     FakeEngine(EventQueue& events, std::uint32_t slots)
         : events(events)
@@ -91,6 +89,8 @@
 
     std::size_t queued() const { return this->waiting.size(); }
 
+    double prefillPerSecond = 8000;
+    std::size_t maximumCachedPrefixes = 4;
     /// Factor applied to all processing times.
     double slowdownFactor = 1;
     bool alive = true;
@@ -113,10 +113,10 @@
         const bool hit = std::find(this->cache.begin(), this->cache.end(), job->prefix) != this->cache.end();
         std::erase(this->cache, job->prefix);
         this->cache.push_back(job->prefix);
-        if (this->cache.size() > maximumCachedPrefixes)
+        if (this->cache.size() > this->maximumCachedPrefixes)
             this->cache.pop_front();
         const double tokens = 50 + job->prefillTokens - (hit ? job->cacheableTokens : 0);
-        const Duration prefill = fromSeconds(this->slowdownFactor * tokens / prefillPerSecond);
+        const Duration prefill = fromSeconds(this->slowdownFactor * tokens / this->prefillPerSecond);
         this->prefillFreeAt = std::max(this->prefillFreeAt, this->events.now()) + prefill;
         const Duration untilFirst = this->prefillFreeAt - this->events.now();
         const Duration untilEnd = untilFirst + fromSeconds(this->slowdownFactor * secondsPerToken * job->outputTokens);
--- a/src/teaselshore/routing/router.cpp
+++ b/src/teaselshore/routing/router.cpp
@@ -123,6 +123,12 @@
     });
 }
 
+void Router::onOthersPrefill(const UpstreamId& upstream, double tokens, Instant at)
+{
+    if (const std::optional<std::uint32_t> index = this->impl->table.find(upstream))
+        this->impl->table.upstreams[*index].load.onOthersPrefill(tokens, at);
+}
+
 void Router::onPeerResults(const UpstreamId& upstream, std::uint32_t accepted, std::uint32_t refused, Instant now)
 {
     this->impl->changeUpstream(upstream, now, [&](const UpstreamDetails&, std::uint32_t index) {
@@ -231,6 +237,13 @@
 
     detail.reservedForIsolatedRetry = detail.reservedForIsolatedRetry || request.alone;
     upstream.load.onDispatched(dispatch.work);
+    Pool& pool = table.pools[upstream.pool];
+    const auto found = table.classes.find(request.latencyClass);
+    if (pool.kind == ServiceKind::Engine && request.promptTokens > 0 && found != table.classes.end()
+        && found->second.firstTokenTargetSeconds) {
+        pool.promptMix.onDispatched(
+            dispatch.work.prefillWork() / pool.rates.prefillPerSecond, *found->second.firstTokenTargetSeconds, now);
+    }
     table.pools[upstream.pool].outstanding++;
     this->impl->prefixIndex.onDispatched(*index, request.prefixBlocks);
     table.updateEligibility(*index, now);
--- a/src/teaselshore/routing/upstream_chooser.cpp
+++ b/src/teaselshore/routing/upstream_chooser.cpp
@@ -1,6 +1,7 @@
 #include "upstream_chooser.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <variant>
 
 namespace teaselshore {
@@ -13,6 +14,13 @@
     constexpr std::size_t idleSampleSize = 2;
     constexpr std::size_t remoteSampleSize = 2;
     constexpr std::size_t cheapestSampleSize = 3;
+    constexpr std::size_t readerSampleSize = 4;
+    /// Part of the engines that take the long prompts, relative to the part of the reading time that these need. Their
+    /// targets are looser, so their engines may be busier; with 0.7, more of the longest ones were late.
+    constexpr double readersPerShare = 0.85;
+    /// With fewer engines, one of them for long prompts is too large a part of the pool.
+    constexpr std::size_t minimumPoolWithReaders = 4;
+    constexpr double minimumHoldSeconds = 0.05;
     constexpr std::size_t isolatedSampleSize = 32;
     constexpr std::size_t fallbackSampleSize = 64;
 
@@ -148,12 +156,14 @@
     if (this->table.pools[poolIndex].eligible.empty())
         return std::nullopt;
     this->candidateCount = 0;
+    this->readerCount = 0;
     if (request.alone)
         this->addIsolatedCandidate(this->table.pools[poolIndex]);
     else
         this->applyPolicy(poolIndex, request);
     if (this->candidateCount == 0)
         return std::nullopt;
+    this->measureArrivals();
     std::optional<RoutingDecision> decision = this->bestDecision(request);
     this->failure = RoutingFailure::None;
     return decision;
@@ -177,6 +187,7 @@
 void UpstreamChooser::gatherCandidates(std::uint32_t poolIndex, const RoutingRequest& request)
 {
     const Pool& pool = this->table.pools[poolIndex];
+    this->selectReaders(pool, request);
     if (!request.prefixBlocks.empty())
         this->addPrefixCandidates(poolIndex, request);
     if (!this->latencyClass.firstTokenTargetSeconds)
@@ -184,6 +195,11 @@
     this->addNearestSample(poolIndex, pool.byZone, nearestSampleSize);
     this->addNearestSample(poolIndex, pool.idleByZone, idleSampleSize);
     this->addSample(poolIndex, pool.eligible, remoteSampleSize);
+    if (this->readerCount > 0) {
+        const std::span<const std::uint32_t> ranked(pool.byReadingRank);
+        this->addSample(poolIndex, this->isLong ? ranked.first(this->readerCount) : ranked.subspan(this->readerCount),
+            readerSampleSize);
+    }
     if (this->candidateCount > 0)
         return;
 
@@ -194,6 +210,31 @@
         this->addCandidate(poolIndex, { pool.eligible[(start + i) % size], 0, false });
 }
 
+void UpstreamChooser::selectReaders(const Pool& pool, const RoutingRequest& request)
+{
+    const std::size_t size = pool.byReadingRank.size();
+    this->readerCount = 0;
+    const std::optional<double>& target = this->latencyClass.firstTokenTargetSeconds;
+    if (size < minimumPoolWithReaders || request.promptTokens == 0 || this->weights->blocking == 0 || !target)
+        return;
+    const double readers = readersPerShare * pool.promptMix.longShare() * static_cast<double>(size);
+    this->readerCount = static_cast<std::uint32_t>(std::ceil(readers));
+    const WorkSize work { request.promptTokens, 0, 0 };
+    this->isLong = pool.promptMix.isLong(work.prefillWork() / pool.rates.prefillPerSecond, *target);
+}
+
+void UpstreamChooser::measureArrivals()
+{
+    double outstanding = 0;
+    for (std::size_t i = 0; i < this->candidateCount; i++) {
+        const LoadEstimate& load = this->table.upstreams[this->candidates[i].index].load;
+        outstanding += load.ownOutstanding() + load.othersOutstanding(this->now);
+    }
+    const Pool& pool = this->table.pools[this->table.upstreams[this->candidates[0].index].pool];
+    const double holdSeconds = std::max<double>(minimumHoldSeconds, pool.rates.holdSeconds);
+    this->arrivalsPerSecond = outstanding / static_cast<double>(this->candidateCount) / holdSeconds;
+}
+
 void UpstreamChooser::addPrefixCandidates(std::uint32_t poolIndex, const RoutingRequest& request)
 {
     const Pool& pool = this->table.pools[poolIndex];
@@ -257,7 +298,7 @@
     this->candidates[this->candidateCount++] = candidate;
 }
 
-void UpstreamChooser::addSample(std::uint32_t poolIndex, const UpstreamSet& set, std::size_t count)
+void UpstreamChooser::addSample(std::uint32_t poolIndex, std::span<const std::uint32_t> set, std::size_t count)
 {
     if (set.empty())
         return;
@@ -315,6 +356,20 @@
     return least;
 }
 
+double UpstreamChooser::blockingSeconds(const Upstream& upstream, const LoadPrediction& predicted) const
+{
+    if (this->readerCount == 0)
+        return 0;
+    const Pool& pool = this->table.pools[upstream.pool];
+    const bool isReader = upstream.readingRank < this->readerCount;
+    if (!this->isLong)
+        return isReader ? pool.promptMix.longShare() * pool.promptMix.meanRemainingSeconds() : 0;
+    if (isReader)
+        return 0;
+    // Requests that arrive while the prompt is read wait for half of that time on average.
+    return this->arrivalsPerSecond * predicted.readingSeconds * predicted.readingSeconds / 2;
+}
+
 UpstreamChooser::ScoredCandidate UpstreamChooser::score(const Candidate& candidate, const RoutingRequest& request) const
 {
     const Upstream& upstream = this->table.upstreams[candidate.index];
@@ -342,6 +397,7 @@
         const double excess = predicted.outstanding / upstream.capacity.slots - interferenceThreshold;
         terms.interference = weights.interference * std::max(0.0, excess) / (1 - interferenceThreshold);
     }
+    terms.blocking = weights.blocking * this->blockingSeconds(upstream, predicted);
     terms.refusal = weights.refusal * upstream.refusals.probability(this->now);
     if (candidate.preferred) {
         const double tokens = static_cast<double>(request.prefixBlocks.size()) * this->settings.tokensPerBlock;
@@ -352,9 +408,9 @@
     return scored;
 }
 
-std::optional<RoutingDecision> UpstreamChooser::bestDecision(const RoutingRequest& request) const
+std::size_t UpstreamChooser::scoreCandidates(
+    const RoutingRequest& request, std::array<ScoredCandidate, maximumReportedCandidates>& kept) const
 {
-    std::array<ScoredCandidate, maximumReportedCandidates> kept;
     std::size_t count = 0;
     for (std::size_t i = 0; i < this->candidateCount; i++) {
         const ScoredCandidate scored = this->score(this->candidates[i], request);
@@ -365,6 +421,18 @@
             kept[place] = kept[place - 1];
         kept[place] = scored;
     }
+    return count;
+}
+
+std::optional<RoutingDecision> UpstreamChooser::bestDecision(const RoutingRequest& request)
+{
+    std::array<ScoredCandidate, maximumReportedCandidates> kept;
+    std::size_t count = this->scoreCandidates(request, kept);
+    // A request that would miss its own target to spare others goes where it is served first.
+    if (this->readerCount > 0 && kept[0].firstTokenSeconds > this->latencyClass.firstTokenTargetSeconds.value_or(0)) {
+        this->readerCount = 0;
+        count = this->scoreCandidates(request, kept);
+    }
 
     const std::uint32_t index = kept[0].candidate.index;
     const Upstream& upstream = this->table.upstreams[index];
--- a/src/teaselshore/routing/upstream_chooser.hpp
+++ b/src/teaselshore/routing/upstream_chooser.hpp
@@ -41,10 +41,13 @@
     std::size_t drawByShare(const std::vector<std::uint32_t>& pools);
 
     void gatherCandidates(std::uint32_t poolIndex, const RoutingRequest& request);
+    /// @brief Determines whether the prompt is long and which engines take the long ones.
+    void selectReaders(const Pool& pool, const RoutingRequest& request);
+    void measureArrivals();
     void addPrefixCandidates(std::uint32_t poolIndex, const RoutingRequest& request);
     void addIsolatedCandidate(const Pool& pool);
     void addCandidate(std::uint32_t poolIndex, Candidate candidate);
-    void addSample(std::uint32_t poolIndex, const UpstreamSet& set, std::size_t count);
+    void addSample(std::uint32_t poolIndex, std::span<const std::uint32_t> set, std::size_t count);
     /// @brief Adds a sample of the nearest zone that has members.
     void addNearestSample(std::uint32_t poolIndex, const std::vector<UpstreamSet>& byZone, std::size_t count);
     /// @brief Adds a sample of the cheapest price tier that has members, and one upstream of the next such tier.
@@ -53,8 +56,12 @@
     std::optional<std::uint32_t> leastOutstanding(const Pool& pool);
     void applyPolicy(std::uint32_t poolIndex, const RoutingRequest& request);
 
+    /// @brief Returns the delay by long prompts that the choice of the upstream causes or meets, in seconds.
+    double blockingSeconds(const Upstream& upstream, const LoadPrediction& predicted) const;
     ScoredCandidate score(const Candidate& candidate, const RoutingRequest& request) const;
-    std::optional<RoutingDecision> bestDecision(const RoutingRequest& request) const;
+    std::size_t scoreCandidates(
+        const RoutingRequest& request, std::array<ScoredCandidate, maximumReportedCandidates>& kept) const;
+    std::optional<RoutingDecision> bestDecision(const RoutingRequest& request);
     ScoredUpstream toScoredUpstream(const ScoredCandidate& scored) const;
 
     const RouterSettings& settings;
@@ -72,6 +79,12 @@
     double gigabytes = 0;
     std::array<Candidate, maximumCandidates> candidates;
     std::size_t candidateCount = 0;
+    /// Engines that take the long prompts, which have the first reading ranks; 0 if the prompt's length is no
+    /// criterion.
+    std::uint32_t readerCount = 0;
+    bool isLong = false;
+    /// Mean number of requests that arrive at one candidate per second.
+    double arrivalsPerSecond = 0;
 };
 
 } // namespace teaselshore
--- a/src/teaselshore/routing/upstream_table.hpp
+++ b/src/teaselshore/routing/upstream_table.hpp
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "prompt_mix.hpp"
 #include "teaselshore/reliability/circuit_breaker.hpp"
 #include "teaselshore/reliability/concurrency_limit.hpp"
 #include "teaselshore/routing/refusal_estimate.hpp"
@@ -48,6 +49,8 @@
     /// 0 for the cheapest upstream of the pool, 1 for the most expensive.
     float relativePrice = 0;
     float reclaimRiskPerHour = 0;
+    /// Position in Pool::byReadingRank.
+    std::uint32_t readingRank = 0;
 };
 
 /// @brief State of an upstream that scoring does not read.
@@ -96,6 +99,10 @@
     std::vector<UpstreamSet> byPrice;
     /// Maps the prefix of a prompt to its preferred upstreams.
     RendezvousTable affinityTable;
+    /// Configured upstreams of an engine pool in the order in which they are used for long prompts; the same on every
+    /// node that knows the same upstreams.
+    std::vector<std::uint32_t> byReadingRank;
+    PromptMix promptMix;
     std::uint32_t capacity = 0;
     std::uint32_t inServiceCount = 0;
     std::uint32_t outstanding = 0;
@@ -159,6 +166,7 @@
         const UpstreamConfiguration& upstream, std::uint32_t pool, const Configuration& configuration);
     void recycleUnusedPools();
     void assignPriceTiers();
+    void assignReadingRanks();
     void resetProcess(std::uint32_t index, std::uint32_t capacity);
     UpstreamSet& setOf(UpstreamSetKind kind, std::uint32_t index);
     void setMembership(UpstreamSetKind kind, std::uint32_t index, bool member);
--- a/src/teaselshore/routing/upstream_table_configuration.cpp
+++ b/src/teaselshore/routing/upstream_table_configuration.cpp
@@ -12,6 +12,7 @@
     constexpr double latencyTolerance = 3;
     /// Fraction of the longest first-token target up to which a latency is never treated as overload.
     constexpr double acceptableTargetFraction = 0.5;
+    constexpr Fingerprint readingRankSeed = 1;
     constexpr Duration defaultAcceptableLatency = std::chrono::milliseconds(20);
 
     double pricePerHour(const Configuration& configuration, const UpstreamConfiguration& upstream)
@@ -70,6 +71,8 @@
         pool.idleByZone.assign(this->zones.size(), {});
         pool.byPrice.clear();
         pool.affinityTable.clear();
+        pool.byReadingRank.clear();
+        pool.promptMix.resetTargets();
         pool.capacity = 0;
         pool.inServiceCount = 0;
         pool.outstanding = 0;
@@ -86,6 +89,7 @@
         this->configureService(configuration, service);
     this->recycleUnusedPools();
     this->assignPriceTiers();
+    this->assignReadingRanks();
 
     for (std::uint32_t index = 0; index < this->details.size(); index++) {
         if (this->details[index].configured) {
@@ -216,6 +220,34 @@
     }
 }
 
+void UpstreamTable::assignReadingRanks()
+{
+    for (std::uint32_t index = 0; index < this->details.size(); index++) {
+        Pool& pool = this->pools[this->upstreams[index].pool];
+        if (this->details[index].configured && pool.kind == ServiceKind::Engine)
+            pool.byReadingRank.push_back(index);
+    }
+    for (Pool& pool : this->pools) {
+        // Another order than that of the affinity table, which uses the name hash itself.
+        std::sort(pool.byReadingRank.begin(), pool.byReadingRank.end(), [&](std::uint32_t first, std::uint32_t second) {
+            return combine(readingRankSeed, this->details[first].nameHash)
+                < combine(readingRankSeed, this->details[second].nameHash);
+        });
+        // Takes the zones in turn, so that each has its part of the first ranks: the n-th upstream of a zone precedes
+        // the next of every other one.
+        std::vector<std::uint32_t> countByZone(this->zones.size());
+        std::vector<std::pair<std::uint32_t, std::uint32_t>> byTurn;
+        for (const std::uint32_t index : pool.byReadingRank)
+            byTurn.emplace_back(countByZone[this->upstreams[index].zone]++, index);
+        std::stable_sort(byTurn.begin(), byTurn.end(),
+            [](const auto& first, const auto& second) { return first.first < second.first; });
+        for (std::uint32_t rank = 0; rank < byTurn.size(); rank++) {
+            pool.byReadingRank[rank] = byTurn[rank].second;
+            this->upstreams[byTurn[rank].second].readingRank = rank;
+        }
+    }
+}
+
 void UpstreamTable::resetProcess(std::uint32_t index, std::uint32_t capacity)
 {
     UpstreamDetails fresh;
