Send nothing to the upstreams of evacuated zones

Operators request with an object of kind `evacuations` that nothing more be sent to the upstreams of a zone. Nothing read such objects.

Each node watches the kind, if the settings enable it, and counts the upstreams of these zones as draining in the routing, so that new, waiting, retried, resumed and handed over requests respect it, and checks as well. Requests that only these zones could serve are refused at once. A node is ready once it has read the evacuations or a peer that has read them has told it. The fleet is planned without an evacuated zone.

Ruled out: polling from stale data, which may be some seconds old; a few nodes that read for the others, which must be replaced when they are lost.

--- a/include/teaselshore/configuration/entry_settings.hpp
+++ b/include/teaselshore/configuration/entry_settings.hpp
@@ -65,6 +65,8 @@
     SocketAddress platform;
     /// API for upstream orders and usage reports; they are left out without it.
     std::optional<SocketAddress> cloud;
+    /// Whether operators evacuate zones of this deployment; otherwise nodes do not watch for it.
+    bool evacuations = false;
     LogLevel logLevel = LogLevel::Info;
     /// Memory that the process may take; unbounded if the settings do not name it.
     std::optional<std::size_t> memoryBytes;
--- a/include/teaselshore/entry/entry_event.hpp
+++ b/include/teaselshore/entry/entry_event.hpp
@@ -103,6 +103,31 @@
     bool isFresh = false;
 };
 
+/// @brief The operator requested that nothing more be sent to the upstreams of a zone.
+struct EvacuationStarted {
+    AvailabilityZone zone;
+    /// Version of the object.
+    std::uint64_t revision = 0;
+};
+
+/// @brief The operator's request to evacuate a zone was removed.
+struct EvacuationEnded {
+    AvailabilityZone zone;
+    std::uint64_t revision = 0;
+};
+
+/// @brief The platform returned all evacuations.
+struct EvacuationsListed {
+    std::vector<EvacuationStarted> evacuations;
+    /// Version of the platform up to which the list is complete.
+    std::uint64_t revision = 0;
+};
+
+/// @brief The platform stopped answering the watch of the evacuations, or answers it again.
+struct EvacuationWatchChanged {
+    bool isAnswered = false;
+};
+
 /// @brief The platform returned the reports of all nodes, each as its node wrote it.
 struct NodeReportsRead {
     std::vector<std::string> reports;
@@ -144,7 +169,7 @@
 using EntryEvent = std::variant<CallerRequestArrived, CallerGone, UpstreamStreamStarted, UpstreamResponded,
     AttemptFailed, UpstreamChecked, EntryConfigurationRead, ConfigurationWatchChanged, PlatformAnswered,
     PlatformReturned, PlatformRestored, UpstreamsListed, UpstreamChanged, UpstreamRemoved, UpstreamReplaced,
-    RolloutsListed, NodeReportsRead, NodeReportWritten, EntryMessageReceived, CloudCallEnded, ObjectResult, ClockRead,
-    EntryStopRequested, EntryTick>;
+    RolloutsListed, EvacuationStarted, EvacuationEnded, EvacuationsListed, EvacuationWatchChanged, NodeReportsRead,
+    NodeReportWritten, EntryMessageReceived, CloudCallEnded, ObjectResult, ClockRead, EntryStopRequested, EntryTick>;
 
 } // namespace teaselshore
--- a/include/teaselshore/entry/entry_message.hpp
+++ b/include/teaselshore/entry/entry_message.hpp
@@ -120,9 +120,30 @@
     auto operator<=>(const PlatformContact&) const = default;
 };
 
+/// @brief What the sender knows of evacuated zones.
+struct EvacuationReport {
+    struct Zone {
+        AvailabilityZone zone;
+        /// False if the evacuation has ended.
+        bool isEvacuated = true;
+        std::uint64_t revision = 0;
+        /// Time since a node read the change from the platform.
+        Duration age {};
+
+        auto operator<=>(const Zone&) const = default;
+    };
+    std::vector<Zone> zones;
+    /// Revision up to which the sender knows all changes; nothing if it has not read them yet.
+    std::optional<std::uint64_t> revision;
+    /// Whether the receiver is to answer if it knows more.
+    bool wantsAnswer = false;
+
+    auto operator<=>(const EvacuationReport&) const = default;
+};
+
 /// @brief Messages between the nodes of `teaselshore-entry`.
 using EntryMessage = std::variant<QuotaLoanRequest, QuotaLoan, QuotaReturn, RelayedReport, CrashReport, RolloutDecision,
     NewerConfigurationRequest, ConfigurationCopy, RefusalReport, LimitReport, BrittlenessReport, PlatformContactRequest,
-    PlatformContact>;
+    PlatformContact, EvacuationReport>;
 
 } // namespace teaselshore
--- a/include/teaselshore/entry/entry_statistics.hpp
+++ b/include/teaselshore/entry/entry_statistics.hpp
@@ -65,6 +65,10 @@
     std::uint64_t requestsOfPeers = 0;
     /// Whether this node has lost its links to all upstreams.
     bool linksLost = false;
+    /// Zones to whose upstreams nothing may be sent.
+    std::uint64_t evacuatedZones = 0;
+    /// Requests that still run at upstreams of these zones.
+    std::uint64_t requestsInEvacuatedZones = 0;
     std::uint64_t configurationVersion = 0;
     std::uint64_t liveNodes = 0;
     bool holdsLease = false;
--- a/include/teaselshore/entry/upstream_links.hpp
+++ b/include/teaselshore/entry/upstream_links.hpp
@@ -38,6 +38,9 @@
     /// @brief Records the end of a check, which opens a connection of its own.
     void onChecked(const UpstreamId& upstream, bool isReached, Instant now);
 
+    /// @brief Records that there is no upstream to which this node may connect, which says nothing about its links.
+    void onNoUpstreams();
+
     /// @brief Returns whether takeChecks() should be called, with this number of known upstreams.
     bool areChecksDue(std::size_t known, Instant now);
     /// @brief Returns a random sample of the upstreams, which are to be checked now.
--- a/include/teaselshore/platform/kind_watcher.hpp
+++ b/include/teaselshore/platform/kind_watcher.hpp
@@ -53,6 +53,9 @@
     KindWatcher(const KindWatcher&) = delete;
     KindWatcher& operator=(const KindWatcher&) = delete;
 
+    /// @brief Returns the version of the platform up to which the last answer is complete; nothing if it is not.
+    std::optional<std::uint64_t> version() const { return this->at; }
+
 private:
     /// @brief Watches from the last answer, or lists.
     void read();
--- a/src/teaselshore/configuration/entry_settings.cpp
+++ b/src/teaselshore/configuration/entry_settings.cpp
@@ -34,6 +34,7 @@
             this->readMemory(fields);
             this->readRates(fields);
             this->readTimes(fields);
+            fields.boolean("evacuations", this->result.evacuations);
             fields.finish();
             return std::move(this->result);
         }
--- a/src/teaselshore/configuration/entry_settings_test.cpp
+++ b/src/teaselshore/configuration/entry_settings_test.cpp
@@ -62,6 +62,19 @@
         EXPECT_FALSE(parseEntrySettings(settingsText + "memory-mb: 0\n", problems));
     }
 
+    // Guards against calls and messages for evacuations in deployments without them.
+    TEST(EntrySettings, EvacuationsAreOff)
+    {
+        std::vector<ConfigurationProblem> problems;
+        const auto without = parseEntrySettings(settingsText, problems);
+        ASSERT_TRUE(without) << describeFirst("settings", problems);
+        EXPECT_FALSE(without->evacuations);
+        const auto with = parseEntrySettings(settingsText + "evacuations: true\n", problems);
+        ASSERT_TRUE(with) << describeFirst("settings", problems);
+        EXPECT_TRUE(with->evacuations);
+        EXPECT_FALSE(parseEntrySettings(settingsText + "evacuations: 5000\n", problems));
+    }
+
     // Guards against a setting that cannot be understood and is taken for its default.
     TEST(EntrySettings, ReportsWhatIsWrongAndWhere)
     {
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -66,6 +66,11 @@
     this->setGauge("teaselshore_waiting_requests", "Requests that wait for an upstream.",
         static_cast<double>(statistics.waitingRequests));
     this->setGauge("teaselshore_upstreams", "Upstreams that take new work.", static_cast<double>(statistics.upstreams));
+    this->setGauge("teaselshore_evacuated_zones", "Zones to whose upstreams nothing is sent.",
+        static_cast<double>(statistics.evacuatedZones));
+    this->setGauge("teaselshore_requests_in_evacuated_zones",
+        "Requests that still run at upstreams of evacuated zones.",
+        static_cast<double>(statistics.requestsInEvacuatedZones));
     this->setCounter("teaselshore_platform_restores_total", "How often the platform came back from an older copy.",
         statistics.platformRestores);
     this->setGauge("teaselshore_configuration_version", "Version of the configuration in effect.",
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -50,6 +50,9 @@
     constexpr Duration reconnectTime = std::chrono::milliseconds(300);
     constexpr Duration shortestWait = std::chrono::milliseconds(500);
     constexpr Duration longestWait = std::chrono::seconds(10);
+    /// An evacuation must be in effect 5 s after it was confirmed, also if the connection of the watch went silent.
+    /// That is noticed after this time and the call timeout; the rest is for a new connection or the answer of a peer.
+    constexpr Duration evacuationWait = std::chrono::milliseconds(3000);
     /// Rollout orders are rare, and nodes read them at once when a new version appears.
     constexpr Duration rolloutPoll = std::chrono::seconds(5);
     /// Time between two calls that look for the end of an outage, as a fraction of the recovery time: what is learnt
@@ -163,6 +166,9 @@
     void onUpstreamsListed(const std::vector<KindObject>& objects);
     void onUpstreamsChanged(const std::vector<KindObject>& objects);
     void onRollouts(const std::vector<KindObject>& objects, bool isFresh);
+    void watchEvacuations();
+    void onEvacuationsListed(const std::vector<KindObject>& objects);
+    void onEvacuationsChanged(const std::vector<KindObject>& objects);
     void onCaller(std::shared_ptr<ServerExchange> exchange);
     void onPeerRequest(std::shared_ptr<ServerExchange> exchange);
     HttpReply adminReply(const HttpRequest& request);
@@ -228,6 +234,8 @@
     std::unique_ptr<KindWatcher> configurationWatcher;
     std::unique_ptr<KindWatcher> upstreamWatcher;
     std::unique_ptr<KindWatcher> rolloutWatcher;
+    /// Null unless the settings enable evacuations.
+    std::unique_ptr<KindWatcher> evacuationWatcher;
     bool ready = false;
     bool stopped = false;
     std::optional<TimerId> tickTimer;
@@ -395,6 +403,20 @@
     orders.onListed = [this](const std::vector<KindObject>& objects) { this->onRollouts(objects, false); };
     orders.onChanged = orders.onListed;
     this->rolloutWatcher = this->watchKind(wire::rolloutsKind, std::move(orders));
+    if (this->settings.evacuations)
+        this->watchEvacuations();
+}
+
+void EntryTask::Impl::watchEvacuations()
+{
+    KindWatcherHandlers handlers = this->watcherHandlers(wire::evacuationsKind);
+    handlers.onListed = [this](const std::vector<KindObject>& objects) { this->onEvacuationsListed(objects); };
+    handlers.onChanged = [this](const std::vector<KindObject>& objects) { this->onEvacuationsChanged(objects); };
+    handlers.onReachable = [this, log = std::move(handlers.onReachable)](bool reachable, const std::string& reason) {
+        log(reachable, reason);
+        this->handle(EvacuationWatchChanged { reachable });
+    };
+    this->evacuationWatcher = this->watchKind(wire::evacuationsKind, std::move(handlers));
 }
 
 void EntryTask::Impl::observePlatform()
@@ -436,6 +458,8 @@
     KindWatcherSettings watcher;
     watcher.wait = watchWait(this->settings);
     watcher.outageBackoff = watcherOutageBackoff;
+    if (kind == wire::evacuationsKind)
+        watcher.wait = std::min(watcher.wait, evacuationWait);
     if (kind == wire::rolloutsKind)
         watcher.pollEvery = rolloutPoll;
     return std::make_unique<KindWatcher>(*this->loop, *this->platform, std::string(kind), watcher, std::move(handlers),
@@ -504,6 +528,26 @@
     this->handle(std::move(listed));
 }
 
+void EntryTask::Impl::onEvacuationsListed(const std::vector<KindObject>& objects)
+{
+    EvacuationsListed listed;
+    for (const KindObject& object : objects)
+        listed.evacuations.push_back({ AvailabilityZone(object.name), object.version });
+    listed.revision = this->evacuationWatcher->version().value_or(0);
+    this->handle(std::move(listed));
+}
+
+void EntryTask::Impl::onEvacuationsChanged(const std::vector<KindObject>& objects)
+{
+    for (const KindObject& object : objects) {
+        // An object that is being deleted still exists, and ends the evacuation once it is gone.
+        if (object.deleted)
+            this->handle(EvacuationEnded { AvailabilityZone(object.name), object.version });
+        else
+            this->handle(EvacuationStarted { AvailabilityZone(object.name), object.version });
+    }
+}
+
 void EntryTask::Impl::onCaller(std::shared_ptr<ServerExchange> exchange)
 {
     const RequestId id = this->node.nextRequestId();
--- a/src/teaselshore/entry/crash_detector.cpp
+++ b/src/teaselshore/entry/crash_detector.cpp
@@ -64,8 +64,8 @@
         attempts.brokenAt = *wallClock;
     }
     unconfirmed.until = now + confirmationWindow;
-    if (!std::exchange(unconfirmed.isChecking, true))
-        this->state.checkUpstream(*registered, now);
+    if (!unconfirmed.isChecking)
+        unconfirmed.isChecking = this->state.checkUpstream(*registered, now);
 }
 
 void CrashDetector::onChecked(const UpstreamChecked& result, Instant now)
@@ -132,8 +132,7 @@
         return;
     unconfirmed.refusedAt.reset();
     unconfirmed.checkedAgainAt = now;
-    unconfirmed.isChecking = true;
-    this->state.checkUpstream(*registered, now);
+    unconfirmed.isChecking = this->state.checkUpstream(*registered, now);
     this->checkOthers(upstream, now);
 }
 
--- a/src/teaselshore/entry/entry_fleet.hpp
+++ b/src/teaselshore/entry/entry_fleet.hpp
@@ -121,6 +121,8 @@
         settings.host.quota = this->tolerance;
         if (this->retries)
             settings.host.retries = *this->retries;
+        if (this->configure)
+            this->configure(settings.host);
         const std::size_t port = this->ports.try_emplace(host, this->ports.size() + 1).first->second;
         settings.host.peers = SocketAddress { "10.0.0.1", static_cast<std::uint16_t>(port) };
         this->peerAddresses[formatSocketAddress(*settings.host.peers)] = host;
@@ -477,6 +479,8 @@
     QuotaTolerance tolerance;
     /// Retry budget of nodes that start from now on; the harness's if unset.
     std::optional<SharedRetryBudget> retries;
+    /// Changes the settings of nodes that start from now on.
+    std::function<void(EntrySettings& settings)> configure;
     /// Times at which requests were sent to upstreams.
     std::vector<Instant> sentAt;
     /// Number of requests refused with status 429.
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -10,6 +10,7 @@
 #include "entry_duties.hpp"
 #include "entry_requests.hpp"
 #include "entry_state.hpp"
+#include "evacuation_exchange.hpp"
 #include "limit_exchange.hpp"
 #include "platform_contacts.hpp"
 #include "refusal_exchange.hpp"
@@ -45,8 +46,9 @@
         , refusals(state)
         , limits(state)
         , brittle(state)
+        , evacuations(state)
         , duties(state, crashes, limits)
-        , requests(state, duties.rollouts(), crashes, refusals, limits, brittle)
+        , requests(state, duties.rollouts(), crashes, refusals, limits, brittle, evacuations)
     {
     }
 
@@ -66,6 +68,19 @@
     void handle(UpstreamRemoved& event, Instant now);
     void handle(UpstreamReplaced& event, Instant now);
     void handle(RolloutsListed& event, Instant now);
+    void handle(EvacuationStarted& event, Instant now)
+    {
+        this->applyEvacuations(this->evacuations.onStarted(event, now), "platform", now);
+    }
+    void handle(EvacuationEnded& event, Instant now)
+    {
+        this->applyEvacuations(this->evacuations.onEnded(event, now), "platform", now);
+    }
+    void handle(EvacuationsListed& event, Instant now)
+    {
+        this->applyEvacuations(this->evacuations.onListed(event, now), "platform", now);
+    }
+    void handle(EvacuationWatchChanged& event, Instant now) { this->evacuations.onWatchChanged(event, now); }
     void handle(NodeReportsRead& event, Instant now);
     void handle(NodeReportWritten& event, Instant) { this->duties.onReportWritten(event); }
     void handle(EntryMessageReceived& event, Instant now);
@@ -92,6 +107,10 @@
     {
         this->brittle.onReport(senderAddress, report, now);
     }
+    void receive(const std::string& senderAddress, const EvacuationReport& report, Instant now)
+    {
+        this->applyEvacuations(this->evacuations.onReport(senderAddress, report, now), senderAddress, now);
+    }
     void receive(const std::string& senderAddress, const NewerConfigurationRequest& request, Instant)
     {
         this->configurations.onRequest(senderAddress, request);
@@ -120,6 +139,8 @@
     void handle(EntryTick& event, Instant now);
 
     void applyRouting(Instant now);
+    /// @brief Logs the changes and applies them to the routing, before anything else is sent.
+    void applyEvacuations(const EvacuatedZones::Changes& changes, const std::string& source, Instant now);
     void updateReadiness();
     /// @brief Acts on lost and returned links to the upstreams.
     void updateLinks(Instant now);
@@ -133,9 +154,11 @@
     RefusalExchange refusals;
     LimitExchange limits;
     BrittleExchange brittle;
+    EvacuationExchange evacuations;
     EntryDuties duties;
     EntryRequests requests;
     bool ready = false;
+    bool knewEvacuations = false;
     std::optional<Instant> stopRequestedAt;
     bool acceptingStopped = false;
     bool stopped = false;
@@ -173,6 +196,8 @@
     statistics.waitingRequests = this->impl->requests.waitingCount();
     statistics.upstreams = this->impl->state.instances.size();
     statistics.limitedUpstreams = this->impl->state.limits.limitedUpstreams().size();
+    statistics.evacuatedZones = this->impl->state.evacuated.count();
+    statistics.requestsInEvacuatedZones = this->impl->requests.countRunningInEvacuatedZones();
     statistics.liveNodes = this->impl->state.liveNodes;
     statistics.configurationVersion = this->impl->state.table ? this->impl->state.table->configuration().version : 0;
     return statistics;
@@ -240,6 +265,7 @@
     ++this->state.statistics.platformRestores;
     this->configurations.onPlatformRestored(now);
     this->state.directory.onPlatformRestored(now);
+    this->state.evacuated.onPlatformRestored(now);
     this->duties.onPlatformRestored(now);
 }
 
@@ -328,9 +354,13 @@
     if (!this->state.table)
         return;
     std::vector<RegisteredUpstream> upstreams = this->state.directory.upstreams();
-    for (RegisteredUpstream& upstream : upstreams)
-        upstream.draining = upstream.draining || this->state.exclusions.isLeaving(upstream.id());
+    for (RegisteredUpstream& upstream : upstreams) {
+        upstream.draining = upstream.draining || this->state.exclusions.isLeaving(upstream.id())
+            || this->state.evacuated.contains(upstream.zone);
+    }
     this->state.instances = usableInstances(upstreams);
+    if (this->state.instances.empty() && this->state.evacuated.count() > 0)
+        this->state.links.onNoUpstreams();
     this->state.router.onConfiguration(
         routingConfiguration(this->state.table->configuration(), upstreams, this->state.settings.host), now);
     EntryRollouts& rollouts = this->duties.rollouts();
@@ -341,9 +371,23 @@
     this->requests.onCapacityChanged(now);
 }
 
+void EntryNode::Impl::applyEvacuations(const EvacuatedZones::Changes& changes, const std::string& source, Instant now)
+{
+    for (const ZoneEvacuation& change : changes) {
+        this->state.log(LogLevel::Warning, change.isEvacuated ? "zone evacuated" : "evacuation of a zone has ended",
+            { { "zone", change.zone.value() }, { "source", source }, { "revision", std::to_string(change.revision) },
+                { "ageMs", fmt::format("{:.0f}", toMilliseconds(now - change.since)) },
+                { "running", std::to_string(this->requests.countRunningIn(change.zone)) } });
+    }
+    const bool isComplete = this->evacuations.isComplete();
+    if (!changes.empty() || isComplete != std::exchange(this->knewEvacuations, isComplete))
+        this->applyRouting(now);
+}
+
 void EntryNode::Impl::updateReadiness()
 {
-    const bool canServe = this->state.table && this->state.directory.hasSynced() && !this->stopRequestedAt;
+    const bool canServe = this->state.table && this->state.directory.hasSynced() && this->evacuations.isComplete()
+        && !this->stopRequestedAt;
     if (canServe == this->ready)
         return;
     this->ready = canServe;
@@ -400,6 +444,7 @@
     this->limits.onTick(now);
     this->brittle.onTick(now);
     this->state.exclusions.onTick(now);
+    this->applyEvacuations(this->evacuations.onTick(now), "platform", now);
     const bool sharesChanged = this->duties.onTick(now);
     if (this->state.directory.onTick(now) || sharesChanged)
         this->applyRouting(now);
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -86,13 +86,14 @@
 } // namespace
 
 EntryRequests::EntryRequests(EntryState& state, EntryRollouts& rollouts, CrashDetector& crashes,
-    RefusalExchange& refusals, LimitExchange& limits, BrittleExchange& brittle)
+    RefusalExchange& refusals, LimitExchange& limits, BrittleExchange& brittle, const EvacuationExchange& evacuations)
     : state(state)
     , rollouts(rollouts)
     , crashes(crashes)
     , refusals(refusals)
     , limits(limits)
     , brittle(brittle)
+    , evacuations(evacuations)
 {
 }
 
@@ -133,7 +134,10 @@
         this->refuseNotReady(request, now);
 }
 
-bool EntryRequests::isReady() const { return this->state.table && this->state.directory.hasSynced(); }
+bool EntryRequests::isReady() const
+{
+    return this->state.table && this->state.directory.hasSynced() && this->evacuations.isComplete();
+}
 
 void EntryRequests::refuseNotReady(Request& request, Instant now)
 {
@@ -427,6 +431,10 @@
 {
     const Duration maxWait = request.route->latencyTarget / maxWaitDivisor;
     const Instant until = std::min(request.waitUntil.value_or(request.arrivedAt + maxWait), request.deadline);
+    if (this->isEvacuated(request.service, now)) {
+        this->endWithoutResponse(request, evacuatedReason, now);
+        return;
+    }
     if (this->state.links.areLost() && this->tryRelay(request, now))
         return;
     const std::optional<Availability> next = this->nextAvailability(request.service, now);
@@ -463,6 +471,7 @@
 {
     this->beginEarlyRequests(now);
     this->dispatchWaiting(now);
+    this->endEvacuated(now);
 }
 
 std::optional<EntryRequests::Attempt> EntryRequests::takeAttempt(AttemptId id)
@@ -778,6 +787,8 @@
 
 Duration EntryRequests::retryAfter(const Request& request, Instant now)
 {
+    if (this->isEvacuated(request.service, now))
+        return this->evacuationRetryAfter(request.service, now);
     const auto spread = static_cast<std::uint64_t>((maxRetryAfter - minRetryAfter).count());
     const Duration drawn = minRetryAfter + Duration(static_cast<Duration::rep>(this->state.random.below(spread)));
     // Another node may have the next turn at a limited upstream, and the caller's next attempt may reach that node.
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -13,6 +13,7 @@
 #include "crash_detector.hpp"
 #include "entry_rollouts.hpp"
 #include "entry_state.hpp"
+#include "evacuation_exchange.hpp"
 #include "limit_exchange.hpp"
 #include "refusal_exchange.hpp"
 
@@ -25,7 +26,7 @@
 class EntryRequests {
 public:
     EntryRequests(EntryState& state, EntryRollouts& rollouts, CrashDetector& crashes, RefusalExchange& refusals,
-        LimitExchange& limits, BrittleExchange& brittle);
+        LimitExchange& limits, BrittleExchange& brittle, const EvacuationExchange& evacuations);
 
     void onArrived(CallerRequestArrived arrived, Instant now);
     void onCallerGone(const RequestId& id, Instant now);
@@ -45,6 +46,9 @@
     Instant nextTick() const;
     std::size_t openCount() const { return this->requests.size(); }
     std::size_t waitingCount() const { return this->waitingRequests.size(); }
+    /// @brief Returns how many attempts run at upstreams of a zone, or of all evacuated ones.
+    std::size_t countRunningIn(const AvailabilityZone& zone) const;
+    std::size_t countRunningInEvacuatedZones() const;
 
 private:
     struct Request {
@@ -150,6 +154,12 @@
     std::optional<RelayedAttempt> takeRelayedAttempt(AttemptId id);
     /// @brief Gives up attempts without an answer that may be repeated, since the links are lost.
     void abandonUnanswered(Instant now);
+    /// @brief Returns whether all upstreams of the service that could serve requests are in evacuated zones.
+    bool isEvacuated(const ServiceName& service, Instant now) const;
+    /// @brief Ends the waiting requests whose upstreams are all in evacuated zones.
+    void endEvacuated(Instant now);
+    /// @brief Returns after what time upstreams in evacuated zones may be in use again.
+    Duration evacuationRetryAfter(const ServiceName& service, Instant now);
     void stopWaiting(Request& request);
     static const std::vector<Fingerprint>& crashKeysOf(Request& request);
     /// @brief Clears the crash keys of requests whose upstreams have been sending events for some time.
@@ -197,12 +207,15 @@
     void end(Request& request, RequestOutcome outcome, int status, const std::string& reason, Instant now);
     Duration retryAfter(const Request& request, Instant now);
 
+    static constexpr const char* evacuatedReason = "all upstreams are in evacuated zones";
+
     EntryState& state;
     EntryRollouts& rollouts;
     CrashDetector& crashes;
     RefusalExchange& refusals;
     LimitExchange& limits;
     BrittleExchange& brittle;
+    const EvacuationExchange& evacuations;
     std::unordered_map<RequestId, Request> requests;
     std::unordered_map<AttemptId, Attempt> attempts;
     std::unordered_map<AttemptId, RelayedAttempt> relayedAttempts;
--- a/src/teaselshore/entry/entry_state.cpp
+++ b/src/teaselshore/entry/entry_state.cpp
@@ -47,14 +47,17 @@
 {
 }
 
-void EntryState::checkUpstream(const RegisteredUpstream& upstream, Instant now)
+bool EntryState::checkUpstream(const RegisteredUpstream& upstream, Instant now)
 {
+    if (this->evacuated.contains(upstream.zone))
+        return false;
     const EntryService* service = this->table ? this->table->configuration().findService(upstream.service) : nullptr;
     // The upstream counts a check as a request.
     if (const auto wallClock = this->wallClockTime(now))
         this->limits.onSent(upstream.id(), *wallClock);
     this->commands.emplace_back(
         CheckUpstream { upstream.id(), upstream.address, upstream.instance, service ? service->healthPath : "/" });
+    return true;
 }
 
 RetryBudgetSettings EntryState::retrySettings() const
--- a/src/teaselshore/entry/entry_state.hpp
+++ b/src/teaselshore/entry/entry_state.hpp
@@ -10,6 +10,7 @@
 #include "teaselshore/base/random.hpp"
 #include "teaselshore/entry/demand_meter.hpp"
 #include "teaselshore/entry/entry_node.hpp"
+#include "teaselshore/entry/evacuated_zones.hpp"
 #include "teaselshore/entry/peer_relays.hpp"
 #include "teaselshore/entry/quota_borrower.hpp"
 #include "teaselshore/entry/quota_limiter.hpp"
@@ -36,8 +37,9 @@
     /// @brief Returns when this node may send the next request to an upstream, as far as its limit is concerned: now or
     /// earlier without a limit, Instant::max() if this node has no turns.
     Instant nextTurn(const UpstreamId& upstream, Instant now) const;
-    /// @brief Checks whether an upstream answers; the reply is UpstreamChecked.
-    void checkUpstream(const RegisteredUpstream& upstream, Instant now);
+    /// @brief Checks whether an upstream answers; the reply is UpstreamChecked. Returns false if its zone is evacuated,
+    /// so that nothing is sent.
+    bool checkUpstream(const RegisteredUpstream& upstream, Instant now);
     void countOutcome(RequestOutcome outcome) { ++this->statistics.outcomes[static_cast<std::size_t>(outcome)]; }
     void log(LogLevel level, std::string message, std::vector<std::pair<std::string, std::string>> fields = {});
 
@@ -53,6 +55,7 @@
     std::unordered_map<UpstreamId, std::string> instances;
     /// Upstreams that asked in a response to get no requests.
     UpstreamExclusions exclusions;
+    EvacuatedZones evacuated;
     UpstreamLimits limits;
     /// True if the router's configuration must be updated after the current event.
     bool routingChanged = false;
--- a/src/teaselshore/entry/entry_test_support.hpp
+++ b/src/teaselshore/entry/entry_test_support.hpp
@@ -19,6 +19,11 @@
     {
     }
 
+    explicit EntryHarness(EntryNodeSettings settings)
+        : node(std::move(settings))
+    {
+    }
+
     static EntryNodeSettings settings(std::uint64_t seed, std::string host)
     {
         EntryNodeSettings settings;
--- a/src/teaselshore/entry/fleet_controller.cpp
+++ b/src/teaselshore/entry/fleet_controller.cpp
@@ -47,7 +47,7 @@
     }
 }
 
-FleetState FleetController::fleetState(const EntryService& service) const
+FleetState FleetController::fleetState(const EntryService& service, Instant now) const
 {
     FleetState fleet;
     fleet.minimum = service.scale->minimum;
@@ -55,6 +55,10 @@
     fleet.reclaimablePrice = service.scale->reclaimablePrice;
     const std::vector<RegisteredUpstream> upstreams = this->state.directory.upstreams();
     for (const AvailabilityZone& zone : this->state.settings.host.zones) {
+        // The other zones are planned as if this one did not exist. Their additional upstreams are kept until those of
+        // a zone that has just returned, which may be cold, have had time to start.
+        if (this->state.evacuated.containedSince(zone, now - service.scale->bootTime - bootMargin))
+            continue;
         FleetZone entry { zone, 1, 0, 0 };
         const auto price = service.scale->zonePrices.find(zone);
         if (price != service.scale->zonePrices.end())
@@ -152,7 +156,7 @@
     const std::optional<std::uint32_t> baseline = this->baseline(service, now);
     if (!baseline)
         return;
-    FleetState fleet = this->fleetState(service);
+    FleetState fleet = this->fleetState(service, now);
     fleet.baseline = *baseline;
     fleet.busyUpstreams = this->busyUpstreams(service.name, reports);
     const auto refused = this->reclaimableRefusedAt.find(service.name);
--- a/src/teaselshore/entry/fleet_controller.hpp
+++ b/src/teaselshore/entry/fleet_controller.hpp
@@ -67,7 +67,7 @@
     /// @brief Returns the stored fleet size at the start of the service; stores the present one if there is none.
     std::optional<std::uint32_t> baseline(const EntryService& service, Instant now);
     void readBaseline(const ServiceName& service);
-    FleetState fleetState(const EntryService& service) const;
+    FleetState fleetState(const EntryService& service, Instant now) const;
     void orderIfDue(const OrderKey& key, std::uint32_t target, std::uint32_t usable, Duration bootTime,
         const FencedHolder& holder, Instant now);
 
--- a/src/teaselshore/entry/upstream_links.cpp
+++ b/src/teaselshore/entry/upstream_links.cpp
@@ -81,6 +81,13 @@
         this->lost = true;
 }
 
+void UpstreamLinks::onNoUpstreams()
+{
+    this->troubles.clear();
+    this->checking.clear();
+    this->lost = false;
+}
+
 bool UpstreamLinks::areChecksDue(std::size_t known, Instant now)
 {
     while (!this->troubles.empty() && this->troubles.front().at + troubleWindow < now)
--- a/src/teaselshore/protocol/codec_test.cpp
+++ b/src/teaselshore/protocol/codec_test.cpp
@@ -168,6 +168,10 @@
                                         { ServiceName(fields.text()), std::nullopt, Duration::zero() } },
                     { { UpstreamId(fields.text()), 3, std::nullopt }, { UpstreamId(fields.text()), 0, 7 } } }),
             EntryMessage(ConfigurationCopy { fields.number(), fields.text() }),
+            EntryMessage(EvacuationReport {
+                { { AvailabilityZone(fields.text()), true, fields.number(), std::chrono::seconds(fields.below(1000)) },
+                    { AvailabilityZone(fields.text()), false, fields.number(), Duration::zero() } },
+                fields.flag() ? std::optional(fields.number()) : std::nullopt, fields.flag() }),
             EntryMessage(PlatformContactRequest {}),
             EntryMessage(PlatformContact { std::chrono::seconds(7), std::chrono::milliseconds(3),
                 fields.flag() ? std::optional(Duration(std::chrono::seconds(9))) : std::nullopt }),
@@ -236,6 +240,16 @@
         const std::string withoutMessage { '\x08', static_cast<char>(protocolVersion) };
         EXPECT_FALSE(decode(withoutMessage, error));
         EXPECT_EQ(error, ProtocolError::UnknownMessage);
+        // A message of a later release: field 1000 of the envelope, empty.
+        EXPECT_FALSE(decode(withoutMessage + "\xc2\x3e" + std::string(1, '\0'), error));
+        EXPECT_EQ(error, ProtocolError::UnknownMessage);
+
+        // A time in the future, or one that cannot be subtracted from an Instant.
+        for (const Duration age : { Duration(-1), Duration::max() }) {
+            const EvacuationReport evacuated { { { AvailabilityZone("a"), true, 1, age } }, std::nullopt, false };
+            EXPECT_FALSE(decode(encode({ NodeId("a"), "b", "c", EntryMessage(evacuated) }), error));
+            EXPECT_EQ(error, ProtocolError::InvalidValue);
+        }
 
         const SuspectReport report { .kind = SuspectReportKind::Excused };
         std::string invalid = encode({ NodeId("a"), "b", "c", RequestMessage(SuspectReports { { report } }) });
--- a/src/teaselshore/protocol/entry_conversions.cpp
+++ b/src/teaselshore/protocol/entry_conversions.cpp
@@ -122,6 +122,21 @@
             result.set_since_earlier_answer(contact.sinceEarlierAnswer->count());
     }
 
+    void fill(const EvacuationReport& report, wire::Envelope& envelope)
+    {
+        wire::EvacuationReport& result = *envelope.mutable_evacuation_report();
+        for (const EvacuationReport::Zone& zone : report.zones) {
+            wire::ZoneEvacuation& entry = *result.add_zones();
+            entry.set_zone(zone.zone.value());
+            entry.set_is_evacuated(zone.isEvacuated);
+            entry.set_revision(zone.revision);
+            entry.set_age(zone.age.count());
+        }
+        if (report.revision)
+            result.set_revision(*report.revision);
+        result.set_wants_answer(report.wantsAnswer);
+    }
+
     std::optional<RolloutDecision> fromWire(const wire::RolloutDecision& decision)
     {
         if (!wire::RolloutState_IsValid(decision.state()) || !(decision.share() >= 0 && decision.share() <= 1))
@@ -193,6 +208,21 @@
         return PlatformContact { first, last, earlier };
     }
 
+    std::optional<EvacuationReport> fromWire(const wire::EvacuationReport& report)
+    {
+        EvacuationReport result;
+        for (const wire::ZoneEvacuation& entry : report.zones()) {
+            const Duration age(entry.age());
+            if (age < Duration::zero() || age > longestContact)
+                return std::nullopt;
+            result.zones.push_back({ AvailabilityZone(entry.zone()), entry.is_evacuated(), entry.revision(), age });
+        }
+        if (report.has_revision())
+            result.revision = report.revision();
+        result.wantsAnswer = report.wants_answer();
+        return result;
+    }
+
 } // namespace
 
 void toWire(const EntryMessage& message, wire::Envelope& envelope)
@@ -226,6 +256,8 @@
         return PlatformContactRequest {};
     if (envelope.has_platform_contact())
         return fromWire(envelope.platform_contact());
+    if (envelope.has_evacuation_report())
+        return fromWire(envelope.evacuation_report());
     if (envelope.has_relayed_report())
         return RelayedReport { envelope.relayed_report().report() };
     if (envelope.has_quota_return()) {
