Do not let nodes confirm an evacuation that the platform has lost

After a restore from an older copy, nodes keep an evacuation that is missing there for 10 s. A node that learnt of a change in another zone meanwhile sent all that it knew as complete up to the new revision; the others took the lost evacuation from it as the operator's latest word, and nobody ended it.

Reports claim completeness only without such evacuations. Leaving these out of the reports was ruled out: nodes without the platform would end them at once.

--- a/include/teaselshore/entry/evacuated_zones.hpp
+++ b/include/teaselshore/entry/evacuated_zones.hpp
@@ -55,6 +55,9 @@
     /// @brief Returns the revision up to which all changes are known; nothing before the first list.
     std::optional<std::uint64_t> revision() const { return this->completeRevision; }
 
+    /// @brief Returns whether an evacuation is in effect though it is missing at a restored platform.
+    bool isDoubtful() const;
+
 private:
     struct Entry {
         bool isEvacuated = false;
--- a/src/teaselshore/entry/evacuated_zones.cpp
+++ b/src/teaselshore/entry/evacuated_zones.cpp
@@ -102,6 +102,11 @@
     return found != this->zones.end() && found->second.isEvacuated;
 }
 
+bool EvacuatedZones::isDoubtful() const
+{
+    return std::any_of(this->zones.begin(), this->zones.end(), [](const auto& item) { return item.second.isMissing; });
+}
+
 bool EvacuatedZones::containedSince(const AvailabilityZone& zone, Instant since) const
 {
     const auto found = this->zones.find(zone);
--- a/src/teaselshore/entry/evacuated_zones_test.cpp
+++ b/src/teaselshore/entry/evacuated_zones_test.cpp
@@ -505,6 +505,29 @@
         EXPECT_EQ(evacuating.countEvacuating(), 30u);
     }
 
+    // Guards against nodes that confirm each other an evacuation that a restored platform has lost, so that nobody ends
+    // it: they keep it for some seconds, and meanwhile tell each other of a change in another zone.
+    TEST(EvacuationExchange, LostObjectsEndDespiteMessages)
+    {
+        constexpr std::uint64_t era = 1ULL << 48U;
+        EvacuatingFleet evacuating(9);
+        evacuating.write(EvacuationStarted { zoneA, 101 });
+        evacuating.fleet.advance(2s);
+        evacuating.write(PlatformRestored {});
+        evacuating.fleet.advance(1s);
+        evacuating.write(EvacuationsListed { {}, era + 90 });
+        evacuating.fleet.advance(1s);
+        EXPECT_EQ(evacuating.countEvacuating(), 9u);
+        evacuating.write(EvacuationStarted { zoneB, era + 91 });
+        evacuating.fleet.advance(2s);
+        EXPECT_EQ(evacuating.countEvacuating(), 18u);
+        evacuating.fleet.advance(10s);
+        EXPECT_EQ(evacuating.countEvacuating(), 9u);
+        evacuating.write(EvacuationEnded { zoneB, era + 92 });
+        evacuating.fleet.advance(1s);
+        EXPECT_EQ(evacuating.countEvacuating(), 0u);
+    }
+
     // Guards against messages that grow with the fleet, that never end, or that are sent though all nodes read the
     // store or evacuations are off.
     TEST(EvacuationExchange, SendsFewMessages)
--- a/src/teaselshore/entry/evacuation_exchange.cpp
+++ b/src/teaselshore/entry/evacuation_exchange.cpp
@@ -99,7 +99,9 @@
 
 EvacuationReport EvacuationExchange::report(bool wantsAnswer, Instant now) const
 {
-    EvacuationReport report { {}, this->state.evacuated.revision(), wantsAnswer };
+    // What is doubtful is not complete at the present revision: a peer would take it for the operator's latest word.
+    const bool isComplete = !this->state.evacuated.isDoubtful();
+    EvacuationReport report { {}, isComplete ? this->state.evacuated.revision() : std::nullopt, wantsAnswer };
     for (const ZoneEvacuation& entry : this->state.evacuated.entries())
         report.zones.push_back(
             { entry.zone, entry.isEvacuated, entry.revision, std::max(now - entry.since, Duration::zero()) });
