Test that nodes ask peers for evacuations, and checks of before them

With the requests to peers taken out in a trial, two tests that should guard them passed: one counted messages of another kind, the other one delivered the change to the node that was to miss it. And nothing failed without the reset of checks under way when a node has no upstreams left.

--- a/src/teaselshore/entry/evacuated_zones_test.cpp
+++ b/src/teaselshore/entry/evacuated_zones_test.cpp
@@ -262,6 +262,27 @@
         EXPECT_TRUE(this->harness.first<ForwardRequest>());
     }
 
+    // Guards against links that count as lost for good since the checks under way end without success in the evacuated
+    // zones and there is no upstream to check again.
+    TEST_F(EvacuationTest, ChecksOfBeforeDoNotLoseTheLinks)
+    {
+        this->start(100);
+        this->knowPeers();
+        this->harness.request("status");
+        for (auto sent = this->harness.first<ForwardRequest>(); sent; sent = this->harness.first<ForwardRequest>())
+            this->harness.fail(sent->attempt.attempt, false);
+        this->harness.advance(100ms);
+        const auto checks = this->harness.all<CheckUpstream>();
+        ASSERT_FALSE(checks.empty());
+        this->harness.send(EvacuationStarted { zoneA, 101 });
+        this->harness.send(EvacuationStarted { zoneB, 102 });
+        for (const CheckUpstream& check : checks)
+            this->harness.send(UpstreamChecked { check.upstream, UpstreamChecked::State::Unknown, false });
+        EXPECT_FALSE(this->harness.node.statistics().linksLost);
+        this->harness.request("order");
+        this->expectRefusedAtOnce();
+    }
+
     // Guards against requests that wait while all upstreams outside the zone are behind open circuit breakers.
     TEST_F(EvacuationTest, UpstreamsBehindOpenCircuitsServeNobody)
     {
@@ -371,7 +392,8 @@
         for (int round = 0; round < 100; ++round) {
             this->harness.advance(100ms);
             EXPECT_FALSE(this->harness.first<SetReady>());
-            asked += this->harness.all<SendEntryMessage>().size();
+            for (const SendEntryMessage& message : this->harness.all<SendEntryMessage>())
+                asked += std::holds_alternative<EvacuationReport>(message.message) ? 1 : 0;
             for (const LogEvent& line : this->harness.all<LogEvent>())
                 isToldWhy = isToldWhy || line.message.starts_with("not ready: neither");
         }
@@ -457,7 +479,7 @@
             for (const auto& [host, node] : this->fleet.nodes) {
                 const Instant at
                     = this->fleet.now + Duration(static_cast<Duration::rep>(this->fleet.random.below(500'000)));
-                if (!this->fleet.cutFromPlatform.contains(host))
+                if (!this->fleet.cutFromPlatform.contains(host) && !this->fleet.isolated.contains(host))
                     this->fleet.schedule(at, host, event);
             }
         }
