Admit requests of engines by budget while responses are late

Cause: under shortage, requests that are served late take capacity from requests that could be in time, and a request that finds no capacity holds up all later requests of its service.

OverloadController keeps a budget of admitted cost per service while too many first events are late. It divides the budget by priority, then over workspaces by their usual demand, with a floor for each. WaitingRequests takes the queue out of EntryRequests; a request holds up only those that may use no other upstream.

In brittle services a waiting request still holds up all others: one upstream more failed than the bound of BrittleUpstreams.BearBurstsWhenStatementsComeAndGo allows (5 against 4.4).

--- a/include/teaselshore/entry/entry_statistics.hpp
+++ b/include/teaselshore/entry/entry_statistics.hpp
@@ -2,8 +2,11 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <string_view>
 
+#include "teaselshore/base/name.hpp"
+
 namespace teaselshore {
 
 /// @brief How a caller's request ended.
@@ -31,6 +34,20 @@
 
 std::string_view outcomeName(RequestOutcome outcome);
 
+/// @brief Admission of the requests of one route.
+struct RouteAdmission {
+    std::uint64_t admitted = 0;
+    /// Requests that waited for an upstream with capacity.
+    std::uint64_t waited = 0;
+    /// Rejected on arrival, since the service was short of capacity.
+    std::uint64_t rejectedForShortage = 0;
+    /// Rejected after they were admitted, since no upstream had capacity in time.
+    std::uint64_t rejectedWithoutCapacity = 0;
+    /// First events of responses within the latency target.
+    std::uint64_t inTime = 0;
+    std::uint64_t late = 0;
+};
+
 /// @brief Counters and gauges of an EntryNode.
 struct EntryStatistics {
     std::uint64_t requests = 0;
@@ -68,6 +85,9 @@
     std::uint64_t configurationVersion = 0;
     std::uint64_t liveNodes = 0;
     bool holdsLease = false;
+    std::map<RouteName, RouteAdmission> admissions;
+    /// Services that are short of capacity.
+    std::uint64_t shortServices = 0;
 };
 
 } // namespace teaselshore
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -74,6 +74,28 @@
         static_cast<double>(statistics.liveNodes));
     this->setGauge("teaselshore_lease_held", "1 while this node holds the lease of the fleet's duties.",
         statistics.holdsLease ? 1 : 0);
+    this->updateAdmissions(statistics);
+}
+
+void EntryMetrics::updateAdmissions(const EntryStatistics& statistics)
+{
+    this->setGauge("teaselshore_short_services", "Services whose requests are rejected for a shortage of capacity.",
+        static_cast<double>(statistics.shortServices));
+    for (const auto& [route, admission] : statistics.admissions) {
+        const std::string& name = route.value();
+        this->setCounter("teaselshore_admitted_requests_total", "Requests admitted by route.", admission.admitted,
+            { { "route", name } });
+        this->setCounter("teaselshore_waited_requests_total", "Requests that waited for an upstream with capacity.",
+            admission.waited, { { "route", name } });
+        this->setCounter("teaselshore_rejected_requests_total", "Requests rejected for lack of capacity.",
+            admission.rejectedForShortage, { { "route", name }, { "reason", "shortage" } });
+        this->setCounter("teaselshore_rejected_requests_total", "Requests rejected for lack of capacity.",
+            admission.rejectedWithoutCapacity, { { "route", name }, { "reason", "no_capacity" } });
+        this->setCounter("teaselshore_first_events_total", "First events of responses against the latency target.",
+            admission.inTime, { { "route", name }, { "in_time", "true" } });
+        this->setCounter("teaselshore_first_events_total", "First events of responses against the latency target.",
+            admission.late, { { "route", name }, { "in_time", "false" } });
+    }
 }
 
 void EntryMetrics::updateAnswers(const UnsentAnswers& unsent, std::uint64_t cut)
--- a/src/teaselshore/daemon/entry_metrics.hpp
+++ b/src/teaselshore/daemon/entry_metrics.hpp
@@ -24,6 +24,7 @@
     std::string render() const { return this->metrics.renderPrometheus(); }
 
 private:
+    void updateAdmissions(const EntryStatistics& statistics);
     void setCounter(
         const std::string& name, const std::string& help, std::uint64_t value, const MetricLabels& labels = {});
     void setGauge(const std::string& name, const std::string& help, double value);
--- a/src/teaselshore/entry/brittle_exchange.hpp
+++ b/src/teaselshore/entry/brittle_exchange.hpp
@@ -28,6 +28,8 @@
     /// @brief Counts a request that starts to wait for an upstream of the service.
     void onWaiting(const ServiceName& service);
     void onTick(Instant now);
+    /// @brief Returns whether upstreams of the service fail if they must refuse many requests.
+    bool isBrittle(const ServiceName& service) const { return this->upstreams.allowance(service).has_value(); }
     /// @brief Returns the upstreams of the service that get no request from this node now.
     std::vector<UpstreamId> closedUpstreams(const ServiceName& service, Instant now) const;
 
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -93,6 +93,7 @@
     , refusals(refusals)
     , limits(limits)
     , brittle(brittle)
+    , overload(fingerprint(state.settings.id.value()))
 {
 }
 
@@ -198,10 +199,70 @@
 {
     request.service = this->selectService(*request.route);
     this->fillRouting(request);
+    if (this->rejectForShortage(request, now))
+        return;
     this->state.retryBudget(request.service).onRequest(now);
     this->dispatch(request, now);
 }
 
+bool EntryRequests::rejectForShortage(Request& request, Instant now)
+{
+    // Plain services respond only once they have done the work, so that a response which is slow for another reason
+    // than queueing would look like a shortage.
+    const EntryService* service = request.table->configuration().findService(request.service);
+    if (!service || !service->isEngine) {
+        ++this->admissionOf(request).admitted;
+        return false;
+    }
+    // The parts before the last one are shared with other requests and usually cached.
+    const std::uint32_t shared = request.caller.parts.empty()
+        ? 0
+        : request.routing.promptTokens - std::min(request.routing.promptTokens, request.caller.parts.back().tokens);
+    const AdmissionOffer offer { request.id, request.service, request.route->name, request.workspace, request.priority,
+        WorkSize { request.routing.promptTokens, shared, 0 }.prefillWork(), request.route->latencyTarget };
+    // A request that may have run already, or that continues a stream, is not rejected.
+    const bool isContinued = request.earlierRuns > 0 || request.caller.lastEventId;
+    if (isContinued)
+        this->overload.watch(offer, now);
+    const bool isAdmitted = isContinued || this->overload.admits(offer, now);
+    this->logShortages();
+    if (isAdmitted) {
+        ++this->admissionOf(request).admitted;
+        return false;
+    }
+    ++this->admissionOf(request).rejectedForShortage;
+    this->state.demand.onRefused(request.service, request.routing.promptTokens);
+    this->refuse(request, RequestOutcome::NoCapacity, serviceUnavailable,
+        "the service is short of capacity and other requests go first", this->retryAfter(request, now), now);
+    return true;
+}
+
+void EntryRequests::recordFirstEvent(Request& request, Instant now)
+{
+    this->overload.onFirstEvent(request.id, now);
+    const bool isInTime = now - request.arrivedAt <= request.route->latencyTarget;
+    ++(isInTime ? this->admissionOf(request).inTime : this->admissionOf(request).late);
+}
+
+void EntryRequests::logShortages()
+{
+    for (const ServiceShortage& change : this->overload.takeChanges()) {
+        if (change.isShort)
+            ++this->state.statistics.shortServices;
+        else
+            --this->state.statistics.shortServices;
+        const std::string message = change.isShort ? "service is short of capacity; requests are rejected by priority"
+            : change.isSuspended                   ? "service has late responses that rejections do not prevent; "
+                                                     "requests are admitted"
+                                                   : "service is no longer short of capacity";
+        this->state.log(change.isShort ? LogLevel::Warning : LogLevel::Info, message,
+            { { "service", change.service.value() }, { "missedShare", fmt::format("{:.2f}", change.missedShare) },
+                { "worstRoute", change.worstRoute.value() }, { "offered", fmt::format("{:.0f}", change.offered) },
+                { "served", fmt::format("{:.0f}", change.served) }, { "budget", fmt::format("{:.0f}", change.budget) },
+                { "seconds", formatSeconds(change.since) } });
+    }
+}
+
 void EntryRequests::borrowQuota(Request& request, const QuotaShortage& shortage, Instant now)
 {
     const auto asked
@@ -416,7 +477,8 @@
     forward.context.deadline = request.deadline;
     forward.context.instance = upstream->second;
     forward.context.workspace = request.workspace;
-    forward.context.priority = std::min(request.priority, lowestPriority);
+    forward.context.priority
+        = std::min(this->overload.forwardedPriority(request.service, request.priority), lowestPriority);
     forward.context.resumeAfter = request.lastEventId ? request.lastEventId : request.caller.lastEventId;
     forward.callerAttemptId = request.caller.attemptId;
     this->state.commands.emplace_back(std::move(forward));
@@ -425,7 +487,10 @@
 
 void EntryRequests::enqueue(Request& request, Instant now)
 {
-    const Duration maxWait = request.route->latencyTarget / maxWaitDivisor;
+    Duration maxWait = request.route->latencyTarget / maxWaitDivisor;
+    const std::optional<Duration> expected = this->overload.expectedFirstEvent(request.service, request.route->name);
+    if (expected && this->overload.isShort(request.service))
+        maxWait = std::clamp(request.route->latencyTarget - *expected, Duration::zero(), maxWait);
     const Instant until = std::min(request.waitUntil.value_or(request.arrivedAt + maxWait), request.deadline);
     if (this->state.links.areLost() && this->tryRelay(request, now))
         return;
@@ -435,28 +500,24 @@
             request, next ? "all upstreams are paused or at their limits" : "no upstream has room", now);
         return;
     }
-    if (!request.waitUntil)
+    if (!request.waitUntil) {
         this->brittle.onWaiting(request.service);
+        ++this->admissionOf(request).waited;
+    }
     request.waitUntil = until;
-    this->waitingRequests.emplace(request.priority, request.arrivedAt, request.id);
+    WaitingRequest entry { request.id, request.service, request.priority, request.arrivedAt, until, {} };
+    // A brittle upstream must not be tried by a request behind one that it has just refused.
+    if (!this->brittle.isBrittle(request.service))
+        entry.excluded = request.routing.excluded;
+    this->waiting.add(std::move(entry));
 }
 
 void EntryRequests::dispatchWaiting(Instant now)
 {
     this->lastWaitingDispatch = now;
-    // If one request finds no capacity, later ones of the same service find none either.
-    std::set<ServiceName> fullServices;
-    if (this->waitingRequests.empty())
+    if (this->waiting.empty())
         return;
-    const auto waiting = this->waitingRequests;
-    for (const auto& [priority, arrivedAt, id] : waiting) {
-        Request* request = this->find(id);
-        if (!request || fullServices.contains(request->service))
-            continue;
-        if (this->trySend(*request, now))
-            continue;
-        fullServices.insert(request->service);
-    }
+    this->waiting.dispatch([this, now](const RequestId& id) { return this->trySend(this->requests.at(id), now); });
 }
 
 void EntryRequests::onCapacityChanged(Instant now)
@@ -586,8 +647,10 @@
     this->limits.onResponse(found->second.upstream, event.facts, found->second.startedAt, now);
     this->brittle.onResponse(found->second.upstream, event.facts, now);
     if (Request* request = this->find(found->second.request)) {
-        if (!std::exchange(request->streaming, true))
+        if (!std::exchange(request->streaming, true)) {
             request->firstEventAfter = now - request->arrivedAt;
+            this->recordFirstEvent(*request, now);
+        }
         this->countUsage(*request, now);
     }
 }
@@ -649,6 +712,8 @@
     // Only further events may follow a stream that has started.
     const bool isUsable = !request->streaming || event.response.relayed;
     if (!event.facts.notRun && !failed && isUsable && (event.facts.isStamped || !success)) {
+        if (!request->streaming)
+            this->recordFirstEvent(*request, now);
         this->respond(*request, std::move(event.response), RequestOutcome::Answered, now);
         return;
     }
@@ -771,15 +836,22 @@
         return;
     }
     // More upstreams would not help a node that cannot reach them.
-    if (!this->state.links.areLost())
+    if (!this->state.links.areLost()) {
         this->state.demand.onRefused(request.service, request.routing.promptTokens);
+        // Requests beyond stated limits take no capacity from others.
+        if (!this->nextAvailability(request.service, now))
+            this->overload.onNoCapacity(request.id, now);
+        ++this->admissionOf(request).rejectedWithoutCapacity;
+    }
     this->refuse(request, RequestOutcome::NoCapacity, serviceUnavailable, reason, this->retryAfter(request, now), now);
 }
 
 Duration EntryRequests::retryAfter(const Request& request, Instant now)
 {
     const auto spread = static_cast<std::uint64_t>((maxRetryAfter - minRetryAfter).count());
-    const Duration drawn = minRetryAfter + Duration(static_cast<Duration::rep>(this->state.random.below(spread)));
+    Duration drawn = minRetryAfter + Duration(static_cast<Duration::rep>(this->state.random.below(spread)));
+    if (this->overload.isShort(request.service))
+        drawn = *this->overload.retryAfter(request.service, request.priority, this->state.random.uniform(), now);
     // Another node may have the next turn at a limited upstream, and the caller's next attempt may reach that node.
     const std::optional<Availability> next = this->nextAvailability(request.service, now);
     return next ? std::max(drawn, next->anywhere - now + drawn - minRetryAfter) : drawn;
@@ -859,6 +931,7 @@
         fields.emplace_back("passedOver", request.passedOver);
     this->state.log(LogLevel::Info, "request ended", std::move(fields));
     this->stopWaiting(request);
+    this->overload.onEnded(request.id);
     this->deadlines.erase({ request.deadline, request.id });
     this->requests.erase(RequestId(request.id));
 }
@@ -885,6 +958,8 @@
 
 void EntryRequests::onTick(Instant now)
 {
+    this->overload.onTick(now);
+    this->logShortages();
     this->beginEarlyRequests(now);
     this->clearKeysOfRunningStreams(now);
     this->releaseEvidence(now);
@@ -906,10 +981,8 @@
         this->onLoanEnded(loan, now);
     this->sendLoanMessages();
     this->dispatchWaiting(now);
-    const auto waiting = this->waitingRequests;
-    for (const auto& [priority, arrivedAt, id] : waiting) {
-        Request* request = this->find(id);
-        if (request && request->waitUntil && *request->waitUntil <= now)
+    for (const RequestId& id : this->waiting.expired(now)) {
+        if (Request* request = this->find(id))
             this->endWithoutResponse(*request, "no upstream has room", now);
     }
 }
@@ -921,11 +994,8 @@
         next = std::min(next, *this->earlyDeadline);
     if (!this->deadlines.empty())
         next = std::min(next, this->deadlines.begin()->first);
-    for (const auto& [priority, arrivedAt, id] : this->waitingRequests) {
-        const Request& request = this->requests.at(id);
-        next = std::min(
-            next, std::min(request.waitUntil.value_or(Instant::max()), this->lastWaitingDispatch + waitingPollPeriod));
-    }
+    if (!this->waiting.empty())
+        next = std::min({ next, this->waiting.nextExpiry(), this->lastWaitingDispatch + waitingPollPeriod });
     return next;
 }
 
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -5,7 +5,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -15,6 +14,8 @@
 #include "entry_state.hpp"
 #include "limit_exchange.hpp"
 #include "refusal_exchange.hpp"
+#include "teaselshore/routing/overload_controller.hpp"
+#include "waiting_requests.hpp"
 
 namespace teaselshore {
 
@@ -44,7 +45,7 @@
     void onTick(Instant now);
     Instant nextTick() const;
     std::size_t openCount() const { return this->requests.size(); }
-    std::size_t waitingCount() const { return this->waitingRequests.size(); }
+    std::size_t waitingCount() const { return this->waiting.size(); }
 
 private:
     struct Request {
@@ -138,6 +139,15 @@
     void refuseOverQuota(Request& request, const QuotaShortage& shortage, Instant now);
     void fillRouting(Request& request);
     ServiceName selectService(const EntryRoute& route);
+    /// @brief Rejects the request if its service is short of capacity and others go first. Returns whether it did.
+    bool rejectForShortage(Request& request, Instant now);
+    RouteAdmission& admissionOf(const Request& request)
+    {
+        return this->state.statistics.admissions[request.route->name];
+    }
+    /// @brief Records the time to the first event, or to the response if it is no stream.
+    void recordFirstEvent(Request& request, Instant now);
+    void logShortages();
     void dispatch(Request& request, Instant now);
     /// @brief Hands the request to a peer. Returns false if it may not be, or if no peer is left.
     bool tryRelay(Request& request, Instant now);
@@ -218,8 +228,8 @@
     std::optional<Instant> processEnd;
     /// When the waiting requests were last dispatched.
     Instant lastWaitingDispatch {};
-    /// Ordered by priority and time of arrival.
-    std::set<std::tuple<std::uint32_t, Instant, RequestId>> waitingRequests;
+    WaitingRequests waiting;
+    OverloadController overload;
 };
 
 } // namespace teaselshore
--- a/src/teaselshore/entry/relayed_requests.cpp
+++ b/src/teaselshore/entry/relayed_requests.cpp
@@ -31,6 +31,8 @@
     if (!peer)
         return false;
     this->stopWaiting(request);
+    // Its time at a peer says nothing about the capacity of upstreams.
+    this->overload.onEnded(request.id);
     // The peer takes the quota.
     if (request.quotaTaken && request.runs == 0) {
         this->state.quotas.refund(*request.workspace, request.quotaCost);
@@ -126,8 +128,7 @@
 void EntryRequests::onLinksLost(Instant now)
 {
     this->releaseEvidence(now);
-    const auto waiting = this->waitingRequests;
-    for (const auto& [priority, arrivedAt, id] : waiting) {
+    for (const RequestId& id : this->waiting.ids()) {
         Request* request = this->find(id);
         if (request && this->needsPeers(now))
             this->relayOrEnd(*request, linksLost, now);
@@ -163,7 +164,7 @@
 {
     if (!request.waitUntil)
         return;
-    this->waitingRequests.erase({ request.priority, request.arrivedAt, request.id });
+    this->waiting.remove(request.id);
     request.waitUntil.reset();
 }
 
