--- a/src/teaselshore/entry/evacuated_requests.cpp
+++ b/src/teaselshore/entry/evacuated_requests.cpp
@@ -38,8 +38,7 @@
 {
     if (this->state.evacuated.count() == 0)
         return;
-    const auto waiting = this->waitingRequests;
-    for (const auto& [priority, arrivedAt, id] : waiting) {
+    for (const RequestId& id : this->waiting.ids()) {
         Request* request = this->find(id);
         if (request && this->isEvacuated(request->service, now))
             this->endWithoutResponse(*request, evacuatedReason, now);
