--- a/src/teaselshore/entry/admission_under_shortage_test.cpp
+++ b/src/teaselshore/entry/admission_under_shortage_test.cpp
@@ -342,6 +342,30 @@
         EXPECT_EQ(run(Policy::Controlled, "controlled", calm), run(Policy::StrictPriority, "strict priority", calm));
     }
 
+    // Guards against rejecting requests for ever because responses are late for another reason than load.
+    TEST(OverloadController, StopsRejectingIfThatDoesNotHelp)
+    {
+        OverloadController controller(1);
+        int rejected = 0;
+        const auto run = [&](Instant from, Instant to) {
+            for (Instant now = from; now < to; now += 20ms) {
+                const RequestId id(std::to_string(now.time_since_epoch().count()));
+                const AdmissionOffer offer { id, ServiceName("engine"), RouteName("short"), {}, 0, 1800, 10ms };
+                if (!controller.admits(offer, now)) {
+                    ++rejected;
+                    continue;
+                }
+                controller.onFirstEvent(id, now + 11ms);
+            }
+        };
+        run(Instant { 1s }, Instant { 10s });
+        EXPECT_GT(rejected, 0);
+        EXPECT_TRUE(controller.takeChanges().back().isSuspended);
+        rejected = 0;
+        run(Instant { 10s }, Instant { 30s });
+        EXPECT_EQ(rejected, 0);
+    }
+
     /// Sends requests every 20 ms, which all engines leave unanswered, and returns the responses.
     std::vector<Respond> sendUnanswered(EntryHarness& harness, bool isEngine)
     {
--- a/src/teaselshore/routing/overload_controller.cpp
+++ b/src/teaselshore/routing/overload_controller.cpp
@@ -35,6 +35,8 @@
     /// now: what upstreams serve is capacity, even if it is late because of the queues that still have to drain.
     constexpr double minPartOfPeak = 0.5;
     constexpr double minPartOfServed = 0.8;
+    /// The budget counts as lowest within this factor, since what is served varies from step to step.
+    constexpr double lowestTolerance = 1.1;
     /// Rejections have no effect if responses stay late for this time at the lowest budget.
     constexpr Duration ineffectiveTime = std::chrono::seconds(4);
     constexpr Duration suspensionTime = std::chrono::seconds(30);
@@ -274,7 +276,8 @@
 {
     const ServiceShortage state = inspect(name, service, now);
     const double decay = std::exp(-toSeconds(stepPeriod) / toSeconds(peakWindow));
-    service.peakServed = std::max(service.peakServed * decay, state.served);
+    // Kept during a shortage, in which rejections lower what is served.
+    service.peakServed = std::max(service.budget ? service.peakServed : service.peakServed * decay, state.served);
     if (!service.budget) {
         if (state.missedShare < enterShare || (service.suspendedUntil && now < *service.suspendedUntil))
             return;
@@ -326,7 +329,7 @@
     const double lowest = std::max(minPartOfPeak * service.peakServed, minPartOfServed * state.served);
     if (state.missedShare > shrinkShare) {
         budget = std::max(budget * shrinkFactor, lowest);
-        if (budget > lowest || state.missedShare < enterShare)
+        if (budget > lowestTolerance * lowest || state.missedShare < enterShare)
             service.ineffectiveSince.reset();
         else if (!service.ineffectiveSince)
             service.ineffectiveSince = now;
