--- a/include/teaselshore/entry/caller_request.hpp
+++ b/include/teaselshore/entry/caller_request.hpp
@@ -104,6 +104,8 @@
     /// Requests of all nodes together that the upstream can refuse in a second for lack of room without failing;
     /// nothing if it names no such bound.
     std::optional<double> refusalAllowance;
+    /// Time for which the upstream is still cold, zero if it is warm; nothing if the response does not state it.
+    std::optional<Duration> coldFor;
     /// An instance other than the expected one answered.
     bool wrongInstance = false;
     struct Load {
--- a/include/teaselshore/entry/entry_configuration.hpp
+++ b/include/teaselshore/entry/entry_configuration.hpp
@@ -110,6 +110,10 @@
     /// Tokens that fit into the KV cache of one engine; 0 for plain services.
     std::uint64_t kvCacheTokens = 0;
     std::optional<ScaleLimits> scale;
+    /// Time after its start for which an upstream is cold; zero if upstreams are never cold.
+    Duration coldTime {};
+    /// Requests per second from all nodes together that a cold upstream sustains; 0 for no such limit.
+    double coldRate = 0;
 
     auto operator<=>(const EntryService&) const = default;
 };
--- a/include/teaselshore/entry/entry_event.hpp
+++ b/include/teaselshore/entry/entry_event.hpp
@@ -50,6 +50,8 @@
     State state = State::Unknown;
     /// A connection to the upstream's address could be established.
     bool isReached = false;
+    /// Time for which the upstream is still cold, as its response states it.
+    std::optional<Duration> coldFor {};
 };
 
 /// @brief The operator's configuration was read from the platform or received from a peer.
--- a/include/teaselshore/entry/entry_message.hpp
+++ b/include/teaselshore/entry/entry_message.hpp
@@ -77,6 +77,22 @@
     auto operator<=>(const LimitReport&) const = default;
 };
 
+/// @brief What upstreams stated in responses to the sender about the time for which they are cold.
+struct ColdReport {
+    struct Statement {
+        UpstreamId upstream;
+        /// Remaining time when the message was sent; zero if the upstream is warm.
+        Duration left {};
+        /// Time since the response.
+        Duration age {};
+
+        auto operator<=>(const Statement&) const = default;
+    };
+    std::vector<Statement> statements;
+
+    auto operator<=>(const ColdReport&) const = default;
+};
+
 /// @brief What the sender has learned from responses of brittle services, whose upstreams fail if they must refuse many
 /// requests.
 struct BrittlenessReport {
@@ -123,6 +139,6 @@
 /// @brief Messages between the nodes of `teaselshore-entry`.
 using EntryMessage = std::variant<QuotaLoanRequest, QuotaLoan, QuotaReturn, RelayedReport, CrashReport, RolloutDecision,
     NewerConfigurationRequest, ConfigurationCopy, RefusalReport, LimitReport, BrittlenessReport, PlatformContactRequest,
-    PlatformContact>;
+    PlatformContact, ColdReport>;
 
 } // namespace teaselshore
--- a/include/teaselshore/entry/entry_statistics.hpp
+++ b/include/teaselshore/entry/entry_statistics.hpp
@@ -53,6 +53,10 @@
     std::uint64_t limitedUpstreams = 0;
     /// Requests for which an upstream was passed over because of its limit.
     std::uint64_t limitedRequests = 0;
+    /// Upstreams that are cold, or are taken for cold.
+    std::uint64_t coldUpstreams = 0;
+    /// Requests for which an upstream was passed over because it is cold.
+    std::uint64_t coldPassedOver = 0;
     /// Services whose upstreams fail if they must refuse many requests.
     std::uint64_t brittleServices = 0;
     /// Requests that waited because a brittle upstream was passed over.
--- a/include/teaselshore/entry/registered_upstream.hpp
+++ b/include/teaselshore/entry/registered_upstream.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -9,6 +10,18 @@
 
 namespace teaselshore {
 
+/// @brief What an entry states about the time for which its upstream is cold. Takes no part in comparisons: the time
+/// runs out while the upstream stays the same.
+struct ColdTimeStatement {
+    /// Remaining time, zero if the upstream is warm; nothing if the entry does not state it.
+    std::optional<Duration> left;
+    /// Version of the object that holds the entry; 0 if unknown. A list repeats entries of the same version.
+    std::uint64_t objectVersion = 0;
+
+    std::strong_ordering operator<=>(const ColdTimeStatement&) const { return std::strong_ordering::equal; }
+    bool operator==(const ColdTimeStatement&) const { return true; }
+};
+
 /// @brief Registration of an upstream at the platform.
 struct RegisteredUpstream {
     /// Name under which the upstream registered. A later process may reuse it.
@@ -26,6 +39,7 @@
     bool reclaimable = false;
     /// Time until the upstream stops, if it has announced one.
     std::optional<Duration> leavesIn;
+    ColdTimeStatement coldFor;
 
     auto operator<=>(const RegisteredUpstream&) const = default;
 
--- a/include/teaselshore/routing/routing_decision.hpp
+++ b/include/teaselshore/routing/routing_decision.hpp
@@ -23,6 +23,9 @@
     std::vector<Fingerprint> prefixBlocks;
     /// Upstreams of earlier attempts, which are not chosen again.
     std::vector<UpstreamId> excluded;
+    /// Whether the samples avoid excluded upstreams, as for a zone whose upstreams are all excluded. Few exclusions
+    /// need no further draws.
+    bool avoidExcluded = false;
     /// Set to continue a response on the version that produced its first part.
     std::optional<VersionName> version;
     /// True for the isolated retry of a crash suspect: only an upstream without outstanding requests of this node is
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -49,6 +49,10 @@
         statistics.requestsOfPeers);
     this->setGauge("teaselshore_limited_upstreams", "Upstreams that name a limit.",
         static_cast<double>(statistics.limitedUpstreams));
+    this->setGauge("teaselshore_cold_upstreams", "Upstreams that are cold, or are taken for cold.",
+        static_cast<double>(statistics.coldUpstreams));
+    this->setCounter("teaselshore_cold_passed_over_total",
+        "Requests for which an upstream was passed over because it is cold.", statistics.coldPassedOver);
     this->setCounter("teaselshore_held_requests_total",
         "Requests that waited for an upstream of a service whose upstreams bear few refusals.",
         statistics.heldRequests);
--- a/src/teaselshore/daemon/upstream_checks.cpp
+++ b/src/teaselshore/daemon/upstream_checks.cpp
@@ -55,21 +55,22 @@
 
     const std::weak_ptr<Impl> weak = this->impl;
     const auto id = std::make_shared<CallId>(0);
-    const auto conclude = [weak, upstream = check.upstream](State state, bool isReached) {
-        if (const auto self = weak.lock())
-            self->emit({ upstream, state, isReached });
-    };
+    const auto conclude
+        = [weak, upstream = check.upstream](State state, bool isReached, std::optional<Duration> coldFor) {
+              if (const auto self = weak.lock())
+                  self->emit({ upstream, state, isReached, coldFor });
+          };
     HttpCallHandlers handlers;
     handlers.onHead = [weak, id, conclude](int status, const HttpHeaders& headers) {
         // The body says nothing more and may have no end.
         if (const auto self = weak.lock())
             self->client->cancel(*id);
-        const bool isOther = decodeResponseFacts(status, toHeaderList(headers)).wrongInstance;
-        conclude(isOther ? State::Ended : State::Answered, true);
+        const ResponseFacts facts = decodeResponseFacts(status, toHeaderList(headers));
+        conclude(facts.wrongInstance ? State::Ended : State::Answered, true, facts.coldFor);
     };
     handlers.onError = [conclude](const HttpError& error) {
-        conclude(
-            error.kind == HttpError::Kind::ConnectFailed ? State::Ended : State::Unknown, error.requestMayHaveBeenSent);
+        const bool isRefused = error.kind == HttpError::Kind::ConnectFailed;
+        conclude(isRefused ? State::Ended : State::Unknown, error.requestMayHaveBeenSent, {});
     };
     *id = this->impl->client->start(std::move(call), std::move(handlers));
 }
--- a/src/teaselshore/entry/crash_detector.cpp
+++ b/src/teaselshore/entry/crash_detector.cpp
@@ -115,7 +115,9 @@
     std::vector<const RegisteredUpstream*> others;
     for (const auto& [id, instance] : this->state.instances) {
         const RegisteredUpstream* registered = this->findRegistered(id);
-        if (id != upstream && registered && !this->unconfirmedCrashes.contains(id))
+        // All nodes may check at the same time, which would be too much for a cold upstream.
+        const bool isUsable = !this->unconfirmedCrashes.contains(id) && !this->state.limits.findCold(id);
+        if (id != upstream && registered && isUsable)
             others.push_back(registered);
     }
     for (std::size_t count = 0; count < othersToCheck && !others.empty(); ++count) {
--- a/src/teaselshore/entry/entry_duties.cpp
+++ b/src/teaselshore/entry/entry_duties.cpp
@@ -157,7 +157,8 @@
         // The others do not know a new host yet, and take its turns.
         if (!this->ownReportSeenAt && !isKnownHost)
             hosts.clear();
-        this->state.limits.setFleet(std::move(hosts), this->state.settings.host.node);
+        this->state.limits.setFleet(std::move(hosts), this->state.settings.host.node,
+            this->state.wallClockTime(now).value_or(Duration::zero()));
     }
     const auto liveNodes = static_cast<double>(this->state.liveNodes);
     const double share = fraction / liveNodes;
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "brittle_exchange.hpp"
+#include "cold_exchange.hpp"
 #include "configuration_relay.hpp"
 #include "crash_detector.hpp"
 #include "entry_duties.hpp"
@@ -45,8 +46,9 @@
         , refusals(state)
         , limits(state)
         , brittle(state)
+        , cold(state)
         , duties(state, crashes, limits)
-        , requests(state, duties.rollouts(), crashes, refusals, limits, brittle)
+        , requests(state, duties.rollouts(), crashes, refusals, limits, brittle, cold)
     {
     }
 
@@ -92,6 +94,10 @@
     {
         this->brittle.onReport(senderAddress, report, now);
     }
+    void receive(const std::string& senderAddress, const ColdReport& report, Instant now)
+    {
+        this->cold.onReport(senderAddress, report, now);
+    }
     void receive(const std::string& senderAddress, const NewerConfigurationRequest& request, Instant)
     {
         this->configurations.onRequest(senderAddress, request);
@@ -133,6 +139,7 @@
     RefusalExchange refusals;
     LimitExchange limits;
     BrittleExchange brittle;
+    ColdExchange cold;
     EntryDuties duties;
     EntryRequests requests;
     bool ready = false;
@@ -173,6 +180,7 @@
     statistics.waitingRequests = this->impl->requests.waitingCount();
     statistics.upstreams = this->impl->state.instances.size();
     statistics.limitedUpstreams = this->impl->state.limits.limitedUpstreams().size();
+    statistics.coldUpstreams = this->impl->state.limits.coldCount();
     statistics.liveNodes = this->impl->state.liveNodes;
     statistics.configurationVersion = this->impl->state.table ? this->impl->state.table->configuration().version : 0;
     return statistics;
@@ -182,6 +190,7 @@
 {
     const bool isReached = event.isReached || event.state == UpstreamChecked::State::Answered;
     this->state.links.onChecked(event.upstream, isReached, now);
+    this->cold.onChecked(event, now);
     this->crashes.onChecked(event, now);
 }
 
@@ -206,8 +215,15 @@
     if (!this->state.links.areChecksDue(this->state.instances.size(), now))
         return;
     std::vector<UpstreamId> upstreams;
-    for (const auto& [upstream, instance] : this->state.instances)
-        upstreams.push_back(upstream);
+    for (const auto& [upstream, instance] : this->state.instances) {
+        if (!this->state.limits.findCold(upstream))
+            upstreams.push_back(upstream);
+    }
+    // All nodes may check at the same time, so that cold upstreams are checked only if there are no others.
+    if (upstreams.empty()) {
+        for (const auto& [upstream, instance] : this->state.instances)
+            upstreams.push_back(upstream);
+    }
     for (const UpstreamId& upstream : this->state.links.takeChecks(std::move(upstreams), now)) {
         if (const RegisteredUpstream* registered = this->state.directory.find(upstream))
             this->state.checkUpstream(*registered, now);
@@ -232,6 +248,7 @@
     this->state.log(LogLevel::Info, "configuration in effect",
         { { "version", std::to_string(version) }, { "previous", std::to_string(current) },
             { "routes", std::to_string(configuration.routes.size()) } });
+    this->cold.onConfiguration(now);
     this->applyRouting(now);
 }
 
@@ -245,12 +262,14 @@
 
 void EntryNode::Impl::handle(UpstreamsListed& event, Instant now)
 {
+    this->cold.onEntries(event.upstreams, now);
     if (this->state.directory.onListed(event.upstreams, now))
         this->applyRouting(now);
 }
 
 void EntryNode::Impl::handle(UpstreamChanged& event, Instant now)
 {
+    this->cold.onEntry(event.upstream, now);
     if (!this->state.directory.onChanged(event.upstream))
         return;
     this->state.log(LogLevel::Info, "upstream changed",
@@ -336,6 +355,7 @@
     EntryRollouts& rollouts = this->duties.rollouts();
     rollouts.onUpstreams(now);
     this->crashes.onUpstreams(now);
+    this->cold.onUpstreams(now);
     for (const VersionShare& share : versionShares(upstreams, rollouts.orders(), rollouts.unknownVersions()))
         this->state.router.setVersionShare(share.service, share.version, share.share);
     this->requests.onCapacityChanged(now);
@@ -399,6 +419,7 @@
     this->refusals.onTick(now);
     this->limits.onTick(now);
     this->brittle.onTick(now);
+    this->cold.onTick(now);
     this->state.exclusions.onTick(now);
     const bool sharesChanged = this->duties.onTick(now);
     if (this->state.directory.onTick(now) || sharesChanged)
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -86,13 +86,14 @@
 } // namespace
 
 EntryRequests::EntryRequests(EntryState& state, EntryRollouts& rollouts, CrashDetector& crashes,
-    RefusalExchange& refusals, LimitExchange& limits, BrittleExchange& brittle)
+    RefusalExchange& refusals, LimitExchange& limits, BrittleExchange& brittle, ColdExchange& cold)
     : state(state)
     , rollouts(rollouts)
     , crashes(crashes)
     , refusals(refusals)
     , limits(limits)
     , brittle(brittle)
+    , cold(cold)
 {
 }
 
@@ -364,6 +365,7 @@
     } else {
         RoutingRequest routing = request.routing;
         routing.excluded.insert(routing.excluded.end(), unavailable.begin(), unavailable.end());
+        routing.avoidExcluded = this->state.limits.isAnyCold();
         decision = this->state.router.choose(routing, now);
     }
     if (!decision)
@@ -455,7 +457,9 @@
             continue;
         if (this->trySend(*request, now))
             continue;
-        fullServices.insert(request->service);
+        // A retry may find none only because of the upstreams that it has tried.
+        if (!this->state.limits.isAnyCold() || request->routing.excluded.empty())
+            fullServices.insert(request->service);
     }
 }
 
@@ -484,7 +488,8 @@
     std::string passedOver;
     for (const UpstreamId& upstream : this->state.limits.limitedUpstreams()) {
         const auto instance = this->state.instances.find(upstream);
-        if (instance == this->state.instances.end() || this->state.nextTurn(upstream, now) <= now)
+        if (instance == this->state.instances.end() || this->state.limits.findCold(upstream)
+            || this->state.nextTurn(upstream, now) <= now)
             continue;
         const RegisteredUpstream* registered = this->state.directory.findInstance(instance->second);
         if (!registered || registered->service != request.service)
@@ -495,13 +500,32 @@
             passedOver += fmt::format("{}{} limit {}/s from {} {:.0f} ms ago", passedOver.empty() ? "" : ", ",
                 upstream.value(), limit.perSecond.value_or(0), limit.source, toMilliseconds(now - limit.statedAt));
     }
-    if (!passedOver.empty()) {
+    if (!passedOver.empty())
         ++this->state.statistics.limitedRequests;
+    if (this->state.limits.isAnyCold())
+        passedOver += this->passOverCold(request, unavailable, now);
+    if (!passedOver.empty())
         request.passedOver = std::move(passedOver);
-    }
     return unavailable;
 }
 
+std::string EntryRequests::passOverCold(Request& request, std::vector<UpstreamId>& unavailable, Instant now)
+{
+    // Without a reading of the clock, this node has no turns.
+    const Duration wallClock = this->state.wallClockTime(now).value_or(Duration::zero());
+    std::string passedOver;
+    for (UpstreamId& upstream : this->state.limits.closedColdUpstreams(request.service, wallClock)) {
+        if (!this->state.instances.contains(upstream))
+            continue;
+        if (request.passedOver.empty() && passedOver.size() < maxPassedOverLength)
+            passedOver += fmt::format("{}{} cold", passedOver.empty() ? "" : ", ", upstream.value());
+        unavailable.push_back(std::move(upstream));
+    }
+    if (!passedOver.empty())
+        ++this->state.statistics.coldPassedOver;
+    return passedOver;
+}
+
 std::optional<EntryRequests::Availability> EntryRequests::nextAvailability(
     const ServiceName& service, Instant now) const
 {
@@ -534,6 +558,7 @@
         this->state.log(LogLevel::Info, "upstream asked for a pause",
             { { "upstream", upstream.value() }, { "ms", fmt::format("{:.0f}", toMilliseconds(*facts.pause)) } });
     }
+    this->cold.onResponse(upstream, facts, now);
     if (facts.load)
         this->state.router.onLoadReport({ upstream, facts.load->waiting, facts.load->running, Duration::zero() }, now);
 }
@@ -680,6 +705,8 @@
     this->state.router.onFinished(attempt->dispatch, outcome, 0, now);
     if (event.connectionBroken)
         ++this->state.statistics.brokenAttempts;
+    if (event.connectionBroken || !event.mayHaveRun)
+        this->cold.onUnreachable(attempt->upstream, now);
     if (event.mayHaveRun)
         this->heldEvidence.push_back({ *attempt, event.connectionBroken ? AttemptEnd::Failed : AttemptEnd::TimedOut,
             attempt->firstEventAfter.value_or(now - attempt->startedAt), now });
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "brittle_exchange.hpp"
+#include "cold_exchange.hpp"
 #include "crash_detector.hpp"
 #include "entry_rollouts.hpp"
 #include "entry_state.hpp"
@@ -25,7 +26,7 @@
 class EntryRequests {
 public:
     EntryRequests(EntryState& state, EntryRollouts& rollouts, CrashDetector& crashes, RefusalExchange& refusals,
-        LimitExchange& limits, BrittleExchange& brittle);
+        LimitExchange& limits, BrittleExchange& brittle, ColdExchange& cold);
 
     void onArrived(CallerRequestArrived arrived, Instant now);
     void onCallerGone(const RequestId& id, Instant now);
@@ -175,6 +176,8 @@
     /// @brief Returns the upstreams that asked for a pause, and those of the request's service that get no request from
     /// this node now because of their limit or because they are brittle.
     std::vector<UpstreamId> unavailableUpstreams(Request& request, Instant now);
+    /// @brief Adds the cold upstreams at which this node has no turn now; returns them for the log.
+    std::string passOverCold(Request& request, std::vector<UpstreamId>& unavailable, Instant now);
     /// When the upstreams of a service end their pauses or allow the next request by their limits.
     struct Availability {
         /// First time at which this node may send a request.
@@ -203,6 +206,7 @@
     RefusalExchange& refusals;
     LimitExchange& limits;
     BrittleExchange& brittle;
+    ColdExchange& cold;
     std::unordered_map<RequestId, Request> requests;
     std::unordered_map<AttemptId, Attempt> attempts;
     std::unordered_map<AttemptId, RelayedAttempt> relayedAttempts;
--- a/src/teaselshore/entry/entry_state.cpp
+++ b/src/teaselshore/entry/entry_state.cpp
@@ -88,7 +88,7 @@
 Instant EntryState::nextTurn(const UpstreamId& upstream, Instant now) const
 {
     const StatedLimit* limit = this->limits.find(upstream);
-    if (!limit || !limit->perSecond)
+    if ((!limit || !limit->perSecond) && !this->limits.findCold(upstream))
         return now;
     const std::optional<Duration> wallClock = this->wallClockTime(now);
     if (!wallClock)
--- a/src/teaselshore/protocol/codec_test.cpp
+++ b/src/teaselshore/protocol/codec_test.cpp
@@ -167,6 +167,8 @@
                 BrittlenessReport { { { ServiceName(fields.text()), 2.5, std::chrono::seconds(fields.smallNumber()) },
                                         { ServiceName(fields.text()), std::nullopt, Duration::zero() } },
                     { { UpstreamId(fields.text()), 3, std::nullopt }, { UpstreamId(fields.text()), 0, 7 } } }),
+            EntryMessage(ColdReport { { { UpstreamId(fields.text()), std::chrono::seconds(7), Duration(3) },
+                { UpstreamId(fields.text()), Duration::zero(), std::chrono::seconds(9) } } }),
             EntryMessage(ConfigurationCopy { fields.number(), fields.text() }),
             EntryMessage(PlatformContactRequest {}),
             EntryMessage(PlatformContact { std::chrono::seconds(7), std::chrono::milliseconds(3),
--- a/src/teaselshore/protocol/entry_conversions.cpp
+++ b/src/teaselshore/protocol/entry_conversions.cpp
@@ -9,6 +9,9 @@
     /// Longer times are no times of a process, and could not be subtracted from an Instant.
     constexpr Duration longestContact = std::chrono::hours(100'000);
 
+    /// Longest time for which an upstream can be cold.
+    constexpr Duration longestColdTime = std::chrono::minutes(10);
+
     bool isAmount(double amount) { return std::isfinite(amount) && amount >= 0; }
 
     void fill(const QuotaLoanRequest& request, wire::Envelope& envelope)
@@ -92,6 +95,17 @@
         }
     }
 
+    void fill(const ColdReport& report, wire::Envelope& envelope)
+    {
+        wire::ColdReport& result = *envelope.mutable_cold_report();
+        for (const ColdReport::Statement& statement : report.statements) {
+            wire::ColdStatement& entry = *result.add_statements();
+            entry.set_upstream(statement.upstream.value());
+            entry.set_left(statement.left.count());
+            entry.set_age(statement.age.count());
+        }
+    }
+
     void fill(const BrittlenessReport& report, wire::Envelope& envelope)
     {
         wire::BrittlenessReport& result = *envelope.mutable_brittleness_report();
@@ -161,6 +175,19 @@
         return result;
     }
 
+    std::optional<ColdReport> fromWire(const wire::ColdReport& report)
+    {
+        ColdReport result;
+        for (const wire::ColdStatement& entry : report.statements()) {
+            const Duration left(entry.left());
+            const Duration age(entry.age());
+            if (left < Duration::zero() || left > longestColdTime || age < Duration::zero() || age > longestContact)
+                return std::nullopt;
+            result.statements.push_back({ UpstreamId(entry.upstream()), left, age });
+        }
+        return result;
+    }
+
     std::optional<BrittlenessReport> fromWire(const wire::BrittlenessReport& report)
     {
         BrittlenessReport result;
@@ -226,6 +253,8 @@
         return PlatformContactRequest {};
     if (envelope.has_platform_contact())
         return fromWire(envelope.platform_contact());
+    if (envelope.has_cold_report())
+        return fromWire(envelope.cold_report());
     if (envelope.has_relayed_report())
         return RelayedReport { envelope.relayed_report().report() };
     if (envelope.has_quota_return()) {
--- a/src/teaselshore/routing/router_test.cpp
+++ b/src/teaselshore/routing/router_test.cpp
@@ -172,6 +172,38 @@
         EXPECT_EQ(router.lastFailure(), RoutingFailure::NoCapacity);
     }
 
+    // Guards against a choice among one or two upstreams, or none with the prompt in memory, since the samples hold the
+    // excluded ones: all of the nearest zone, which are idle.
+    TEST(Router, FindsOthersWhenAWholeZoneIsExcluded)
+    {
+        constexpr std::size_t engines = 48;
+        Router router = makeRouter(makeConfiguration(3, engines));
+        RoutingRequest request = makeRequest();
+        for (std::size_t engine = 0; engine < engines; engine += 3)
+            request.excluded.push_back(engineId(engine));
+        request.avoidExcluded = true;
+        const std::map<std::string, int> chosen = dispatchMany(router, 160, Instant {}, request);
+        int sum = 0;
+        for (const auto& [engine, count] : chosen) {
+            // The mean is 5.
+            EXPECT_LE(count, 7) << engine;
+            sum += count;
+        }
+        EXPECT_EQ(sum, 160);
+
+        Router idle = makeRouter(makeConfiguration(3, engines));
+        RoutingRequest withPrefix = makeRequest();
+        withPrefix.prefixBlocks = promptBlocks("shared", 16);
+        const auto preferred = idle.choose(withPrefix, Instant {});
+        ASSERT_TRUE(preferred);
+        withPrefix.excluded = { preferred->chosen.upstream };
+        withPrefix.avoidExcluded = true;
+        const auto next = idle.choose(withPrefix, Instant {});
+        ASSERT_TRUE(next);
+        for (int i = 0; i < 10; i++)
+            EXPECT_EQ(idle.choose(withPrefix, Instant {})->chosen.upstream, next->chosen.upstream);
+    }
+
     // Guards against a crash suspect that shares its upstream; its crash would then incriminate unrelated requests.
     TEST(Router, RunsIsolatedRetryAlone)
     {
--- a/src/teaselshore/routing/upstream_chooser.cpp
+++ b/src/teaselshore/routing/upstream_chooser.cpp
@@ -16,6 +16,9 @@
     constexpr std::size_t isolatedSampleSize = 32;
     constexpr std::size_t fallbackSampleSize = 64;
 
+    /// Draws for each member of a sample if the samples avoid excluded upstreams.
+    constexpr std::size_t maximumDraws = 4;
+
     /// Leading blocks that form the affinity key; requests that share them prefer the same upstreams.
     constexpr std::size_t affinityKeyBlocks = 4;
     /// A preferred upstream may have at most this multiple of the mean load, plus one request.
@@ -63,6 +66,7 @@
     this->weights = this->latencyClass.firstTokenTargetSeconds ? &this->settings.interactive : &this->settings.batch;
     this->gigabytes = (bytesPerPromptToken * request.promptTokens + bytesPerOutputToken * request.expectedOutputTokens)
         / bytesPerGigabyte;
+    this->drawsPerMember = request.avoidExcluded ? maximumDraws : 1;
     for (const UpstreamId& id : request.excluded) {
         if (const std::optional<std::uint32_t> index = this->table.find(id))
             this->table.upstreams[*index].lastDecision = this->decisionNumber;
@@ -207,6 +211,9 @@
             continue;
         if (upstream.load.ownOutstanding() > boundedLoadFactor * meanLoad + 1)
             continue;
+        // Nothing but the excluded upstreams is marked yet.
+        if (this->drawsPerMember > 1 && upstream.lastDecision == this->decisionNumber)
+            continue;
         preferred = index;
         break;
     }
@@ -261,8 +268,11 @@
 {
     if (set.empty())
         return;
-    for (std::size_t i = 0; i < count; i++)
-        this->addCandidate(poolIndex, { set[this->random.below(set.size())], 0, false });
+    for (std::size_t i = 0; i < count; i++) {
+        const std::size_t before = this->candidateCount;
+        for (std::size_t draw = 0; draw < this->drawsPerMember && this->candidateCount == before; draw++)
+            this->addCandidate(poolIndex, { set[this->random.below(set.size())], 0, false });
+    }
 }
 
 void UpstreamChooser::addNearestSample(
@@ -271,8 +281,10 @@
     for (const std::uint32_t zone : this->table.nearestZones) {
         if (byZone[zone].empty())
             continue;
+        const std::size_t before = this->candidateCount;
         this->addSample(poolIndex, byZone[zone], count);
-        return;
+        if (this->drawsPerMember == 1 || this->candidateCount > before)
+            return;
     }
 }
 
--- a/src/teaselshore/routing/upstream_chooser.hpp
+++ b/src/teaselshore/routing/upstream_chooser.hpp
@@ -65,6 +65,8 @@
 
     // State of the current decision.
     std::uint64_t decisionNumber = 0;
+    /// Draws until a member of a sample is found that is neither excluded nor a candidate already.
+    std::size_t drawsPerMember = 1;
     Instant now {};
     ClassTargets latencyClass;
     const ScoreWeights* weights = nullptr;
