--- a/src/teaselshore/protocol/codec.cpp
+++ b/src/teaselshore/protocol/codec.cpp
@@ -35,6 +35,7 @@
         case wire::Envelope::kPlatformContactRequest:
         case wire::Envelope::kPlatformContact:
         case wire::Envelope::kEvacuationReport:
+        case wire::Envelope::kColdReport:
             return entryFromWire(envelope);
         case wire::Envelope::MESSAGE_NOT_SET:
             error = ProtocolError::UnknownMessage;
--- a/src/teaselshore/protocol/entry_conversions.cpp
+++ b/src/teaselshore/protocol/entry_conversions.cpp
@@ -11,6 +11,8 @@
 
     /// A share lent for longer would be lost for longer with its borrower.
     constexpr Duration longestShareTime = std::chrono::minutes(1);
+    /// Longest time for which an upstream can be cold.
+    constexpr Duration longestColdTime = std::chrono::minutes(10);
 
     bool isAmount(double amount) { return std::isfinite(amount) && amount >= 0; }
 
@@ -102,6 +104,17 @@
         }
     }
 
+    void fill(const ColdReport& report, wire::Envelope& envelope)
+    {
+        wire::ColdReport& result = *envelope.mutable_cold_report();
+        for (const ColdReport::Statement& statement : report.statements) {
+            wire::ColdStatement& entry = *result.add_statements();
+            entry.set_upstream(statement.upstream.value());
+            entry.set_left(statement.left.count());
+            entry.set_age(statement.age.count());
+        }
+    }
+
     void fill(const BrittlenessReport& report, wire::Envelope& envelope)
     {
         wire::BrittlenessReport& result = *envelope.mutable_brittleness_report();
@@ -186,6 +199,19 @@
         return result;
     }
 
+    std::optional<ColdReport> fromWire(const wire::ColdReport& report)
+    {
+        ColdReport result;
+        for (const wire::ColdStatement& entry : report.statements()) {
+            const Duration left(entry.left());
+            const Duration age(entry.age());
+            if (left < Duration::zero() || left > longestColdTime || age < Duration::zero() || age > longestContact)
+                return std::nullopt;
+            result.statements.push_back({ UpstreamId(entry.upstream()), left, age });
+        }
+        return result;
+    }
+
     std::optional<BrittlenessReport> fromWire(const wire::BrittlenessReport& report)
     {
         BrittlenessReport result;
@@ -273,6 +299,8 @@
         return fromWire(envelope.platform_contact());
     if (envelope.has_evacuation_report())
         return fromWire(envelope.evacuation_report());
+    if (envelope.has_cold_report())
+        return fromWire(envelope.cold_report());
     if (envelope.has_relayed_report())
         return RelayedReport { envelope.relayed_report().report() };
     if (envelope.has_quota_return()) {
