Send requests to upstreams that refuse some while they have free slots

Cause: a refusal counted as a failure for the circuit breaker, and an upstream that had refused a request was excluded for the rest of that request.

Ruled out: refusals that never count for the breaker (an upstream that refuses everything is then no longer left to probes, which Router.ProbesUpstreamsBehindOpenBreakers requires); sending a request again at once to any upstream that refused it.

Change: refusals count as failures only from a refusal probability of 0.8. A request may go again to an upstream that refused it if there is no other and the upstream has run a request of this node in the last 500 ms; the retry budget applies as before. A connection that was not established counts as a time-out, no longer as a refusal.

Figures: in the new test every request is sent, and retries stay within the budget.

--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -33,6 +33,8 @@
     constexpr int maxWaitDivisor = 8;
     /// Minimum time after which a request tries again to take or borrow quota: a round trip between zones.
     constexpr Duration minQuotaWait = std::chrono::milliseconds(15);
+    /// Time after a response for which an upstream that refused a request since probably has a slot free now and then.
+    constexpr Duration acceptanceTime = std::chrono::milliseconds(500);
     /// Time between two attempts to dispatch waiting requests while no upstream reports a change.
     constexpr Duration waitingPollPeriod = std::chrono::milliseconds(15);
     /// Minimum time before the deadline for which another attempt is worthwhile.
@@ -420,12 +422,23 @@
         return true;
     const std::vector<UpstreamId> unavailable = this->unavailableUpstreams(request, now);
     std::optional<RoutingDecision> decision;
-    if (unavailable.empty()) {
+    if (unavailable.empty() && request.refusedBy.empty()) {
         decision = this->state.router.choose(request.routing, now);
     } else {
         RoutingRequest routing = request.routing;
         routing.excluded.insert(routing.excluded.end(), unavailable.begin(), unavailable.end());
+        const std::size_t excluded = routing.excluded.size();
+        routing.excluded.insert(routing.excluded.end(), request.refusedBy.begin(), request.refusedBy.end());
         decision = this->state.router.choose(routing, now);
+        if (!decision && !request.refusedBy.empty()) {
+            routing.excluded.resize(excluded);
+            for (const UpstreamId& upstream : request.refusedBy) {
+                if (!this->hasAcceptedLately(upstream, now))
+                    routing.excluded.push_back(upstream);
+            }
+            if (routing.excluded.size() < excluded + request.refusedBy.size())
+                decision = this->state.router.choose(routing, now);
+        }
     }
     if (!decision)
         return false;
@@ -484,6 +497,18 @@
     return true;
 }
 
+void EntryRequests::recordAccepted(const UpstreamId& upstream, Instant now)
+{
+    std::erase_if(this->acceptedAt, [now](const auto& entry) { return now - entry.second > acceptanceTime; });
+    this->acceptedAt[upstream] = now;
+}
+
+bool EntryRequests::hasAcceptedLately(const UpstreamId& upstream, Instant now) const
+{
+    const auto found = this->acceptedAt.find(upstream);
+    return found != this->acceptedAt.end() && now - found->second <= acceptanceTime;
+}
+
 void EntryRequests::enqueue(Request& request, Instant now)
 {
     const Duration maxWait = request.route->latencyTarget / maxWaitDivisor;
@@ -643,6 +668,7 @@
     this->state.links.onAnswered(event.attempt, now);
     this->state.router.onFirstToken(found->second.dispatch, now);
     this->refusals.onAccepted(found->second.upstream, now);
+    this->recordAccepted(found->second.upstream, now);
     this->applyFacts(found->second.upstream, event.facts, now);
     this->limits.onResponse(found->second.upstream, event.facts, found->second.startedAt, now);
     this->brittle.onResponse(found->second.upstream, event.facts, now);
@@ -680,6 +706,8 @@
     }
     if (!event.facts.notRun)
         this->brittle.onCompleted(attempt->upstream, now);
+    if (!event.facts.notRun && !failed)
+        this->recordAccepted(attempt->upstream, now);
     if (event.facts.notRun)
         this->refusals.onRefused(attempt->upstream, now);
     else if (!attempt->firstEventAfter)
@@ -713,7 +741,10 @@
         this->respond(*request, std::move(event.response), RequestOutcome::Answered, now);
         return;
     }
-    request->routing.excluded.push_back(attempt->upstream);
+    if (event.facts.notRun)
+        request->refusedBy.push_back(attempt->upstream);
+    else
+        request->routing.excluded.push_back(attempt->upstream);
     if (failed && !isFalsePromise && event.facts.isStamped && !request->streaming)
         request->upstreamFailure = std::move(event.response);
     const std::string reason = event.facts.notRun ? "the upstream did not run the request"
@@ -735,9 +766,9 @@
     const auto attempt = this->takeAttempt(event.attempt);
     if (!attempt)
         return;
-    const AttemptOutcome outcome = !event.mayHaveRun ? AttemptOutcome::Refused
-        : event.connectionBroken                     ? AttemptOutcome::Failed
-                                                     : AttemptOutcome::TimedOut;
+    // A connection that was not established is no refusal, after which the upstream would get further requests.
+    const AttemptOutcome outcome
+        = event.mayHaveRun && event.connectionBroken ? AttemptOutcome::Failed : AttemptOutcome::TimedOut;
     this->state.router.onFinished(attempt->dispatch, outcome, 0, now);
     if (event.connectionBroken)
         ++this->state.statistics.brokenAttempts;
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -92,6 +92,8 @@
         /// Failure response of an upstream; forwarded to the caller if no retry succeeds.
         std::optional<AttemptFinished> upstreamFailure;
         std::optional<Instant> waitUntil;
+        /// Upstreams that refused the request; tried again only if there is no other and they accept requests.
+        std::vector<UpstreamId> refusedBy;
         /// For the log: the upstreams that were passed over because of their limits.
         std::string passedOver;
     };
@@ -134,6 +136,9 @@
     std::optional<RequestOutcome> authorise(Request& request);
     /// @brief Dispatches a request that is within its workspace's quota.
     void admit(Request& request, Instant now);
+    void recordAccepted(const UpstreamId& upstream, Instant now);
+    /// @brief Returns whether an upstream has just run a request of this node.
+    bool hasAcceptedLately(const UpstreamId& upstream, Instant now) const;
     /// @brief Returns the maximum level of an equal share of the workspace's quota; nothing without a quota.
     std::optional<double> peerCapacity(const WorkspaceName& workspace) const;
     /// @brief Takes the request's cost from its workspace's quota and dispatches it, or borrows what is missing.
@@ -219,6 +224,8 @@
     std::vector<HeldEvidence> heldEvidence;
     AttemptId lastAttempt = 0;
     std::set<std::pair<Instant, RequestId>> deadlines;
+    /// When upstreams responded last to a request that they ran; recent ones only.
+    std::map<UpstreamId, Instant> acceptedAt;
     /// When requests that wait for quota try again.
     std::set<std::pair<Instant, RequestId>> quotaRetries;
     /// Requests that arrived before the node was ready, and the time until which they may wait.
--- a/src/teaselshore/entry/refusing_upstreams_test.cpp
+++ b/src/teaselshore/entry/refusing_upstreams_test.cpp
@@ -241,5 +241,46 @@
         EXPECT_EQ(harness.node.statistics().deniedRetries, 0u);
     }
 
+    // Load pattern: upstreams with free slots refuse half of the first attempts. Guards against upstreams that get no
+    // requests because of their refusals although they have free slots, and against a single upstream that is not tried
+    // again although the retry budget allows it.
+    TEST(RefusingUpstreams, RequestsReachUpstreamsWithFreeSlots)
+    {
+        constexpr int requests = 400;
+        for (const int count : { 1, 2 }) {
+            EntryHarness harness;
+            harness.start(count, 6);
+            RandomSource random(3);
+            int unsent = 0;
+            int served = 0;
+            int firstRefused = 0;
+            for (int number = 0; number < requests; ++number) {
+                harness.advance(20ms);
+                harness.request("order");
+                auto sent = harness.first<ForwardRequest>();
+                if (!sent) {
+                    ++unsent;
+                    harness.advance(100ms);
+                    continue;
+                }
+                if (random.below(2) == 0) {
+                    ++firstRefused;
+                    harness.respond(sent->attempt.attempt, 503, true);
+                    sent = harness.first<ForwardRequest>();
+                }
+                if (!sent)
+                    continue;
+                ++served;
+                harness.respond(sent->attempt.attempt, 200);
+            }
+            const auto retries = static_cast<int>(harness.node.statistics().retries);
+            EXPECT_EQ(unsent, 0) << count;
+            EXPECT_EQ(served, requests - firstRefused + retries) << count;
+            // The budget allows a retry for every tenth request in a window.
+            EXPECT_GE(retries, requests / 20) << count;
+            EXPECT_LE(retries, requests / 5) << count;
+        }
+    }
+
 } // namespace
 } // namespace teaselshore
--- a/src/teaselshore/routing/router.cpp
+++ b/src/teaselshore/routing/router.cpp
@@ -13,6 +13,8 @@
 
     /// Weight of another node's result. An upstream may refuse only the nodes of one zone.
     constexpr double peerResultWeight = 0.5;
+    /// Probability of a refusal from which a circuit breaker counts refusals as failures.
+    constexpr double unusableRefusalProbability = 0.8;
 
     struct Dispatch {
         std::uint32_t upstream = 0;
@@ -84,6 +86,14 @@
         }
         return;
     case AttemptOutcome::Refused:
+        detail.limit.onOverload(now);
+        // A refusal is a statement about load and not about health. Only an upstream that refuses nearly everything is
+        // left to probes.
+        if (dispatch.pass && upstream.refusals.probability(now) >= unusableRefusalProbability)
+            detail.breaker.onFailure(*dispatch.pass, now);
+        else if (dispatch.pass)
+            detail.breaker.onAbandoned(*dispatch.pass, now);
+        return;
     case AttemptOutcome::TimedOut:
         detail.limit.onOverload(now);
         [[fallthrough]];
