--- a/src/teaselshore/routing/upstream_chooser.cpp
+++ b/src/teaselshore/routing/upstream_chooser.cpp
@@ -26,6 +26,9 @@
 
     /// Draws for each member of a sample if the samples avoid excluded upstreams.
     constexpr std::size_t maximumDraws = 4;
+    /// With fewer excluded upstreams most samples hold none. Redraws would then only crowd out a cold upstream that may
+    /// be sent a request.
+    constexpr std::size_t minimumExcludedForRedraws = 4;
 
     /// Leading blocks that form the affinity key; requests that share them prefer the same upstreams.
     constexpr std::size_t affinityKeyBlocks = 4;
@@ -74,7 +77,8 @@
     this->weights = this->latencyClass.firstTokenTargetSeconds ? &this->settings.interactive : &this->settings.batch;
     this->gigabytes = (bytesPerPromptToken * request.promptTokens + bytesPerOutputToken * request.expectedOutputTokens)
         / bytesPerGigabyte;
-    this->drawsPerMember = request.avoidExcluded ? maximumDraws : 1;
+    const bool areManyExcluded = request.avoidExcluded && request.excluded.size() >= minimumExcludedForRedraws;
+    this->drawsPerMember = areManyExcluded ? maximumDraws : 1;
     for (const UpstreamId& id : request.excluded) {
         if (const std::optional<std::uint32_t> index = this->table.find(id))
             this->table.upstreams[*index].lastDecision = this->decisionNumber;
