Show where a node of teaselshore-entry would send a request now

Router::preview() restores the random source, the last failure and the round robin positions and runs no rechecks; quotas are taken from a copy, and the node's random source and the counter of limited requests are restored. Restoring the decision number as well was ruled out: the next decision would skip the upstreams that the preview considered. An unknown key has an exit code of its own, 7.

Not run yet with this change: all other tests of entry, ctl and the daemon.

--- a/include/teaselshore/ctl/admin_reply.hpp
+++ b/include/teaselshore/ctl/admin_reply.hpp
@@ -128,6 +128,38 @@
     auto operator<=>(const NodeExplanation&) const = default;
 };
 
+/// @brief Upstream that a request could go to.
+struct ForecastCandidate {
+    std::string upstream;
+    double score = 0;
+    double predictedFirstEventMs = 0;
+    std::uint64_t cachedTokens = 0;
+    /// Terms of the score in seconds, in the order of the reply.
+    std::vector<std::pair<std::string, double>> terms;
+
+    auto operator<=>(const ForecastCandidate&) const = default;
+};
+
+/// @brief Reply of POST /admin/explain.
+struct NodeForecast {
+    std::string node;
+    /// "routed", "relayed", "queued" or "rejected".
+    std::string outcome;
+    std::string reason;
+    std::uint64_t status = 0;
+    std::optional<double> retryAfterMs;
+    std::optional<double> longestWaitMs;
+    std::string route;
+    std::string workspace;
+    std::string service;
+    std::string zone;
+    std::string version;
+    /// Chosen upstream first.
+    std::vector<ForecastCandidate> candidates;
+
+    auto operator<=>(const NodeForecast&) const = default;
+};
+
 /// @brief Reply of POST /admin/drain.
 struct DrainReply {
     std::string node;
@@ -142,6 +174,7 @@
 std::optional<NodeMembers> parseNodeMembers(std::string_view text);
 std::optional<NodeTrace> parseNodeTrace(std::string_view text);
 std::optional<NodeExplanation> parseNodeExplanation(std::string_view text);
+std::optional<NodeForecast> parseNodeForecast(std::string_view reply);
 std::optional<DrainReply> parseDrainReply(std::string_view text);
 
 } // namespace teaselshore
--- a/include/teaselshore/ctl/command_line.hpp
+++ b/include/teaselshore/ctl/command_line.hpp
@@ -55,6 +55,25 @@
     OutputFormat output = OutputFormat::Text;
 };
 
+/// @brief Part of a prompt, as callers declare it.
+struct ForecastPart {
+    std::uint64_t id = 0;
+    std::uint32_t tokens = 0;
+};
+
+/// @brief Asks nodes where a request would go now.
+struct ForecastCommand {
+    std::string method;
+    std::string host;
+    std::string path;
+    std::string key;
+    std::optional<std::uint32_t> promptTokens;
+    std::uint32_t outputTokens = 0;
+    std::vector<ForecastPart> parts;
+    std::vector<std::string> nodes;
+    OutputFormat output = OutputFormat::Text;
+};
+
 struct StoryCommand {
     std::string request;
     /// Logs of nodes; "-" for standard input.
@@ -77,7 +96,7 @@
 };
 
 using Command = std::variant<CheckCommand, DiffCommand, ApplyCommand, StatusCommand, NodesCommand, ExplainCommand,
-    StoryCommand, TraceCommand, DrainCommand>;
+    ForecastCommand, StoryCommand, TraceCommand, DrainCommand>;
 
 /// @brief Help or version text was printed to standard output.
 struct HelpShown { };
--- a/include/teaselshore/ctl/exit_code.hpp
+++ b/include/teaselshore/ctl/exit_code.hpp
@@ -12,8 +12,10 @@
     /// Another revision is in force than the one that the change was based on.
     LostRace = 4,
     WaitTimedOut = 5,
-    /// No node that replied knows the node, request or trace.
+    /// No node that replied knows the node, request, trace or route.
     NotFound = 6,
+    /// No node that replied knows the caller's key.
+    KeyUnknown = 7,
 };
 
 } // namespace teaselshore
--- a/include/teaselshore/ctl/run_command.hpp
+++ b/include/teaselshore/ctl/run_command.hpp
@@ -23,6 +23,7 @@
 ExitCode runCommand(const StatusCommand& command, CommandContext& context);
 ExitCode runCommand(const NodesCommand& command, CommandContext& context);
 ExitCode runCommand(const ExplainCommand& command, CommandContext& context);
+ExitCode runCommand(const ForecastCommand& command, CommandContext& context);
 ExitCode runCommand(const StoryCommand& command, CommandContext& context);
 ExitCode runCommand(const TraceCommand& command, CommandContext& context);
 ExitCode runCommand(const DrainCommand& command, CommandContext& context);
--- a/include/teaselshore/entry/entry_node.hpp
+++ b/include/teaselshore/entry/entry_node.hpp
@@ -7,6 +7,7 @@
 #include "teaselshore/entry/entry_command.hpp"
 #include "teaselshore/entry/entry_event.hpp"
 #include "teaselshore/entry/entry_statistics.hpp"
+#include "teaselshore/entry/request_forecast.hpp"
 
 namespace teaselshore {
 
@@ -39,6 +40,9 @@
     Instant nextTick() const;
 
     EntryStatistics statistics() const;
+    /// @brief Returns what would happen to a caller's request that arrived now. Sends, charges and counts nothing, and
+    /// changes no later decision. now must not decrease.
+    RequestForecast forecast(const CallerRequest& request, Instant now);
 
 private:
     struct Impl;
--- a/include/teaselshore/routing/router.hpp
+++ b/include/teaselshore/routing/router.hpp
@@ -170,6 +170,9 @@
     /// The caller must report the dispatch with onDispatched() before the next call.
     std::optional<RoutingDecision> choose(const RoutingRequest& request, Instant now);
 
+    /// @brief Returns what choose() would return now, without changing any later decision.
+    RoutingPreview preview(const RoutingRequest& request, Instant now);
+
     /// @brief Returns why the last call of choose() returned nothing.
     RoutingFailure lastFailure() const;
 
--- a/include/teaselshore/routing/routing_decision.hpp
+++ b/include/teaselshore/routing/routing_decision.hpp
@@ -99,4 +99,13 @@
     NoCapacity,
 };
 
+/// @brief What Router::choose() would return, without its effects.
+struct RoutingPreview {
+    std::optional<RoutingDecision> decision;
+    /// None if there is a decision.
+    RoutingFailure failure = RoutingFailure::None;
+
+    auto operator<=>(const RoutingPreview&) const = default;
+};
+
 } // namespace teaselshore
--- a/src/teaselshore/ctl/admin_reply.cpp
+++ b/src/teaselshore/ctl/admin_reply.cpp
@@ -157,6 +157,30 @@
     return result;
 }
 
+std::optional<NodeForecast> parseNodeForecast(std::string_view reply)
+{
+    const std::optional<Json> object = parseObject(reply);
+    if (!object || text(*object, "outcome").empty())
+        return std::nullopt;
+    const auto optionalNumber = [&](const char* key) {
+        return member(*object, key).is_number() ? std::optional(number(*object, key)) : std::nullopt;
+    };
+    NodeForecast result { text(*object, "node"), text(*object, "outcome"), text(*object, "reason"),
+        count(*object, "status"), optionalNumber("retryAfterMs"), optionalNumber("longestWaitMs"),
+        text(*object, "route"), text(*object, "workspace"), text(*object, "service"), text(*object, "zone"),
+        text(*object, "version"), {} };
+    for (const Json& entry : list(*object, "candidates")) {
+        ForecastCandidate candidate { text(entry, "upstream"), number(entry, "score"),
+            number(entry, "predictedFirstEventMs"), count(entry, "cachedTokens"), {} };
+        for (const auto& [name, value] : member(entry, "terms").items()) {
+            if (value.is_number())
+                candidate.terms.emplace_back(name, value.get<double>());
+        }
+        result.candidates.push_back(std::move(candidate));
+    }
+    return result;
+}
+
 std::optional<DrainReply> parseDrainReply(std::string_view reply)
 {
     const std::optional<Json> object = parseObject(reply);
--- a/src/teaselshore/ctl/command_line.cpp
+++ b/src/teaselshore/ctl/command_line.cpp
@@ -1,5 +1,6 @@
 #include "teaselshore/ctl/command_line.hpp"
 
+#include <charconv>
 #include <functional>
 #include <iostream>
 #include <utility>
@@ -17,7 +18,7 @@
 
     constexpr const char* exitCodeHelp = "Exit codes: 0 ok; 1 problems in the text; 2 wrong usage or unreadable file; "
                                          "3 platform or a node unreachable; 4 another revision is in force; "
-                                         "5 wait timed out; 6 not found.";
+                                         "5 wait timed out; 6 not found; 7 unknown key.";
 
     using Arguments = std::vector<std::string>;
 
@@ -180,12 +181,53 @@
         return NodesCommand { sub.nodeAddresses(), sub.outputFormat() };
     }
 
+    std::vector<ForecastPart> parseParts(const std::vector<std::string>& texts)
+    {
+        std::vector<ForecastPart> parts;
+        for (const std::string& text : texts) {
+            ForecastPart part;
+            const char* const end = text.data() + text.size();
+            const auto id = std::from_chars(text.data(), end, part.id);
+            const bool hasTokens = id.ec == std::errc() && id.ptr != end && *id.ptr == ':';
+            const auto tokens = hasTokens ? std::from_chars(id.ptr + 1, end, part.tokens) : id;
+            if (!hasTokens || tokens.ec != std::errc() || tokens.ptr != end)
+                throw WrongArgument { fmt::format("--part: '{}' is not an id and a number of tokens", text) };
+            parts.push_back(part);
+        }
+        return parts;
+    }
+
     Command parseExplain(const Arguments& arguments, const CommandDefaults& defaults)
     {
-        Subcommand sub("explain", "Shows the decisions of all nodes about one request.", defaults);
-        FileArgument request("request", "Request id.", true, "", "REQUEST", sub.withNodes().commandLine());
+        using TextArgument = TCLAP::ValueArg<std::string>;
+        using CountArgument = TCLAP::ValueArg<std::uint32_t>;
+        Subcommand sub("explain",
+            "Shows the decisions of all nodes about one request, or with --host and --path where nodes of "
+            "teaselshore-entry would send a request now.",
+            defaults);
+        TCLAP::CmdLine& line = sub.withNodes().commandLine();
+        FileArgument request("request", "Request id.", false, "", "REQUEST", line);
+        TextArgument host("", "host", "Host of the request.", false, "", "host", line);
+        TextArgument path("", "path", "Path of the request.", false, "", "path", line);
+        TextArgument method("", "method", "Method of the request (default POST).", false, "POST", "method", line);
+        TextArgument key("", "key", "Key of the caller.", false, "", "key", line);
+        CountArgument prompt("", "prompt-tokens", "Prompt tokens that the caller states.", false, 0, "count", line);
+        CountArgument outputTokens("", "output-tokens", "Most output tokens (default 0).", false, 0, "count", line);
+        TCLAP::MultiArg<std::string> parts(
+            "", "part", "Part of the prompt; repeat it in prompt order.", false, "id:tokens", line);
         sub.parse(arguments);
-        return ExplainCommand { request.getValue(), sub.nodeAddresses(), sub.outputFormat() };
+        if (!request.isSet() && !(host.isSet() && path.isSet()))
+            throw WrongArgument { "a request id, or --host and --path, are needed" };
+        if (request.isSet()) {
+            if (host.isSet() || path.isSet())
+                throw WrongArgument { "a request id excludes --host and --path" };
+            return ExplainCommand { request.getValue(), sub.nodeAddresses(), sub.outputFormat() };
+        }
+        ForecastCommand command { method.getValue(), host.getValue(), path.getValue(), key.getValue(), {},
+            outputTokens.getValue(), parseParts(parts.getValue()), sub.nodeAddresses(), sub.outputFormat() };
+        if (prompt.isSet())
+            command.promptTokens = prompt.getValue();
+        return command;
     }
 
     Command parseStory(const Arguments& arguments, const CommandDefaults& defaults)
@@ -232,7 +274,8 @@
         { "apply", "apply FILE         write the configuration; --wait until all nodes have it", parseApply },
         { "status", "status             configuration and version rollouts of the nodes", parseStatus },
         { "nodes", "nodes              members and how the nodes see each other", parseNodesCommand },
-        { "explain", "explain REQUEST    decisions about one request", parseExplain },
+        { "explain", "explain REQUEST    decisions about one request; --host and --path: where it would go now",
+            parseExplain },
         { "story", "story REQUEST LOG  what logs tell about one request", parseStory },
         { "trace", "trace ID           spans of one trace or request as a tree", parseTrace },
         { "drain", "drain NODE         graceful shutdown of one node", parseDrain },
--- a/src/teaselshore/ctl/node_replies.hpp
+++ b/src/teaselshore/ctl/node_replies.hpp
@@ -25,12 +25,13 @@
 /// @brief Sends the request to all nodes at the same time and parses the replies.
 template <typename T>
 std::vector<NodeReply<T>> askNodes(CommandContext& context, const std::vector<std::string>& nodes,
-    const std::string& method, const std::string& path, std::optional<T> (*parse)(std::string_view))
+    const std::string& method, const std::string& path, std::optional<T> (*parse)(std::string_view),
+    const std::string& body = {})
 {
     std::vector<HttpCall> calls;
     calls.reserve(nodes.size());
     for (const std::string& node : nodes)
-        calls.push_back(makeCall(node, method, path));
+        calls.push_back(makeCall(node, method, path, body));
     std::vector<FetchResult> results = context.fetcher.fetch(calls);
 
     std::vector<NodeReply<T>> replies;
--- a/src/teaselshore/ctl/run_command_test.cpp
+++ b/src/teaselshore/ctl/run_command_test.cpp
@@ -242,6 +242,14 @@
         EXPECT_TRUE(isRefused({ "status", "--output", "xml" }, both));
         EXPECT_TRUE(isRefused({ "status" }, none));
         EXPECT_FALSE(isRefused({ "status" }, both));
+        EXPECT_TRUE(isRefused({ "explain" }, both));
+        EXPECT_TRUE(isRefused({ "explain", "--host", "h" }, both));
+        EXPECT_TRUE(isRefused({ "explain", "r1", "--host", "h", "--path", "/p" }, both));
+        EXPECT_TRUE(isRefused({ "explain", "--host", "h", "--path", "/p" }, none));
+        EXPECT_TRUE(isRefused({ "explain", "--host", "h", "--path", "/p", "--part", "7" }, both));
+        EXPECT_TRUE(isRefused({ "explain", "--host", "h", "--path", "/p", "--part", "7:x" }, both));
+        EXPECT_FALSE(isRefused({ "explain", "--host", "h", "--path", "/p", "--part", "7:100" }, both));
+        EXPECT_FALSE(isRefused({ "explain", "r1" }, both));
         EXPECT_FALSE(isRefused({ "check", "f" }, none));
         EXPECT_FALSE(isRefused({ "apply", "f", "--base", "3", "--wait", "-o", "json" }, both));
     }
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -10,6 +10,7 @@
 #include "answer_drain.hpp"
 #include "entry_metrics.hpp"
 #include "entry_relay_settings.hpp"
+#include "forecast_reply.hpp"
 #include "header_conversion.hpp"
 #include "log_event.hpp"
 #include "object_outcome.hpp"
@@ -76,6 +77,7 @@
     constexpr int statusNotFound = 404;
     constexpr int statusUnavailable = 503;
     constexpr std::string_view metricsPath = "/metrics";
+    constexpr std::string_view explainPath = "/admin/explain";
 
     PlatformClientSettings clientSettings(
         const EntrySettings& settings, const SocketAddress& address, Duration callTimeout)
@@ -364,6 +366,8 @@
 
 HttpReply EntryTask::Impl::adminReply(const HttpRequest& request)
 {
+    if (request.path == explainPath && request.method == "POST")
+        return forecastReply(this->node, this->settings.node, request.body.text(), this->loop->now());
     if (request.path != metricsPath)
         return { statusNotFound, {}, "no such page\n" };
     this->metrics.update(this->node.statistics(), this->relay.counters(), this->callers->refusedRequests());
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -166,6 +166,11 @@
 
 Instant EntryNode::nextTick() const { return std::min(this->impl->nextHousekeeping, this->impl->requests.nextTick()); }
 
+RequestForecast EntryNode::forecast(const CallerRequest& request, Instant now)
+{
+    return this->impl->requests.forecast(request, now);
+}
+
 EntryStatistics EntryNode::statistics() const
 {
     EntryStatistics statistics = this->impl->state.statistics;
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -929,4 +929,94 @@
     return next;
 }
 
+RequestForecast EntryRequests::forecast(const CallerRequest& caller, Instant now)
+{
+    // Draws the random numbers that the request would get, and leaves them to the next one.
+    const RandomSource randomBefore = this->state.random;
+    const std::uint64_t limitedBefore = this->state.statistics.limitedRequests;
+    Request request;
+    request.caller = caller;
+    request.arrivedAt = now;
+    RequestForecast forecast = this->forecastOf(request, now);
+    if (request.route)
+        forecast.route = request.route->name.value();
+    if (request.workspace)
+        forecast.workspace = request.workspace->value();
+    forecast.service = request.service.value();
+    forecast.priority = request.priority;
+    this->state.random = randomBefore;
+    this->state.statistics.limitedRequests = limitedBefore;
+    return forecast;
+}
+
+RequestForecast EntryRequests::forecastOf(Request& request, Instant now)
+{
+    using Outcome = RequestForecast::Outcome;
+    const auto rejected = [](int status, std::string reason, std::optional<Duration> retryAfter = std::nullopt) {
+        return RequestForecast { Outcome::Rejected, std::move(reason), status, retryAfter };
+    };
+    if (this->hasEnded)
+        return rejected(serviceUnavailable, "this node has stopped", stoppingRetryAfter);
+    if (!this->isReady())
+        return rejected(serviceUnavailable, "this node has no configuration yet", notReadyRetryAfter);
+    request.table = this->state.table;
+    request.route = request.table->match(request.caller.host, request.caller.path);
+    if (!request.route)
+        return rejected(notFound, "no route matches this host and path");
+    if (this->authorise(request))
+        return rejected(unauthorized, "the key is missing or unknown");
+    if (!this->crashes.isEmpty() && this->crashes.verdict(crashKeysOf(request)) == CrashVerdict::Rejected) {
+        return rejected(serviceUnavailable, "such requests crashed several upstreams",
+            std::max(minRetryAfter, this->crashes.remainingRejection(crashKeysOf(request), now)));
+    }
+    if (this->isTooLate(*request.route, now))
+        return rejected(serviceUnavailable, "this node is about to stop", stoppingRetryAfter);
+    if (this->needsPeers(now))
+        return { Outcome::Relayed, noLinks };
+    if (request.workspace) {
+        // A copy, so that nothing is charged.
+        QuotaLimiter quotas = this->state.quotas;
+        if (const auto shortage = quotas.take(*request.workspace, request.quotaCost, now)) {
+            const bool hasPeers = this->state.borrower.hasPeers();
+            const Duration wait = std::max(hasPeers ? shortage->quotaWait : shortage->shareWait, minRetryAfter);
+            RequestForecast forecast = rejected(tooManyRequests, "the workspace is over its quota", wait);
+            if (hasPeers) {
+                forecast.outcome = Outcome::Queued;
+                forecast.reason = "this node's share of the quota does not suffice and peers are asked for a loan";
+            }
+            return forecast;
+        }
+    }
+    request.service = this->selectService(*request.route);
+    this->fillRouting(request);
+    return this->forecastRouting(request, now);
+}
+
+RequestForecast EntryRequests::forecastRouting(Request& request, Instant now)
+{
+    using Outcome = RequestForecast::Outcome;
+    RoutingRequest routing = request.routing;
+    for (UpstreamId& upstream : this->unavailableUpstreams(request, now))
+        routing.excluded.push_back(std::move(upstream));
+    RoutingPreview preview = this->state.router.preview(routing, now);
+    RequestForecast forecast;
+    if (preview.decision) {
+        forecast.outcome = Outcome::Routed;
+        forecast.decision = std::move(preview.decision);
+        return forecast;
+    }
+    if (this->state.links.areLost())
+        return { Outcome::Relayed, noLinks };
+    const Duration longestWait = request.route->latencyTarget / maxWaitDivisor;
+    const std::optional<Availability> next = this->nextAvailability(request.service, now);
+    const bool waits = longestWait > Duration::zero() && !(next && next->here >= now + longestWait);
+    forecast.outcome = waits ? Outcome::Queued : Outcome::Rejected;
+    forecast.reason = next ? "all upstreams are paused or at their limits" : "no upstream has room";
+    forecast.status = serviceUnavailable;
+    forecast.retryAfter = this->retryAfter(request, now);
+    if (waits)
+        forecast.longestWait = longestWait;
+    return forecast;
+}
+
 } // namespace teaselshore
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -15,6 +15,7 @@
 #include "entry_state.hpp"
 #include "limit_exchange.hpp"
 #include "refusal_exchange.hpp"
+#include "teaselshore/entry/request_forecast.hpp"
 
 namespace teaselshore {
 
@@ -43,6 +44,8 @@
     void endAll(Instant now);
     void onTick(Instant now);
     Instant nextTick() const;
+    /// @brief Returns what would happen to a request that arrived now. Sends, charges and counts nothing.
+    RequestForecast forecast(const CallerRequest& caller, Instant now);
     std::size_t openCount() const { return this->requests.size(); }
     std::size_t waitingCount() const { return this->waitingRequests.size(); }
 
@@ -196,6 +199,8 @@
     void endWithoutResponse(Request& request, const std::string& reason, Instant now);
     void end(Request& request, RequestOutcome outcome, int status, const std::string& reason, Instant now);
     Duration retryAfter(const Request& request, Instant now);
+    RequestForecast forecastOf(Request& request, Instant now);
+    RequestForecast forecastRouting(Request& request, Instant now);
 
     EntryState& state;
     EntryRollouts& rollouts;
--- a/src/teaselshore/routing/router.cpp
+++ b/src/teaselshore/routing/router.cpp
@@ -213,6 +213,11 @@
     return this->impl->chooser.choose(request, now);
 }
 
+RoutingPreview Router::preview(const RoutingRequest& request, Instant now)
+{
+    return this->impl->chooser.preview(request, now);
+}
+
 RoutingFailure Router::lastFailure() const { return this->impl->chooser.lastFailure(); }
 
 DispatchId Router::onDispatched(const RoutingRequest& request, const RoutingDecision& decision, Instant now)
--- a/src/teaselshore/routing/router_test.cpp
+++ b/src/teaselshore/routing/router_test.cpp
@@ -39,6 +39,30 @@
         return chosen;
     }
 
+    // Guards against a preview that changes later decisions, or that differs from the decision, under each policy.
+    TEST(Router, PreviewChangesNothing)
+    {
+        for (const ChoicePolicy& policy :
+            { ChoicePolicy(PredictedLatency {}), ChoicePolicy(RoundRobin {}), ChoicePolicy(LeastOutstanding {}) }) {
+            Router asked = makeRouter(makeConfiguration(3, 12, 2), policy);
+            Router quiet = makeRouter(makeConfiguration(3, 12, 2), policy);
+            for (int i = 0; i < 60; i++) {
+                const Instant now = Instant(milliseconds(i));
+                const RoutingRequest request = makeRequest(i % 2 == 0 ? interactive : patient);
+                asked.preview(makeRequest(), now);
+                const RoutingPreview preview = asked.preview(request, now);
+                const auto decision = asked.choose(request, now);
+                EXPECT_EQ(preview.decision, decision);
+                EXPECT_EQ(preview.failure, asked.lastFailure());
+                EXPECT_EQ(quiet.choose(request, now), decision);
+                if (!decision)
+                    continue;
+                asked.onDispatched(request, *decision, now);
+                quiet.onDispatched(request, *decision, now);
+            }
+        }
+    }
+
     // Guards against work for an upstream that is leaving, dead, behind an open circuit breaker or at its limit, with
     // random sequences of events, and against choosing nothing while an upstream has room.
     RC_GTEST_PROP(Router, ChoosesOnlyUpstreamsInServiceWithRoom, (std::uint64_t seed))
--- a/src/teaselshore/routing/upstream_chooser.cpp
+++ b/src/teaselshore/routing/upstream_chooser.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <variant>
+#include <vector>
 
 namespace teaselshore {
 
@@ -56,11 +57,37 @@
 }
 
 std::optional<RoutingDecision> UpstreamChooser::choose(const RoutingRequest& request, Instant now)
+{
+    this->table.runDueRechecks(now);
+    return this->chooseFor(request, now);
+}
+
+RoutingPreview UpstreamChooser::preview(const RoutingRequest& request, Instant now)
+{
+    // All that a decision changes beside its own scratch space. The decision number stays raised, since it marks the
+    // upstreams that were considered.
+    const RandomSource randomBefore = this->random;
+    const RoutingFailure failureBefore = this->failure;
+    std::vector<std::size_t> nextBefore;
+    for (const Pool& pool : this->table.pools)
+        nextBefore.push_back(pool.roundRobinNext);
+
+    RoutingPreview preview;
+    preview.decision = this->chooseFor(request, now);
+    preview.failure = this->failure;
+
+    this->random = randomBefore;
+    this->failure = failureBefore;
+    for (std::size_t i = 0; i < nextBefore.size(); i++)
+        this->table.pools[i].roundRobinNext = nextBefore[i];
+    return preview;
+}
+
+std::optional<RoutingDecision> UpstreamChooser::chooseFor(const RoutingRequest& request, Instant now)
 {
     this->now = now;
     this->decisionNumber++;
     this->failure = RoutingFailure::None;
-    this->table.runDueRechecks(now);
     const std::vector<std::uint32_t>& pools = this->table.poolsOf(request.service);
     if (pools.empty()) {
         this->failure = RoutingFailure::UnknownService;
--- a/src/teaselshore/routing/upstream_chooser.hpp
+++ b/src/teaselshore/routing/upstream_chooser.hpp
@@ -16,6 +16,9 @@
 
     std::optional<RoutingDecision> choose(const RoutingRequest& request, Instant now);
 
+    /// @brief Returns what choose() would return, without changing any later decision.
+    RoutingPreview preview(const RoutingRequest& request, Instant now);
+
     RoutingFailure lastFailure() const { return this->failure; }
 
 private:
@@ -33,6 +36,7 @@
     static constexpr std::size_t maximumCandidates = 32;
     static constexpr std::size_t maximumReportedCandidates = 3;
 
+    std::optional<RoutingDecision> chooseFor(const RoutingRequest& request, Instant now);
     std::optional<RoutingDecision> chooseFromPools(
         const std::vector<std::uint32_t>& pools, const RoutingRequest& request);
     std::optional<RoutingDecision> chooseInPool(std::uint32_t poolIndex, const RoutingRequest& request);
