--- a/src/teaselshore/ctl/command_line.cpp
+++ b/src/teaselshore/ctl/command_line.cpp
@@ -1,8 +1,10 @@
 #include "teaselshore/ctl/command_line.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <functional>
 #include <iostream>
+#include <optional>
 #include <utility>
 
 #include <fmt/ostream.h>
@@ -206,7 +208,13 @@
             "teaselshore-entry would send a request now.",
             defaults);
         TCLAP::CmdLine& line = sub.withNodes().commandLine();
-        FileArgument request("request", "Request id.", false, "", "REQUEST", line);
+        // TCLAP accepts an optional argument without a flag only once in a process, so the id is required or absent.
+        const bool describesRequest = std::any_of(arguments.begin(), arguments.end(), [](const std::string& argument) {
+            return argument.starts_with("--host") || argument.starts_with("--path");
+        });
+        std::optional<FileArgument> request;
+        if (!describesRequest)
+            request.emplace("request", "Request id.", true, "", "REQUEST", line);
         TextArgument host("", "host", "Host of the request.", false, "", "host", line);
         TextArgument path("", "path", "Path of the request.", false, "", "path", line);
         TextArgument method("", "method", "Method of the request (default POST).", false, "POST", "method", line);
@@ -216,13 +224,10 @@
         TCLAP::MultiArg<std::string> parts(
             "", "part", "Part of the prompt; repeat it in prompt order.", false, "id:tokens", line);
         sub.parse(arguments);
-        if (!request.isSet() && !(host.isSet() && path.isSet()))
-            throw WrongArgument { "a request id, or --host and --path, are needed" };
-        if (request.isSet()) {
-            if (host.isSet() || path.isSet())
-                throw WrongArgument { "a request id excludes --host and --path" };
-            return ExplainCommand { request.getValue(), sub.nodeAddresses(), sub.outputFormat() };
-        }
+        if (request)
+            return ExplainCommand { request->getValue(), sub.nodeAddresses(), sub.outputFormat() };
+        if (!host.isSet() || !path.isSet())
+            throw WrongArgument { "--host and --path are both needed" };
         ForecastCommand command { method.getValue(), host.getValue(), path.getValue(), key.getValue(), {},
             outputTokens.getValue(), parseParts(parts.getValue()), sub.nodeAddresses(), sub.outputFormat() };
         if (prompt.isSet())
