--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -61,6 +61,7 @@
     /// Time after which a failed attempt is evidence about its version though no other upstream was reached since.
     constexpr Duration evidenceHoldTime = std::chrono::seconds(2);
     constexpr const char* noLinks = "this node has no links to upstreams";
+    constexpr const char* shortageReason = "the service is short of capacity and other requests go first";
 
     /// Returns whether callers conclude from the status that their request has not run.
     bool promisesNotRun(int status)
@@ -239,26 +240,33 @@
     this->dispatch(request, now);
 }
 
-bool EntryRequests::rejectForShortage(Request& request, Instant now)
+std::optional<AdmissionOffer> EntryRequests::offerOf(const Request& request) const
 {
     // Plain services respond only once they have done the work, so that a response which is slow for another reason
     // than queueing would look like a shortage.
     const EntryService* service = request.table->configuration().findService(request.service);
-    if (!service || !service->isEngine) {
-        ++this->admissionOf(request).admitted;
-        return false;
-    }
+    if (!service || !service->isEngine)
+        return std::nullopt;
     // The parts before the last one are shared with other requests and usually cached.
     const std::uint32_t shared = request.caller.parts.empty()
         ? 0
         : request.routing.promptTokens - std::min(request.routing.promptTokens, request.caller.parts.back().tokens);
-    const AdmissionOffer offer { request.id, request.service, request.route->name, request.workspace, request.priority,
+    return AdmissionOffer { request.id, request.service, request.route->name, request.workspace, request.priority,
         WorkSize { request.routing.promptTokens, shared, 0 }.prefillWork(), request.route->latencyTarget };
+}
+
+bool EntryRequests::rejectForShortage(Request& request, Instant now)
+{
+    const std::optional<AdmissionOffer> offer = this->offerOf(request);
+    if (!offer) {
+        ++this->admissionOf(request).admitted;
+        return false;
+    }
     // A request that may have run already, or that continues a stream, is not rejected.
     const bool isContinued = request.earlierRuns > 0 || request.caller.lastEventId;
     if (isContinued)
-        this->overload.watch(offer, now);
-    const bool isAdmitted = isContinued || this->overload.admits(offer, now);
+        this->overload.watch(*offer, now);
+    const bool isAdmitted = isContinued || this->overload.admits(*offer, now);
     this->logShortages();
     if (isAdmitted) {
         ++this->admissionOf(request).admitted;
@@ -266,8 +274,8 @@
     }
     ++this->admissionOf(request).rejectedForShortage;
     this->state.demand.onRefused(request.service, request.routing.promptTokens);
-    this->refuse(request, RequestOutcome::NoCapacity, serviceUnavailable,
-        "the service is short of capacity and other requests go first", this->retryAfter(request, now), now);
+    this->refuse(
+        request, RequestOutcome::NoCapacity, serviceUnavailable, shortageReason, this->retryAfter(request, now), now);
     return true;
 }
 
@@ -1138,4 +1146,105 @@
     return next;
 }
 
+RequestForecast EntryRequests::forecast(const CallerRequest& caller, Instant now)
+{
+    // Draws the random numbers that the request would get, and leaves them to the next one.
+    const RandomSource randomBefore = this->state.random;
+    const std::uint64_t limitedBefore = this->state.statistics.limitedRequests;
+    const std::uint64_t coldBefore = this->state.statistics.coldPassedOver;
+    Request request;
+    request.caller = caller;
+    request.arrivedAt = now;
+    RequestForecast forecast = this->forecastOf(request, now);
+    if (request.route)
+        forecast.route = request.route->name.value();
+    if (request.workspace)
+        forecast.workspace = request.workspace->value();
+    forecast.service = request.service.value();
+    forecast.priority = request.priority;
+    this->state.random = randomBefore;
+    this->state.statistics.limitedRequests = limitedBefore;
+    this->state.statistics.coldPassedOver = coldBefore;
+    return forecast;
+}
+
+RequestForecast EntryRequests::forecastOf(Request& request, Instant now)
+{
+    using Outcome = RequestForecast::Outcome;
+    const auto rejected = [](int status, std::string reason, std::optional<Duration> retryAfter = std::nullopt) {
+        return RequestForecast { Outcome::Rejected, std::move(reason), status, retryAfter };
+    };
+    if (this->hasEnded)
+        return rejected(serviceUnavailable, "this node has stopped", stoppingRetryAfter);
+    if (!this->isReady())
+        return rejected(serviceUnavailable, "this node has no configuration yet", notReadyRetryAfter);
+    request.table = this->state.table;
+    request.route = request.table->match(request.caller.host, request.caller.path);
+    if (!request.route)
+        return rejected(notFound, "no route matches this host and path");
+    if (this->authorise(request))
+        return rejected(unauthorized, "the key is missing or unknown");
+    if (!this->crashes.isEmpty() && this->crashes.verdict(crashKeysOf(request)) == CrashVerdict::Rejected) {
+        return rejected(serviceUnavailable, "such requests crashed several upstreams",
+            std::max(minRetryAfter, this->crashes.remainingRejection(crashKeysOf(request), now)));
+    }
+    if (this->isTooLate(*request.route, now))
+        return rejected(serviceUnavailable, "this node is about to stop", stoppingRetryAfter);
+    if (this->needsPeers(now))
+        return { Outcome::Relayed, noLinks };
+    if (request.workspace) {
+        // A copy, so that nothing is charged.
+        QuotaLimiter quotas = this->state.quotas;
+        if (const auto shortage = quotas.take(*request.workspace, request.quotaCost, now)) {
+            const bool hasPeers = this->state.borrower.hasPeers();
+            const Duration wait = std::max(hasPeers ? shortage->quotaWait : shortage->shareWait, minRetryAfter);
+            RequestForecast forecast = rejected(tooManyRequests, "the workspace is over its quota", wait);
+            if (hasPeers) {
+                forecast.outcome = Outcome::Queued;
+                forecast.reason = "this node's share of the quota does not suffice and peers are asked for a loan";
+            }
+            return forecast;
+        }
+    }
+    request.service = this->selectService(*request.route);
+    this->fillRouting(request);
+    return this->forecastRouting(request, now);
+}
+
+RequestForecast EntryRequests::forecastRouting(Request& request, Instant now)
+{
+    using Outcome = RequestForecast::Outcome;
+    if (const auto offer = this->offerOf(request)) {
+        // A copy, so that nothing is counted.
+        OverloadController controller = this->overload;
+        if (!controller.admits(*offer, now))
+            return { Outcome::Rejected, shortageReason, serviceUnavailable, this->retryAfter(request, now) };
+    }
+    RoutingRequest routing = request.routing;
+    for (UpstreamId& upstream : this->unavailableUpstreams(request, now))
+        routing.excluded.push_back(std::move(upstream));
+    routing.avoidExcluded = this->state.limits.isAnyCold();
+    RoutingPreview preview = this->state.router.preview(routing, now);
+    RequestForecast forecast;
+    if (preview.decision) {
+        forecast.outcome = Outcome::Routed;
+        forecast.decision = std::move(preview.decision);
+        return forecast;
+    }
+    if (this->isEvacuated(request.service, now))
+        return { Outcome::Rejected, evacuatedReason, serviceUnavailable, this->retryAfter(request, now) };
+    if (this->state.links.areLost())
+        return { Outcome::Relayed, noLinks };
+    const Duration longestWait = request.route->latencyTarget / maxWaitDivisor;
+    const std::optional<Availability> next = this->nextAvailability(request.service, now);
+    const bool waits = longestWait > Duration::zero() && !(next && next->here >= now + longestWait);
+    forecast.outcome = waits ? Outcome::Queued : Outcome::Rejected;
+    forecast.reason = next ? "all upstreams are paused or at their limits" : "no upstream has room";
+    forecast.status = serviceUnavailable;
+    forecast.retryAfter = this->retryAfter(request, now);
+    if (waits)
+        forecast.longestWait = longestWait;
+    return forecast;
+}
+
 } // namespace teaselshore
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -16,6 +16,7 @@
 #include "evacuation_exchange.hpp"
 #include "limit_exchange.hpp"
 #include "refusal_exchange.hpp"
+#include "teaselshore/entry/request_forecast.hpp"
 #include "teaselshore/routing/overload_controller.hpp"
 #include "waiting_requests.hpp"
 
@@ -48,6 +49,8 @@
     void endAll(Instant now);
     void onTick(Instant now);
     Instant nextTick() const;
+    /// @brief Returns what would happen to a request that arrived now. Sends, charges and counts nothing.
+    RequestForecast forecast(const CallerRequest& caller, Instant now);
     std::size_t openCount() const { return this->requests.size(); }
     std::size_t waitingCount() const { return this->waiting.size(); }
     /// @brief Returns how many attempts run at upstreams of a zone, or of all evacuated ones.
@@ -159,6 +162,8 @@
     void refuseOverQuota(Request& request, const QuotaShortage& shortage, Duration wait, Instant now);
     void fillRouting(Request& request);
     ServiceName selectService(const EntryRoute& route);
+    /// @brief Returns what the admission of a request depends on; nothing for services that are not subject to it.
+    std::optional<AdmissionOffer> offerOf(const Request& request) const;
     /// @brief Rejects the request if its service is short of capacity and others go first. Returns whether it did.
     bool rejectForShortage(Request& request, Instant now);
     RouteAdmission& admissionOf(const Request& request)
@@ -234,6 +239,8 @@
     void endWithoutResponse(Request& request, const std::string& reason, Instant now);
     void end(Request& request, RequestOutcome outcome, int status, const std::string& reason, Instant now);
     Duration retryAfter(const Request& request, Instant now);
+    RequestForecast forecastOf(Request& request, Instant now);
+    RequestForecast forecastRouting(Request& request, Instant now);
 
     static constexpr const char* evacuatedReason = "all upstreams are in evacuated zones";
 
