Report replies without a length as partial if the request was not received whole

Such a reply ends with its connection. A reset that a write of the upload saw first leaves an ordinary end for the next read, and an upstream that ends its side early may reset afterwards; both counted as complete. Now the request must have been written, the peer must have acknowledged all of it, and the socket must have no pending error. h2o reports a read before a write that ended in the same round, so the decision waits for the end of the round.

--- a/include/teaselshore/http/http_client.hpp
+++ b/include/teaselshore/http/http_client.hpp
@@ -25,7 +25,8 @@
     /// Longest time for the whole call. Without it, a peer that sends a byte now and then holds the call for good.
     std::optional<Duration> totalTimeout;
     /// Accepts a reply without content length and without chunks, whose end is the end of the connection. Off by
-    /// default, because such a reply cannot be told from one that was cut off. A connection reset is an error anyway.
+    /// default, because such a reply cannot be told from one that was cut off. It is complete only if the connection
+    /// ended in order after the peer had received the whole request; any other end is a ConnectionClosed error.
     bool acceptUnframedReply = false;
     /// Header field that the peer repeats from the request; with an empty value if the request has no such field. A
     /// reply with another value is a late one to an earlier request on the connection; it is skipped, and the next
--- a/src/teaselshore/http/client_call.hpp
+++ b/src/teaselshore/http/client_call.hpp
@@ -46,6 +46,8 @@
     std::optional<HttpError> refusal;
     /// The connection is established, so that the request may have been sent.
     bool connected = false;
+    /// The request was handed to the socket whole, and no write failed.
+    bool requestWritten = false;
     bool paused = false;
     /// A handler is on the call stack; a cancellation waits until it returns.
     bool inHandler = false;
--- a/src/teaselshore/http/client_connection.cpp
+++ b/src/teaselshore/http/client_connection.cpp
@@ -6,7 +6,9 @@
 #include <utility>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace teaselshore {
@@ -40,6 +42,16 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool ClientConnection::hasDeliveredAll() const
+{
+    const int descriptor = h2o_socket_get_fd(this->handle);
+    int error = 0;
+    socklen_t size = sizeof(error);
+    int unacknowledged = 0;
+    return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0
+        && ioctl(descriptor, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+}
+
 std::unique_ptr<ClientConnection> ConnectionPool::take(
     const std::string& authority, const std::optional<HttpHeader>& echo, Instant now)
 {
--- a/src/teaselshore/http/client_connection.hpp
+++ b/src/teaselshore/http/client_connection.hpp
@@ -35,6 +35,9 @@
     void configure() const;
     /// @brief Returns whether nothing arrived and the peer did not close; for an idle connection.
     bool isQuiet() const;
+    /// @brief Returns whether the peer acknowledged all that was written and the socket has no pending error. Clears
+    /// the error.
+    bool hasDeliveredAll() const;
 
     void* owner = nullptr;
     /// Null while the connection is idle.
--- a/src/teaselshore/http/http_client.cpp
+++ b/src/teaselshore/http/http_client.cpp
@@ -40,6 +40,8 @@
     /// @brief Feeds what arrived to the parser.
     ReplyParser::Progress parse(ClientCall& call, h2o_socket_t* socket, const char* error) const;
     void finish(ClientCall& call, ReplyParser::Progress progress, bool connectionEnded);
+    /// @brief Ends a call whose reply ends with the connection.
+    void endUnframed(ClientCall& call);
     void end(ClientCall& call, bool connectionEnded);
     void fail(ClientCall& call, const HttpError& error);
     /// @brief Fails the call in a later round, since callbacks must not run inside start().
@@ -206,7 +208,10 @@
     case ReplyParser::Progress::NeedsMore:
         return;
     case ReplyParser::Progress::Done:
-        this->end(call, connectionEnded);
+        if (connectionEnded)
+            this->endUnframed(call);
+        else
+            this->end(call, connectionEnded);
         return;
     case ReplyParser::Progress::Stopped:
         if (call.refusal)
@@ -223,6 +228,31 @@
     }
 }
 
+void HttpClient::Impl::endUnframed(ClientCall& call)
+{
+    // A failed write takes the error of a reset, so that the next read sees an ordinary end. A peer that ends its side
+    // before it has the whole request may reset the connection as well.
+    if (!call.connection->hasDeliveredAll()) {
+        this->fail(call, { HttpError::Kind::ConnectionClosed, "connection broke before the request was read", true });
+        return;
+    }
+    if (call.requestWritten) {
+        this->end(call, /*connectionEnded=*/true);
+        return;
+    }
+    // h2o reports a read before the write that ended in the same round.
+    h2o_socket_read_stop(call.connection->socket());
+    this->loop.cancelTimer(call.timer);
+    call.timer = this->loop.addTimer(Duration(0), [this, id = call.id] {
+        ClientCall& waiting = *this->calls.at(id);
+        if (waiting.requestWritten)
+            this->end(waiting, /*connectionEnded=*/true);
+        else
+            this->fail(waiting,
+                { HttpError::Kind::ConnectionClosed, "connection ended before the request was written", true });
+    });
+}
+
 void HttpClient::Impl::end(ClientCall& call, bool connectionEnded)
 {
     h2o_socket_t* socket = call.connection->socket();
@@ -277,9 +307,12 @@
     impl->send(*connection.call);
 }
 
-void HttpClient::Impl::onWritten(h2o_socket_t*, const char*)
+void HttpClient::Impl::onWritten(h2o_socket_t* socket, const char* error)
 {
     // After a failed write the peer may still have sent a reply, for example a refusal; reading tells.
+    const ClientConnection& connection = ClientConnection::of(socket);
+    if (connection.call != nullptr && error == nullptr)
+        connection.call->requestWritten = true;
 }
 
 void HttpClient::Impl::onReadable(h2o_socket_t* socket, const char* error)
--- a/src/teaselshore/http/test_support.hpp
+++ b/src/teaselshore/http/test_support.hpp
@@ -56,6 +56,12 @@
     void trySend(const std::string& bytes) const;
     /// @brief Returns what arrived so far without waiting; ended tells whether the peer closed.
     std::string receive(bool& ended) const;
+    /// @brief Returns at most this many of the bytes that arrived so far, without waiting.
+    std::string receiveAtMost(std::size_t size) const;
+    /// @brief Returns the number of bytes that arrived and have not been received.
+    std::size_t unreadBytes() const;
+    /// @brief Ends the sending side in order; the peer's bytes can still be received.
+    void endSending() const;
     /// @brief Closes with a reset instead of an orderly end.
     void reset();
     void close();
--- a/src/teaselshore/http/test_support_test.cpp
+++ b/src/teaselshore/http/test_support_test.cpp
@@ -1,11 +1,13 @@
 #include "test_support.hpp"
 
+#include <algorithm>
 #include <cerrno>
 
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -127,6 +129,23 @@
     }
 }
 
+std::string RawConnection::receiveAtMost(std::size_t size) const
+{
+    std::string bytes(size, '\0');
+    const ssize_t count = recv(this->descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    bytes.resize(static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+    return bytes;
+}
+
+std::size_t RawConnection::unreadBytes() const
+{
+    int bytes = 0;
+    EXPECT_EQ(ioctl(this->descriptor, FIONREAD, &bytes), 0);
+    return static_cast<std::size_t>(bytes);
+}
+
+void RawConnection::endSending() const { EXPECT_EQ(shutdown(this->descriptor, SHUT_WR), 0); }
+
 void RawConnection::reset()
 {
     const linger immediately { 1, 0 };
