Treat replies with statuses outside 100 to 599 as malformed

Statuses 000 to 099 were passed on to callers, and 600 to 999 as server errors of the upstream. Such a reply now fails the attempt as one that may have run: the caller gets 502, and the breaker and the evaluation of the version count a failure. 101 stays malformed, since no request asks for another protocol, and so does a reply after more than 16 informational ones.

The cases 101 and too many informational replies passed before as well.

--- a/src/teaselshore/http/http_client_test.cpp
+++ b/src/teaselshore/http/http_client_test.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "test_support.hpp"
@@ -144,6 +145,41 @@
         }
     }
 
+    // Guards against statuses that HTTP does not have, or an unrequested change of protocol, that are passed on as the
+    // status of a reply, and against more informational replies than a client should skip.
+    TEST(HttpClient, RefusesInvalidStatuses)
+    {
+        constexpr std::size_t skippedInformational = 16;
+        std::string informational;
+        for (std::size_t count = 0; count < skippedInformational; ++count)
+            informational += "HTTP/1.1 103 Early Hints\r\nlink: <a>\r\n\r\n";
+        const auto reply = [](const std::string& before, const std::string& status) {
+            return fmt::format("{}HTTP/1.1 {} Status\r\ncontent-length: 2\r\n\r\nok", before, status);
+        };
+        for (const std::string status : { "000", "001", "099", "101", "600", "601", "700", "999" }) {
+            for (const std::string& before : { std::string(), informational }) {
+                ScriptedUpstream upstream;
+                const CallRecord record = upstream.run(reply(before, status), ScriptedUpstream::Ending::KeepOpen);
+                EXPECT_EQ(record.status, 0) << status;
+                EXPECT_EQ(record.body, "") << status;
+                ASSERT_TRUE(record.error) << status;
+                EXPECT_EQ(record.error->kind, Kind::MalformedReply) << status;
+                EXPECT_TRUE(record.error->requestMayHaveBeenSent) << status;
+            }
+        }
+        for (const std::string status : { "200", "299", "599" }) {
+            ScriptedUpstream upstream;
+            const CallRecord record = upstream.run(reply(informational, status), ScriptedUpstream::Ending::KeepOpen);
+            EXPECT_TRUE(record.ended) << status;
+            EXPECT_EQ(std::to_string(record.status), status);
+        }
+        ScriptedUpstream upstream;
+        const CallRecord record = upstream.run(
+            reply(informational + "HTTP/1.1 100 Continue\r\n\r\n", "200"), ScriptedUpstream::Ending::KeepOpen);
+        ASSERT_TRUE(record.error);
+        EXPECT_EQ(record.error->kind, Kind::MalformedReply);
+    }
+
     // Guards against memory and time without bound while a peer goes on sending what is no reply: a head, a line
     // between chunks, fields after the last chunk, informational replies or replies to other requests.
     TEST(HttpClient, GivesUpRepliesWithoutEnd)
--- a/src/teaselshore/http/reply_parser.cpp
+++ b/src/teaselshore/http/reply_parser.cpp
@@ -20,6 +20,9 @@
     /// Informational replies (1xx) before the final one.
     constexpr std::size_t maxInformational = 16;
     constexpr int switchingProtocols = 101;
+    /// Statuses outside of these have no meaning in HTTP, and callers could take them for any other.
+    constexpr int firstStatus = 100;
+    constexpr int lastStatus = 599;
 
     /// Returns whether a status line begins inside a line of a head. A peer that breaks off a reply and goes on with
     /// the next one joins their heads, so that the status of one comes with the fields of the other.
@@ -59,7 +62,10 @@
     void on_response_impl(int code, beast::string_view reason, int, beast::error_code& error) override
     {
         this->status = code;
-        if (holdsStatusLine(reason))
+        // No request asks for another protocol.
+        if (code < firstStatus || code > lastStatus || code == switchingProtocols)
+            error = http::error::bad_status;
+        else if (holdsStatusLine(reason))
             error = http::error::bad_reason;
     }
 
@@ -80,9 +86,7 @@
 
     void on_header_impl(beast::error_code& error) override
     {
-        if (this->status == switchingProtocols)
-            error = http::error::bad_status;
-        else if (!this->isInformational())
+        if (!this->isInformational())
             this->stopUnless(this->sink.onReplyHead(this->status, this->headers, this->need_eof()), error);
     }
 
