Reset connections whose answer without length is cut off

Such an answer to HTTP/1.0 ends with its connection, and abort() resets it. An answer cut since the caller stopped to read, ended its side early, or since the server was destroyed still ended in order, so that the caller took it for complete.

Before, for each of the three (0, 1, 2):

http_server_test.cpp:549: Failure Value of: connection.wasReset() Actual: false Expected: true [ FAILED ] HttpServer.TruncatedUnframedAnswerEndsWithReset (2590 ms)

All 60 tests of teaselshore_http_test pass.

--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -400,6 +400,7 @@
         return;
     if (const std::shared_ptr<Http1Exchange> open = std::exchange(this->exchange, nullptr)) {
         this->core.exchangeClosed(open.get());
+        this->resetOnClose = this->framing == Framing::EndOfConnection;
         this->state = State::Lingering;
         open->connectionGone();
     }
@@ -411,7 +412,8 @@
     if (this->state == State::Closed)
         return;
     this->state = State::Closed;
-    if (this->resetOnClose) {
+    const bool isCut = this->framing == Framing::EndOfConnection && this->pendingBytes() > 0;
+    if (this->resetOnClose || isCut) {
         // An orderly end would mark an HTTP/1.0 answer without length as complete.
         const struct linger reset {
             1, 0
--- a/src/teaselshore/http/http_server_test.cpp
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -509,6 +509,47 @@
         EXPECT_LT(left, body.size());
     }
 
+    // Guards against a truncated answer to HTTP/1.0 whose end looks orderly: of a caller that stops to read, of one
+    // that ends its side, and of a server that is destroyed.
+    TEST(HttpServer, TruncatedUnframedAnswerEndsWithReset)
+    {
+        enum class End { StopsReading, EndsItsSide, ServerDestroyed };
+        const std::string body(std::size_t { 24 } * 1024 * 1024, 'a');
+        for (const End end : { End::StopsReading, End::EndsItsSide, End::ServerDestroyed }) {
+            HttpServerSettings settings;
+            settings.idleTimeout = std::chrono::milliseconds(200);
+            std::shared_ptr<ServerExchange> open;
+            HttpFixture fixture(
+                [&](const auto& exchange) {
+                    exchange->startStream(200, {});
+                    exchange->write(end == End::EndsItsSide ? "partial" : body);
+                    if (end == End::EndsItsSide)
+                        open = exchange;
+                    else
+                        exchange->finish();
+                },
+                settings);
+            const RawConnection connection(fixture.server->port());
+            connection.send("GET / HTTP/1.0\r\n\r\n");
+            fixture.runUntil([&] { return connection.unreadBytes() > 0; });
+            if (end == End::EndsItsSide)
+                connection.endSending();
+            if (end == End::ServerDestroyed)
+                fixture.server.reset();
+            // A server allows two seconds more than the idle time.
+            const Duration pause = std::chrono::milliseconds(end == End::StopsReading ? 2500 : 20);
+            fixture.runUntil([] { return false; }, pause);
+            bool ended = false;
+            std::size_t received = 0;
+            ASSERT_TRUE(fixture.runUntil([&] {
+                received += connection.receive(ended).size();
+                return ended;
+            }));
+            EXPECT_LT(received, body.size());
+            EXPECT_TRUE(connection.wasReset()) << static_cast<int>(end);
+        }
+    }
+
     // Guards against use of released state when a server is destroyed while exchanges are open.
     TEST(HttpServer, DestructionBreaksOpenExchangesOff)
     {
