Switch admission under shortage and gathering of long prompts on by settings

Change: settings 'admission' and 'gather-long-prompts', off by default, so that deployments are served as before unless their settings ask for it.

--- a/include/teaselshore/configuration/entry_settings.hpp
+++ b/include/teaselshore/configuration/entry_settings.hpp
@@ -67,6 +67,10 @@
     std::optional<SocketAddress> cloud;
     /// Whether operators evacuate zones of this deployment; otherwise nodes do not watch for it.
     bool evacuations = false;
+    /// Whether requests are rejected by priority and workspace while a service of engines is short of capacity.
+    bool admission = false;
+    /// Whether long prompts gather on a part of the engines.
+    bool gatherLongPrompts = false;
     LogLevel logLevel = LogLevel::Info;
     /// Memory that the process may take; unbounded if the settings do not name it.
     std::optional<std::size_t> memoryBytes;
--- a/src/teaselshore/configuration/entry_settings.cpp
+++ b/src/teaselshore/configuration/entry_settings.cpp
@@ -35,6 +35,8 @@
             this->readRates(fields);
             this->readTimes(fields);
             fields.boolean("evacuations", this->result.evacuations);
+            fields.boolean("admission", this->result.admission);
+            fields.boolean("gather-long-prompts", this->result.gatherLongPrompts);
             fields.finish();
             return std::move(this->result);
         }
--- a/src/teaselshore/configuration/entry_settings_test.cpp
+++ b/src/teaselshore/configuration/entry_settings_test.cpp
@@ -75,6 +75,20 @@
         EXPECT_FALSE(parseEntrySettings(settingsText + "evacuations: 5000\n", problems));
     }
 
+    // Guards against deployments that do not ask for it and are served by other rules under shortage.
+    TEST(EntrySettings, AdmissionAndGatheringOfLongPromptsAreOff)
+    {
+        std::vector<ConfigurationProblem> problems;
+        const auto without = parseEntrySettings(settingsText, problems);
+        ASSERT_TRUE(without) << describeFirst("settings", problems);
+        EXPECT_FALSE(without->admission);
+        EXPECT_FALSE(without->gatherLongPrompts);
+        const auto with = parseEntrySettings(settingsText + "admission: true\ngather-long-prompts: true\n", problems);
+        ASSERT_TRUE(with) << describeFirst("settings", problems);
+        EXPECT_TRUE(with->admission);
+        EXPECT_TRUE(with->gatherLongPrompts);
+    }
+
     // Guards against a setting that cannot be understood and is taken for its default.
     TEST(EntrySettings, ReportsWhatIsWrongAndWhere)
     {
--- a/src/teaselshore/entry/admission_under_shortage_test.cpp
+++ b/src/teaselshore/entry/admission_under_shortage_test.cpp
@@ -385,12 +385,16 @@
     }
 
     // Guards against forwarding requests to engines that answer too late, against rejections without a time to come
-    // back or a reason in the log, and against effects on plain services.
+    // back or a reason in the log, and against effects on plain services and on nodes without the setting.
     TEST(AdmissionUnderShortage, RejectsRequestsOfEnginesWithLateResponses)
     {
-        EntryHarness plain;
+        EntryNodeSettings settings = EntryHarness::settings(1, "host-1");
+        EntryHarness off(settings);
+        EXPECT_TRUE(sendUnanswered(off, true).empty());
+        settings.host.admission = true;
+        EntryHarness plain(settings);
         EXPECT_TRUE(sendUnanswered(plain, false).empty());
-        EntryHarness harness;
+        EntryHarness harness(settings);
         const std::vector<Respond> rejected = sendUnanswered(harness, true);
         ASSERT_FALSE(rejected.empty());
         EXPECT_EQ(rejected.front().status, 503);
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -242,6 +242,8 @@
 
 std::optional<AdmissionOffer> EntryRequests::offerOf(const Request& request) const
 {
+    if (!this->state.settings.host.admission)
+        return std::nullopt;
     // Plain services respond only once they have done the work, so that a response which is slow for another reason
     // than queueing would look like a shortage.
     const EntryService* service = request.table->configuration().findService(request.service);
--- a/src/teaselshore/entry/entry_state.cpp
+++ b/src/teaselshore/entry/entry_state.cpp
@@ -22,6 +22,8 @@
         router.seed = settings.seed;
         router.tokensPerBlock = EntryState::tokensPerBlock;
         router.prefixIndex.maximumBlocks = maxIndexedBlocks;
+        if (!settings.host.gatherLongPrompts)
+            router.interactive.blocking = 0;
         return router;
     }
 
