--- a/include/teaselshore/entry/entry_statistics.hpp
+++ b/include/teaselshore/entry/entry_statistics.hpp
@@ -63,18 +63,6 @@
     /// Upstream processes that crashed while they ran requests of this node.
     std::uint64_t upstreamCrashes = 0;
     std::uint64_t resumes = 0;
-    /// Loans of quota that this node requested for requests, and how they ended.
-    std::uint64_t requestedLoans = 0;
-    std::uint64_t grantedLoans = 0;
-    std::uint64_t failedLoans = 0;
-    /// Loan requests sent to peers, including those for shares.
-    std::uint64_t loanMessages = 0;
-    /// Loan requests of peers that this node granted at least in part.
-    std::uint64_t lentLoans = 0;
-    /// Requests that waited for quota of their workspace.
-    std::uint64_t quotaWaits = 0;
-    /// Requests rejected although they cost less than this node's share of the quota holds.
-    std::uint64_t rejectedWithinShare = 0;
     std::uint64_t openRequests = 0;
     std::uint64_t waitingRequests = 0;
     std::uint64_t upstreams = 0;
--- a/include/teaselshore/entry/quota_loan.hpp
+++ b/include/teaselshore/entry/quota_loan.hpp
@@ -1,10 +1,8 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 
 #include "teaselshore/base/name.hpp"
-#include "teaselshore/base/time.hpp"
 
 namespace teaselshore {
 
@@ -15,9 +13,6 @@
     WorkspaceName workspace;
     /// In the unit of the quota.
     double amount = 0;
-    /// Time for which the receiver is asked to lend a part of its share besides, with the refill that it brings;
-    /// missing if only an amount is needed. Nodes of earlier releases lend just the amount.
-    std::optional<Duration> shareTime {};
 
     auto operator<=>(const QuotaLoanRequest&) const = default;
 };
@@ -27,10 +22,6 @@
     std::uint64_t loan = 0;
     /// 0 if nothing is left.
     double amount = 0;
-    /// What the sender could lend beyond that at the time of the answer; missing in answers of earlier releases.
-    std::optional<double> left {};
-    /// Part of the quota of all nodes that the sender does not use for the requested time.
-    std::optional<double> share {};
 
     auto operator<=>(const QuotaLoan&) const = default;
 };
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -38,19 +38,6 @@
     this->setCounter("teaselshore_upstream_crashes_total", "Upstream processes that ended under requests of this node.",
         statistics.upstreamCrashes);
     this->setCounter("teaselshore_resumes_total", "Streams continued at another upstream.", statistics.resumes);
-    this->setCounter("teaselshore_quota_loans_total", "Loans of quota requested from peers for requests.",
-        statistics.requestedLoans);
-    this->setCounter(
-        "teaselshore_quota_granted_loans_total", "Loans of quota that admitted a request.", statistics.grantedLoans);
-    this->setCounter(
-        "teaselshore_quota_failed_loans_total", "Loans of quota that did not suffice.", statistics.failedLoans);
-    this->setCounter("teaselshore_quota_loan_messages_total",
-        "Loan requests sent to peers, including those for parts of their shares.", statistics.loanMessages);
-    this->setCounter("teaselshore_quota_lent_loans_total", "Loan requests of peers that were granted at least in part.",
-        statistics.lentLoans);
-    this->setCounter("teaselshore_quota_waits_total", "Times that a request waited for quota.", statistics.quotaWaits);
-    this->setCounter("teaselshore_quota_rejected_within_share_total",
-        "Requests over the quota that cost less than this node's share of it holds.", statistics.rejectedWithinShare);
     this->setCounter("teaselshore_limited_requests_total",
         "Requests for which an upstream was passed over because of the limit that it names.",
         statistics.limitedRequests);
--- a/src/teaselshore/entry/entry_duties.cpp
+++ b/src/teaselshore/entry/entry_duties.cpp
@@ -115,9 +115,7 @@
     this->state.relays.setPeers(std::move(relays));
     std::vector<std::string> lenders = this->state.peerAddresses;
     lenders.resize(std::min(lenders.size(), maxLenders));
-    const auto& own = this->state.settings.host.peers;
-    this->state.borrower.setPeers(
-        std::move(lenders), this->state.peerAddresses, own ? formatSocketAddress(*own) : std::string());
+    this->state.borrower.setPeers(std::move(lenders));
     this->lease.setContending(this->nodes.rank(dutiesLease, now) < maxContenders);
 }
 
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -342,15 +342,8 @@
 
 void EntryNode::Impl::receive(const std::string& senderAddress, const QuotaLoanRequest& request, Instant now)
 {
-    QuotaLoan answer { request.loan, this->state.quotas.lend(request.workspace, request.amount, now) };
-    if (request.shareTime)
-        answer.share = this->state.quotas.lendShare(request.workspace, senderAddress, *request.shareTime, now);
-    answer.left = this->state.quotas.lendable(request.workspace, now);
-    if (answer.amount > 0)
-        ++this->state.statistics.lentLoans;
-    this->state.commands.emplace_back(SendEntryMessage { senderAddress, answer });
-    if (!request.shareTime)
-        this->requests.onQuotaDemand(request.workspace, true, now);
+    const double lent = this->state.quotas.lend(request.workspace, request.amount, now);
+    this->state.commands.emplace_back(SendEntryMessage { senderAddress, QuotaLoan { request.loan, lent } });
 }
 
 void EntryNode::Impl::handle(CloudCallEnded& event, Instant now) { this->duties.onCloudResult(event, now); }
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -31,8 +31,6 @@
     /// A request may wait for a free upstream for its latency target divided by this. A caller that is refused within
     /// this time can still get a response in time elsewhere.
     constexpr int maxWaitDivisor = 8;
-    /// Minimum time after which a request tries again to take or borrow quota: a round trip between zones.
-    constexpr Duration minQuotaWait = std::chrono::milliseconds(15);
     /// Time after a response for which an upstream that refused a request since probably has a slot free now and then.
     constexpr Duration acceptanceTime = std::chrono::milliseconds(500);
     /// Time between two attempts to dispatch waiting requests while no upstream reports a change.
@@ -196,15 +194,8 @@
         this->relayOrEnd(request, noLinks, now);
         return;
     }
-    this->takeQuota(request, now);
-}
-
-void EntryRequests::takeQuota(Request& request, Instant now)
-{
     if (request.workspace) {
-        const auto shortage = this->state.quotas.take(*request.workspace, request.quotaCost, now);
-        this->onQuotaDemand(*request.workspace, shortage.has_value(), now);
-        if (shortage) {
+        if (const auto shortage = this->state.quotas.take(*request.workspace, request.quotaCost, now)) {
             this->borrowQuota(request, *shortage, now);
             return;
         }
@@ -213,23 +204,6 @@
     this->admit(request, now);
 }
 
-std::optional<double> EntryRequests::peerCapacity(const WorkspaceName& workspace) const
-{
-    // Not this node's own capacity, which is smaller while the node is new or silent.
-    const std::optional<double> total = this->state.quotas.totalCapacity(workspace);
-    if (!total)
-        return std::nullopt;
-    return *total / static_cast<double>(this->state.peerAddresses.size() + 1);
-}
-
-void EntryRequests::onQuotaDemand(const WorkspaceName& workspace, bool isShort, Instant now)
-{
-    if (const auto capacity = this->peerCapacity(workspace)) {
-        this->state.borrower.onDemand(workspace, *capacity, isShort, now);
-        this->sendLoanMessages(now);
-    }
-}
-
 void EntryRequests::admit(Request& request, Instant now)
 {
     request.service = this->selectService(*request.route);
@@ -309,57 +283,30 @@
 
 void EntryRequests::borrowQuota(Request& request, const QuotaShortage& shortage, Instant now)
 {
-    const LoanTerms terms { shortage.missing, shortage.expectedDemand,
-        this->peerCapacity(*request.workspace).value_or(shortage.capacity) };
-    const auto asked = this->state.borrower.requestLoan(request.id, *request.workspace, terms, now);
+    const auto asked
+        = this->state.borrower.requestLoan(request.id, *request.workspace, shortage.missing, shortage.capacity, now);
     if (asked.empty()) {
-        this->waitForQuota(request, shortage, now);
+        this->refuseOverQuota(request, shortage, now);
         return;
     }
-    ++this->state.statistics.requestedLoans;
-    this->state.statistics.loanMessages += asked.size();
-    request.reservedQuota = this->state.quotas.reserve(*request.workspace, request.quotaCost, now);
     for (const AddressedLoanRequest& loan : asked)
         this->state.commands.emplace_back(SendEntryMessage { loan.address, loan.request });
 }
 
-void EntryRequests::waitForQuota(Request& request, const QuotaShortage& shortage, Instant now)
-{
-    // Peers lend quota, so any node can serve the request once the quota of all nodes together has refilled enough.
-    const Duration wait
-        = this->state.quotas.waitAfterRejected(*request.workspace, shortage, this->state.borrower.hasPeers(), now);
-    const Instant retryAt = now + std::max(wait, minQuotaWait);
-    const Duration maxWait = request.route->latencyTarget / maxWaitDivisor;
-    if (retryAt >= std::min(request.arrivedAt + maxWait, request.deadline)) {
-        this->refuseOverQuota(request, shortage, wait, now);
-        return;
-    }
-    ++this->state.statistics.quotaWaits;
-    this->quotaRetries.emplace(retryAt, request.id);
-}
-
 void EntryRequests::onQuotaLoan(const std::string& sender, const QuotaLoan& loan, Instant now)
 {
     if (const auto ended = this->state.borrower.onAnswer(sender, loan, now))
         this->onLoanEnded(*ended, now);
-    this->sendLoanMessages(now);
+    this->sendLoanMessages();
 }
 
-void EntryRequests::sendLoanMessages(Instant now)
+void EntryRequests::sendLoanMessages()
 {
-    for (const GatheredShare& share : this->state.borrower.takeGathered())
-        this->state.quotas.addShare(share.workspace, share.lender, share.share, share.until, share.amount, now);
-    for (AddressedLoanRequest& further : this->state.borrower.takeFollowUps()) {
-        ++this->state.statistics.loanMessages;
+    for (AddressedLoanRequest& further : this->state.borrower.takeFollowUps())
         this->state.commands.emplace_back(SendEntryMessage { std::move(further.address), std::move(further.request) });
-    }
-    for (AddressedReturn& returned : this->state.borrower.takeSurplus()) {
-        double& amount = returned.quotaReturn.amount;
-        amount = this->state.quotas.keepSurplus(returned.quotaReturn.workspace, amount, now);
-        if (amount > 0)
-            this->state.commands.emplace_back(
-                SendEntryMessage { std::move(returned.address), std::move(returned.quotaReturn) });
-    }
+    for (AddressedReturn& returned : this->state.borrower.takeSurplus())
+        this->state.commands.emplace_back(
+            SendEntryMessage { std::move(returned.address), std::move(returned.quotaReturn) });
 }
 
 void EntryRequests::onLoanEnded(const EndedLoan& loan, Instant now)
@@ -367,33 +314,25 @@
     Request* request = this->find(loan.request);
     if (!request)
         return;
-    const double reserved = std::exchange(request->reservedQuota, 0);
-    if (!this->state.quotas.take(*request->workspace, request->quotaCost, now, loan.amount + reserved)) {
-        ++this->state.statistics.grantedLoans;
+    const auto shortage = this->state.quotas.take(*request->workspace, request->quotaCost, now, loan.amount);
+    if (!shortage) {
         request->quotaTaken = true;
-        this->state.borrower.onSufficientLoan(request->id);
+        this->state.borrower.onSufficientLoan(*request->workspace);
         this->admit(*request, now);
         return;
     }
-    ++this->state.statistics.failedLoans;
-    this->state.quotas.refund(*request->workspace, reserved);
+    this->state.borrower.onInsufficientLoan(*request->workspace, now);
     // Returned because the amount may suffice for another request of the workspace.
     for (const LoanContribution& contribution : loan.contributions)
         this->state.commands.emplace_back(
             SendEntryMessage { contribution.address, QuotaReturn { *request->workspace, contribution.amount } });
-    if (const auto shortage = this->state.quotas.take(*request->workspace, request->quotaCost, now)) {
-        this->waitForQuota(*request, *shortage, now);
-        return;
-    }
-    request->quotaTaken = true;
-    this->admit(*request, now);
+    this->refuseOverQuota(*request, *shortage, now);
 }
 
-void EntryRequests::refuseOverQuota(Request& request, const QuotaShortage& shortage, Duration wait, Instant now)
+void EntryRequests::refuseOverQuota(Request& request, const QuotaShortage& shortage, Instant now)
 {
-    if (request.quotaCost <= shortage.capacity)
-        ++this->state.statistics.rejectedWithinShare;
-    this->state.quotas.onRejected(*request.workspace, request.quotaCost, now);
+    // Peers lend quota, so any node can serve the retry once the quota of all nodes together has refilled enough.
+    const Duration wait = this->state.borrower.hasPeers() ? shortage.quotaWait : shortage.shareWait;
     this->refuse(request, RequestOutcome::OverQuota, tooManyRequests, "the workspace is over its quota",
         std::max(wait, minRetryAfter), now);
 }
@@ -1015,7 +954,7 @@
     if (!request)
         return;
     this->state.borrower.cancel(id);
-    this->sendLoanMessages(now);
+    this->sendLoanMessages();
     this->cancelAttempt(*request, now);
     this->end(*request, RequestOutcome::CallerLeft, 0, "the caller closed its connection", now);
     this->dispatchWaiting(now);
@@ -1055,9 +994,6 @@
     if (request.quotaTaken && request.runs == 0 && !request.streaming && !request.attempt
         && outcome != RequestOutcome::CallerLeft)
         this->state.quotas.refund(*request.workspace, request.quotaCost);
-    if (request.reservedQuota > 0)
-        this->state.quotas.refund(*request.workspace, request.reservedQuota);
-    this->state.borrower.onRequestEnded(request.id);
     std::vector<std::pair<std::string, std::string>> fields { { "request", request.caller.attemptId },
         { "outcome", std::string(outcomeName(outcome)) }, { "status", std::to_string(status) }, { "reason", reason },
         { "route", request.route ? request.route->name.value() : std::string() },
@@ -1095,7 +1031,7 @@
             this->refuse(
                 request, RequestOutcome::NoCapacity, serviceUnavailable, "this node stops", stoppingRetryAfter, now);
     }
-    this->sendLoanMessages(now);
+    this->sendLoanMessages();
 }
 
 void EntryRequests::onTick(Instant now)
@@ -1111,7 +1047,7 @@
         const bool wasSent = request.attempt.has_value() || request.runs > 0;
         this->cancelAttempt(request, now);
         this->state.borrower.cancel(request.id);
-        this->sendLoanMessages(now);
+        this->sendLoanMessages();
         if (request.streaming)
             this->endWithoutResponse(request, "the time limit passed", now);
         else if (wasSent)
@@ -1121,12 +1057,7 @@
     }
     for (const EndedLoan& loan : this->state.borrower.takeExpired(now))
         this->onLoanEnded(loan, now);
-    while (!this->quotaRetries.empty() && this->quotaRetries.begin()->first <= now) {
-        const RequestId id = this->quotaRetries.extract(this->quotaRetries.begin()).value().second;
-        if (Request* request = this->find(id))
-            this->takeQuota(*request, now);
-    }
-    this->sendLoanMessages(now);
+    this->sendLoanMessages();
     this->dispatchWaiting(now);
     for (const RequestId& id : this->waiting.expired(now)) {
         if (Request* request = this->find(id))
@@ -1143,8 +1074,6 @@
         next = std::min(next, this->deadlines.begin()->first);
     if (!this->waiting.empty())
         next = std::min({ next, this->waiting.nextExpiry(), this->lastWaitingDispatch + waitingPollPeriod });
-    if (!this->quotaRetries.empty())
-        next = std::min(next, this->quotaRetries.begin()->first);
     return next;
 }
 
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -34,8 +34,6 @@
     void onArrived(CallerRequestArrived arrived, Instant now);
     void onCallerGone(const RequestId& id, Instant now);
     void onQuotaLoan(const std::string& sender, const QuotaLoan& loan, Instant now);
-    /// @brief Records demand for a workspace's quota at this node or at a peer; see QuotaBorrower::onDemand().
-    void onQuotaDemand(const WorkspaceName& workspace, bool isShort, Instant now);
     void onStreamStarted(const UpstreamStreamStarted& event, Instant now);
     void onResponded(UpstreamResponded event, Instant now);
     void onFailed(const AttemptFailed& event, Instant now);
@@ -68,8 +66,6 @@
         double quotaCost = 0;
         /// True once quotaCost has been taken from the quota.
         bool quotaTaken = false;
-        /// Taken from this node's share while a loan is pending.
-        double reservedQuota = 0;
         ServiceName service;
         std::uint32_t priority = 0;
         RoutingRequest routing;
@@ -148,18 +144,12 @@
     void recordAccepted(const UpstreamId& upstream, Instant now);
     /// @brief Returns whether an upstream has just run a request of this node.
     bool hasAcceptedLately(const UpstreamId& upstream, Instant now) const;
-    /// @brief Returns the maximum level of an equal share of the workspace's quota; nothing without a quota.
-    std::optional<double> peerCapacity(const WorkspaceName& workspace) const;
-    /// @brief Takes the request's cost from its workspace's quota and dispatches it, or borrows what is missing.
-    void takeQuota(Request& request, Instant now);
-    /// @brief Requests the missing quota from peers; see waitForQuota() if there is no peer to ask.
+    /// @brief Requests the missing quota from peers, or refuses the request if there is no peer to ask.
     void borrowQuota(Request& request, const QuotaShortage& shortage, Instant now);
-    /// @brief Tries again once there should be enough quota, or refuses the request if that is too late for it.
-    void waitForQuota(Request& request, const QuotaShortage& shortage, Instant now);
     void onLoanEnded(const EndedLoan& loan, Instant now);
-    /// @brief Adds the shares that peers have lent, sends loan requests to further peers, and returns surplus loans.
-    void sendLoanMessages(Instant now);
-    void refuseOverQuota(Request& request, const QuotaShortage& shortage, Duration wait, Instant now);
+    /// @brief Sends loan requests to further peers, and returns surplus loans.
+    void sendLoanMessages();
+    void refuseOverQuota(Request& request, const QuotaShortage& shortage, Instant now);
     void fillRouting(Request& request);
     ServiceName selectService(const EntryRoute& route);
     /// @brief Returns what the admission of a request depends on; nothing for services that are not subject to it.
@@ -260,8 +250,6 @@
     std::set<std::pair<Instant, RequestId>> deadlines;
     /// When upstreams responded last to a request that they ran; recent ones only.
     std::map<UpstreamId, Instant> acceptedAt;
-    /// When requests that wait for quota try again.
-    std::set<std::pair<Instant, RequestId>> quotaRetries;
     /// Requests that arrived before the node was ready, and the time until which they may wait.
     std::vector<RequestId> earlyRequests;
     std::optional<Instant> earlyDeadline;
--- a/src/teaselshore/protocol/entry_conversions.cpp
+++ b/src/teaselshore/protocol/entry_conversions.cpp
@@ -9,8 +9,6 @@
     /// Longer times are no times of a process, and could not be subtracted from an Instant.
     constexpr Duration longestContact = std::chrono::hours(100'000);
 
-    /// A share lent for longer would be lost for longer with its borrower.
-    constexpr Duration longestShareTime = std::chrono::minutes(1);
     /// Longest time for which an upstream can be cold.
     constexpr Duration longestColdTime = std::chrono::minutes(10);
 
@@ -22,19 +20,12 @@
         result.set_loan(request.loan);
         result.set_workspace(request.workspace.value());
         result.set_amount(request.amount);
-        if (request.shareTime)
-            result.set_share_us(request.shareTime->count());
     }
 
     void fill(const QuotaLoan& loan, wire::Envelope& envelope)
     {
-        wire::QuotaLoan& result = *envelope.mutable_quota_loan();
-        result.set_loan(loan.loan);
-        result.set_amount(loan.amount);
-        if (loan.left)
-            result.set_left(*loan.left);
-        if (loan.share)
-            result.set_share(*loan.share);
+        envelope.mutable_quota_loan()->set_loan(loan.loan);
+        envelope.mutable_quota_loan()->set_amount(loan.amount);
     }
 
     void fill(const QuotaReturn& returned, wire::Envelope& envelope)
@@ -272,12 +263,7 @@
         const wire::QuotaLoanRequest& request = envelope.quota_loan_request();
         if (!isAmount(request.amount()))
             return std::nullopt;
-        QuotaLoanRequest result { request.loan(), WorkspaceName(request.workspace()), request.amount() };
-        if (request.has_share_us())
-            result.shareTime = Duration(request.share_us());
-        if (result.shareTime && (*result.shareTime < Duration::zero() || *result.shareTime > longestShareTime))
-            return std::nullopt;
-        return result;
+        return QuotaLoanRequest { request.loan(), WorkspaceName(request.workspace()), request.amount() };
     }
     if (envelope.has_crash_report())
         return fromWire(envelope.crash_report());
@@ -310,14 +296,9 @@
         return QuotaReturn { WorkspaceName(returned.workspace()), returned.amount() };
     }
     const wire::QuotaLoan& loan = envelope.quota_loan();
-    if (!isAmount(loan.amount()) || !isAmount(loan.left()) || !isAmount(loan.share()) || loan.share() > 1)
+    if (!isAmount(loan.amount()))
         return std::nullopt;
-    QuotaLoan result { loan.loan(), loan.amount() };
-    if (loan.has_left())
-        result.left = loan.left();
-    if (loan.has_share())
-        result.share = loan.share();
-    return result;
+    return QuotaLoan { loan.loan(), loan.amount() };
 }
 
 } // namespace teaselshore
