--- a/src/teaselshore/entry/cold_upstreams_test.cpp
+++ b/src/teaselshore/entry/cold_upstreams_test.cpp
@@ -458,6 +458,26 @@
         EXPECT_EQ(service.nodesThatKnow(), 0u) << "the last statement counts";
     }
 
+    // Guards against more requests of all nodes together than an upstream bears that answers again, cold, before its
+    // entry says so: also of nodes that have not noticed that it did not answer.
+    TEST(ColdUpstreams, AnswerAfterBrokenConnectionsKeepsTheBoundForAllNodes)
+    {
+        for (const std::size_t nodes : { 9U, 90U }) {
+            ColdService service(nodes);
+            service.run(1s);
+            for (int number = 1; number <= 4; ++number)
+                service.dark.insert(ColdService::id(number));
+            service.run(4s);
+            service.arrivals.clear();
+            service.dark.clear();
+            service.run(4s);
+            for (int number = 1; number <= 4; ++number) {
+                const auto& arrived = service.arrivals[ColdService::id(number)];
+                EXPECT_LE(static_cast<double>(mostWithinSecond(arrived)), boundFor(coldRate)) << nodes;
+            }
+        }
+    }
+
     // Guards against the requests of all nodes at an upstream that answers again before its entry says that it is cold,
     // as far as they have noticed that it did not, and against upstreams that stay limited although their entry says
     // that they are warm.
