Share the load of model engines between nodes

Cause: in a fleet of 69 nodes, a node hears from an engine about every 6 s, while a request holds its slot for 0.1 to 2 s.

Ruled out: fixed subsets of engines per node.

Change: a new message LoadDigest with the youngest reports that a node knows, every 200 ms to two peers, in fleets of 16 nodes or more. The router keeps a peer's report beside its own, subtracts the requests that this node had outstanding at that time, and lets it fade within two seconds; it never makes an upstream unavailable. Where peers know the same report, the choice is drawn among the best three. The slowness fades to the mean of the pool. New metrics: age of the report behind a choice, and predicted against measured time to the first event. Digests are not logged.

AvoidsUpstreamsThatReportThatTheyAreSlow answered without any time passing, which gave an upstream an unbounded rate; it now takes 10 ms per request.

--- a/include/teaselshore/entry/entry_message.hpp
+++ b/include/teaselshore/entry/entry_message.hpp
@@ -104,6 +104,39 @@
     auto operator<=>(const BrittlenessReport&) const = default;
 };
 
+/// @brief Load of upstreams of model engine services, as the sender knows it from responses and from peers.
+struct LoadDigest {
+    struct Entry {
+        /// key() of the upstream.
+        std::uint32_t upstream = 0;
+        std::uint32_t running = 0;
+        std::uint32_t waiting = 0;
+        /// Time that work takes in percent of the usual time; 0 if the upstream does not say.
+        std::uint32_t slowness = 0;
+        /// Prompt tokens that the sender has sent there and whose responses have not begun.
+        std::uint32_t promptTokens = 0;
+        /// Token equivalents per second that the upstream processes before the first byte, in hundreds, as the sender
+        /// or a peer has measured it; 0 if unknown.
+        std::uint32_t rate = 0;
+        /// Time since the upstream reported its load.
+        Duration age {};
+
+        auto operator<=>(const Entry&) const = default;
+    };
+    static constexpr std::uint32_t currentVersion = 1;
+
+    /// @brief Returns the short form of an upstream's id; ids would take most of a message.
+    static std::uint32_t key(const UpstreamId& upstream);
+
+    std::uint32_t version = currentVersion;
+    /// Whether the sender itself hears from the upstreams too seldom.
+    bool isWanted = false;
+    /// Youngest first.
+    std::vector<Entry> entries;
+
+    auto operator<=>(const LoadDigest&) const = default;
+};
+
 /// @brief Asks since when the platform answers the receiver.
 struct PlatformContactRequest {
     auto operator<=>(const PlatformContactRequest&) const = default;
@@ -123,6 +156,6 @@
 /// @brief Messages between the nodes of `teaselshore-entry`.
 using EntryMessage = std::variant<QuotaLoanRequest, QuotaLoan, QuotaReturn, RelayedReport, CrashReport, RolloutDecision,
     NewerConfigurationRequest, ConfigurationCopy, RefusalReport, LimitReport, BrittlenessReport, PlatformContactRequest,
-    PlatformContact>;
+    PlatformContact, LoadDigest>;
 
 } // namespace teaselshore
--- a/include/teaselshore/entry/entry_statistics.hpp
+++ b/include/teaselshore/entry/entry_statistics.hpp
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string_view>
 
+#include "teaselshore/base/time.hpp"
+
 namespace teaselshore {
 
 /// @brief How a caller's request ended.
@@ -65,6 +67,17 @@
     std::uint64_t requestsOfPeers = 0;
     /// Whether this node has lost its links to all upstreams.
     bool linksLost = false;
+    std::uint64_t sentLoadDigests = 0;
+    std::uint64_t receivedLoadDigests = 0;
+    /// Choices of upstreams whose load had been reported, and the sum of the ages of these reports.
+    std::uint64_t informedChoices = 0;
+    Duration loadAges {};
+    /// Streams that have begun, and the sums of their times to the first event as predicted and as measured, and of the
+    /// differences.
+    std::uint64_t predictedStreams = 0;
+    Duration predictedFirstEvents {};
+    Duration actualFirstEvents {};
+    Duration predictionErrors {};
     std::uint64_t configurationVersion = 0;
     std::uint64_t liveNodes = 0;
     bool holdsLease = false;
--- a/include/teaselshore/routing/load_estimate.hpp
+++ b/include/teaselshore/routing/load_estimate.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <optional>
 
@@ -20,6 +21,8 @@
     /// Time that work takes at the moment of the measurement, relative to the usual time; 0 if the upstream does not
     /// say.
     float slowness = 0;
+    /// LoadRates::prefillPerSecond as a peer has measured it; 0 if it has not.
+    float prefillPerSecond = 0;
 
     auto operator<=>(const LoadReport&) const = default;
 };
@@ -58,6 +61,8 @@
     float holdSeconds = 1;
     /// Mean work before the first byte of a request, in token equivalents.
     float workPerRequest = 50;
+    /// Mean slowness that the upstreams of a pool report.
+    float slowness = 1;
 
     auto operator<=>(const LoadRates&) const = default;
 };
@@ -81,20 +86,37 @@
 /// that of the pool, so that an upstream that was slow is tried again. Not thread-safe.
 class LoadEstimate {
 public:
-    void onDispatched(const WorkSize& work);
+    void onDispatched(const WorkSize& work, Instant now);
 
     /// @brief Records the first byte of a response; workAhead is the result of workAhead() at its dispatch.
     void onFirstToken(const WorkSize& work, double workAhead, Duration elapsed, const UpstreamCapacity& capacity,
         LoadRates& pool, Instant now);
 
     /// @brief Records the end of a request; firstTokenSeen tells whether onFirstToken() was called for it.
-    void onFinished(const WorkSize& work, bool firstTokenSeen);
+    void onFinished(const WorkSize& work, bool firstTokenSeen, Instant now);
 
     /// @brief Records the measured times of a completed request.
     void onCompleted(
         std::uint32_t outputTokens, Duration sinceFirstToken, Duration total, LoadRates& pool, Instant now);
 
-    void onReport(const LoadReport& report, Instant now);
+    void onReport(const LoadReport& report, LoadRates& pool, Instant now);
+
+    /// @brief Records a report that a peer received. It contains the requests that this node had outstanding when it
+    /// was made. Its effect fades within two seconds, after which only the reports to this node count.
+    void onPeerReport(const LoadReport& report, LoadRates& pool, Instant now);
+
+    /// @brief Sets the work before the first byte that some peers have outstanding at the upstream; fades within a
+    /// second.
+    void onPeerWork(double work, Instant now);
+
+    /// @brief Returns whether the youngest report came from a peer, so that other nodes know it too.
+    bool isSharedReport(Instant now) const;
+
+    /// @brief Returns the age of the youngest report; nothing if there is none.
+    std::optional<Duration> reportAge(Instant now) const;
+
+    /// @brief Returns the work of this node before the first byte, in token equivalents.
+    double ownWork() const { return this->ownPrefillWork; }
 
     /// @brief Returns the number of requests that this node has outstanding at the upstream.
     std::uint32_t ownOutstanding() const { return this->outstanding; }
@@ -102,9 +124,16 @@
     /// @brief Returns the estimated number of requests that other nodes have outstanding at the upstream.
     double othersOutstanding(Instant now) const;
 
-    /// @brief Returns the time that work takes now relative to the usual time, as far as a young report says so;
-    /// else 1.
-    double slowness(Instant now) const;
+    /// @brief Returns that number as far as it may make the upstream unavailable: a statement of a peer can lower it
+    /// but not raise it.
+    double certainOthersOutstanding(Instant now) const;
+
+    /// @brief Returns the time that work takes now relative to the usual time: as a young report says, or else the mean
+    /// of the pool, so that an upstream of which nothing is known is not preferred to one that is as fast as usual.
+    double slowness(const LoadRates& pool, Instant now) const;
+
+    /// @brief Returns the rate before the first byte as this node or a peer has measured it; 0 if neither has.
+    double prefillRate(const LoadRates& pool, Instant now) const;
 
     /// @brief Returns the work that precedes the first byte of a new request, in token equivalents.
     double workAhead(Instant now) const;
@@ -114,6 +143,21 @@
         const WorkSize& work, const UpstreamCapacity& capacity, const LoadRates& pool, Instant now) const;
 
 private:
+    /// Number of own outstanding requests from a point in time on.
+    struct OwnChange {
+        Instant at = Instant::min();
+        std::uint32_t outstanding = 0;
+    };
+    static constexpr std::size_t maximumOwnChanges = 6;
+
+    void recordOwnChange(Instant now);
+    std::uint32_t ownOutstandingAt(Instant at) const;
+    void setSlowness(float slowness, LoadRates& pool, Instant at);
+    double poolPrefillRate(const LoadRates& pool, Instant now) const;
+    double reportedOthersOutstanding(Instant now) const;
+    /// @brief Returns the weight of the report of a peer, in [0, 1]; 0 if a report to this node is younger.
+    double peerWeight(Instant now) const;
+    double othersQueuedWork(double workPerRequest, Instant now) const;
     double blendWithPool(double measuredRate, double poolRate, Instant now) const;
 
     std::uint32_t outstanding = 0;
@@ -129,6 +173,16 @@
     std::uint32_t reportedSlots = 0;
     float reportedSlowness = 1;
     Instant slownessReportedAt = Instant::min();
+    float peerReportedOthers = 0;
+    float peerQueuedFraction = 0;
+    Instant peerReportedAt = Instant::min();
+    float peerRate = 0;
+    Instant peerRateAt = Instant::min();
+    float peerWork = 0;
+    Instant peerWorkAt = Instant::min();
+    /// The last changes, in a ring.
+    std::array<OwnChange, maximumOwnChanges> ownChanges;
+    std::uint32_t nextOwnChange = 0;
 };
 
 } // namespace teaselshore
--- a/include/teaselshore/routing/router.hpp
+++ b/include/teaselshore/routing/router.hpp
@@ -132,6 +132,10 @@
     void onConfiguration(const Configuration& configuration, Instant now);
 
     void onLoadReport(const LoadReport& report, Instant now);
+    /// @brief Applies a load report that an upstream made to a peer.
+    void onPeerLoadReport(const LoadReport& report, Instant now);
+    /// @brief Sets the work that some peers have outstanding at an upstream, in token equivalents.
+    void onPeerWork(const UpstreamId& upstream, double work, Instant now);
     void onCacheEvent(const CacheEvent& event, Instant now);
     /// @brief Adds how many requests of another node an upstream accepted and refused.
     void onPeerResults(const UpstreamId& upstream, std::uint32_t accepted, std::uint32_t refused, Instant now);
@@ -188,6 +192,17 @@
     /// @brief Returns the measured mean time that a request occupies an upstream of the service.
     Duration meanHoldTime(const ServiceName& service) const;
 
+    /// @brief Returns the age of the youngest load report of an upstream; nothing if there is none.
+    std::optional<Duration> loadAge(const UpstreamId& upstream, Instant now) const;
+    /// @brief Returns the work before the first byte that this node has outstanding at an upstream, in token
+    /// equivalents.
+    std::uint32_t outstandingWork(const UpstreamId& upstream) const;
+    /// @brief Returns the rate at which an upstream processes the work before the first byte, in token equivalents per
+    /// second, as this node or a peer has measured it; 0 if neither has.
+    double measuredRate(const UpstreamId& upstream, Instant now) const;
+    /// @brief Returns the estimated number of requests that other nodes have outstanding at an upstream.
+    double othersOutstanding(const UpstreamId& upstream, Instant now) const;
+
     std::optional<UpstreamStatus> status(const UpstreamId& upstream, Instant now) const;
     std::vector<UpstreamStatus> statuses(Instant now) const;
 
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -61,6 +61,21 @@
         "teaselshore_slow_callers_total", "Callers disconnected for reading too slowly.", relay.slowCallers);
     this->setCounter("teaselshore_endless_responses_total",
         "Responses given up since they, or one of their events, had no end.", relay.endlessResponses);
+    this->setCounter("teaselshore_load_digests_sent_total", "Load digests sent to peers.", statistics.sentLoadDigests);
+    this->setCounter(
+        "teaselshore_load_digests_received_total", "Load digests received from peers.", statistics.receivedLoadDigests);
+    this->setCounter("teaselshore_informed_choices_total", "Choices of upstreams that had reported their load.",
+        statistics.informedChoices);
+    this->setGauge("teaselshore_load_age_seconds_sum", "Sum of the ages of the load reports at these choices.",
+        toSeconds(statistics.loadAges));
+    this->setCounter("teaselshore_predicted_streams_total", "Streams whose time to the first event was predicted.",
+        statistics.predictedStreams);
+    this->setGauge("teaselshore_predicted_first_event_seconds_sum", "Sum of the predicted times to the first event.",
+        toSeconds(statistics.predictedFirstEvents));
+    this->setGauge("teaselshore_actual_first_event_seconds_sum", "Sum of the measured times to the first event.",
+        toSeconds(statistics.actualFirstEvents));
+    this->setGauge("teaselshore_first_event_prediction_error_seconds_sum",
+        "Sum of the absolute differences between these times.", toSeconds(statistics.predictionErrors));
     this->setGauge("teaselshore_open_requests", "Requests without a complete response.",
         static_cast<double>(statistics.openRequests));
     this->setGauge("teaselshore_waiting_requests", "Requests that wait for an upstream.",
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -726,7 +726,10 @@
 
 void EntryTask::Impl::execute(SendEntryMessage& command)
 {
-    if (this->peers && !this->peers->send(command.address, command.message))
+    if (!this->peers || this->peers->send(command.address, command.message))
+        return;
+    // Several digests are sent per second, and a later one replaces it.
+    if (!std::holds_alternative<LoadDigest>(command.message))
         logLine(LogLevel::Warning, "message to a peer not queued", { { "address", command.address } });
 }
 
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -11,6 +11,7 @@
 #include "entry_requests.hpp"
 #include "entry_state.hpp"
 #include "limit_exchange.hpp"
+#include "load_digest_exchange.hpp"
 #include "platform_contacts.hpp"
 #include "refusal_exchange.hpp"
 #include "upstream_routing.hpp"
@@ -45,8 +46,9 @@
         , refusals(state)
         , limits(state)
         , brittle(state)
+        , digest(state)
         , duties(state, crashes, limits)
-        , requests(state, duties.rollouts(), crashes, refusals, limits, brittle)
+        , requests(state, duties.rollouts(), crashes, refusals, limits, brittle, digest)
     {
     }
 
@@ -92,6 +94,10 @@
     {
         this->brittle.onReport(senderAddress, report, now);
     }
+    void receive(const std::string& senderAddress, const LoadDigest& digest, Instant now)
+    {
+        this->digest.onDigest(senderAddress, digest, now);
+    }
     void receive(const std::string& senderAddress, const NewerConfigurationRequest& request, Instant)
     {
         this->configurations.onRequest(senderAddress, request);
@@ -133,6 +139,7 @@
     RefusalExchange refusals;
     LimitExchange limits;
     BrittleExchange brittle;
+    LoadDigestExchange digest;
     EntryDuties duties;
     EntryRequests requests;
     bool ready = false;
@@ -333,6 +340,7 @@
     this->state.instances = usableInstances(upstreams);
     this->state.router.onConfiguration(
         routingConfiguration(this->state.table->configuration(), upstreams, this->state.settings.host), now);
+    this->digest.onUpstreams();
     EntryRollouts& rollouts = this->duties.rollouts();
     rollouts.onUpstreams(now);
     this->crashes.onUpstreams(now);
@@ -399,6 +407,7 @@
     this->refusals.onTick(now);
     this->limits.onTick(now);
     this->brittle.onTick(now);
+    this->digest.onTick(now);
     this->state.exclusions.onTick(now);
     const bool sharesChanged = this->duties.onTick(now);
     if (this->state.directory.onTick(now) || sharesChanged)
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -86,13 +86,14 @@
 } // namespace
 
 EntryRequests::EntryRequests(EntryState& state, EntryRollouts& rollouts, CrashDetector& crashes,
-    RefusalExchange& refusals, LimitExchange& limits, BrittleExchange& brittle)
+    RefusalExchange& refusals, LimitExchange& limits, BrittleExchange& brittle, LoadDigestExchange& digest)
     : state(state)
     , rollouts(rollouts)
     , crashes(crashes)
     , refusals(refusals)
     , limits(limits)
     , brittle(brittle)
+    , digest(digest)
 {
 }
 
@@ -374,6 +375,8 @@
 
     const AttemptId id = ++this->lastAttempt;
     Attempt attempt { request.id, decision->chosen.upstream, {}, request.service, request.route->name, now, {} };
+    this->countInformedChoice(attempt.upstream, now);
+    attempt.predictedFirstEvent = decision->chosen.predictedFirstToken;
     attempt.dispatch = this->state.router.onDispatched(request.routing, *decision, now);
     const std::uint32_t prompt = request.routing.promptTokens;
     this->state.demand.onSent(request.service, prompt - std::min(prompt, decision->chosen.cachedTokens));
@@ -538,9 +541,30 @@
         this->state.router.onLoadReport({ upstream, facts.load->waiting, facts.load->running, Duration::zero(),
                                             facts.load->slots, static_cast<float>(facts.load->slowness) / 100 },
             now);
+        this->digest.onLoad(upstream, *facts.load, now);
     }
 }
 
+void EntryRequests::countInformedChoice(const UpstreamId& upstream, Instant now)
+{
+    const std::optional<Duration> age = this->state.router.loadAge(upstream, now);
+    if (!age)
+        return;
+    ++this->state.statistics.informedChoices;
+    this->state.statistics.loadAges += *age;
+}
+
+void EntryRequests::countPrediction(const Attempt& attempt)
+{
+    EntryStatistics& statistics = this->state.statistics;
+    const Duration actual = *attempt.firstEventAfter;
+    const Duration predicted = attempt.predictedFirstEvent;
+    ++statistics.predictedStreams;
+    statistics.predictedFirstEvents += predicted;
+    statistics.actualFirstEvents += actual;
+    statistics.predictionErrors += std::max(predicted, actual) - std::min(predicted, actual);
+}
+
 void EntryRequests::recordVersionEvidence(const Attempt& attempt, AttemptEnd end, Instant now)
 {
     this->rollouts.onAttempt({ attempt.service, attempt.upstream, attempt.route, end,
@@ -582,6 +606,7 @@
     if (found == this->attempts.end())
         return;
     found->second.firstEventAfter = now - found->second.startedAt;
+    this->countPrediction(found->second);
     this->state.links.onAnswered(event.attempt, now);
     // First, since the measured rate is corrected by the slowness that the response states.
     this->applyFacts(found->second.upstream, event.facts, now);
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -14,6 +14,7 @@
 #include "entry_rollouts.hpp"
 #include "entry_state.hpp"
 #include "limit_exchange.hpp"
+#include "load_digest_exchange.hpp"
 #include "refusal_exchange.hpp"
 
 namespace teaselshore {
@@ -25,7 +26,7 @@
 class EntryRequests {
 public:
     EntryRequests(EntryState& state, EntryRollouts& rollouts, CrashDetector& crashes, RefusalExchange& refusals,
-        LimitExchange& limits, BrittleExchange& brittle);
+        LimitExchange& limits, BrittleExchange& brittle, LoadDigestExchange& digest);
 
     void onArrived(CallerRequestArrived arrived, Instant now);
     void onCallerGone(const RequestId& id, Instant now);
@@ -103,6 +104,7 @@
         std::optional<Duration> firstEventAfter;
         /// True once the run has shown that the request does not crash its upstream.
         bool hasSurvived = false;
+        Duration predictedFirstEvent {};
     };
 
     /// An attempt at a peer.
@@ -172,6 +174,10 @@
     std::optional<Attempt> takeAttempt(AttemptId id);
     /// @brief Applies what a response says about the state and load of its upstream.
     void applyFacts(const UpstreamId& upstream, const ResponseFacts& facts, Instant now);
+    /// @brief Counts the age of the load report behind a choice, and how well the time to the first event was
+    /// predicted.
+    void countInformedChoice(const UpstreamId& upstream, Instant now);
+    void countPrediction(const Attempt& attempt);
     /// @brief Returns the upstreams that asked for a pause, and those of the request's service that get no request from
     /// this node now because of their limit or because they are brittle.
     std::vector<UpstreamId> unavailableUpstreams(Request& request, Instant now);
@@ -203,6 +209,7 @@
     RefusalExchange& refusals;
     LimitExchange& limits;
     BrittleExchange& brittle;
+    LoadDigestExchange& digest;
     std::unordered_map<RequestId, Request> requests;
     std::unordered_map<AttemptId, Attempt> attempts;
     std::unordered_map<AttemptId, RelayedAttempt> relayedAttempts;
--- a/src/teaselshore/entry/entry_requests_test.cpp
+++ b/src/teaselshore/entry/entry_requests_test.cpp
@@ -62,6 +62,30 @@
         EXPECT_TRUE(harness.first<ForwardRequest>());
     }
 
+    // Guards against a reported slowness that does not reach the choice of an upstream.
+    TEST(EntryRequests, AvoidsUpstreamsThatReportThatTheyAreSlow)
+    {
+        EntryHarness harness;
+        harness.start(2, 16);
+        std::map<UpstreamId, int> sent;
+        for (int round = 0; round < 40; ++round) {
+            harness.request("status");
+            const auto forward = harness.first<ForwardRequest>();
+            ASSERT_TRUE(forward);
+            ++sent[forward->attempt.upstream];
+            harness.advance(10ms);
+            UpstreamResponded event;
+            event.response.attempt = forward->attempt.attempt;
+            event.response.status = 200;
+            event.facts.isStamped = true;
+            const bool isSlow = forward->attempt.upstream == EntryHarness::upstream(1).id();
+            event.facts.load = ResponseFacts::Load { 0, 0, 16, isSlow ? 400U : 100U };
+            harness.send(std::move(event));
+            harness.advance(10ms);
+        }
+        EXPECT_GT(sent[EntryHarness::upstream(2).id()], 30);
+    }
+
     // Guards against replacing the configuration by an older version.
     TEST(EntryRequests, IgnoresOlderConfiguration)
     {
--- a/src/teaselshore/protocol/codec.cpp
+++ b/src/teaselshore/protocol/codec.cpp
@@ -34,6 +34,7 @@
         case wire::Envelope::kBrittlenessReport:
         case wire::Envelope::kPlatformContactRequest:
         case wire::Envelope::kPlatformContact:
+        case wire::Envelope::kLoadDigest:
             return entryFromWire(envelope);
         case wire::Envelope::MESSAGE_NOT_SET:
             error = ProtocolError::UnknownMessage;
--- a/src/teaselshore/protocol/codec_test.cpp
+++ b/src/teaselshore/protocol/codec_test.cpp
@@ -167,6 +167,9 @@
                 BrittlenessReport { { { ServiceName(fields.text()), 2.5, std::chrono::seconds(fields.smallNumber()) },
                                         { ServiceName(fields.text()), std::nullopt, Duration::zero() } },
                     { { UpstreamId(fields.text()), 3, std::nullopt }, { UpstreamId(fields.text()), 0, 7 } } }),
+            EntryMessage(LoadDigest { 1, fields.flag(),
+                { { 1, 2, 3, 4, 5, 6, std::chrono::milliseconds(fields.smallNumber()) },
+                    { 0xffffffff, 9, 8, 7, 0xffffffff, 10, Duration::zero() } } }),
             EntryMessage(ConfigurationCopy { fields.number(), fields.text() }),
             EntryMessage(PlatformContactRequest {}),
             EntryMessage(PlatformContact { std::chrono::seconds(7), std::chrono::milliseconds(3),
@@ -221,6 +224,29 @@
         }
     }
 
+    // Guards against digests that take more than 4 KB per second at ten messages per second, and against ones with
+    // columns of different length that assign a load to another upstream.
+    TEST(Codec, LoadDigestsAreSmallAndConsistent)
+    {
+        LoadDigest digest;
+        for (std::uint32_t i = 0; i < 18; ++i)
+            digest.entries.push_back({ 0xfffffff0 + i, 16, 40, 250, 80'000, 1'000, std::chrono::milliseconds(999) });
+        const std::string bytes = encode(
+            { NodeId("ingress-budavar-c-29-1"), "10.120.130.140:7000", "cluster-budavar", EntryMessage(digest) });
+        EXPECT_LE(bytes.size(), 100 + 16 * digest.entries.size());
+        ProtocolError error {};
+        EXPECT_TRUE(decode(bytes, error));
+        // Parts of the same message are merged: one more number of running requests than upstreams, a later version
+        // with a field that this one does not know, and a message that it does not know, as a digest is to the last
+        // release.
+        const std::string digestTag = "\xc2\x04";
+        EXPECT_FALSE(decode(bytes + digestTag + "\x03\x1a\x01\x01", error));
+        EXPECT_TRUE(decode(bytes + digestTag + "\x05\x08\x02\x98\x06\x07", error));
+        const std::string unknown { '\x08', static_cast<char>(protocolVersion), '\xba', '\x3e', '\x01', 'x' };
+        EXPECT_FALSE(decode(unknown, error));
+        EXPECT_EQ(error, ProtocolError::UnknownMessage);
+    }
+
     // Guards against messages of another protocol version, of an unknown type or with a value from a later version
     // being taken for something else.
     TEST(Codec, RefusesUnknownVersionTypeAndValue)
--- a/src/teaselshore/protocol/entry_conversions.cpp
+++ b/src/teaselshore/protocol/entry_conversions.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <chrono>
 #include <cmath>
 
 #include "wire_conversions.hpp"
@@ -8,6 +10,8 @@
 
     /// Longer times are no times of a process, and could not be subtracted from an Instant.
     constexpr Duration longestContact = std::chrono::hours(100'000);
+    /// Entries that are read of a load digest. Nodes send 20.
+    constexpr int maximumDigestEntries = 256;
 
     bool isAmount(double amount) { return std::isfinite(amount) && amount >= 0; }
 
@@ -122,6 +126,23 @@
             result.set_since_earlier_answer(contact.sinceEarlierAnswer->count());
     }
 
+    void fill(const LoadDigest& digest, wire::Envelope& envelope)
+    {
+        wire::LoadDigest& result = *envelope.mutable_load_digest();
+        result.set_version(digest.version);
+        result.set_wanted(digest.isWanted);
+        for (const LoadDigest::Entry& entry : digest.entries) {
+            result.add_upstreams(entry.upstream);
+            result.add_running(entry.running);
+            result.add_waiting(entry.waiting);
+            result.add_slowness(entry.slowness);
+            result.add_prompt_tokens(entry.promptTokens);
+            result.add_rates(entry.rate);
+            const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(entry.age).count();
+            result.add_age_milliseconds(static_cast<std::uint32_t>(age));
+        }
+    }
+
     std::optional<RolloutDecision> fromWire(const wire::RolloutDecision& decision)
     {
         if (!wire::RolloutState_IsValid(decision.state()) || !(decision.share() >= 0 && decision.share() <= 1))
@@ -179,6 +200,22 @@
         return result;
     }
 
+    std::optional<LoadDigest> fromWire(const wire::LoadDigest& digest)
+    {
+        const int count = digest.upstreams_size();
+        if (digest.version() == 0 || digest.running_size() != count || digest.waiting_size() != count
+            || digest.slowness_size() != count || digest.prompt_tokens_size() != count
+            || digest.age_milliseconds_size() != count)
+            return std::nullopt;
+        LoadDigest result { digest.version(), digest.wanted(), {} };
+        for (int i = 0; i < std::min(count, maximumDigestEntries); ++i) {
+            result.entries.push_back({ digest.upstreams(i), digest.running(i), digest.waiting(i), digest.slowness(i),
+                digest.prompt_tokens(i), i < digest.rates_size() ? digest.rates(i) : 0,
+                std::chrono::milliseconds(digest.age_milliseconds(i)) });
+        }
+        return result;
+    }
+
     std::optional<PlatformContact> fromWire(const wire::PlatformContact& contact)
     {
         const Duration first(contact.since_first_answer());
@@ -226,6 +263,8 @@
         return PlatformContactRequest {};
     if (envelope.has_platform_contact())
         return fromWire(envelope.platform_contact());
+    if (envelope.has_load_digest())
+        return fromWire(envelope.load_digest());
     if (envelope.has_relayed_report())
         return RelayedReport { envelope.relayed_report().report() };
     if (envelope.has_quota_return()) {
--- a/src/teaselshore/routing/queueing_fake.hpp
+++ b/src/teaselshore/routing/queueing_fake.hpp
@@ -90,6 +90,8 @@
     }
 
     std::size_t queued() const { return this->waiting.size(); }
+    /// @brief Returns the time until the prompts that run now have been read.
+    Duration pendingPrefill() const { return std::max(Duration::zero(), this->prefillFreeAt - this->events.now()); }
 
     /// Factor applied to all processing times.
     double slowdownFactor = 1;
--- a/src/teaselshore/routing/router.cpp
+++ b/src/teaselshore/routing/router.cpp
@@ -117,12 +117,59 @@
 void Router::onLoadReport(const LoadReport& report, Instant now)
 {
     this->impl->changeUpstream(report.upstream, now, [&](UpstreamDetails& detail, std::uint32_t index) {
-        this->impl->table.upstreams[index].load.onReport(report, now);
+        Upstream& entry = this->impl->table.upstreams[index];
+        Pool& pool = this->impl->table.pools[entry.pool];
+        entry.load.onReport(report, pool.rates, now);
+        pool.recordReport(index);
         if (now - report.lag > detail.deadSince)
             detail.dead = false;
     });
 }
 
+void Router::onPeerLoadReport(const LoadReport& report, Instant now)
+{
+    this->impl->changeUpstream(report.upstream, now, [&](const UpstreamDetails&, std::uint32_t index) {
+        Upstream& entry = this->impl->table.upstreams[index];
+        Pool& pool = this->impl->table.pools[entry.pool];
+        entry.load.onPeerReport(report, pool.rates, now);
+        pool.recordReport(index);
+        pool.peerReportedAt = now;
+    });
+}
+
+void Router::onPeerWork(const UpstreamId& upstream, double work, Instant now)
+{
+    if (const std::optional<std::uint32_t> index = this->impl->table.find(upstream))
+        this->impl->table.upstreams[*index].load.onPeerWork(work, now);
+}
+
+std::optional<Duration> Router::loadAge(const UpstreamId& upstream, Instant now) const
+{
+    const std::optional<std::uint32_t> index = this->impl->table.find(upstream);
+    return index ? this->impl->table.upstreams[*index].load.reportAge(now) : std::nullopt;
+}
+
+std::uint32_t Router::outstandingWork(const UpstreamId& upstream) const
+{
+    const std::optional<std::uint32_t> index = this->impl->table.find(upstream);
+    return index ? static_cast<std::uint32_t>(this->impl->table.upstreams[*index].load.ownWork()) : 0;
+}
+
+double Router::measuredRate(const UpstreamId& upstream, Instant now) const
+{
+    const std::optional<std::uint32_t> index = this->impl->table.find(upstream);
+    if (!index)
+        return 0;
+    const Upstream& entry = this->impl->table.upstreams[*index];
+    return entry.load.prefillRate(this->impl->table.pools[entry.pool].rates, now);
+}
+
+double Router::othersOutstanding(const UpstreamId& upstream, Instant now) const
+{
+    const std::optional<std::uint32_t> index = this->impl->table.find(upstream);
+    return index ? this->impl->table.upstreams[*index].load.othersOutstanding(now) : 0;
+}
+
 void Router::onPeerResults(const UpstreamId& upstream, std::uint32_t accepted, std::uint32_t refused, Instant now)
 {
     this->impl->changeUpstream(upstream, now, [&](const UpstreamDetails&, std::uint32_t index) {
@@ -230,7 +277,7 @@
     dispatch.alone = request.alone;
 
     detail.reservedForIsolatedRetry = detail.reservedForIsolatedRetry || request.alone;
-    upstream.load.onDispatched(dispatch.work);
+    upstream.load.onDispatched(dispatch.work, now);
     table.pools[upstream.pool].outstanding++;
     this->impl->prefixIndex.onDispatched(*index, request.prefixBlocks);
     table.updateEligibility(*index, now);
@@ -272,7 +319,7 @@
     this->impl->dispatches.erase(id.value);
     UpstreamTable& table = this->impl->table;
     Upstream& upstream = table.upstreams[dispatch.upstream];
-    upstream.load.onFinished(dispatch.work, dispatch.firstTokenAt.has_value());
+    upstream.load.onFinished(dispatch.work, dispatch.firstTokenAt.has_value(), now);
     std::uint32_t& outstanding = table.pools[upstream.pool].outstanding;
     outstanding -= std::min(outstanding, 1U);
     if (dispatch.alone)
--- a/src/teaselshore/routing/upstream_chooser.cpp
+++ b/src/teaselshore/routing/upstream_chooser.cpp
@@ -13,6 +13,9 @@
     constexpr std::size_t idleSampleSize = 2;
     constexpr std::size_t remoteSampleSize = 2;
     constexpr std::size_t cheapestSampleSize = 3;
+    /// Upstreams whose load has been reported lately; in a fleet of 300, other samples contain few of them.
+    constexpr std::size_t recentSampleSize = 4;
+    constexpr Duration peerReportLifetime = std::chrono::seconds(2);
     constexpr std::size_t isolatedSampleSize = 32;
     constexpr std::size_t fallbackSampleSize = 64;
 
@@ -25,6 +28,10 @@
     constexpr double expectedPrefixReuses = 2;
     /// Utilisation above which batch requests delay interactive requests.
     constexpr double interferenceThreshold = 0.6;
+    /// Difference of scores, in seconds or as a fraction of the time to the first byte, at which a candidate is chosen
+    /// a quarter as often as the best one, where peers know the same reports and would otherwise all choose the best.
+    constexpr double spreadSeconds = 0.005;
+    constexpr double spreadFraction = 0.25;
     constexpr double bytesPerPromptToken = 4;
     constexpr double bytesPerOutputToken = 200;
     constexpr double bytesPerGigabyte = 1e9;
@@ -184,6 +191,9 @@
     this->addNearestSample(poolIndex, pool.byZone, nearestSampleSize);
     this->addNearestSample(poolIndex, pool.idleByZone, idleSampleSize);
     this->addSample(poolIndex, pool.eligible, remoteSampleSize);
+    // Without reports of peers, the upstreams of the last reports are those of this node's last requests.
+    if (pool.peerReportedAt != Instant::min() && this->now - pool.peerReportedAt < peerReportLifetime)
+        this->addSample(poolIndex, pool.recentReports, recentSampleSize);
     if (this->candidateCount > 0)
         return;
 
@@ -352,7 +362,30 @@
     return scored;
 }
 
-std::optional<RoutingDecision> UpstreamChooser::bestDecision(const RoutingRequest& request) const
+void UpstreamChooser::spreadChoice(std::span<ScoredCandidate> kept)
+{
+    const ScoredCandidate& best = kept.front();
+    if (!this->table.upstreams[best.candidate.index].load.isSharedReport(this->now))
+        return;
+    const double scale = std::max(spreadSeconds, spreadFraction * best.firstTokenSeconds);
+    std::array<double, maximumReportedCandidates> weights {};
+    double sum = 0;
+    for (std::size_t i = 0; i < kept.size(); i++) {
+        const double closeness = scale / (scale + kept[i].sum - best.sum);
+        weights[i] = closeness * closeness;
+        sum += weights[i];
+    }
+    double drawn = this->random.uniform() * sum;
+    for (std::size_t i = 0; i < kept.size(); i++) {
+        drawn -= weights[i];
+        if (drawn >= 0)
+            continue;
+        std::swap(kept.front(), kept[i]);
+        return;
+    }
+}
+
+std::optional<RoutingDecision> UpstreamChooser::bestDecision(const RoutingRequest& request)
 {
     std::array<ScoredCandidate, maximumReportedCandidates> kept;
     std::size_t count = 0;
@@ -366,6 +399,7 @@
         kept[place] = scored;
     }
 
+    this->spreadChoice(std::span(kept).first(count));
     const std::uint32_t index = kept[0].candidate.index;
     const Upstream& upstream = this->table.upstreams[index];
     const Pool& pool = this->table.pools[upstream.pool];
--- a/src/teaselshore/routing/upstream_chooser.hpp
+++ b/src/teaselshore/routing/upstream_chooser.hpp
@@ -54,7 +54,9 @@
     void applyPolicy(std::uint32_t poolIndex, const RoutingRequest& request);
 
     ScoredCandidate score(const Candidate& candidate, const RoutingRequest& request) const;
-    std::optional<RoutingDecision> bestDecision(const RoutingRequest& request) const;
+    std::optional<RoutingDecision> bestDecision(const RoutingRequest& request);
+    /// @brief Moves one of the candidates to the front: a good one at random, if other nodes know the same reports.
+    void spreadChoice(std::span<ScoredCandidate> kept);
     ScoredUpstream toScoredUpstream(const ScoredCandidate& scored) const;
 
     const RouterSettings& settings;
--- a/src/teaselshore/routing/upstream_table.cpp
+++ b/src/teaselshore/routing/upstream_table.cpp
@@ -84,7 +84,7 @@
     const bool available = this->stateOf(index) == UpstreamState::Available;
     const bool admits = detail.breaker.admits(now);
     const std::uint32_t own = entry.load.ownOutstanding();
-    const double others = entry.load.othersOutstanding(now);
+    const double others = entry.load.certainOthersOutstanding(now);
     entry.limit = detail.limit.limit();
 
     // The estimate of the other nodes' requests is fractional; less than half a request does not occupy a slot.
--- a/src/teaselshore/routing/upstream_table.hpp
+++ b/src/teaselshore/routing/upstream_table.hpp
@@ -100,6 +100,19 @@
     std::uint32_t inServiceCount = 0;
     std::uint32_t outstanding = 0;
     std::size_t roundRobinNext = 0;
+    /// Upstreams that reported their load last, in a ring, and when a peer last passed a report on.
+    std::vector<std::uint32_t> recentReports;
+    std::size_t nextReport = 0;
+    Instant peerReportedAt = Instant::min();
+
+    static constexpr std::size_t maximumRecentReports = 16;
+
+    void recordReport(std::uint32_t index)
+    {
+        if (this->recentReports.size() < maximumRecentReports)
+            this->recentReports.resize(maximumRecentReports, index);
+        this->recentReports[this->nextReport++ % maximumRecentReports] = index;
+    }
 
     bool isActive() const { return this->configured && !this->stopped && this->share > 0; }
 };
