--- a/src/teaselshore/entry/load_digest_test.cpp
+++ b/src/teaselshore/entry/load_digest_test.cpp
@@ -441,6 +441,35 @@
         EXPECT_NEAR(node.state.router.othersOutstanding(id, now), 2, 0.2);
     }
 
+    // Guards against digests and load reports that do not reach the digest of a node or its statistics, and against
+    // messages of a node without peers.
+    TEST(LoadDigest, IsPartOfTheNode)
+    {
+        EntryHarness harness;
+        EntryConfiguration configuration = EntryHarness::configuration();
+        configuration.services[0].isEngine = true;
+        harness.send(EntryConfigurationRead { configuration });
+        harness.send(UpstreamsListed { { EntryHarness::upstream(1) } });
+        LoadDigest digest = digestOf(1, 2, 0, 100ms);
+        digest.entries[0].upstream = LoadDigest::key(EntryHarness::upstream(1).id());
+        harness.send(EntryMessageReceived { "10.0.0.9:7000", digest });
+        harness.request("query");
+        const AttemptId attempt = harness.first<ForwardRequest>()->attempt.attempt;
+        harness.advance(20ms);
+        UpstreamStreamStarted started { attempt, {} };
+        started.facts.load = ResponseFacts::Load { 1, 0, 4, 100 };
+        harness.send(started);
+        const EntryStatistics statistics = harness.node.statistics();
+        EXPECT_EQ(statistics.receivedLoadDigests, 1U);
+        EXPECT_EQ(statistics.informedChoices, 1U);
+        EXPECT_EQ(statistics.loadAges, 105ms);
+        EXPECT_EQ(statistics.predictedStreams, 1U);
+        EXPECT_EQ(statistics.actualFirstEvents, 20ms);
+        EXPECT_GT(statistics.predictionErrors, 0ms);
+        harness.advance(300ms);
+        EXPECT_TRUE(harness.all<SendEntryMessage>().empty());
+    }
+
     // Guards against statements about upstreams that were removed or replaced, and against a digest of plain services.
     TEST(LoadDigest, FollowsTheRegisteredUpstreams)
     {
