Reserve the dispatches of a test of the load digest

Cause: clang-tidy reports a vector that grows in a loop (performance-inefficient-vector-operation).

Ruled out: leaving the check out for this line.

--- a/src/teaselshore/entry/load_digest_test.cpp
+++ b/src/teaselshore/entry/load_digest_test.cpp
@@ -423,6 +423,7 @@
         request.service = ServiceName("app");
         request.latencyClass = ClassName("query");
         std::vector<DispatchId> open;
+        open.reserve(3);
         for (int i = 0; i < 3; ++i)
             open.push_back(node.state.router.onDispatched(request, *node.state.router.choose(request, now), now));
         now += 100ms;
