Skip excluded upstreams in the affinity order whenever upstreams are cold

Redraws had been limited to four and more excluded upstreams, since they crowded out cold upstreams that may be sent a request; the affinity order depended on the same member and no longer skipped a single excluded upstream.

Change: the two have members of their own. Router and ColdUpstreams tests pass (17 and 14).

--- a/src/teaselshore/routing/upstream_chooser.cpp
+++ b/src/teaselshore/routing/upstream_chooser.cpp
@@ -104,6 +104,7 @@
     this->weights = this->latencyClass.firstTokenTargetSeconds ? &this->settings.interactive : &this->settings.batch;
     this->gigabytes = (bytesPerPromptToken * request.promptTokens + bytesPerOutputToken * request.expectedOutputTokens)
         / bytesPerGigabyte;
+    this->avoidsExcluded = request.avoidExcluded;
     const bool areManyExcluded = request.avoidExcluded && request.excluded.size() >= minimumExcludedForRedraws;
     this->drawsPerMember = areManyExcluded ? maximumDraws : 1;
     for (const UpstreamId& id : request.excluded) {
@@ -284,7 +285,7 @@
         if (upstream.load.ownOutstanding() > boundedLoadFactor * meanLoad + 1)
             continue;
         // Nothing but the excluded upstreams is marked yet.
-        if (this->drawsPerMember > 1 && upstream.lastDecision == this->decisionNumber)
+        if (this->avoidsExcluded && upstream.lastDecision == this->decisionNumber)
             continue;
         preferred = index;
         break;
--- a/src/teaselshore/routing/upstream_chooser.hpp
+++ b/src/teaselshore/routing/upstream_chooser.hpp
@@ -78,6 +78,8 @@
     std::uint64_t decisionNumber = 0;
     /// Draws until a member of a sample is found that is neither excluded nor a candidate already.
     std::size_t drawsPerMember = 1;
+    /// True if the affinity order skips excluded upstreams.
+    bool avoidsExcluded = false;
     Instant now {};
     ClassTargets latencyClass;
     const ScoreWeights* weights = nullptr;
