Log which windows a holder takes for certain, and whether counts were stored or read

The logs could not tell why a holder of the lease reported a window anew: whether it found stored counts, stored them itself, in which era of the platform, and which windows it took for not reported. New lines: "usage reports taken over", "counts of a window stored", "stored counts of a window read"; new counter teaselshore_unreported_windows_total. No logic is changed.

--- a/include/teaselshore/entry/entry_statistics.hpp
+++ b/include/teaselshore/entry/entry_statistics.hpp
@@ -80,6 +80,8 @@
     std::uint64_t heldRequests = 0;
     /// How often the platform came back from an older copy.
     std::uint64_t platformRestores = 0;
+    /// Windows whose usage this node did not report since that may have been done before a restore.
+    std::uint64_t unreportedWindows = 0;
     /// Attempts at peers, since this node had no links to upstreams.
     std::uint64_t relayedAttempts = 0;
     /// Requests that peers handed to this node.
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -77,6 +77,9 @@
         static_cast<double>(statistics.requestsInEvacuatedZones));
     this->setCounter("teaselshore_platform_restores_total", "How often the platform came back from an older copy.",
         statistics.platformRestores);
+    this->setCounter("teaselshore_unreported_windows_total",
+        "Windows whose usage was not reported since that may have been done before a restore of the platform.",
+        statistics.unreportedWindows);
     this->setGauge("teaselshore_configuration_version", "Version of the configuration in effect.",
         static_cast<double>(statistics.configurationVersion));
     this->setGauge("teaselshore_live_nodes", "Nodes that share quotas and retry budgets, this one included.",
--- a/src/teaselshore/entry/usage_reporter.cpp
+++ b/src/teaselshore/entry/usage_reporter.cpp
@@ -75,6 +75,10 @@
     // A process that has started since does not know when the restore was.
     if (isSuccessorAfterRestore)
         this->firstCertainWindow = this->restoredWindow.value_or(currentWindow);
+    this->state.log(LogLevel::Info, "usage reports taken over",
+        { { "window", std::to_string(currentWindow) },
+            { "firstCertainWindow", std::to_string(this->firstCertainWindow) },
+            { "followsRestore", isSuccessorAfterRestore ? "true" : "false" } });
 }
 
 void UsageReporter::onTick(
@@ -184,7 +188,7 @@
         if (result.outcome == ObjectOutcome::Ok && window.isDoubtful) {
             this->close(found->first, window);
         } else if (result.outcome == ObjectOutcome::Ok) {
-            window.phase = Phase::Stored;
+            this->onStored("counts of a window stored", found->first, window, result.version);
         } else if (result.outcome == ObjectOutcome::Unavailable) {
             window.phase = Phase::Collecting;
             window.nextAttempt = now + retryDelay;
@@ -202,16 +206,24 @@
         = result.outcome == ObjectOutcome::Ok ? decodeCounts(result.value) : std::nullopt;
     if (stored) {
         window.counts = *stored;
-        window.phase = Phase::Stored;
+        this->onStored("stored counts of a window read", found->first, window, result.version);
         return;
     }
     window.phase = Phase::Collecting;
     window.nextAttempt = now + retryDelay;
 }
 
+void UsageReporter::onStored(const char* message, std::int64_t number, Window& window, ObjectVersion version)
+{
+    window.phase = Phase::Stored;
+    this->state.log(
+        LogLevel::Info, message, { { "window", std::to_string(number) }, { "era", std::to_string(eraOf(version)) } });
+}
+
 void UsageReporter::close(std::int64_t number, Window& window)
 {
     window.phase = Phase::Done;
+    ++this->state.statistics.unreportedWindows;
     this->state.log(LogLevel::Warning,
         "usage of a window not reported: it may have been before the platform was restored",
         { { "window", std::to_string(number) } });
--- a/src/teaselshore/entry/usage_reporter.hpp
+++ b/src/teaselshore/entry/usage_reporter.hpp
@@ -60,6 +60,8 @@
     WorkspaceCounts sum(std::int64_t number, const LiveReports& reports) const;
     void store(std::int64_t number, Window& window);
     void read(std::int64_t number, Window& window);
+    /// @brief Handles counts that were stored, or found stored, with the version of their object.
+    void onStored(const char* message, std::int64_t number, Window& window, ObjectVersion version);
     /// @brief Ends a window without a report.
     void close(std::int64_t number, Window& window);
     void send(std::int64_t number, Window& window, const FencedHolder& holder);
