--- a/src/teaselshore/entry/restored_platform_test.cpp
+++ b/src/teaselshore/entry/restored_platform_test.cpp
@@ -142,6 +142,66 @@
         }
     }
 
+    // Guards against usage that is reported anew by the node that follows a holder which kept its lease over the
+    // restore: the stored lease is of the present era then, and says nothing of what the copy lacks.
+    TEST(RestoredPlatform, SuccessorOfAHolderThatLivedThroughTheRestoreRepeatsNoReport)
+    {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            for (const bool isPlanned : { false, true }) {
+                RestoredFleet restored(9, seed);
+                restored.copy();
+                restored.run(9s);
+                restored.restore(300ms);
+                const std::string holder = restored.fleet.leaseHolders().at(0);
+                // Its counts are lost, so that a new sum over all nodes differs from the stored one.
+                restored.fleet.add(holder == "host-0" ? "host-1" : "host-0");
+                restored.run(3s);
+                if (isPlanned) {
+                    restored.fleet.handle(holder, EntryStopRequested {});
+                    restored.run(1s);
+                }
+                restored.fleet.frozen.insert(holder);
+                const std::int64_t before = restored.lastReported();
+                restored.run(15s);
+                EXPECT_GE(restored.lastReported(), before + 2) << seed;
+                restored.expectOneHolderForEachToken();
+                restored.expectOneReportForEachWindow();
+            }
+        }
+    }
+
+    // Guards against usage that is reported anew by any of several holders that follow each other after restores, of
+    // which the later ones have seen none, while calls are lost or take effect late.
+    TEST(RestoredPlatform, HoldersThatFollowEachOtherAfterRestoresRepeatNoReport)
+    {
+        for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+            RestoredFleet restored(9, seed);
+            RandomSource random(seed);
+            restored.fleet.lossPercent = seed % 3 * 15;
+            restored.fleet.writesLate = seed % 2 == 0;
+            for (int restore = 0; restore < 2; ++restore) {
+                restored.copy();
+                restored.run(std::chrono::milliseconds(1000 + random.below(9000)));
+                restored.restore(std::chrono::milliseconds(100 + random.below(4000)));
+                for (int change = 0; change < 4; ++change) {
+                    restored.run(std::chrono::milliseconds(random.below(3500)));
+                    for (const std::string& holder : restored.fleet.leaseHolders()) {
+                        if (random.below(2) == 0)
+                            restored.fleet.handle(holder, EntryStopRequested {});
+                        restored.fleet.add(holder);
+                    }
+                    restored.fleet.add("host-" + std::to_string(random.below(9)));
+                }
+            }
+            restored.fleet.lossPercent = 0;
+            const std::int64_t before = restored.lastReported();
+            restored.run(20s);
+            EXPECT_GE(restored.lastReported(), before + 2) << seed;
+            restored.expectOneHolderForEachToken();
+            restored.expectOneReportForEachWindow();
+        }
+    }
+
     // Guards against a configuration that comes back older at a node that starts before the operator has written it
     // again.
     TEST(RestoredPlatform, NodesThatStartLearnTheConfigurationInEffectFromPeers)
