Keep at the platform from which window on usage is certainly on record

Cause: counts are stored before they are sent, and a restore loses them. Only the first node that acquires a lease of before the restore took windows without stored counts for doubtful. A holder that keeps its lease over the restore writes it in the new era; whoever follows sees a lease of the present era and reports each window without stored counts anew. What a restore makes doubtful was known to processes by what they saw, not to the fleet by what is stored.

Change: the object usage/horizon holds, for an era of the platform, the first window whose counts are certainly stored if they ever were. The first holder in an era writes it, from what it knows: nothing was lost since it acquired the lease or since it knows the era, but what it stored itself. All later holders read it. Windows before it are not reported by anybody else, whether their counts are stored or not: a create that is late by seconds may store counts that were never sent. LeaseHolder::isSuccessorAfterRestore() and the marks of unreported windows are gone.

--- a/include/teaselshore/control/lease.hpp
+++ b/include/teaselshore/control/lease.hpp
@@ -79,10 +79,6 @@
     /// Must be checked immediately before each action, with the current time.
     std::optional<std::uint64_t> fencingToken(Instant now) const;
 
-    /// @brief Returns whether this node holds the lease as the first one after a restore, without having held it
-    /// before: what the holder before did shortly before the restore is not known.
-    bool isSuccessorAfterRestore() const { return this->heldAfterRestore; }
-
     /// @brief Returns the last lease value read or written.
     const std::optional<Lease>& observed() const { return this->current; }
 
@@ -133,9 +129,6 @@
     /// True while current and version reflect the stored object as far as this node can tell.
     bool stateKnown = false;
     Instant observedAt {};
-    /// True while the stored lease is of an earlier era and this node does not hold it.
-    bool isCopy = false;
-    bool heldAfterRestore = false;
     std::optional<Instant> validUntil;
     std::uint64_t heldEpoch = 0;
     std::uint64_t writeNumber = 0;
--- a/src/teaselshore/control/lease.cpp
+++ b/src/teaselshore/control/lease.cpp
@@ -242,7 +242,6 @@
         return;
     }
     this->current = lease;
-    this->isCopy = this->isCopy && lease.holder == this->self;
     this->observedAt = now;
     if (lease.holder != this->self)
         this->validUntil.reset();
@@ -260,8 +259,6 @@
         return;
     }
     // A lease that was acquired after the copy was made may still be valid.
-    // A lease that this process has just created is no copy, unless it once was another's.
-    this->isCopy = copy.holder != this->self || copy.epoch > 1;
     this->current->holder = NodeId("unknown");
     this->validUntil.reset();
 }
@@ -277,10 +274,6 @@
 
 void LeaseHolder::extendValidity(const Pending& call)
 {
-    const bool isAcquired = !this->validUntil || call.sentAt >= *this->validUntil;
-    if (isAcquired)
-        this->heldAfterRestore = this->isCopy;
-    this->isCopy = false;
     this->heldEpoch = call.written.epoch;
     this->validUntil = call.sentAt + call.written.duration - this->settings.margin;
     this->nextRenewal = call.sentAt + this->settings.renewEvery;
--- a/src/teaselshore/entry/entry_duties.cpp
+++ b/src/teaselshore/entry/entry_duties.cpp
@@ -92,6 +92,7 @@
     }
     if (!this->ownUsageRestored) {
         this->ownUsageRestored = true;
+        this->usageReporter.onPlatformAnswered(now);
         this->joinedRunningFleet = !reports.empty();
         for (NodeReport& report : reports) {
             if (report.host != this->state.settings.host.node || report.process == this->state.settings.id)
@@ -237,7 +238,7 @@
         this->state.log(
             LogLevel::Warning, "details of reports are malformed", { { "count", std::to_string(malformed) } });
     const LiveReports reports = holder ? this->nodes.reports(now) : LiveReports();
-    this->usageReporter.onTick(reports, holder, this->lease.isSuccessorAfterRestore(), now);
+    this->usageReporter.onTick(reports, holder, now);
     this->fleetController.onTick(holder, reports, this->versionRollouts, now);
     return this->versionRollouts.onTick(reports, holder.has_value(), now);
 }
--- a/src/teaselshore/entry/usage_reporter.cpp
+++ b/src/teaselshore/entry/usage_reporter.cpp
@@ -29,15 +29,6 @@
         return toJsonText(Json { { "counts", std::move(value) } });
     }
 
-    /// Stored instead of counts for a window that must not be reported.
-    constexpr const char* unreportedMark = R"({"unreported":true})";
-
-    bool isMarkedUnreported(const std::string& text)
-    {
-        const Json value = Json::parse(text, nullptr, false);
-        return value.is_object() && value.contains("unreported");
-    }
-
     std::optional<WorkspaceCounts> decodeCounts(const std::string& text)
     {
         const Json value = Json::parse(text, nullptr, false);
@@ -58,44 +49,56 @@
 UsageReporter::UsageReporter(EntryState& state, ObjectCallIds& ids)
     : state(state)
     , ids(ids)
+    , horizon(state, ids)
 {
 }
 
 void UsageReporter::onPlatformRestored(Instant now)
 {
-    if (const auto wallClock = this->state.wallClockTime(now))
-        this->restoredWindow = this->state.usage.windowAt(*wallClock);
+    this->eraKnownSince = now;
+    this->horizon.reset();
 }
 
-void UsageReporter::onAcquired(bool isSuccessorAfterRestore, std::int64_t currentWindow)
+void UsageReporter::onAcquired(Instant now)
 {
+    this->heldSince = now;
     std::erase_if(this->windows, [](const auto& entry) { return entry.second.phase != Phase::Done; });
     this->objectCalls.clear();
     this->cloudCalls.clear();
-    // A process that has started since does not know when the restore was.
-    if (isSuccessorAfterRestore)
-        this->firstCertainWindow = this->restoredWindow.value_or(currentWindow);
-    this->state.log(LogLevel::Info, "usage reports taken over",
-        { { "window", std::to_string(currentWindow) },
-            { "firstCertainWindow", std::to_string(this->firstCertainWindow) },
-            { "followsRestore", isSuccessorAfterRestore ? "true" : "false" } });
+    this->horizon.reset();
+}
+
+std::int64_t UsageReporter::ownHorizon(Duration clockOffset) const
+{
+    // Nobody else has reported since this node acquired the lease, and what is lost was stored before the present era.
+    const Instant since = std::min(*this->heldSince, this->eraKnownSince.value_or(*this->heldSince));
+    std::int64_t first = this->state.usage.windowAt(since.time_since_epoch() + clockOffset);
+    if (this->lastClosed)
+        first = std::max(first, *this->lastClosed + 1);
+    for (const auto& [number, window] : this->windows) {
+        const bool mayBeReported
+            = window.phase == Phase::Stored || window.phase == Phase::Sending || window.phase == Phase::Done;
+        if (mayBeReported)
+            first = std::max(first, number + 1);
+    }
+    return first;
 }
 
-void UsageReporter::onTick(
-    const LiveReports& reports, std::optional<FencedHolder> holder, bool isSuccessorAfterRestore, Instant now)
+void UsageReporter::onTick(const LiveReports& reports, std::optional<FencedHolder> holder, Instant now)
 {
     const std::optional<Duration> wallClock = this->state.wallClockTime(now);
     if (!holder || !wallClock) {
-        this->wasHolder = false;
+        this->heldSince.reset();
         return;
     }
     const std::int64_t current = this->state.usage.windowAt(*wallClock);
-    if (!std::exchange(this->wasHolder, true))
-        this->onAcquired(isSuccessorAfterRestore, current);
+    if (!this->heldSince)
+        this->onAcquired(now);
+    this->horizon.onTick(this->ownHorizon(*wallClock - now.time_since_epoch()), current + 1, now);
     const std::int64_t first
         = std::max(this->lastClosed.value_or(current - lookbackWindows - 1) + 1, current - lookbackWindows);
     for (std::int64_t number = first; number < current; ++number)
-        this->windows.try_emplace(number).first->second.isDoubtful = number < this->firstCertainWindow;
+        this->windows.try_emplace(number);
     for (auto& [number, window] : this->windows) {
         if (now >= window.nextAttempt)
             this->advance(number, window, reports, *holder, *wallClock);
@@ -113,8 +116,10 @@
 {
     switch (window.phase) {
     case Phase::Collecting: {
-        if (window.isDoubtful) {
-            this->store(number, window);
+        if (!this->horizon.firstWindow())
+            return;
+        if (number < *this->horizon.firstWindow()) {
+            this->close(number, window);
             return;
         }
         const Duration sinceEnd = wallClock - (number + 1) * this->state.settings.host.usageWindow;
@@ -165,8 +170,8 @@
     window.phase = Phase::Storing;
     const ObjectCallId id = this->ids.next();
     this->objectCalls.emplace(id, number);
-    this->state.commands.emplace_back(CallObjectApi {
-        ObjectCreate { id, usageKey(number), window.isDoubtful ? unreportedMark : encodeCounts(window.counts) } });
+    this->state.commands.emplace_back(
+        CallObjectApi { ObjectCreate { id, usageKey(number), encodeCounts(window.counts) } });
 }
 
 void UsageReporter::read(std::int64_t number, Window& window)
@@ -179,15 +184,17 @@
 
 void UsageReporter::onObjectResult(const ObjectResult& result, Instant now)
 {
+    if (this->horizon.awaits(result.id)) {
+        this->horizon.onObjectResult(result, now);
+        return;
+    }
     const auto call = this->objectCalls.extract(result.id);
     const auto found = this->windows.find(call.mapped());
     if (found == this->windows.end())
         return;
     Window& window = found->second;
     if (window.phase == Phase::Storing) {
-        if (result.outcome == ObjectOutcome::Ok && window.isDoubtful) {
-            this->close(found->first, window);
-        } else if (result.outcome == ObjectOutcome::Ok) {
+        if (result.outcome == ObjectOutcome::Ok) {
             this->onStored("counts of a window stored", found->first, window, result.version);
         } else if (result.outcome == ObjectOutcome::Unavailable) {
             window.phase = Phase::Collecting;
@@ -198,10 +205,6 @@
         }
         return;
     }
-    if (result.outcome == ObjectOutcome::Ok && isMarkedUnreported(result.value)) {
-        this->close(found->first, window);
-        return;
-    }
     const std::optional<WorkspaceCounts> stored
         = result.outcome == ObjectOutcome::Ok ? decodeCounts(result.value) : std::nullopt;
     if (stored) {
