Read the size of a fleet at its start again after a pause

An object fleet/<service> that cannot be read was read again at once, call after call. In the simulation, which answers reads with Unknown while calls are late, the loop had no end: a drawn test that gave nodes wrong clocks hung in it. All reads but the one that finds no object now wait for the retry delay.

Evidence: FleetOfFew.AnUnreadableSizeIsReadAgainAfterAPause does not end on the code before (stopped after 8 s).

--- a/src/teaselshore/entry/entry_fleet.hpp
+++ b/src/teaselshore/entry/entry_fleet.hpp
@@ -288,6 +288,7 @@
         const bool done = !isUnreachable && (answered || this->random.below(2) == 0);
         if (auto* call = std::get_if<CallObjectApi>(&command)) {
             ObjectResult result;
+            ++this->objectCalls;
             if (done)
                 result = this->platform.run(call->call);
             if (!done && !isUnreachable && this->writesLate)
@@ -450,6 +451,8 @@
     /// Hosts whose nodes get no events.
     std::set<std::string> frozen;
     std::size_t messages = 0;
+    /// Calls to the platform's object API.
+    std::size_t objectCalls = 0;
     /// Written orders of each service, with the time of the write.
     std::map<ServiceName, std::vector<std::pair<Instant, RolloutOrder>>> rollouts;
     std::multimap<Instant, std::pair<std::string, EntryEvent>> dueEvents;
--- a/src/teaselshore/entry/fleet_controller.cpp
+++ b/src/teaselshore/entry/fleet_controller.cpp
@@ -126,15 +126,10 @@
         }
     }
     entry.isMissing = result.outcome == ObjectOutcome::NotFound;
-    if (entry.isMissing)
-        return;
-    if (result.outcome == ObjectOutcome::Unavailable) {
+    // Otherwise the object was created by this call, by another holder, or by a call whose answer was lost, or it
+    // cannot be read now; the stored value is authoritative.
+    if (!entry.isMissing)
         entry.nextAttempt = now + retryDelay;
-        return;
-    }
-    // The object was created by this call, by another holder, or by a call whose answer was lost; the stored value is
-    // authoritative.
-    this->readBaseline(service);
 }
 
 std::optional<double> FleetController::busyUpstreams(const ServiceName& service, const LiveReports& reports) const
--- a/src/teaselshore/entry/fleet_size_test.cpp
+++ b/src/teaselshore/entry/fleet_size_test.cpp
@@ -4,7 +4,7 @@
 
 #include <gtest/gtest.h>
 
-#include "entry_test_support.hpp"
+#include "entry_fleet.hpp"
 #include "teaselshore/entry/live_nodes.hpp"
 #include "teaselshore/entry/node_report.hpp"
 
@@ -62,6 +62,18 @@
         EXPECT_LT((processorTime() - before) / rounds, longestRound);
     }
 
+    // Guards against reads without a pause while the size of a service's fleet at its start cannot be read.
+    TEST(FleetOfFew, AnUnreadableSizeIsReadAgainAfterAPause)
+    {
+        EntryFleet fleet(3);
+        fleet.platform.objects["fleet/app"] = { "{}", ++fleet.platform.lastVersion };
+        fleet.advance(20s);
+        EXPECT_EQ(fleet.leaseHolders().size(), 1u);
+        const std::size_t before = fleet.objectCalls;
+        fleet.advance(10s);
+        EXPECT_LT(fleet.objectCalls - before, 60u);
+    }
+
     // Guards against details that are lost to a node that needs them later than it read the report.
     TEST(NodeReport, DetailsAreDecodedOnDemand)
     {
