Run no tasks in the destructor of an event loop

Seen: EvacuationTask.CostsFewCallsAndNoneIfOff and .NodeThatStartsDuringAnEvacuationNeverUsesTheZone ended now and then with a segmentation fault, after the node had logged that it stopped.

Cause: the destructor of EventLoop::Impl gives h2o some rounds to release the sockets of destroyed servers. In these rounds it also ran the timers and posted tasks of the loop's users, whose owners are released before the loop. In the tests this was the stand-in of the platform: each open watch looks for changes every 10 ms and arms its timer again. If it was due in that moment, it called runAfter() through LoopThread::eventLoop, which reset() had already set to null. By reading, not seen: the daemon has the same fault, since EntryTask::Impl releases its metrics before its loop, and the timer of EntryTask::Impl::startMetricsWindows() uses them.

EventLoop.RunsNoTaskWhileItIsDestroyed makes it deterministic, and failed before: a due timer and a posted task ran.

Change: the destructor releases timers and posted tasks without running them. What must run there, the release of retired connections and abandoned servers, is no timer any more but has a list of its own, which each round runs first. EventLoop.ReleasesTasksThatDidNotRun passed before too; it guards the new release.

--- a/include/teaselshore/http/event_loop.hpp
+++ b/include/teaselshore/http/event_loop.hpp
@@ -14,7 +14,7 @@
 /// @brief h2o event loop. Servers and clients created on it run in the thread that calls run().
 ///
 /// Only post() and stop() may be called from other threads; all else belongs to the loop's thread (or to the creating
-/// thread before run()).
+/// thread before run()). Tasks run inside run() only; the destructor releases those that are left.
 class EventLoop {
 public:
     static std::unique_ptr<EventLoop> create();
--- a/src/teaselshore/http/event_loop.cpp
+++ b/src/teaselshore/http/event_loop.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdint>
+#include <utility>
 
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -42,9 +43,11 @@
 
 EventLoop::Impl::~Impl()
 {
+    // Their owners are gone, and so may be the pointer to this loop that they use.
+    this->dropTasks();
     for (int round = 0; round<drainRounds&& this->lingeringServers> 0; ++round) {
         h2o_evloop_run(this->loop, 1);
-        this->runDueTimers();
+        this->runReleases();
     }
     h2o_socket_close(this->wakeSocket);
     h2o_evloop_run(this->loop, 0);
@@ -57,6 +60,7 @@
 {
     this->entered = true;
     while (!this->stopping.load(std::memory_order_acquire)) {
+        this->runReleases();
         this->runDueTimers();
         h2o_evloop_run(this->loop, this->waitMilliseconds());
     }
@@ -69,6 +73,27 @@
     [[maybe_unused]] const ssize_t ignored = write(this->wakeDescriptor, &one, sizeof(one));
 }
 
+void EventLoop::Impl::releaseLater(std::function<void()> task) { this->releases.push_back(std::move(task)); }
+
+void EventLoop::Impl::runReleases()
+{
+    std::vector<std::function<void()>> tasks;
+    tasks.swap(this->releases);
+    // A connection, which its task holds, must be gone before the task that releases its server.
+    for (std::function<void()>& task : tasks)
+        std::exchange(task, nullptr)();
+}
+
+void EventLoop::Impl::dropTasks()
+{
+    // Moved first, because the release of a task may cancel timers.
+    const auto droppedTimers = std::exchange(this->timers, {});
+    this->timerDue.clear();
+    std::vector<std::function<void()>> droppedTasks;
+    const std::lock_guard<std::mutex> lock(this->postedMutex);
+    droppedTasks.swap(this->posted);
+}
+
 void EventLoop::Impl::runPosted()
 {
     std::vector<std::function<void()>> tasks;
@@ -118,6 +143,8 @@
 
 std::int32_t EventLoop::Impl::waitMilliseconds() const
 {
+    if (!this->releases.empty())
+        return 0;
     if (this->timers.empty())
         return longestWaitMilliseconds;
     const Duration remaining = this->timers.begin()->first.first - monotonicNow();
--- a/src/teaselshore/http/event_loop_impl.hpp
+++ b/src/teaselshore/http/event_loop_impl.hpp
@@ -24,6 +24,12 @@
 
     void run();
     void wake();
+    /// @brief Runs a task that releases what h2o may still use further up the call stack, in the next round or in the
+    /// destructor.
+    void releaseLater(std::function<void()> task);
+    void runReleases();
+    /// @brief Releases timers and posted tasks without running them.
+    void dropTasks();
     /// @brief Runs the tasks posted before this call.
     void runPosted();
     TimerId addTimer(Duration delay, std::function<void()> task);
@@ -42,6 +48,7 @@
     std::map<std::pair<Instant, TimerId>, std::function<void()>> timers;
     std::unordered_map<TimerId, Instant> timerDue;
     TimerId lastTimer = 0;
+    std::vector<std::function<void()>> releases;
 
     std::atomic<bool> stopping { false };
     std::mutex postedMutex;
--- a/src/teaselshore/http/event_loop_test.cpp
+++ b/src/teaselshore/http/event_loop_test.cpp
@@ -1,9 +1,11 @@
+#include <memory>
 #include <thread>
 #include <vector>
 
 #include <gtest/gtest.h>
 
 #include "teaselshore/http/event_loop.hpp"
+#include "teaselshore/http/http_server.hpp"
 
 namespace teaselshore {
 namespace {
@@ -59,5 +61,44 @@
         EXPECT_GE(loop->now() - start, std::chrono::milliseconds(30));
     }
 
+    // Guards against tasks that use what was released before the loop.
+    TEST(EventLoop, RunsNoTaskWhileItIsDestroyed)
+    {
+        auto loop = EventLoop::create();
+        HttpError error;
+        // The loop releases its sockets in the destructor.
+        auto server = HttpServer::listen(
+            *loop, {}, [](const auto&) {}, &error);
+        ASSERT_TRUE(server) << error.detail;
+        loop->post([&loop] { loop->stop(); });
+        loop->run();
+        bool timerRan = false;
+        bool postedRan = false;
+        loop->runAfter(Duration(0), [&timerRan] { timerRan = true; });
+        loop->post([&postedRan] { postedRan = true; });
+        server.reset();
+        loop.reset();
+        EXPECT_FALSE(timerRan);
+        EXPECT_FALSE(postedRan);
+    }
+
+    // Guards against tasks that are kept, with all they hold, once the loop is gone, or that are cancelled too late.
+    TEST(EventLoop, ReleasesTasksThatDidNotRun)
+    {
+        auto loop = EventLoop::create();
+        const auto held = std::make_shared<int>();
+        TimerId other = 0;
+        // As an owner that cancels its timer when the last task that holds it is released.
+        const auto cancel = [&loop = *loop, &other](const int* value) {
+            loop.cancelTimer(other);
+            delete value;
+        };
+        loop->runAfter(Duration(0), [held, owner = std::shared_ptr<int>(new int(0), cancel)] {});
+        other = loop->runAfter(std::chrono::seconds(1), [held] {});
+        loop->post([held] {});
+        loop.reset();
+        EXPECT_EQ(held.use_count(), 1);
+    }
+
 } // namespace
 } // namespace teaselshore
--- a/src/teaselshore/http/server_core.cpp
+++ b/src/teaselshore/http/server_core.cpp
@@ -106,7 +106,7 @@
         return;
     this->releasing = true;
     // Deferred, since h2o may still use the context further up the call stack.
-    this->loop.addTimer(Duration(0), [this] {
+    this->loop.releaseLater([this] {
         --this->loop.lingeringServers;
         delete this;
     });
@@ -166,7 +166,7 @@
 {
     // Its methods may still be on the call stack.
     const std::shared_ptr<Http1Connection> retired = std::move(connection);
-    this->loop.addTimer(Duration(0), [retired] {});
+    this->loop.releaseLater([retired] {});
 }
 
 void ServerCore::onAccept(h2o_socket_t* listener, const char* error)
