Tell processes that start which requests crash their upstreams

Crashes stand in the reports of nodes, and a copy of the platform lacks the latest ones until their nodes write the next report, up to six seconds later. If nodes were replaced one after the other meanwhile, requests that had crashed three upstreams crashed six. Peers that a starting process asks for a newer configuration now tell it the crashes, too.

--- a/src/teaselshore/entry/crash_detector.cpp
+++ b/src/teaselshore/entry/crash_detector.cpp
@@ -255,6 +255,13 @@
     return wallClock ? this->history.remaining(keys, *wallClock) : Duration(0);
 }
 
+void CrashDetector::tellCrashes(const std::string& peerAddress) const
+{
+    std::vector<RequestCrash> crashes = this->reportedCrashes();
+    if (!crashes.empty())
+        this->state.commands.emplace_back(SendEntryMessage { peerAddress, CrashReport { std::move(crashes) } });
+}
+
 void CrashDetector::sendCrashReport()
 {
     if (this->unsent.empty())
--- a/src/teaselshore/entry/crash_detector.hpp
+++ b/src/teaselshore/entry/crash_detector.hpp
@@ -47,6 +47,8 @@
     Duration remainingRejection(const std::vector<Fingerprint>& keys, Instant now) const;
     /// @brief Returns the crashes to include in this node's report.
     std::vector<RequestCrash> reportedCrashes() const { return this->history.suspects(maxReportedKeys); }
+    /// @brief Sends them to a peer that may not have read the reports of all nodes.
+    void tellCrashes(const std::string& peerAddress) const;
     /// @brief Returns whether this node found a suspect since the last call, so that its report is due.
     bool takeReportDue() { return std::exchange(this->reportDue, false); }
 
--- a/src/teaselshore/entry/crashing_requests_test.cpp
+++ b/src/teaselshore/entry/crashing_requests_test.cpp
@@ -64,6 +64,37 @@
         EXPECT_LE(upstreams.lateSends(allowedCrashes), allowedLateSends);
     }
 
+    // Guards against losing the record of crashes with a restore of the platform from an older copy, while the nodes
+    // that know it are replaced one after the other.
+    TEST(CrashingRequests, NodesThatStartAfterARestoreKnowEarlierCrashes)
+    {
+        for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+            EntryFleet fleet(9, seed);
+            RandomSource random(seed);
+            CrashingUpstreams upstreams(fleet, 12);
+            upstreams.advance(12s);
+            const SimulatedPlatform::Copy copy = fleet.platform.copy();
+            for (int repeat = 0; repeat < 4; ++repeat) {
+                upstreams.sendPoison(hostName(fleet.random.below(9)), "status");
+                upstreams.advance(1s);
+            }
+            fleet.platform.restore(copy);
+            const std::uint64_t gap = 100 + random.below(2500);
+            for (std::size_t host = 0; host < 9; ++host) {
+                upstreams.advance(std::chrono::milliseconds(100 + random.below(gap)));
+                fleet.add(hostName(host));
+                upstreams.list();
+            }
+            upstreams.advance(1s);
+            for (int repeat = 0; repeat < 20; ++repeat) {
+                upstreams.sendPoison(hostName(fleet.random.below(9)), "status");
+                upstreams.advance(500ms);
+            }
+            EXPECT_LE(upstreams.crashes.size(), allowedCrashes) << "seed " << seed;
+            EXPECT_LE(upstreams.lateSends(allowedCrashes), allowedLateSends) << "seed " << seed;
+        }
+    }
+
     // Guards against a node that keeps sending the request because no peer can reach it: it must learn of the crashes
     // from the reports at the platform.
     TEST(CrashingRequests, NodeWithoutPeersLearnsFromThePlatform)
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -120,7 +120,9 @@
     void receive(const std::string& senderAddress, const NewerConfigurationRequest& request, Instant)
     {
         this->configurations.onRequest(senderAddress, request);
+        // The peer has just started, or doubts the platform, which may be back from an older copy.
         this->duties.rollouts().tellDecisions(senderAddress);
+        this->crashes.tellCrashes(senderAddress);
     }
     void receive(const std::string& senderAddress, const ConfigurationCopy& copy, Instant)
     {
