--- a/src/teaselshore/entry/evacuated_zones_test.cpp
+++ b/src/teaselshore/entry/evacuated_zones_test.cpp
@@ -550,6 +550,34 @@
         EXPECT_EQ(evacuating.countEvacuating(), 0u);
     }
 
+    // Guards against requests to an evacuated zone by processes that start after a restore has lost the evacuation,
+    // until the operator writes it again.
+    TEST(EvacuationExchange, EvacuationsOutliveTheProcessesThatReadThem)
+    {
+        constexpr std::uint64_t era = 1ULL << 48U;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            EvacuatingFleet evacuating(9, seed);
+            evacuating.fleet.cutFromPlatform.clear();
+            for (const auto& [host, node] : evacuating.fleet.nodes)
+                evacuating.fleet.handle(host, EvacuationWatchChanged { true });
+            evacuating.write(EvacuationStarted { zoneA, 101 });
+            evacuating.fleet.advance(2s);
+            for (const auto& [host, node] : evacuating.fleet.nodes)
+                evacuating.fleet.handle(host, PlatformRestored {});
+            evacuating.write(EvacuationsListed { {}, era + 90 });
+            for (std::size_t number = 0; number < 9; ++number) {
+                evacuating.fleet.advance(std::chrono::milliseconds(300 + RandomSource(seed).below(400)));
+                const std::string host = "host-" + std::to_string(number);
+                evacuating.fleet.add(host);
+                evacuating.fleet.handle(host, UpstreamsListed { { upstreamIn(1, zoneA), upstreamIn(2, zoneB) } });
+                evacuating.fleet.handle(host, EvacuationWatchChanged { true });
+                evacuating.fleet.handle(host, EvacuationsListed { {}, era + 90 });
+            }
+            evacuating.fleet.advance(1s);
+            EXPECT_EQ(evacuating.countEvacuating(), 9u) << seed;
+        }
+    }
+
     // Guards against messages that grow with the fleet, that never end, or that are sent though all nodes read the
     // store or evacuations are off.
     TEST(EvacuationExchange, SendsFewMessages)
--- a/src/teaselshore/entry/restored_platform_test.cpp
+++ b/src/teaselshore/entry/restored_platform_test.cpp
@@ -270,6 +270,28 @@
         EXPECT_EQ(restored.fleet.nodes.at("host-3")->statistics().configurationVersion, 7u);
     }
 
+    // Guards against a configuration that is lost with the processes that read it, if these are replaced one after the
+    // other before the operator has written it again.
+    TEST(RestoredPlatform, TheConfigurationInEffectOutlivesTheProcessesThatReadIt)
+    {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            RestoredFleet restored(9, seed);
+            RandomSource random(seed);
+            for (const auto& [host, node] : restored.fleet.nodes)
+                restored.fleet.handle(host, restored.fleet.configurationRead(7));
+            restored.copy();
+            restored.restore(std::chrono::milliseconds(100 + random.below(4000)));
+            const std::uint64_t gap = 500 + random.below(1500);
+            for (int number = 0; number < 9; ++number) {
+                restored.fleet.advance(std::chrono::milliseconds(100 + random.below(gap)));
+                restored.fleet.add("host-" + std::to_string(number));
+            }
+            restored.fleet.advance(500ms);
+            for (const auto& [host, node] : restored.fleet.nodes)
+                EXPECT_EQ(node->statistics().configurationVersion, 7u) << seed << " " << host;
+        }
+    }
+
     // Guards against requests to an upstream that has said that it is leaving, or that has left, and that the copy
     // shows as before.
     TEST(RestoredPlatform, UpstreamsThatLeaveGetNoRequests)
