Create the size of a fleet at its start again after a restore

A copy of before the object fleet/<service> loses it. The holder that knew it went on with it, but the next one took the number registered then, which scaling had changed. Processes that know it create it again when they notice the restore; an answer that is lost is not repeated.

--- a/src/teaselshore/entry/entry_duties.hpp
+++ b/src/teaselshore/entry/entry_duties.hpp
@@ -32,6 +32,7 @@
     void onPlatformRestored(Instant now)
     {
         this->usageReporter.onPlatformRestored(now);
+        this->fleetController.onPlatformRestored();
         this->versionRollouts.onPlatformRestored(now);
     }
     /// @brief Runs due tasks. Returns whether the shares of versions changed.
--- a/src/teaselshore/entry/fleet_controller.cpp
+++ b/src/teaselshore/entry/fleet_controller.cpp
@@ -94,14 +94,27 @@
     }
     if (registered == 0 || now - entry.registeredChangedAt < settleDelay)
         return std::nullopt;
-    entry.isPending = true;
-    const ObjectCallId id = this->ids.next();
-    this->objectCalls.emplace(id, service.name);
-    const std::string value = toJsonText(Json { { "upstreams", registered } });
-    this->state.commands.emplace_back(CallObjectApi { ObjectCreate { id, baselineKey(service.name), value } });
+    this->createBaseline(service.name, registered);
     return std::nullopt;
 }
 
+void FleetController::onPlatformRestored()
+{
+    for (const auto& [service, entry] : this->baselines) {
+        if (entry.upstreams)
+            this->createBaseline(service, *entry.upstreams);
+    }
+}
+
+void FleetController::createBaseline(const ServiceName& service, std::uint32_t upstreams)
+{
+    this->baselines[service].isPending = true;
+    const ObjectCallId id = this->ids.next();
+    this->objectCalls.emplace(id, service);
+    const std::string value = toJsonText(Json { { "upstreams", upstreams } });
+    this->state.commands.emplace_back(CallObjectApi { ObjectCreate { id, baselineKey(service), value } });
+}
+
 void FleetController::readBaseline(const ServiceName& service)
 {
     this->baselines[service].isPending = true;
--- a/src/teaselshore/entry/fleet_controller.hpp
+++ b/src/teaselshore/entry/fleet_controller.hpp
@@ -25,6 +25,8 @@
     /// @brief Sends due orders for the services without a running rollout.
     void onTick(
         std::optional<FencedHolder> holder, const LiveReports& reports, const EntryRollouts& rollouts, Instant now);
+    /// @brief Creates the known sizes of fleets at their start again, which the copy may lack.
+    void onPlatformRestored();
     bool awaits(ObjectCallId id) const { return this->objectCalls.contains(id); }
     void onObjectResult(const ObjectResult& result, Instant now);
     bool awaitsCloudCall(std::uint64_t call) const { return this->cloudCalls.contains(call); }
@@ -67,6 +69,7 @@
     /// @brief Returns the stored fleet size at the start of the service; stores the present one if there is none.
     std::optional<std::uint32_t> baseline(const EntryService& service, Instant now);
     void readBaseline(const ServiceName& service);
+    void createBaseline(const ServiceName& service, std::uint32_t upstreams);
     FleetState fleetState(const EntryService& service, Instant now) const;
     void orderIfDue(const OrderKey& key, std::uint32_t target, std::uint32_t usable, Duration bootTime,
         const FencedHolder& holder, Instant now);
--- a/src/teaselshore/entry/fleet_size_test.cpp
+++ b/src/teaselshore/entry/fleet_size_test.cpp
@@ -74,6 +74,32 @@
         EXPECT_LT(fleet.objectCalls - before, 60u);
     }
 
+    // Guards against a size at the start that is taken anew from what is registered, by a holder that follows a restore
+    // whose copy lacks it.
+    TEST(FleetOfFew, TheSizeAtTheStartOutlivesItsHolder)
+    {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            EntryFleet fleet(5, seed);
+            const SimulatedPlatform::Copy copy = fleet.platform.copy();
+            fleet.advance(20s);
+            const std::string size = fleet.platform.objects.at("fleet/app").value;
+            UpstreamsListed listed;
+            for (int number = 1; number <= 7; ++number)
+                listed.upstreams.push_back(EntryHarness::upstream(number));
+            for (const auto& [host, node] : fleet.nodes)
+                fleet.handle(host, listed);
+            fleet.platform.restore(copy);
+            fleet.advance(std::chrono::milliseconds(2000 + RandomSource(seed).below(4000)));
+            for (int number = 0; number < 5; ++number) {
+                const std::string host = "host-" + std::to_string(number);
+                fleet.add(host);
+                fleet.handle(host, listed);
+            }
+            fleet.advance(20s);
+            EXPECT_EQ(fleet.platform.objects.at("fleet/app").value, size) << seed;
+        }
+    }
+
     // Guards against details that are lost to a node that needs them later than it read the report.
     TEST(NodeReport, DetailsAreDecodedOnDemand)
     {
