Tell processes that start the limits of upstreams

Limits that upstreams have named stand in the reports of nodes, and a copy of the platform lacks the latest ones until the next report. A fleet that is replaced meanwhile, node by node, forgot them. Peers that a starting process asks for a newer configuration now tell it the limits, too.

--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -117,12 +117,13 @@
     {
         this->cold.onReport(senderAddress, report, now);
     }
-    void receive(const std::string& senderAddress, const NewerConfigurationRequest& request, Instant)
+    void receive(const std::string& senderAddress, const NewerConfigurationRequest& request, Instant now)
     {
         this->configurations.onRequest(senderAddress, request);
         // The peer has just started, or doubts the platform, which may be back from an older copy.
         this->duties.rollouts().tellDecisions(senderAddress);
         this->crashes.tellCrashes(senderAddress);
+        this->limits.tellLimits(senderAddress, now);
     }
     void receive(const std::string& senderAddress, const ConfigurationCopy& copy, Instant)
     {
--- a/src/teaselshore/entry/limit_exchange.cpp
+++ b/src/teaselshore/entry/limit_exchange.cpp
@@ -61,6 +61,13 @@
         this->state.commands.emplace_back(SendEntryMessage { address, report });
 }
 
+void LimitExchange::tellLimits(const std::string& peerAddress, Instant now) const
+{
+    std::vector<LimitStatement> statements = this->statements(now);
+    if (!statements.empty())
+        this->state.commands.emplace_back(SendEntryMessage { peerAddress, LimitReport { std::move(statements) } });
+}
+
 std::vector<LimitStatement> LimitExchange::statements(Instant now) const
 {
     std::vector<LimitStatement> result;
--- a/src/teaselshore/entry/limit_exchange.hpp
+++ b/src/teaselshore/entry/limit_exchange.hpp
@@ -26,6 +26,8 @@
     void onNodeReports(const std::vector<NodeReport>& reports, Instant now);
     /// @brief Tells the peers what has changed since the last call.
     void onTick(Instant now);
+    /// @brief Sends the limits to a peer that may not have read the reports of all nodes.
+    void tellLimits(const std::string& peerAddress, Instant now) const;
     /// @brief Returns the limits that this node knows.
     std::vector<LimitStatement> statements(Instant now) const;
 
--- a/src/teaselshore/entry/limited_upstreams_test.cpp
+++ b/src/teaselshore/entry/limited_upstreams_test.cpp
@@ -331,6 +331,27 @@
         EXPECT_EQ(fleet.nodes.at("host-0")->statistics().limitedUpstreams, 1u);
     }
 
+    // Guards against a limit that is lost with a restore of the platform, while the nodes that know it are replaced.
+    TEST(LimitedUpstreams, NodesThatStartAfterARestoreKnowTheLimits)
+    {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            EntryFleet fleet(9, seed);
+            RandomSource random(seed);
+            LimitedUpstreams upstreams(fleet, 2);
+            const SimulatedPlatform::Copy copy = fleet.platform.copy();
+            upstreams.name(1, 1);
+            upstreams.run(4s, 100);
+            fleet.platform.restore(copy);
+            for (int number = 0; number < 9; ++number) {
+                fleet.advance(std::chrono::milliseconds(100 + random.below(400)));
+                fleet.add("host-" + std::to_string(number));
+            }
+            fleet.advance(500ms);
+            for (const auto& [host, node] : fleet.nodes)
+                EXPECT_EQ(node->statistics().limitedUpstreams, 1u) << "seed " << seed << " " << host;
+        }
+    }
+
     // Guards against a request of which nobody can tell that a limit moved it, who named the limit, and how old it was.
     TEST(LimitedUpstreams, TheLogTellsThatALimitMovedARequest)
     {
