--- a/src/teaselshore/entry/entry_duties_test.cpp
+++ b/src/teaselshore/entry/entry_duties_test.cpp
@@ -164,6 +164,42 @@
         }
     }
 
+    // Load pattern: one workspace sends several times its quota while the platform is restored from a copy of before
+    // half of the nodes started, and all are replaced one after the other. Guards against nodes that take the copy's
+    // nodes for the whole fleet.
+    TEST(EntryDuties, QuotaHoldsWhileNodesAreReplacedAfterARestore)
+    {
+        for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+            EntryFleet fleet(0, seed);
+            RandomSource random(seed);
+            fleet.quota = WorkspaceQuota { QuotaUnit::Requests, 60, 60, 1 };
+            fleet.tolerance = { 8s, 0.1, 0 };
+            for (int index = 0; index < 5; ++index)
+                fleet.add("host-" + std::to_string(index));
+            fleet.advance(20s);
+            const SimulatedPlatform::Copy copy = fleet.platform.copy();
+            for (int index = 5; index < 10; ++index)
+                fleet.add("host-" + std::to_string(index));
+            fleet.advance(20s);
+            const auto load = [&fleet](Duration time) {
+                for (const Instant end = fleet.now + time; fleet.now < end; fleet.advance(100ms)) {
+                    for (int request = 0; request < 60; ++request)
+                        fleet.request("host-" + std::to_string(request % 10));
+                }
+            };
+            load(std::chrono::milliseconds(8000 + random.below(5000)));
+            fleet.platform.restore(copy);
+            const std::uint64_t gap = 200 + random.below(2000);
+            for (int index = 0; index < 10; ++index) {
+                load(std::chrono::milliseconds(random.below(gap)));
+                fleet.add("host-" + std::to_string(index));
+            }
+            load(12s);
+            const double allowed = (60 * 8 + 60) * 1.1;
+            EXPECT_LE(static_cast<double>(fleet.maxSentWithin(8s)), allowed) << "seed " << seed << " gap " << gap;
+        }
+    }
+
     // Load pattern: one workspace sends several times its quota to 20 nodes while 30 more join. Guards against new
     // nodes that use their full shares before the others know them and reduce their own.
     TEST(EntryDuties, QuotaHoldsWhileManyNodesJoin)
