--- a/src/teaselshore/entry/restored_platform_test.cpp
+++ b/src/teaselshore/entry/restored_platform_test.cpp
@@ -356,62 +356,104 @@
         EXPECT_EQ(harness.node.statistics().upstreams, 1u);
     }
 
+    /// A version that gets a share of the requests when the copy is made, and is rolled back before the restore.
+    class RolledBackVersion {
+    public:
+        explicit RolledBackVersion(RestoredFleet& restored)
+            : restored(restored)
+            , fleet(restored.fleet)
+        {
+            for (int number = 1; number <= 8; ++number) {
+                this->upstreams.push_back(EntryHarness::upstream(number, 32));
+                this->upstreams.back().version = VersionName(number <= 4 ? "v1" : "v2");
+            }
+            this->fleet.onForward
+                = [this](const std::string&, const ForwardRequest& forward, std::vector<EntryEvent>& events) {
+                      const bool isNew = std::any_of(this->upstreams.begin() + 4, this->upstreams.end(),
+                          [&](const RegisteredUpstream& entry) { return entry.id() == forward.attempt.upstream; });
+                      this->sentRequests += isNew ? 1 : 0;
+                      UpstreamResponded responded;
+                      responded.response.attempt = forward.attempt.attempt;
+                      responded.response.status = 200;
+                      responded.facts.isStamped = true;
+                      events.emplace_back(std::move(responded));
+                  };
+            this->order.service = ServiceName("app");
+            this->order.target = VersionName("v2");
+            this->order.duration = 60s;
+            this->order.state = RolloutOrder::State::Running;
+            this->order.share = 0.25;
+            this->fleet.writeRollout(this->order);
+            for (const auto& [host, node] : this->fleet.nodes)
+                this->fleet.handle(host, UpstreamsListed { this->upstreams });
+            this->restored.run(3s);
+            this->restored.copy();
+            this->copied = this->fleet.rollouts;
+        }
+
+        RolledBackVersion(const RolledBackVersion&) = delete;
+        RolledBackVersion& operator=(const RolledBackVersion&) = delete;
+
+        void rollBack()
+        {
+            const RolloutDecision decision { this->order.service, this->order.target, RolloutOrder::State::RolledBack,
+                0 };
+            for (const auto& [host, node] : this->fleet.nodes)
+                this->fleet.handle(host, EntryMessageReceived { "10.0.0.1:1", decision });
+            this->order.state = RolloutOrder::State::RolledBack;
+            this->fleet.writeRollout(this->order);
+        }
+
+        /// @brief Restores the platform, and the order as it was in the copy.
+        void restore(Duration outage)
+        {
+            this->restored.restore(outage);
+            this->fleet.rollouts = this->copied;
+            this->fleet.writeRollout(this->fleet.rollouts.at(this->order.service).back().second);
+        }
+
+        /// @brief Replaces the process on a host.
+        void replace(const std::string& host)
+        {
+            this->fleet.add(host);
+            this->fleet.handle(host, UpstreamsListed { this->upstreams });
+        }
+
+        RolloutOrder::State storedState() const
+        {
+            return this->fleet.rollouts.at(this->order.service).back().second.state;
+        }
+
+        /// Requests that were sent to the version.
+        int sentRequests = 0;
+
+    private:
+        RestoredFleet& restored;
+        EntryFleet& fleet;
+        std::vector<RegisteredUpstream> upstreams;
+        RolloutOrder order;
+        std::map<ServiceName, std::vector<std::pair<Instant, RolloutOrder>>> copied;
+    };
+
     // Guards against a bad version that gets requests again since the copy shows its rollout as running.
     TEST(RestoredPlatform, ARolledBackVersionStaysRolledBack)
     {
         for (const bool holderRestarts : { false, true }) {
             RestoredFleet restored(9);
-            EntryFleet& fleet = restored.fleet;
-            std::vector<RegisteredUpstream> registered;
-            for (int number = 1; number <= 8; ++number) {
-                registered.push_back(EntryHarness::upstream(number, 32));
-                registered.back().version = VersionName(number <= 4 ? "v1" : "v2");
-            }
-            std::size_t sentToNew = 0;
-            fleet.onForward = [&](const std::string&, const ForwardRequest& forward, std::vector<EntryEvent>& events) {
-                const bool isNew = std::any_of(registered.begin() + 4, registered.end(),
-                    [&](const RegisteredUpstream& entry) { return entry.id() == forward.attempt.upstream; });
-                sentToNew += isNew ? 1 : 0;
-                UpstreamResponded responded;
-                responded.response.attempt = forward.attempt.attempt;
-                responded.response.status = 200;
-                responded.facts.isStamped = true;
-                events.emplace_back(std::move(responded));
-            };
-            RolloutOrder order;
-            order.service = ServiceName("app");
-            order.target = VersionName("v2");
-            order.duration = 60s;
-            order.state = RolloutOrder::State::Running;
-            order.share = 0.25;
-            fleet.writeRollout(order);
-            for (const auto& [host, node] : fleet.nodes)
-                fleet.handle(host, UpstreamsListed { registered });
-            restored.run(3s);
-            restored.copy();
-            const auto copied = fleet.rollouts;
-            const RolloutDecision decision { order.service, order.target, RolloutOrder::State::RolledBack, 0 };
-            for (const auto& [host, node] : fleet.nodes)
-                fleet.handle(host, EntryMessageReceived { "10.0.0.1:1", decision });
-            order.state = RolloutOrder::State::RolledBack;
-            fleet.writeRollout(order);
+            RolledBackVersion version(restored);
+            version.rollBack();
             restored.run(4s);
-            restored.restore(1s);
-            fleet.rollouts = copied;
-            fleet.writeRollout(fleet.rollouts.at(order.service).back().second);
+            version.restore(1s);
             if (holderRestarts) {
-                for (const std::string& holder : fleet.leaseHolders()) {
-                    fleet.add(holder);
-                    fleet.handle(holder, UpstreamsListed { registered });
-                }
+                for (const std::string& holder : restored.fleet.leaseHolders())
+                    version.replace(holder);
             }
-            for (const auto& [host, node] : fleet.nodes)
-                fleet.handle(host, fleet.listRollouts(false));
-            sentToNew = 0;
+            for (const auto& [host, node] : restored.fleet.nodes)
+                restored.fleet.handle(host, restored.fleet.listRollouts(false));
+            version.sentRequests = 0;
             restored.run(20s);
-            EXPECT_EQ(sentToNew, 0u) << holderRestarts;
-            EXPECT_EQ(fleet.rollouts.at(order.service).back().second.state, RolloutOrder::State::RolledBack)
-                << holderRestarts;
+            EXPECT_EQ(version.sentRequests, 0) << holderRestarts;
+            EXPECT_EQ(version.storedState(), RolloutOrder::State::RolledBack) << holderRestarts;
         }
     }
 
@@ -422,50 +464,14 @@
         for (std::uint64_t seed = 1; seed <= 60; ++seed) {
             RestoredFleet restored(9, seed);
             RandomSource random(seed);
-            EntryFleet& fleet = restored.fleet;
-            std::vector<RegisteredUpstream> registered;
-            for (int number = 1; number <= 8; ++number) {
-                registered.push_back(EntryHarness::upstream(number, 32));
-                registered.back().version = VersionName(number <= 4 ? "v1" : "v2");
-            }
-            std::map<std::string, int> sentToNew;
-            fleet.onForward
-                = [&](const std::string& host, const ForwardRequest& forward, std::vector<EntryEvent>& events) {
-                      const bool isNew = std::any_of(registered.begin() + 4, registered.end(),
-                          [&](const RegisteredUpstream& entry) { return entry.id() == forward.attempt.upstream; });
-                      if (isNew)
-                          ++sentToNew[host];
-                      UpstreamResponded responded;
-                      responded.response.attempt = forward.attempt.attempt;
-                      responded.response.status = 200;
-                      responded.facts.isStamped = true;
-                      events.emplace_back(std::move(responded));
-                  };
-            RolloutOrder order;
-            order.service = ServiceName("app");
-            order.target = VersionName("v2");
-            order.duration = 60s;
-            order.state = RolloutOrder::State::Running;
-            order.share = 0.25;
-            fleet.writeRollout(order);
-            for (const auto& [host, node] : fleet.nodes)
-                fleet.handle(host, UpstreamsListed { registered });
-            restored.run(3s);
-            restored.copy();
-            const auto copied = fleet.rollouts;
-            const RolloutDecision decision { order.service, order.target, RolloutOrder::State::RolledBack, 0 };
-            for (const auto& [host, node] : fleet.nodes)
-                fleet.handle(host, EntryMessageReceived { "10.0.0.1:1", decision });
-            order.state = RolloutOrder::State::RolledBack;
-            fleet.writeRollout(order);
+            RolledBackVersion version(restored);
+            version.rollBack();
             restored.run(std::chrono::milliseconds(1000 + random.below(5000)));
-            restored.restore(std::chrono::milliseconds(100 + random.below(4500)));
-            fleet.rollouts = copied;
-            fleet.writeRollout(fleet.rollouts.at(order.service).back().second);
-            sentToNew.clear();
+            version.restore(std::chrono::milliseconds(100 + random.below(4500)));
+            version.sentRequests = 0;
             const std::uint64_t gap = 100 + random.below(3000);
             const std::uint64_t count = seed % 2 == 0 ? 9 : 1 + random.below(8);
-            std::vector<std::string> hosts = fleet.leaseHolders();
+            std::vector<std::string> hosts = restored.fleet.leaseHolders();
             for (int number = 0; number < 9; ++number) {
                 const std::string host = "host-" + std::to_string(number);
                 if (hosts.empty() || host != hosts.front())
@@ -473,18 +479,13 @@
             }
             for (std::uint64_t number = 0; number < count; ++number) {
                 restored.run(std::chrono::milliseconds(random.below(gap)));
-                fleet.add(hosts[number]);
-                fleet.handle(hosts[number], UpstreamsListed { registered });
-                fleet.handle(hosts[number], fleet.listRollouts(false));
+                version.replace(hosts[number]);
+                restored.fleet.handle(hosts[number], restored.fleet.listRollouts(false));
             }
             restored.run(20s);
-            int total = 0;
-            for (const auto& [host, sent] : sentToNew)
-                total += sent;
             // A process that has just started may send one before a peer has answered it.
-            EXPECT_LE(total, 9) << "seed " << seed;
-            EXPECT_EQ(fleet.rollouts.at(order.service).back().second.state, RolloutOrder::State::RolledBack)
-                << "seed " << seed;
+            EXPECT_LE(version.sentRequests, 9) << "seed " << seed;
+            EXPECT_EQ(version.storedState(), RolloutOrder::State::RolledBack) << "seed " << seed;
         }
     }
 
