Review cases: record each request that is sent and answered

Seen: the record of case 6 named only runs and broken streams. A process under test now also ends with its case.

--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -119,6 +119,7 @@
         std::snprintf(id, sizeof(id), "a%015d", number);
         Channel channel(connectTo(first.callers));
         const double sent = record.now();
+        record.line("sent: request %s to front-1", id);
         channel.write(request("POST", "/query/x", id,
             "X-Model: m\r\nX-Token-Count: 100,24\r\nX-Prompt-Prefix: 5c1e07a2:60," + std::to_string(1000 + number)
                 + ":40\r\nX-Deadline-Ms: 3000\r\nX-Key: key-1\r\n",
@@ -131,6 +132,7 @@
             return;
         }
         std::string problem;
+        int badEvent = 0;
         std::string rest = answer->body;
         int expected = 1;
         for (std::size_t end = rest.find("\n\n"); end != std::string::npos; end = rest.find("\n\n")) {
@@ -139,19 +141,23 @@
             const std::size_t name = event.find("data: ");
             const std::string made
                 = name == std::string::npos ? "" : event.substr(name + 6, event.find('.', name) - name - 6);
-            if (event != eventText(made, expected))
+            if (event != eventText(made, expected) && problem.empty()) {
                 problem = event;
+                badEvent = expected;
+            }
             ++expected;
         }
         ++(answer->whole ? whole : cut);
         if (answer->whole && problem.empty() && expected != eventsOfStream + 1)
-            problem = "(ends as complete after event " + std::to_string(expected - 1) + ")";
-        if (problem.empty())
+            problem = "(none; the stream ends as complete after event " + std::to_string(expected - 1) + ")";
+        if (problem.empty()) {
+            record.line("request %s: status 200, %s, %d events", id, answer->whole ? "complete" : "cut", expected - 1);
             return;
+        }
         ++broken;
         std::replace(problem.begin(), problem.end(), '\n', '|');
         record.line("request %s, sent at %.3f: status 200, %s, but event %d is: %s", id, sent,
-            answer->whole ? "complete" : "cut", expected - 1, problem.c_str());
+            answer->whole ? "complete" : "cut", badEvent, problem.c_str());
     };
 
     std::vector<std::thread> callers;
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -95,13 +95,14 @@
     if (trouble) {
         Channel channel(connectTo(entry.callers));
         const std::string prefix = "1:4294967295,2:4294967295,3:4294967295,4:4294967295";
-        record.line("sent: request odd with X-Prompt-Prefix: %s", prefix.c_str());
+        record.line("sent: request b000000000000001 with X-Prompt-Prefix: %s", prefix.c_str());
         channel.write(request("POST", "/query/x", "b000000000000001",
             "X-Model: m\r\nX-Token-Count: 1460,80\r\nX-Prompt-Prefix: " + prefix
                 + "\r\nX-Deadline-Ms: 3000\r\nX-Key: key-2\r\n",
             "{}"));
         const auto answer = channel.read(3000, true);
-        record.line("request odd: %s", answer ? answer->first.c_str() : "the channel ends without an answer");
+        record.line(
+            "request b000000000000001: %s", answer ? answer->first.c_str() : "the channel ends without an answer");
     }
     for (std::thread& caller : callers)
         caller.join();
--- a/review/stand-2/stand.hpp
+++ b/review/stand-2/stand.hpp
@@ -7,6 +7,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -733,6 +734,8 @@
         this->pid = fork();
         if (this->pid != 0)
             return;
+        // It must not outlive the case.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int output = open(this->log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(output, 1);
         dup2(output, 2);
