Keep the bytes of an unfinished event with its attempt

Cause: EventStreamBuffer held, for the caller, both the events that it had got and the bytes of an event that one attempt had not finished. Each way to end an attempt had to drop the second, and CancelAttempt did not.

Ruled out: bytes of a cancelled call that HttpClient still delivers, and a peer that sends the joined event; the unit test needs neither links nor peers.

EventSplitter belongs to the attempt now and ends with it, DeliveredEvents to the caller. Events are counted as delivered only after the check for an event that is too long, which gave the attempt up between the count and the write.

--- a/src/teaselshore/daemon/request_relay.cpp
+++ b/src/teaselshore/daemon/request_relay.cpp
@@ -8,7 +8,8 @@
 #include "header_conversion.hpp"
 #include "teaselshore/base/assert.hpp"
 #include "teaselshore/base/log.hpp"
-#include "teaselshore/node/event_stream_buffer.hpp"
+#include "teaselshore/node/delivered_events.hpp"
+#include "teaselshore/node/event_splitter.hpp"
 
 namespace teaselshore {
 
@@ -21,7 +22,7 @@
 
     struct Caller {
         std::shared_ptr<ServerExchange> exchange;
-        EventStreamBuffer events;
+        DeliveredEvents events;
         bool streaming = false;
     };
 
@@ -38,6 +39,7 @@
         std::optional<std::string> echoName;
         HttpHeaders headers;
         std::string body;
+        EventSplitter splitter;
         /// Bytes that are kept for this attempt until it ends or its event is complete.
         std::size_t keptBytes = 0;
     };
@@ -76,8 +78,8 @@
 
     bool belongsTo(AttemptId id, const Attempt& attempt, const HttpHeaders& headers) const;
     bool isUsable(const HttpHeaders& headers) const;
-    /// @brief Returns whether the stream that just ended is complete.
-    bool isComplete(const Caller& caller) const;
+    /// @brief Returns whether the stream that just ended with this attempt is complete.
+    bool isComplete(const Caller& caller, const Attempt& attempt) const;
     HttpHeaders streamHead(const Attempt& attempt) const;
     void relayBytes(AttemptId id, Attempt& attempt, std::string_view bytes);
     /// @brief Notes how many bytes are kept for an attempt, and gives up the attempt with the most if all together
@@ -313,13 +315,14 @@
     Caller* caller = this->findCaller(attempt.request);
     if (!caller)
         return;
-    const std::string complete = caller->events.takeComplete(bytes);
-    if (caller->events.isTooLong()) {
+    const std::string complete = attempt.splitter.takeComplete(bytes);
+    if (attempt.splitter.isTooLong()) {
         this->giveUp(id, "an event is longer than the limit");
         return;
     }
-    if (complete.empty()) {
-        this->setKept(attempt, caller->events.partialBytes());
+    const std::string fresh = caller->events.takeNew(complete);
+    if (fresh.empty()) {
+        this->setKept(attempt, attempt.splitter.partialBytes());
         return;
     }
     // Not before the first complete event: until then the caller can still get another response.
@@ -327,8 +330,8 @@
         caller->streaming = true;
         caller->exchange->startStream(statusOk, this->streamHead(attempt));
     }
-    this->counters.relayedBytes += complete.size();
-    caller->exchange->write(complete);
+    this->counters.relayedBytes += fresh.size();
+    caller->exchange->write(fresh);
     const RequestId request = attempt.request;
     const std::size_t pendingBytes = caller->exchange->pendingBytes();
     if (!attempt.announced && pendingBytes <= this->settings.maxPendingStreamBytes) {
@@ -337,9 +340,8 @@
     }
     this->dropSlowCallers(request, pendingBytes);
     const auto remaining = this->attempts.find(id);
-    const Caller* reader = this->findCaller(request);
-    if (remaining != this->attempts.end() && reader)
-        this->setKept(remaining->second, reader->events.partialBytes());
+    if (remaining != this->attempts.end())
+        this->setKept(remaining->second, remaining->second.splitter.partialBytes());
 }
 
 void RequestRelay::Impl::dropSlowCallers(const RequestId& request, std::size_t pendingBytes)
@@ -389,11 +391,11 @@
         this->take(found);
         return;
     }
-    if (!this->isComplete(caller->second)) {
+    if (!this->isComplete(caller->second, found->second)) {
         this->fail(id, true, true, "the stream ended without its final event");
         return;
     }
-    const std::uint64_t events = caller->second.events.events();
+    const std::uint64_t events = caller->second.events.count();
     const auto exchange = std::move(caller->second.exchange);
     this->callers.erase(caller);
     const Attempt attempt = this->take(found);
@@ -415,10 +417,10 @@
     return !framed || headers.find(framed->requiredField).has_value();
 }
 
-bool RequestRelay::Impl::isComplete(const Caller& caller) const
+bool RequestRelay::Impl::isComplete(const Caller& caller, const Attempt& attempt) const
 {
     if (std::holds_alternative<FramedStreams>(this->settings.streams))
-        return caller.streaming && !caller.events.hasPartial();
+        return caller.streaming && !attempt.splitter.hasPartial();
     return caller.events.done();
 }
 
@@ -452,10 +454,8 @@
         return;
     const RequestId request = this->take(found).request;
     std::optional<std::uint64_t> lastEventId;
-    if (Caller* caller = this->findCaller(request)) {
-        caller->events.dropPartial();
+    if (const Caller* caller = this->findCaller(request))
         lastEventId = caller->events.lastId();
-    }
     this->emit(AttemptFailed {
         id, mayHaveRun, connectionBroken, this->relayedEvents(request), std::move(detail), lastEventId });
 }
@@ -469,7 +469,7 @@
 std::uint64_t RequestRelay::Impl::relayedEvents(const RequestId& request)
 {
     const Caller* caller = this->findCaller(request);
-    return caller ? caller->events.events() : 0;
+    return caller ? caller->events.count() : 0;
 }
 
 void RequestRelay::Impl::callerGone(const RequestId& request)
--- a/src/teaselshore/daemon/request_relay_test.cpp
+++ b/src/teaselshore/daemon/request_relay_test.cpp
@@ -1,10 +1,13 @@
+#include <algorithm>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include "teaselshore/daemon/request_relay.hpp"
-#include "teaselshore/node/event_stream_buffer.hpp"
+#include "teaselshore/node/event_splitter.hpp"
 
 namespace teaselshore {
 namespace {
@@ -137,6 +140,121 @@
         EXPECT_EQ(this->failures[0].relayedEvents, 2u);
     }
 
+    // Guards against a caller that gets the bytes of an event of a cancelled attempt joined with the first event of the
+    // next attempt.
+    TEST_F(RequestRelayTest, CancelledAttemptLeavesNothingOfItsEvent)
+    {
+        this->script = [this](const std::shared_ptr<ServerExchange>& exchange) {
+            exchange->startStream(200, { { "content-type", "text/event-stream" } });
+            if (this->lastAttempt == 1) {
+                exchange->write("id: 0\ndata: of the first");
+                this->loop->runAfter(flushTime, [this] {
+                    this->relay.execute(CancelAttempt { 1 });
+                    this->startAttempt();
+                });
+                return;
+            }
+            exchange->write(event(0) + "data: [DONE]\n\n");
+            exchange->finish();
+        };
+        this->call();
+        EXPECT_TRUE(this->complete);
+        EXPECT_EQ(this->received, event(0) + "data: [DONE]\n\n");
+    }
+
+    /// How an attempt ends before its stream does.
+    enum class Ending { Cancelled, Interrupted, Reset, EndedEarly };
+
+    /// An attempt of a drawn stream, up to where it ends.
+    struct DrawnAttempt {
+        /// Events before the first missing one that the upstream sends again.
+        int repeated = 0;
+        std::size_t bytes = 0;
+        std::size_t bytesPerWrite = 0;
+        Ending ending = Ending::Cancelled;
+    };
+
+    std::string eventOfRun(int index, AttemptId run)
+    {
+        return "id: " + std::to_string(index) + "\ndata: of run " + std::to_string(run) + "\n\n";
+    }
+
+    // Guards against streams whose callers get the bytes of two runs joined, an event twice or one less: upstreams
+    // write in pieces of any size, and each attempt ends at any byte in any of the ways there are.
+    RC_GTEST_FIXTURE_PROP(RequestRelayTest, StreamOfAnyAttemptsHoldsEachEventOnce, ())
+    {
+        constexpr auto pauseBetweenWrites = std::chrono::microseconds(200);
+        const int total = *rc::gen::inRange(1, 6);
+        const auto drawn = *rc::gen::container<std::vector<DrawnAttempt>>(*rc::gen::inRange<std::size_t>(0, 4),
+            rc::gen::build<DrawnAttempt>(rc::gen::set(&DrawnAttempt::repeated, rc::gen::inRange(0, 3)),
+                rc::gen::set(&DrawnAttempt::bytes, rc::gen::inRange<std::size_t>(0, 60)),
+                rc::gen::set(&DrawnAttempt::bytesPerWrite, rc::gen::inRange<std::size_t>(1, 30)),
+                rc::gen::set(&DrawnAttempt::ending,
+                    rc::gen::element(Ending::Cancelled, Ending::Interrupted, Ending::Reset, Ending::EndedEarly))));
+        // Number of events that the owner of the relay knows to be delivered.
+        int known = 0;
+        std::function<void(std::shared_ptr<ServerExchange>, std::string, DrawnAttempt)> write;
+        write = [&](const std::shared_ptr<ServerExchange>& exchange, std::string text, const DrawnAttempt& attempt) {
+            if (!text.empty()) {
+                exchange->write(text.substr(0, attempt.bytesPerWrite));
+                text.erase(0, attempt.bytesPerWrite);
+                this->loop->runAfter(
+                    pauseBetweenWrites, [&write, exchange, text, attempt] { write(exchange, text, attempt); });
+                return;
+            }
+            switch (attempt.ending) {
+            case Ending::Cancelled:
+                this->relay.execute(CancelAttempt { this->lastAttempt });
+                this->startAttempt();
+                return;
+            case Ending::Interrupted:
+                this->relay.execute(InterruptAttempt { this->lastAttempt });
+                return;
+            case Ending::Reset:
+                exchange->abort();
+                return;
+            case Ending::EndedEarly:
+                exchange->finish();
+                return;
+            }
+        };
+        this->script = [&](const std::shared_ptr<ServerExchange>& exchange) {
+            const AttemptId run = this->lastAttempt;
+            exchange->startStream(200, { { "content-type", "text/event-stream" } });
+            std::string text;
+            if (run > drawn.size()) {
+                for (int index = known; index < total; ++index)
+                    text += eventOfRun(index, run);
+                exchange->write(text + "data: [DONE]\n\n");
+                exchange->finish();
+                return;
+            }
+            const DrawnAttempt& attempt = drawn[run - 1];
+            for (int index = std::max(0, known - attempt.repeated); index < total; ++index)
+                text += eventOfRun(index, run);
+            write(exchange, text.substr(0, attempt.bytes), attempt);
+        };
+        this->onFailed = [&] {
+            known = static_cast<int>(this->failures.back().relayedEvents);
+            this->startAttempt();
+        };
+        this->call();
+
+        RC_ASSERT(this->complete);
+        std::string_view rest = this->received;
+        for (int index = 0; index < total; ++index) {
+            bool isFound = false;
+            for (AttemptId run = 1; run <= this->lastAttempt && !isFound; ++run) {
+                const std::string text = eventOfRun(index, run);
+                isFound = rest.starts_with(text);
+                if (isFound)
+                    rest.remove_prefix(text.size());
+            }
+            RC_ASSERT(isFound);
+        }
+        RC_ASSERT(rest == "data: [DONE]\n\n");
+    }
+
     // Guards against memory and processor time without bound while an upstream sends an event that has no end.
     TEST_F(RequestRelayTest, EventWithoutEndIsGivenUp)
     {
@@ -157,7 +275,7 @@
         this->onFailed = [this] { this->relay.execute(FailStream { this->request, "{}" }); };
         this->call();
         ASSERT_EQ(this->failures.size(), 1u);
-        EXPECT_LT(written, 4 * EventStreamBuffer::maxEventBytes);
+        EXPECT_LT(written, 4 * EventSplitter::maxEventBytes);
         EXPECT_EQ(this->received, event(0) + "event: error\ndata: {}\n\n");
         EXPECT_EQ(this->relay.counters().endlessResponses, 1u);
     }
--- a/src/teaselshore/node/event_stream_buffer.cpp
+++ b/src/teaselshore/node/delivered_events.cpp
@@ -1,4 +1,4 @@
-#include "teaselshore/node/event_stream_buffer.hpp"
+#include "teaselshore/node/delivered_events.hpp"
 
 #include <charconv>
 
@@ -36,38 +36,20 @@
 
 } // namespace
 
-std::string EventStreamBuffer::takeComplete(std::string_view bytes)
-{
-    // Most chunks hold whole events; then nothing needs to be joined with an earlier part.
-    if (this->partial.empty() && bytes.ends_with(eventEnd))
-        return this->takeEvents(bytes);
-
-    // Only the end of the earlier bytes can be part of an event's end.
-    const std::size_t searched = this->partial.empty() ? 0 : this->partial.size() - 1;
-    this->partial.append(bytes);
-    const std::size_t found = std::string_view(this->partial).substr(searched).rfind(eventEnd);
-    if (found == std::string::npos)
-        return {};
-    const std::size_t end = searched + found;
-    const std::string complete = this->partial.substr(0, end + eventEnd.size());
-    this->partial.erase(0, complete.size());
-    return this->takeEvents(complete);
-}
-
-std::string EventStreamBuffer::takeEvents(std::string_view complete)
+std::string DeliveredEvents::takeNew(std::string_view events)
 {
     std::string taken;
-    taken.reserve(complete.size());
-    while (!complete.empty()) {
-        const std::size_t end = complete.find(eventEnd);
-        if (this->takeEvent(complete.substr(0, end)))
-            taken.append(complete.substr(0, end + eventEnd.size()));
-        complete.remove_prefix(end + eventEnd.size());
+    taken.reserve(events.size());
+    while (!events.empty()) {
+        const std::size_t end = events.find(eventEnd);
+        if (this->take(events.substr(0, end)))
+            taken.append(events.substr(0, end + eventEnd.size()));
+        events.remove_prefix(end + eventEnd.size());
     }
     return taken;
 }
 
-bool EventStreamBuffer::takeEvent(std::string_view event)
+bool DeliveredEvents::take(std::string_view event)
 {
     if (event == doneEvent || event.ends_with("\ndata: [DONE]")) {
         this->sawDone = true;
--- a/src/teaselshore/node/node_test.cpp
+++ b/src/teaselshore/node/node_test.cpp
@@ -128,6 +128,7 @@
         ClusterSettings settings;
         settings.announcedOnly = seed % 4 == 0;
         settings.peerFaults = seed % 4 != 1;
+        settings.writesTokens = true;
         settings.trace = std::getenv("TEASELSHORE_SOAK_TRACE") != nullptr;
         const Totals totals = runSeeds(seed, 1, settings);
         for (const std::string& violation : totals.violations)
--- a/src/teaselshore/node/node_test_support.hpp
+++ b/src/teaselshore/node/node_test_support.hpp
@@ -14,7 +14,8 @@
 
 #include "teaselshore/base/random.hpp"
 #include "teaselshore/journal/slot_owner_test_support.hpp"
-#include "teaselshore/node/event_stream_buffer.hpp"
+#include "teaselshore/node/delivered_events.hpp"
+#include "teaselshore/node/event_splitter.hpp"
 #include "teaselshore/node/node.hpp"
 
 namespace teaselshore::test {
@@ -32,6 +33,9 @@
     /// Whether a poison request may crash at most 3 upstreams while peers are cut off from each other. Without it, the
     /// limit is 2 for each node instance.
     bool limitPoisonWithCut = false;
+    /// Whether upstreams write the tokens of an event one by one, so that attempts end inside events. Without it, the
+    /// runs that a seed names stay as they were.
+    bool writesTokens = false;
     /// Prints log lines of the nodes, faults and poison requests.
     bool trace = false;
     NodeMutations mutations;
@@ -62,6 +66,7 @@
         int status = 0;
         HeaderList headers;
         std::string body;
+        EventSplitter splitter;
     };
 
     struct Caller {
@@ -71,7 +76,7 @@
         std::string body;
         std::uint64_t firstEvent = 0;
         std::uint64_t eventCount = 0;
-        EventStreamBuffer events;
+        DeliveredEvents events;
         std::string received;
         bool streaming = false;
         /// The caller left or its node died.
@@ -217,8 +222,10 @@
     Upstream* upstreamAt(const std::string& address);
     void arriveAtUpstream(Process& process, const StartAttempt& command);
     void runEngine(Process& process, const StartAttempt& command, Upstream& upstream);
-    void streamNext(Process& process, AttemptId attempt, UpstreamId upstream, std::uint64_t generation,
+    void streamNext(Process& process, AttemptId attempt, const UpstreamId& upstream, std::uint64_t generation,
         const std::string& token, std::uint64_t index, std::uint64_t count);
+    bool isStreaming(
+        const Process& process, AttemptId attempt, const UpstreamId& upstream, std::uint64_t generation) const;
     void runPlain(Process& process, const StartAttempt& command, Upstream& upstream);
     void onHead(Process& process, AttemptId id, int status, HeaderList headers);
     void onData(Process& process, AttemptId id, const std::string& bytes);
--- a/src/teaselshore/node/node_upstreams_test.cpp
+++ b/src/teaselshore/node/node_upstreams_test.cpp
@@ -180,29 +180,45 @@
         });
 }
 
-void NodeCluster::streamNext(Process& process, AttemptId attempt, UpstreamId upstream, std::uint64_t generation,
+void NodeCluster::streamNext(Process& process, AttemptId attempt, const UpstreamId& upstream, std::uint64_t generation,
     const std::string& token, std::uint64_t index, std::uint64_t count)
 {
-    const auto found = std::find_if(
-        this->upstreams.begin(), this->upstreams.end(), [&](const Upstream& other) { return other.id == upstream; });
-    if (!found->alive || found->generation != generation || !process.alive || !process.attempts.contains(attempt))
+    if (!this->isStreaming(process, attempt, upstream, generation))
         return;
     const bool last = index >= count;
-    std::string text = last ? "data: [DONE]\n\n" : eventText(token, index);
+    const std::string text = last ? "data: [DONE]\n\n" : eventText(token, index);
     // Bytes arrive in pieces that do not match events.
     const std::size_t cut = this->random.below(text.size());
-    this->onProcess(process, [this, &process, attempt, text, cut, last] {
-        this->onData(process, attempt, text.substr(0, cut));
-        this->onData(process, attempt, text.substr(cut));
-        if (last)
-            this->onEnd(process, attempt);
-    });
-    if (last)
-        return;
-    this->after(seconds(0.01 + 0.04 * this->random.uniform()),
-        [this, &process, attempt, upstream, generation, token, index, count] {
-            this->streamNext(process, attempt, upstream, generation, token, index + 1, count);
-        });
+    this->onProcess(
+        process, [this, &process, attempt, text, cut] { this->onData(process, attempt, text.substr(0, cut)); });
+    const auto finishEvent
+        = [this, &process, attempt, upstream, generation, token, index, count, last, rest = text.substr(cut)] {
+              if (!this->isStreaming(process, attempt, upstream, generation))
+                  return;
+              this->onProcess(process, [this, &process, attempt, rest, last] {
+                  this->onData(process, attempt, rest);
+                  if (last)
+                      this->onEnd(process, attempt);
+              });
+              if (last)
+                  return;
+              this->after(seconds(0.01 + 0.04 * this->random.uniform()),
+                  [this, &process, attempt, upstream, generation, token, index, count] {
+                      this->streamNext(process, attempt, upstream, generation, token, index + 1, count);
+                  });
+          };
+    if (this->settings.writesTokens)
+        this->after(seconds(0.002 + 0.008 * this->random.uniform()), finishEvent);
+    else
+        finishEvent();
+}
+
+bool NodeCluster::isStreaming(
+    const Process& process, AttemptId attempt, const UpstreamId& upstream, std::uint64_t generation) const
+{
+    const auto found = std::find_if(
+        this->upstreams.begin(), this->upstreams.end(), [&](const Upstream& other) { return other.id == upstream; });
+    return found->alive && found->generation == generation && process.alive && process.attempts.contains(attempt);
 }
 
 void NodeCluster::runPlain(Process& process, const StartAttempt& command, Upstream& upstream)
@@ -259,7 +275,7 @@
     const auto caller = process.callers.find(attempt.request);
     if (caller == process.callers.end())
         return;
-    const std::string complete = caller->second->events.takeComplete(bytes);
+    const std::string complete = caller->second->events.takeNew(attempt.splitter.takeComplete(bytes));
     if (complete.empty())
         return;
     caller->second->streaming = true;
@@ -282,7 +298,7 @@
         process.attempts.erase(found);
         this->emit(process,
             AttemptFinished {
-                id, attempt.status, attempt.headers, attempt.body, false, caller ? caller->events.events() : 0 });
+                id, attempt.status, attempt.headers, attempt.body, false, caller ? caller->events.count() : 0 });
         return;
     }
     if (!caller) {
@@ -297,7 +313,7 @@
     process.callers.erase(position);
     caller->status = statusOk;
     this->closed(process, caller);
-    this->emit(process, AttemptFinished { id, attempt.status, attempt.headers, {}, true, caller->events.events() });
+    this->emit(process, AttemptFinished { id, attempt.status, attempt.headers, {}, true, caller->events.count() });
 }
 
 void NodeCluster::fail(Process& process, AttemptId id, bool mayHaveRun, bool broken, const std::string& detail)
@@ -309,10 +325,8 @@
     process.attempts.erase(found);
     const auto caller = process.callers.find(request);
     std::uint64_t events = 0;
-    if (caller != process.callers.end()) {
-        caller->second->events.dropPartial();
-        events = caller->second->events.events();
-    }
+    if (caller != process.callers.end())
+        events = caller->second->events.count();
     this->emit(process, AttemptFailed { id, mayHaveRun, broken, events, detail });
 }
 
