Compute the hashes of prompt blocks when they are asked for

Cause: the list of prefix blocks had an entry for each 256 tokens stated, without a bound, though the index looks at 4,096 blocks at most.

Ruled out: the length of the head (260 of 16,384 bytes) and the index itself, whose size is fixed.

PromptBlocks keeps the parts and computes the hash of a block on demand. Hashes and choices stay the same; a property compares them with the former list. Overloaded is in one place now.

--- a/include/teaselshore/entry/caller_request.hpp
+++ b/include/teaselshore/entry/caller_request.hpp
@@ -10,17 +10,10 @@
 #include "teaselshore/base/name.hpp"
 #include "teaselshore/base/shared_bytes.hpp"
 #include "teaselshore/base/time.hpp"
+#include "teaselshore/routing/prompt_blocks.hpp"
 
 namespace teaselshore {
 
-/// @brief Part of a prompt. Parts with equal ids have equal text.
-struct PromptPart {
-    std::uint64_t id = 0;
-    std::uint32_t tokens = 0;
-
-    auto operator<=>(const PromptPart&) const = default;
-};
-
 /// @brief Token counts that a caller declares for a generation.
 struct PromptSize {
     std::uint32_t promptTokens = 0;
--- a/include/teaselshore/routing/prefix_index.hpp
+++ b/include/teaselshore/routing/prefix_index.hpp
@@ -7,6 +7,7 @@
 
 #include "teaselshore/base/fingerprint.hpp"
 #include "teaselshore/base/name.hpp"
+#include "teaselshore/routing/prompt_blocks.hpp"
 
 namespace teaselshore {
 
@@ -76,13 +77,13 @@
     void onEvent(std::uint32_t engine, const CacheEvent& event);
 
     /// @brief Records that a prompt was sent to an engine, which will cache its blocks soon.
-    void onDispatched(std::uint32_t engine, std::span<const Fingerprint> blocks);
+    void onDispatched(std::uint32_t engine, const PromptBlocks& blocks);
 
     /// @brief Invalidates all entries of an engine that ended or was removed.
     void invalidate(std::uint32_t engine);
 
     /// @brief Returns the engines expected to have the longest prefixes of the prompt in their cache.
-    PrefixHolders find(std::span<const Fingerprint> blocks) const;
+    PrefixHolders find(const PromptBlocks& blocks) const;
 
     std::size_t memoryBytes() const;
 
--- a/include/teaselshore/routing/routing_decision.hpp
+++ b/include/teaselshore/routing/routing_decision.hpp
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
-#include "teaselshore/base/fingerprint.hpp"
 #include "teaselshore/base/name.hpp"
 #include "teaselshore/base/time.hpp"
+#include "teaselshore/routing/prompt_blocks.hpp"
 
 namespace teaselshore {
 
@@ -19,8 +19,7 @@
     /// 0 for a plain service.
     std::uint32_t promptTokens = 0;
     std::uint32_t expectedOutputTokens = 0;
-    /// Chained hashes of the prompt's blocks, which have equal length, from the first block on; see CacheEvent.
-    std::vector<Fingerprint> prefixBlocks;
+    PromptBlocks prefixBlocks;
     /// Upstreams of earlier attempts, which are not chosen again.
     std::vector<UpstreamId> excluded;
     /// Whether the samples avoid excluded upstreams, as for a zone whose upstreams are all excluded. Few exclusions
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -70,22 +70,6 @@
 
     std::string formatSeconds(Duration duration) { return fmt::format("{:.2f}", toSeconds(duration)); }
 
-    std::vector<Fingerprint> prefixBlocks(const std::vector<PromptPart>& parts, std::uint32_t tokensPerBlock)
-    {
-        std::vector<Fingerprint> blocks;
-        Fingerprint prefix = 0;
-        std::uint64_t tokens = 0;
-        for (const PromptPart& part : parts) {
-            const Fingerprint throughPart = combine(prefix, part.id);
-            const std::uint64_t end = tokens + part.tokens;
-            for (std::uint64_t next = (blocks.size() + 1) * tokensPerBlock; next <= end; next += tokensPerBlock)
-                blocks.push_back(combine(throughPart, next - tokens));
-            prefix = throughPart;
-            tokens = end;
-        }
-        return blocks;
-    }
-
 } // namespace
 
 EntryRequests::EntryRequests(EntryState& state, EntryRollouts& rollouts, CrashDetector& crashes,
@@ -385,7 +369,7 @@
         routing.promptTokens = size->promptTokens;
         routing.expectedOutputTokens = size->maxOutputTokens;
     }
-    routing.prefixBlocks = prefixBlocks(request.caller.parts, EntryState::tokensPerBlock);
+    routing.prefixBlocks = PromptBlocks(request.caller.parts, EntryState::tokensPerBlock);
 }
 
 void EntryRequests::dispatch(Request& request, Instant now)
--- a/src/teaselshore/node/cluster_events.cpp
+++ b/src/teaselshore/node/cluster_events.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "teaselshore/base/assert.hpp"
+#include "teaselshore/base/overloaded.hpp"
 #include "teaselshore/configuration/parse.hpp"
 
 namespace teaselshore {
@@ -17,11 +18,6 @@
     /// Crashes that are told again; a poison request comes back within seconds.
     constexpr Duration recentSuspects = std::chrono::seconds(30);
 
-    template <typename... Handlers> struct Overloaded : Handlers... {
-        using Handlers::operator()...;
-    };
-    template <typename... Handlers> Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 } // namespace
 
 ClusterEvents::ClusterEvents(NodeState& state, DurableRequests& durable)
--- a/src/teaselshore/routing/prefix_index.cpp
+++ b/src/teaselshore/routing/prefix_index.cpp
@@ -69,7 +69,7 @@
     }
 }
 
-void PrefixIndex::onDispatched(std::uint32_t index, std::span<const Fingerprint> blocks)
+void PrefixIndex::onDispatched(std::uint32_t index, const PromptBlocks& blocks)
 {
     if (blocks.empty())
         return;
@@ -91,7 +91,7 @@
     engine.lastSequence = 0;
 }
 
-PrefixHolders PrefixIndex::find(std::span<const Fingerprint> blocks) const
+PrefixHolders PrefixIndex::find(const PromptBlocks& blocks) const
 {
     PrefixHolders found;
     const auto& grid = depthGrid();
--- a/src/teaselshore/routing/upstream_chooser.cpp
+++ b/src/teaselshore/routing/upstream_chooser.cpp
@@ -1,5 +1,7 @@
 #include "upstream_chooser.hpp"
 
+#include "teaselshore/base/overloaded.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <variant>
@@ -47,11 +49,6 @@
     /// Cost of a reclaim for a request that is not idempotent, since its outcome is then unknown.
     constexpr double unknownOutcomeHarmSeconds = 600;
 
-    template <typename... Handlers> struct Overloaded : Handlers... {
-        using Handlers::operator()...;
-    };
-    template <typename... Handlers> Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 } // namespace
 
 UpstreamChooser::UpstreamChooser(const RouterSettings& settings, UpstreamTable& table, const PrefixIndex& prefixIndex)
