Refuse chunk lines and trailers that do not end

Callers saw nothing of it until the process was out of memory: the bytes of a chunk line without an end stay in the connection's input buffer, which neither max_header_bytes, max_body_bytes nor the budget of the bodies counts. No key is needed, since nothing is checked before the request is whole.

Cause: RequestParser waits for the end of the line, and the limit of the head ends with the head.

Change: bytes behind the head that cannot be parsed before more of them arrive may be as many as a head; beyond it the request is malformed.

--- a/include/teaselshore/http/http_server.hpp
+++ b/include/teaselshore/http/http_server.hpp
@@ -19,7 +19,7 @@
     std::string address = "127.0.0.1";
     /// 0 selects a free port; see HttpServer::port().
     std::uint16_t port = 0;
-    /// Request line and header fields.
+    /// Request line and header fields; also each line between the chunks of a body, and its trailer.
     std::size_t maxHeaderBytes = std::size_t { 64 } * 1024;
     std::size_t maxBodyBytes = std::size_t { 8 } * 1024 * 1024;
     /// Bytes that the bodies of all HTTP/1 requests may take together, from their arrival until nobody holds them.
--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -136,8 +136,12 @@
         this->armTimer(this->deadline);
     }
     std::size_t used = 0;
-    const RequestParser::Progress progress = this->parser->put(bytes, used);
+    RequestParser::Progress progress = this->parser->put(bytes, used);
     h2o_buffer_consume(&this->socket->input, used);
+    // The head's limit does not cover the lines between chunks and after the last one.
+    if (progress == RequestParser::Progress::NeedsMore && this->parser->hasHeader()
+        && this->socket->input->size > this->core.limits().maxHeaderBytes)
+        progress = RequestParser::Progress::Malformed;
     const bool isValid = progress == RequestParser::Progress::NeedsMore || progress == RequestParser::Progress::Done;
     if (isValid && this->parser->hasHeader() && !this->bodyMemory.resize(this->parser->bodyBytes())) {
         this->refuseForMemory();
--- a/src/teaselshore/http/http_server_test.cpp
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -255,6 +255,27 @@
         EXPECT_EQ(fixture.run(std::move(fits)).status, 200);
     }
 
+    // Guards against lines between and behind the chunks of a body that are kept until they end, which no limit
+    // counted.
+    TEST(HttpServer, RefusesChunkLinesWithoutEnd)
+    {
+        HttpServerSettings settings;
+        settings.maxHeaderBytes = 16384;
+        int handled = 0;
+        HttpFixture fixture([&](const auto& exchange) { ++handled, echo(exchange); }, settings);
+        const std::string head = "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+        for (const std::string lines : { "1;", "1\r\nx\r\n2;name=", "0\r\nfield: " }) {
+            const std::string answer = exchangeRaw(fixture, head + lines + std::string(40'000, 'e'));
+            EXPECT_EQ(answer.rfind("HTTP/1.1 400", 0), 0u) << lines << " -> " << answer;
+        }
+        EXPECT_EQ(handled, 0);
+        const std::string sound
+            = "1;" + std::string(15'000, 'e') + "\r\nx\r\n0\r\nfield: " + std::string(15'000, 'e') + "\r\n\r\n";
+        EXPECT_TRUE(exchangeRaw(
+            fixture, "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n" + sound)
+                        .starts_with("HTTP/1.1 200"));
+    }
+
     // Guards against a body that stops short and holds its connection without an answer.
     TEST(HttpServer, AnswersBodyThatStopsShortWith408)
     {
