Bound the fields of requests, and count heads in the memory budget

Seen by the maintainers: 320 heads of 16 KB in fields of 4 bytes, none of them finished, took 97 MB. Each field is kept as two strings of 32 bytes, and no limit counted heads or unfinished lines of several connections together.

Change: a request has 256 fields at most, as an answer (431 beyond); peers may add 8. What a head and its unparsed bytes take beyond 4 KB counts in the budget of the bodies, and is refused with 503 and retry-after when the budget is taken. Requests with heads as callers send them still need nothing of it.

Failed before: HttpServer.RefusesHeadersOfManyFields and HttpServer.UnfinishedHeadsAndLinesTakeMemoryOfTheBudget.

--- a/include/teaselshore/http/http_server.hpp
+++ b/include/teaselshore/http/http_server.hpp
@@ -21,8 +21,10 @@
     std::uint16_t port = 0;
     /// Request line and header fields; also each line between the chunks of a body, and its trailer.
     std::size_t maxHeaderBytes = std::size_t { 64 } * 1024;
+    std::size_t maxHeaderFields = HttpHeaders::maxFields;
     std::size_t maxBodyBytes = std::size_t { 8 } * 1024 * 1024;
-    /// Bytes that the bodies of all HTTP/1 requests may take together, from their arrival until nobody holds them.
+    /// Bytes that all HTTP/1 requests may take together: their bodies, from their arrival until nobody holds them, and
+    /// what their heads and unfinished lines take beyond some kilobytes.
     std::size_t bodyBudget = SIZE_MAX;
     /// Time a client may take to send a whole request.
     Duration requestTimeout = std::chrono::seconds(10);
@@ -88,11 +90,11 @@
     auto operator<=>(const UnsentAnswers&) const = default;
 };
 
-/// @brief Memory of the bodies of HTTP/1 requests.
+/// @brief Memory of HTTP/1 requests; see HttpServerSettings::bodyBudget.
 struct BodyMemory {
     std::size_t bytes = 0;
     std::size_t budget = 0;
-    /// Requests that were refused since their body did not fit.
+    /// Requests that were refused since they did not fit.
     std::uint64_t refusedRequests = 0;
 
     auto operator<=>(const BodyMemory&) const = default;
--- a/include/teaselshore/http/message.hpp
+++ b/include/teaselshore/http/message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <initializer_list>
 #include <optional>
 #include <string>
@@ -21,6 +22,10 @@
 /// @brief Ordered list of header fields.
 class HttpHeaders {
 public:
+    /// Fields of a message that is read. Each is kept as two strings, which take some 20 times the bytes of the
+    /// shortest fields.
+    static constexpr std::size_t maxFields = 256;
+
     HttpHeaders() = default;
     HttpHeaders(std::initializer_list<HttpHeader> fields);
 
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -122,11 +122,11 @@
 
 void EntryMetrics::updateBodies(const BodyMemory& bodies)
 {
-    this->setGauge("teaselshore_request_body_bytes", "Bytes of the bodies of requests that are read or open.",
-        static_cast<double>(bodies.bytes));
-    this->setGauge("teaselshore_request_body_budget_bytes", "Bytes that these bodies may take together.",
+    this->setGauge("teaselshore_request_body_bytes",
+        "Bytes of the bodies and long heads of requests that are read or open.", static_cast<double>(bodies.bytes));
+    this->setGauge("teaselshore_request_body_budget_bytes", "Bytes that these may take together.",
         static_cast<double>(bodies.budget));
-    this->setCounter("teaselshore_refused_bodies_total", "Requests refused with 503 since their body did not fit.",
+    this->setCounter("teaselshore_refused_bodies_total", "Requests refused with 503 since they did not fit.",
         bodies.refusedRequests);
 }
 
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -66,6 +66,7 @@
         std::chrono::seconds(3), std::chrono::seconds(15) };
     /// Room for the fields that a peer adds to a request.
     constexpr std::size_t relayHeaderBytes = std::size_t { 1 } * 1024;
+    constexpr std::size_t relayHeaderFields = 8;
     /// Name that the peers of one deployment have in common.
     constexpr const char* peersCluster = "entry";
     /// Time for the connection to a peer; what peers tell each other is of no use later.
@@ -318,8 +319,10 @@
 {
     if (!this->settings.relays)
         return true;
+    HttpServerSettings server = serverSettings(*this->settings.relays, relayLimits(firstLimits));
+    server.maxHeaderFields += relayHeaderFields;
     this->relays = HttpServer::listen(
-        *this->loop, serverSettings(*this->settings.relays, relayLimits(firstLimits)),
+        *this->loop, server,
         [this](std::shared_ptr<ServerExchange> exchange) { this->onPeerRequest(std::move(exchange)); }, error);
     if (!this->relays)
         return false;
--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -22,6 +22,9 @@
     constexpr std::string_view http2Preface = "PRI * HTTP/2.0\r\n";
     /// Bytes of later requests that wait while an answer is open; more stay in the kernel.
     constexpr std::size_t maxPipelinedBytes = std::size_t { 64 } * 1024;
+    /// Bytes of a head, and of lines that have not ended, for which a request needs nothing of the memory budget: more
+    /// than those of common requests, and little on as many connections as a process has descriptors.
+    constexpr std::size_t freeHeadBytes = std::size_t { 4 } * 1024;
     /// Time for the client to read the last answer before the connection is closed.
     constexpr Duration lingerTime = std::chrono::milliseconds(500);
     /// Bytes handed to the socket at once; the end of each write shows that the client still reads.
@@ -127,9 +130,9 @@
     this->first = false;
     if (!this->parser) {
         const HttpServerLimits& limits = this->core.limits();
-        this->parser.emplace(
-            RequestLimits { limits.maxHeaderBytes, limits.maxBodyBytes, this->core.refusesDotSegments() });
-        this->bodyMemory = this->core.bodyBudget().reservation();
+        this->parser.emplace(RequestLimits { limits.maxHeaderBytes, this->core.maxHeaderFields(), limits.maxBodyBytes,
+            this->core.refusesDotSegments() });
+        this->memory = this->core.bodyBudget().reservation();
         this->state = State::Reading;
         this->sawContinue = false;
         this->deadline = monotonicNow() + limits.requestTimeout;
@@ -143,7 +146,9 @@
         && this->socket->input->size > this->core.limits().maxHeaderBytes)
         progress = RequestParser::Progress::Malformed;
     const bool isValid = progress == RequestParser::Progress::NeedsMore || progress == RequestParser::Progress::Done;
-    if (isValid && this->parser->hasHeader() && !this->bodyMemory.resize(this->parser->bodyBytes())) {
+    // Bytes behind a whole request belong to the next one.
+    const std::size_t unparsed = progress == RequestParser::Progress::NeedsMore ? this->socket->input->size : 0;
+    if (isValid && !this->reserveMemory(unparsed)) {
         this->refuseForMemory();
         return false;
     }
@@ -171,6 +176,13 @@
     return false;
 }
 
+bool Http1Connection::reserveMemory(std::size_t unparsedBytes)
+{
+    const std::size_t head = this->parser->headerBytes() + unparsedBytes;
+    const std::size_t body = this->parser->hasHeader() ? this->parser->bodyBytes() : 0;
+    return this->memory.resize(body + head - std::min(head, freeHeadBytes));
+}
+
 void Http1Connection::dispatch()
 {
     this->state = State::Answering;
@@ -178,8 +190,8 @@
     this->version10 = this->parser->isVersion10();
     this->closeAfterAnswer = !this->parser->keepsAlive();
     std::shared_ptr<const void> guard;
-    if (this->bodyMemory.bytes() > 0)
-        guard = std::make_shared<const ByteBudget::Reservation>(std::move(this->bodyMemory));
+    if (this->memory.bytes() > 0)
+        guard = std::make_shared<const ByteBudget::Reservation>(std::move(this->memory));
     HttpRequest request = this->parser->take(std::move(guard));
     this->parser.reset();
     this->headRequest = request.method == "HEAD";
@@ -191,7 +203,7 @@
 void Http1Connection::refuseForMemory()
 {
     this->core.countBodyWithoutMemory();
-    this->refuse(serviceUnavailable, "the bodies of open requests take all the memory",
+    this->refuse(serviceUnavailable, "open requests take all the memory",
         { { "retry-after", std::string(memoryRetrySeconds) } });
 }
 
@@ -200,7 +212,7 @@
     this->state = State::Answering;
     this->closeAfterAnswer = true;
     this->parser.reset();
-    this->bodyMemory = {};
+    this->memory = {};
     this->core.countRefused(status, reason);
     this->version10 = false;
     this->headRequest = false;
--- a/src/teaselshore/http/http1_connection.hpp
+++ b/src/teaselshore/http/http1_connection.hpp
@@ -68,9 +68,11 @@
     void readRequests();
     bool readRequest();
     bool handOverToHttp2();
+    /// @brief Returns false if the request that is being read takes more memory than is left.
+    bool reserveMemory(std::size_t unparsedBytes);
     void dispatch();
     void refuse(int status, std::string_view reason, HttpHeaders headers = {});
-    /// @brief Refuses a request whose body the process has no memory for, before it is read as far as possible.
+    /// @brief Refuses a request that the process has no memory for, before its body is read as far as possible.
     void refuseForMemory();
     /// @brief Notes that nothing follows, and watches that the client reads what is left.
     void completeAnswer();
@@ -93,8 +95,8 @@
     h2o_socket_t* socket;
     State state = State::Idle;
     std::optional<RequestParser> parser;
-    /// Memory for the body that is being read.
-    ByteBudget::Reservation bodyMemory;
+    /// Memory for the request that is being read.
+    ByteBudget::Reservation memory;
     std::shared_ptr<Http1Exchange> exchange;
     std::string pending;
     std::string sending;
--- a/src/teaselshore/http/http_server_test.cpp
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -276,6 +276,22 @@
                         .starts_with("HTTP/1.1 200"));
     }
 
+    // Guards against heads that take many times their bytes, since each field is kept as two strings.
+    TEST(HttpServer, RefusesHeadersOfManyFields)
+    {
+        int handled = 0;
+        HttpFixture fixture([&](const auto& exchange) { ++handled, echo(exchange); });
+        const auto withFields = [&fixture](std::size_t count) {
+            std::string text = "GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n";
+            for (std::size_t field = 2; field < count; ++field)
+                text += "f:\r\n";
+            return exchangeRaw(fixture, text + "\r\n");
+        };
+        EXPECT_TRUE(withFields(256).starts_with("HTTP/1.1 200"));
+        EXPECT_TRUE(withFields(257).starts_with("HTTP/1.1 431"));
+        EXPECT_EQ(handled, 1);
+    }
+
     // Guards against a body that stops short and holds its connection without an answer.
     TEST(HttpServer, AnswersBodyThatStopsShortWith408)
     {
@@ -372,6 +388,32 @@
         EXPECT_EQ(fixture.server->bodyMemory().bytes, 0U);
     }
 
+    // Guards against heads and lines without end on many connections, whose bytes together no limit counted.
+    TEST(HttpServer, UnfinishedHeadsAndLinesTakeMemoryOfTheBudget)
+    {
+        constexpr std::size_t budget = 100'000;
+        constexpr int callers = 40;
+        HttpFixture fixture(echo, withBodyBudget(budget));
+        std::string fields;
+        while (fields.size() < 12'000)
+            fields += "field-" + std::to_string(fields.size()) + ": " + std::string(100, 'v') + "\r\n";
+        for (const std::string& bytes : { "GET / HTTP/1.1\r\nhost: a\r\n" + fields,
+                 "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n1;" + std::string(12'000, 'e') }) {
+            std::vector<std::unique_ptr<RawConnection>> connections;
+            const std::uint64_t refusedBefore = fixture.server->bodyMemory().refusedRequests;
+            for (int caller = 0; caller < callers; ++caller) {
+                connections.push_back(std::make_unique<RawConnection>(fixture.server->port()));
+                connections.back()->send(bytes);
+            }
+            const auto refused = [&] { return fixture.server->bodyMemory().refusedRequests - refusedBefore; };
+            EXPECT_TRUE(fixture.runUntil([&] { return refused() >= callers - budget / 8'000; }));
+            EXPECT_GT(fixture.server->bodyMemory().bytes, budget / 2);
+            EXPECT_EQ(fixture.run(fixture.call("GET", "/")).status, 200) << "a short head needs no memory";
+            connections.clear();
+            EXPECT_TRUE(fixture.runUntil([&] { return fixture.server->bodyMemory().bytes == 0; }));
+        }
+    }
+
     // Guards against a budget that is free again while someone still holds the body, as for a later attempt.
     TEST(HttpServer, BodyTakesItsMemoryUntilNobodyHoldsIt)
     {
--- a/src/teaselshore/http/reply_parser.cpp
+++ b/src/teaselshore/http/reply_parser.cpp
@@ -15,8 +15,6 @@
     namespace http = boost::beast::http;
 
     constexpr std::uint32_t maxHeadBytes = 64 * 1024;
-    /// Each field is kept as two strings, which take some 20 times the bytes of the shortest fields.
-    constexpr std::size_t maxFields = 256;
     /// Informational replies (1xx) before the final one.
     constexpr std::size_t maxInformational = 16;
     constexpr int switchingProtocols = 101;
@@ -72,7 +70,7 @@
     void on_field_impl(
         http::field name, beast::string_view text, beast::string_view value, beast::error_code& error) override
     {
-        if (this->headers.all().size() == maxFields) {
+        if (this->headers.all().size() == HttpHeaders::maxFields) {
             error = http::error::header_limit;
             return;
         }
--- a/src/teaselshore/http/request_parser.cpp
+++ b/src/teaselshore/http/request_parser.cpp
@@ -50,7 +50,8 @@
 class RequestParser::Message : public http::basic_parser<true> {
 public:
     explicit Message(const RequestLimits& limits)
-        : refuseDotSegments(limits.refuseDotSegments)
+        : maxFields(limits.maxHeaderFields)
+        , refuseDotSegments(limits.refuseDotSegments)
     {
         this->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
         this->body_limit(limits.maxBodyBytes);
@@ -58,6 +59,7 @@
     }
 
     HttpRequest request;
+    std::size_t headerBytes = 0;
     std::string body;
     bool isVersion10 = false;
     bool expectsContinue = false;
@@ -78,6 +80,11 @@
     void on_field_impl(
         http::field name, beast::string_view text, beast::string_view value, beast::error_code& error) override
     {
+        if (this->request.headers.all().size() == this->maxFields) {
+            error = http::error::header_limit;
+            return;
+        }
+        this->headerBytes += sizeof(HttpHeader) + text.size() + value.size();
         if (name == http::field::content_length && ++this->lengths > 1)
             error = http::error::bad_content_length;
         if (name == http::field::transfer_encoding && (++this->encodings > 1 || !beast::iequals(value, "chunked")))
@@ -121,6 +128,7 @@
 
     void on_finish_impl(beast::error_code&) override { }
 
+    std::size_t maxFields;
     bool refuseDotSegments;
     int lengths = 0;
     int encodings = 0;
@@ -158,6 +166,7 @@
 bool RequestParser::expectsContinue() const { return this->message->expectsContinue; }
 bool RequestParser::keepsAlive() const { return this->message->keep_alive(); }
 bool RequestParser::isVersion10() const { return this->message->isVersion10; }
+std::size_t RequestParser::headerBytes() const { return this->message->headerBytes; }
 std::size_t RequestParser::bodyBytes() const
 {
     const std::size_t announced = static_cast<std::size_t>(this->message->content_length().value_or(0));
--- a/src/teaselshore/http/request_parser.hpp
+++ b/src/teaselshore/http/request_parser.hpp
@@ -12,6 +12,7 @@
 struct RequestLimits {
     /// Request line and header fields.
     std::size_t maxHeaderBytes = 0;
+    std::size_t maxHeaderFields = HttpHeaders::maxFields;
     std::size_t maxBodyBytes = 0;
     bool refuseDotSegments = false;
 
@@ -47,6 +48,8 @@
     bool keepsAlive() const;
     /// @brief True for HTTP/1.0, which knows no chunks. Precondition: hasHeader().
     bool isVersion10() const;
+    /// @brief Bytes that the fields take that have been parsed.
+    std::size_t headerBytes() const;
     /// @brief Bytes that the body needs: as announced, or as many as have arrived of one without a length.
     /// Precondition: hasHeader().
     std::size_t bodyBytes() const;
--- a/src/teaselshore/http/server_core.cpp
+++ b/src/teaselshore/http/server_core.cpp
@@ -31,6 +31,7 @@
     : loop(loop)
     , handler(std::move(handler))
     , serverLimits { settings.maxHeaderBytes, settings.maxBodyBytes, settings.requestTimeout, settings.idleTimeout }
+    , headerFields(settings.maxHeaderFields)
     , refuseDotSegments(settings.refuseDotSegments)
     , bodies(settings.bodyBudget)
 {
--- a/src/teaselshore/http/server_core.hpp
+++ b/src/teaselshore/http/server_core.hpp
@@ -29,6 +29,7 @@
     void announceClose() { this->isClosing = true; }
     bool closing() const { return this->isClosing; }
     bool refusesDotSegments() const { return this->refuseDotSegments; }
+    std::size_t maxHeaderFields() const { return this->headerFields; }
     const HttpServerLimits& limits() const { return this->serverLimits; }
     void setLimits(const HttpServerLimits& limits) { this->serverLimits = limits; }
     /// @brief Closes all connections; the core deletes itself once they are released.
@@ -88,6 +89,7 @@
     std::unordered_map<h2o_socket_t*, std::unique_ptr<Http2Connection>> http2Connections;
     std::unordered_set<ServerExchange*> exchanges;
     HttpServerLimits serverLimits;
+    std::size_t headerFields;
     bool refuseDotSegments;
     bool isClosing = false;
     ByteBudget bodies;
