Reserve memory for a body as its bytes arrive

The budget was taken by what was stated.

Change: the reservation is twice the bytes that have arrived, 4 KB at least and the length at most. A length that does not fit into what is left when the head arrives is still refused before the body is read. What it costs: when more callers upload at once than fit, some are refused inside their body, where they were refused before it.

Weighed: to give a reservation back when no byte arrives for a while; a byte now and then keeps it.

Failed before: HttpServer.AnnouncedBodiesTakeTheirMemoryAsTheyArrive.

--- a/include/teaselshore/http/http_server.hpp
+++ b/include/teaselshore/http/http_server.hpp
@@ -105,8 +105,9 @@
 /// @brief HTTP/1.1 and HTTP/2 (prior knowledge) server on h2o's event loop.
 ///
 /// An HTTP/1.1 request whose framing is ambiguous or malformed is answered 400; one
-/// beyond the limits 431, 413 or 408; one whose body does not fit into the budget 503 with retry-after, before its body
-/// is read if it has a length. The connection is closed after each of these, and the handler never sees them.
+/// beyond the limits 431, 413 or 408; one that does not fit into the budget 503 with retry-after: before its body is
+/// read if its length does not fit into what is left, otherwise as soon as the bytes that arrived do not. The
+/// connection is closed after each of these, and the handler never sees them.
 class HttpServer {
 public:
     /// @brief Starts to listen. Returns nothing and sets error if the address cannot be used.
--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -25,6 +25,10 @@
     /// Bytes of a head, and of lines that have not ended, for which a request needs nothing of the memory budget: more
     /// than those of common requests, and little on as many connections as a process has descriptors.
     constexpr std::size_t freeHeadBytes = std::size_t { 4 } * 1024;
+    /// The reservation for a body grows with the bytes that arrive, and not with its length: callers may announce
+    /// bodies that they do not send.
+    constexpr std::size_t leastBodyReservation = std::size_t { 4 } * 1024;
+    constexpr std::size_t bodyReservationFactor = 2;
     /// Time for the client to read the last answer before the connection is closed.
     constexpr Duration lingerTime = std::chrono::milliseconds(500);
     /// Bytes handed to the socket at once; the end of each write shows that the client still reads.
@@ -178,9 +182,17 @@
 
 bool Http1Connection::reserveMemory(std::size_t unparsedBytes)
 {
-    const std::size_t head = this->parser->headerBytes() + unparsedBytes;
-    const std::size_t body = this->parser->hasHeader() ? this->parser->bodyBytes() : 0;
-    return this->memory.resize(body + head - std::min(head, freeHeadBytes));
+    std::size_t head = this->parser->headerBytes() + unparsedBytes;
+    head -= std::min(head, freeHeadBytes);
+    std::size_t body = this->parser->bodyBytes();
+    if (this->parser->hasHeader() && this->parser->announcedBytes()) {
+        const std::size_t announced = *this->parser->announcedBytes();
+        const ByteBudget& budget = this->core.bodyBudget();
+        if (body == 0 && announced + head > this->memory.bytes() + budget.total() - budget.used())
+            return false;
+        body = std::min(announced, std::max(leastBodyReservation, bodyReservationFactor * body));
+    }
+    return this->memory.resize(body + head);
 }
 
 void Http1Connection::dispatch()
--- a/src/teaselshore/http/http_server_test.cpp
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -388,6 +388,26 @@
         EXPECT_EQ(fixture.server->bodyMemory().bytes, 0U);
     }
 
+    // Guards against requests that are refused since others announce bodies which they do not send.
+    TEST(HttpServer, AnnouncedBodiesTakeTheirMemoryAsTheyArrive)
+    {
+        constexpr std::size_t bodyBytes = 100'000;
+        HttpFixture fixture(echo, withBodyBudget(2 * bodyBytes));
+        std::vector<std::unique_ptr<RawConnection>> connections;
+        for (int caller = 0; caller < 20; ++caller) {
+            connections.push_back(std::make_unique<RawConnection>(fixture.server->port()));
+            connections.back()->send(
+                "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: " + std::to_string(bodyBytes) + "\r\n\r\nx");
+        }
+        ASSERT_TRUE(fixture.runUntil([&] { return fixture.server->bodyMemory().bytes > 0; }));
+        for (int round = 0; round < 3; ++round)
+            EXPECT_EQ(fixture.run(fixture.call("POST", "/", std::string(bodyBytes, 'a'))).status, 200);
+        EXPECT_EQ(fixture.server->bodyMemory().refusedRequests, 0U);
+        // What can never fit is refused before it is sent.
+        EXPECT_TRUE(isRefusalForMemory(exchangeRaw(
+            fixture, "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: " + std::to_string(2 * bodyBytes) + "\r\n\r\n")));
+    }
+
     // Guards against heads and lines without end on many connections, whose bytes together no limit counted.
     TEST(HttpServer, UnfinishedHeadsAndLinesTakeMemoryOfTheBudget)
     {
--- a/src/teaselshore/http/request_parser.cpp
+++ b/src/teaselshore/http/request_parser.cpp
@@ -167,10 +167,11 @@
 bool RequestParser::keepsAlive() const { return this->message->keep_alive(); }
 bool RequestParser::isVersion10() const { return this->message->isVersion10; }
 std::size_t RequestParser::headerBytes() const { return this->message->headerBytes; }
-std::size_t RequestParser::bodyBytes() const
+std::size_t RequestParser::bodyBytes() const { return this->message->body.size(); }
+std::optional<std::size_t> RequestParser::announcedBytes() const
 {
-    const std::size_t announced = static_cast<std::size_t>(this->message->content_length().value_or(0));
-    return std::max(announced, this->message->body.size());
+    const boost::optional<std::uint64_t> length = this->message->content_length();
+    return length ? std::optional(static_cast<std::size_t>(*length)) : std::nullopt;
 }
 HttpRequest RequestParser::take(std::shared_ptr<const void> bodyGuard)
 {
--- a/src/teaselshore/http/request_parser.hpp
+++ b/src/teaselshore/http/request_parser.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "teaselshore/http/message.hpp"
@@ -50,9 +51,10 @@
     bool isVersion10() const;
     /// @brief Bytes that the fields take that have been parsed.
     std::size_t headerBytes() const;
-    /// @brief Bytes that the body needs: as announced, or as many as have arrived of one without a length.
-    /// Precondition: hasHeader().
+    /// @brief Bytes of the body that have arrived.
     std::size_t bodyBytes() const;
+    /// @brief Length of the body; nothing if it comes in chunks. Precondition: hasHeader().
+    std::optional<std::size_t> announcedBytes() const;
     /// @brief Takes the request out. The guard is released together with the body. Precondition: the request is done.
     HttpRequest take(std::shared_ptr<const void> bodyGuard);
 
