Cut the times that messages state before they are converted

An upstream whose answers have such a Keep-Alive time got a new connection for each request.

Cause: milliseconds and seconds of 64 bits overflow when they become microseconds.

Change: toStatedTime() cuts such times at a year, in the unit of the message; fromSeconds() does the same for numbers with a fraction, of which the length of a rollout and the boot time of upstreams were not bounded. The length of a stored lease goes the same way.

--- a/include/teaselshore/base/time.hpp
+++ b/include/teaselshore/base/time.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 
 namespace teaselshore {
@@ -25,7 +26,26 @@
 /// @brief Returns the length in seconds, with fractions.
 constexpr double toSeconds(Duration length) { return static_cast<double>(length.count()) / 1e6; }
 
-/// @brief Converts seconds to a Duration, rounding towards zero.
-constexpr Duration fromSeconds(double seconds) { return Duration(static_cast<Duration::rep>(seconds * 1e6)); }
+/// @brief Longest time that a message can state; a longer one is cut. Sums of some of them stay far from an overflow.
+constexpr std::chrono::hours longestTime { 24 * 365 };
+
+/// @brief Converts a time that a message states, which may be any number of its unit; at most longestTime either way.
+template <typename Rep, typename Period> constexpr Duration toStatedTime(std::chrono::duration<Rep, Period> stated)
+{
+    // Compared in the unit of the message, since the conversion of the number might overflow.
+    constexpr auto longest = std::chrono::duration_cast<std::chrono::duration<Rep, Period>>(longestTime);
+    return std::clamp(stated, -longest, longest);
+}
+
+/// @brief Converts seconds to a Duration, rounding towards zero; at most longestTime either way, and zero for no
+/// number.
+constexpr Duration fromSeconds(double seconds)
+{
+    constexpr double longest = std::chrono::duration<double>(longestTime).count();
+    // Not a number compares as false.
+    if (!(seconds >= -longest && seconds <= longest))
+        return seconds > longest ? longestTime : seconds < -longest ? -longestTime : Duration::zero();
+    return Duration(static_cast<Duration::rep>(seconds * 1e6));
+}
 
 } // namespace teaselshore
--- a/src/teaselshore/base/base_test.cpp
+++ b/src/teaselshore/base/base_test.cpp
@@ -1,3 +1,6 @@
+#include <chrono>
+#include <cstdint>
+#include <limits>
 #include <set>
 #include <unordered_set>
 
@@ -8,6 +11,7 @@
 #include "teaselshore/base/log.hpp"
 #include "teaselshore/base/name.hpp"
 #include "teaselshore/base/random.hpp"
+#include "teaselshore/base/time.hpp"
 
 namespace teaselshore {
 namespace {
@@ -30,6 +34,22 @@
         EXPECT_NE(RandomSource(1).next(), RandomSource(2).next());
     }
 
+    // Guards against times of messages that overflow, and are then long past instead of far ahead.
+    TEST(Time, StatedTimesNeverOverflow)
+    {
+        using Seconds = std::chrono::duration<std::int64_t>;
+        const Duration longest = longestTime;
+        EXPECT_EQ(toStatedTime(Seconds(std::numeric_limits<std::int64_t>::max())), longest);
+        EXPECT_EQ(toStatedTime(Seconds(std::numeric_limits<std::int64_t>::min())), -longest);
+        EXPECT_EQ(toStatedTime(std::chrono::milliseconds(1500)), Duration(1'500'000));
+        for (const double seconds : { 1e300, std::numeric_limits<double>::infinity() }) {
+            EXPECT_EQ(fromSeconds(seconds), longest);
+            EXPECT_EQ(fromSeconds(-seconds), -longest);
+        }
+        EXPECT_EQ(fromSeconds(std::numeric_limits<double>::quiet_NaN()), Duration::zero());
+        EXPECT_EQ(fromSeconds(1.5), Duration(1'500'000));
+    }
+
     // Guards against names that compare or hash by identity instead of by text.
     TEST(Name, ComparesAndHashesByText)
     {
--- a/src/teaselshore/control/lease.cpp
+++ b/src/teaselshore/control/lease.cpp
@@ -39,7 +39,7 @@
     try {
         return Lease { NodeId(value.at("holder").get<std::string>()), value.at("epoch").get<std::uint64_t>(),
             value.at("write").get<std::uint64_t>(),
-            std::chrono::milliseconds(value.at("lengthMs").get<std::int64_t>()) };
+            toStatedTime(std::chrono::milliseconds(value.at("lengthMs").get<std::int64_t>())) };
     } catch (const Json::exception&) {
         return std::nullopt;
     }
--- a/src/teaselshore/http/client_call.cpp
+++ b/src/teaselshore/http/client_call.cpp
@@ -21,7 +21,7 @@
         const char* first = text->data() + start + timeoutParameter.size();
         if (std::from_chars(first, text->data() + text->size(), seconds).ec != std::errc())
             return std::nullopt;
-        return std::chrono::seconds(seconds);
+        return toStatedTime(std::chrono::seconds(seconds));
     }
 
 } // namespace
--- a/src/teaselshore/http/http_client_test.cpp
+++ b/src/teaselshore/http/http_client_test.cpp
@@ -317,33 +317,51 @@
         EXPECT_EQ(second.headers.find("x-id"), "b");
     }
 
+    /// Sends a request to the server and answers it with the fields. Takes a new connection if the client opens one.
+    void exchangeWith(HttpFixture& fixture, const RawServer& server, std::unique_ptr<RawConnection>& connection,
+        const std::string& fields)
+    {
+        HttpCall call = fixture.call("GET", "/");
+        call.authority = server.authority();
+        CallRecord record;
+        fixture.start(std::move(call), record);
+        bool ended = false;
+        EXPECT_TRUE(fixture.runUntil([&] {
+            if (auto accepted = server.accept())
+                connection = std::move(accepted);
+            return connection && !connection->receive(ended).empty();
+        }));
+        connection->send("HTTP/1.1 200 OK\r\n" + fields + "content-length: 0\r\n\r\n");
+        EXPECT_TRUE(fixture.runUntil([&] { return record.isDone(); }));
+    }
+
     // Guards against a request that crosses the close of an idle connection by the peer.
     TEST(HttpClient, LeavesConnectionBeforeThePeersKeepAliveEnds)
     {
         HttpFixture fixture(ignore);
         const RawServer server;
-        const auto exchange = [&](std::unique_ptr<RawConnection>& connection, const std::string& fields) {
-            HttpCall call = fixture.call("GET", "/");
-            call.authority = server.authority();
-            CallRecord record;
-            fixture.start(std::move(call), record);
-            bool ended = false;
-            EXPECT_TRUE(fixture.runUntil([&] {
-                if (auto accepted = server.accept())
-                    connection = std::move(accepted);
-                return connection && !connection->receive(ended).empty();
-            }));
-            connection->send("HTTP/1.1 200 OK\r\n" + fields + "content-length: 0\r\n\r\n");
-            EXPECT_TRUE(fixture.runUntil([&] { return record.isDone(); }));
-        };
         std::unique_ptr<RawConnection> connection;
-        exchange(connection, "keep-alive: timeout=1\r\n");
+        exchangeWith(fixture, server, connection, "keep-alive: timeout=1\r\n");
         const RawConnection* first = connection.get();
         fixture.runUntil([] { return false; }, std::chrono::milliseconds(400));
-        exchange(connection, {});
+        exchangeWith(fixture, server, connection, {});
         EXPECT_NE(connection.get(), first);
     }
 
+    // Guards against a connection for each request to a peer whose keep-alive time overflows.
+    TEST(HttpClient, KeepsConnectionForAnyLongKeepAliveTime)
+    {
+        for (const std::string seconds : { "86400", "9223372036854", "9223372036855", "9223372036854775807" }) {
+            HttpFixture fixture(ignore);
+            const RawServer server;
+            std::unique_ptr<RawConnection> connection;
+            exchangeWith(fixture, server, connection, "keep-alive: timeout=" + seconds + "\r\n");
+            const RawConnection* first = connection.get();
+            exchangeWith(fixture, server, connection, {});
+            EXPECT_EQ(connection.get(), first) << seconds;
+        }
+    }
+
     // Guards against a request on a connection that the upstream closed while it was idle.
     TEST(HttpClient, ReplacesIdleConnectionThatWasClosed)
     {
