Give up replies that announce more than can arrive

The same held for a Content-Length of any size, and for collected answers that announce more than the limit, which were given up only once so much had arrived.

Change: a chunk or a length beyond 64 GB is malformed. The relay gives a response that is collected up at its head if it announces more than maxCollectedBytes, except in answers that have no body.

Failed before: ReplyParser.ChunkOrBodyThatCannotArriveIsMalformed and RequestRelayTest.ResponseOfAnnouncedLengthBeyondTheLimitIsGivenUpAtItsHead.

--- a/src/teaselshore/daemon/request_relay.cpp
+++ b/src/teaselshore/daemon/request_relay.cpp
@@ -1,6 +1,7 @@
 #include "teaselshore/daemon/request_relay.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -16,7 +17,9 @@
 namespace {
 
     constexpr int statusOk = 200;
+    constexpr int statusNotModified = 304;
     constexpr std::string_view eventStreamType = "text/event-stream";
+    constexpr const char* tooLong = "the response is longer than the limit";
     /// Callers with fewer unread bytes are not worth adding up: a few events of a fast upstream.
     constexpr std::size_t minPendingForTotal = std::size_t { 64 } * 1024;
 
@@ -30,6 +33,7 @@
         RequestId request;
         UpstreamId upstream;
         CallId call = 0;
+        bool isHead = false;
         bool relay = false;
         bool relaying = false;
         bool announced = false;
@@ -52,6 +56,16 @@
         return headers;
     }
 
+    /// Returns the length of the body; 0 if the head does not state it.
+    std::uint64_t announcedBytes(const HttpHeaders& headers)
+    {
+        const std::string text = headers.find("content-length").value_or("");
+        std::uint64_t length = 0;
+        // The client takes no reply whose length is not a number.
+        std::from_chars(text.data(), text.data() + text.size(), length);
+        return length;
+    }
+
     bool isEventStream(const HttpHeaders& headers)
     {
         const auto type = headers.find("content-type");
@@ -210,6 +224,7 @@
             self->onError(id, error);
     };
 
+    const bool isHead = command.method == "HEAD";
     HttpCall call;
     call.authority = std::move(command.authority);
     call.request = { std::move(command.method), std::move(command.path), toHttpHeaders(command.headers),
@@ -224,6 +239,7 @@
     Attempt attempt;
     attempt.request = std::move(command.request);
     attempt.upstream = std::move(command.upstream);
+    attempt.isHead = isHead;
     attempt.relay = command.relay;
     if (command.expectedEcho)
         attempt.echoName = command.expectedEcho->first;
@@ -252,6 +268,10 @@
     attempt.headers = headers;
     const bool streamable = attempt.relay && status == statusOk && isEventStream(headers) && this->isUsable(headers);
     attempt.relaying = streamable && this->findCaller(attempt.request);
+    // Only the length of a body is a promise to send one.
+    const bool hasBody = !attempt.isHead && status != statusNotModified;
+    if (hasBody && !attempt.relaying && announcedBytes(headers) > this->settings.maxCollectedBytes)
+        this->giveUp(id, tooLong);
 }
 
 void RequestRelay::Impl::onSkippedReply(AttemptId id, int status, const HttpHeaders& headers)
@@ -278,7 +298,7 @@
     }
     attempt.body.append(bytes);
     if (attempt.body.size() > this->settings.maxCollectedBytes)
-        this->giveUp(id, "the response is longer than the limit");
+        this->giveUp(id, tooLong);
     else
         this->setKept(attempt, attempt.body.size());
 }
--- a/src/teaselshore/daemon/request_relay_test.cpp
+++ b/src/teaselshore/daemon/request_relay_test.cpp
@@ -280,6 +280,42 @@
         EXPECT_EQ(this->relay.counters().endlessResponses, 1u);
     }
 
+    // Guards against a caller that waits for its deadline while a response is collected that is longer than the limit.
+    TEST_F(RequestRelayTest, ResponseOfAnnouncedLengthBeyondTheLimitIsGivenUpAtItsHead)
+    {
+        this->script = [](const std::shared_ptr<ServerExchange>& exchange) {
+            exchange->startStream(200, { { "content-length", "1000000000" } });
+            exchange->write("first bytes");
+        };
+        this->onFailed = [this] { this->relay.execute(Respond { this->request, 502, {}, "failed" }); };
+        const Instant start = this->loop->now();
+        this->call();
+        EXPECT_EQ(this->received, "failed");
+        ASSERT_EQ(this->failures.size(), 1u);
+        EXPECT_TRUE(this->failures[0].mayHaveRun);
+        EXPECT_EQ(this->relay.counters().endlessResponses, 1u);
+        EXPECT_LT(this->loop->now() - start, std::chrono::milliseconds(500)) << "the idle timeout is 1 s";
+    }
+
+    // Guards against answers to HEAD that are given up for the length of a body that does not follow.
+    TEST_F(RequestRelayTest, AnswerToHeadMayAnnounceAnyLength)
+    {
+        bool finished = false;
+        RequestRelay heads(*this->loop, {}, [&](const RelayEvent& relayEvent) {
+            finished = std::holds_alternative<AttemptFinished>(relayEvent);
+            this->loop->stop();
+        });
+        this->script = [](const std::shared_ptr<ServerExchange>& exchange) {
+            exchange->startStream(200, { { "content-length", "1000000000" } });
+            exchange->finish();
+        };
+        StartAttempt start = this->attempt();
+        start.method = "HEAD";
+        heads.execute(std::move(start));
+        this->loop->run();
+        EXPECT_TRUE(finished);
+    }
+
     // Guards against memory that grows with the number of upstreams that send a body without end at the same time.
     TEST_F(RequestRelayTest, ResponsesCollectedTogetherAreBounded)
     {
--- a/src/teaselshore/http/reply_parser.cpp
+++ b/src/teaselshore/http/reply_parser.cpp
@@ -15,6 +15,9 @@
     namespace http = boost::beast::http;
 
     constexpr std::uint32_t maxHeadBytes = 64 * 1024;
+    /// Longest chunk or announced body. The peer cannot mean it, and waiting for the rest would last until the
+    /// deadline.
+    constexpr std::uint64_t maxAnnouncedBytes = std::uint64_t { 64 } * 1024 * 1024 * 1024;
     /// Informational replies (1xx) before the final one.
     constexpr std::size_t maxInformational = 16;
     constexpr int switchingProtocols = 101;
@@ -84,6 +87,10 @@
 
     void on_header_impl(beast::error_code& error) override
     {
+        if (this->content_length().value_or(0) > maxAnnouncedBytes) {
+            error = http::error::bad_content_length;
+            return;
+        }
         if (!this->isInformational())
             this->stopUnless(this->sink.onReplyHead(this->status, this->headers, this->need_eof()), error);
     }
@@ -96,7 +103,11 @@
         return bytes.size();
     }
 
-    void on_chunk_header_impl(std::uint64_t, beast::string_view, beast::error_code&) override { }
+    void on_chunk_header_impl(std::uint64_t size, beast::string_view, beast::error_code& error) override
+    {
+        if (size > maxAnnouncedBytes)
+            error = http::error::bad_chunk;
+    }
 
     std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view bytes, beast::error_code& error) override
     {
--- a/src/teaselshore/http/reply_parser_test.cpp
+++ b/src/teaselshore/http/reply_parser_test.cpp
@@ -47,6 +47,19 @@
         return parser.putEnd();
     }
 
+    // Guards against callers that wait for their deadline since a chunk or a body is announced that can never arrive.
+    TEST(ReplyParser, ChunkOrBodyThatCannotArriveIsMalformed)
+    {
+        for (const std::string rest : { "transfer-encoding: chunked\r\n\r\nffffffffffffffff\r\nx",
+                 "transfer-encoding: chunked\r\n\r\n1\r\nx\r\n10000000000\r\nx",
+                 "content-length: 18446744073709551615\r\n\r\nx", "content-length: 1099511627776\r\n\r\nx" }) {
+            RecordingSink sink;
+            EXPECT_EQ(parse("HTTP/1.1 200 OK\r\n" + rest, 1, sink), Progress::Malformed) << rest;
+        }
+        RecordingSink sink;
+        EXPECT_EQ(parse("HTTP/1.1 200 OK\r\ncontent-length: 4294967296\r\n\r\nx", 1, sink), Progress::BrokenOff);
+    }
+
     // Guards against a response that is taken for complete, with an empty or short body, although its upstream stopped
     // in the middle of the head and closed the connection in order.
     TEST(ReplyParser, HeadThatBreaksOffIsNoResponse)
