Tell peers the configuration by which a request was handed on

A node without links hands requests to a peer; one that was frozen while the configuration changed answered by the one of before, and the node that asked passed the answer on though it had the newer one itself.

Cause: nothing in a handed request let the peer see that it is behind.

Ruled out: a first node that is behind as well. It has found route and key.

Change: HandedRequest names the version of the configuration that has the route and the key. A peer whose version is lower answers 503 before it decides, and the next peer is tried. A peer that is ahead is right.

--- a/include/teaselshore/entry/caller_request.hpp
+++ b/include/teaselshore/entry/caller_request.hpp
@@ -68,6 +68,17 @@
     auto operator<=>(const ForwardingContext&) const = default;
 };
 
+/// @brief What a node that hands a request to a peer knows of it.
+struct HandedRequest {
+    /// How often the request may have run already.
+    std::uint32_t runs = 0;
+    /// Version of the configuration that has the request's route and key. A peer with an older one must not decide by
+    /// it.
+    std::uint64_t configuration = 0;
+
+    auto operator<=>(const HandedRequest&) const = default;
+};
+
 /// @brief What a node adds to a request that it hands to a peer.
 struct RelayContext {
     /// When the caller stops waiting.
@@ -76,8 +87,7 @@
     std::optional<std::string> key;
     /// Event after which the peer resumes the stream.
     std::optional<std::uint64_t> resumeAfter;
-    /// How often the request may have run already.
-    std::uint32_t runs = 0;
+    HandedRequest history;
 
     auto operator<=>(const RelayContext&) const = default;
 };
--- a/include/teaselshore/entry/entry_event.hpp
+++ b/include/teaselshore/entry/entry_event.hpp
@@ -19,8 +19,8 @@
 struct CallerRequestArrived {
     RequestId id;
     CallerRequest request;
-    /// How often the request may have run before a peer handed it to this node; nothing if it came from the caller.
-    std::optional<std::uint32_t> relayedRuns;
+    /// Set if a peer handed the request to this node.
+    std::optional<HandedRequest> handed;
 };
 
 /// @brief The upstream's response is complete. For a stream: it has ended and all its events were relayed.
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -567,7 +567,7 @@
 {
     const RequestId id = this->node.nextRequestId();
     CallerRequestArrived arrived { id, decodeCallerRequest(exchange->request()),
-        decodeRelayedRuns(exchange->request()) };
+        decodeHandedRequest(exchange->request()) };
     this->relay.addCaller(id, std::move(exchange));
     this->handle(std::move(arrived));
 }
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -87,6 +87,8 @@
 {
 }
 
+std::uint32_t EntryRequests::earlierRuns(const Request& request) { return request.handed ? request.handed->runs : 0; }
+
 EntryRequests::Request* EntryRequests::find(const RequestId& id)
 {
     const auto found = this->requests.find(id);
@@ -100,11 +102,9 @@
     request.id = arrived.id;
     request.caller = std::move(arrived.request);
     request.arrivedAt = now;
-    if (arrived.relayedRuns) {
-        request.isRelayed = true;
-        request.earlierRuns = *arrived.relayedRuns;
+    request.handed = arrived.handed;
+    if (request.handed)
         ++this->state.statistics.requestsOfPeers;
-    }
     if (this->hasEnded) {
         // Its bytes were read while the last answers left.
         this->refuse(
@@ -154,6 +154,11 @@
 void EntryRequests::begin(Request& request, Instant now)
 {
     request.table = this->state.table;
+    if (request.handed && request.handed->configuration > request.table->configuration().version) {
+        this->refuse(request, RequestOutcome::NotReady, serviceUnavailable,
+            "this node has an older configuration than the one that handed the request on", notReadyRetryAfter, now);
+        return;
+    }
     request.route = request.table->match(request.caller.host, request.caller.path);
     if (!request.route) {
         this->refuse(request, RequestOutcome::UnknownRoute, notFound, "no route matches this host and path", {}, now);
@@ -223,7 +228,7 @@
         return false;
     }
     // A request that may have run already, or that continues a stream, is not rejected.
-    const bool isContinued = request.earlierRuns > 0 || request.caller.lastEventId;
+    const bool isContinued = earlierRuns(request) > 0 || request.caller.lastEventId;
     if (isContinued)
         this->overload.watch(*offer, now);
     const bool isAdmitted = isContinued || this->overload.admits(*offer, now);
@@ -852,7 +857,7 @@
         return false;
     if (request.runs > 0 && !request.route->retryable)
         return false;
-    if (request.runs + request.earlierRuns >= request.route->maxAttempts)
+    if (request.runs + earlierRuns(request) >= request.route->maxAttempts)
         return false;
     if (result.connectionBroken && !this->crashes.mayRetryAfterBrokenConnection(crashKeysOf(request)))
         return false;
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -79,10 +79,8 @@
         std::uint32_t runs = 0;
         /// True once an upstream may have received the request, whether it ran it or refused it.
         bool mayHaveArrived = false;
-        /// A peer handed the request to this node, which then does not hand it on.
-        bool isRelayed = false;
-        /// How often it may have run before.
-        std::uint32_t earlierRuns = 0;
+        /// Set if a peer handed the request to this node, which then does not hand it on.
+        std::optional<HandedRequest> handed;
         /// Peers that were tried.
         std::vector<std::string> triedPeers;
         /// Number of upstreams to which no connection could be established.
@@ -130,6 +128,8 @@
         Instant at {};
     };
 
+    /// @brief Returns how often the request may have run before it was handed to this node.
+    static std::uint32_t earlierRuns(const Request& request);
     Request* find(const RequestId& id);
     /// @brief Returns whether the configuration and the upstreams are known.
     bool isReady() const;
--- a/src/teaselshore/entry/evacuated_zones_test.cpp
+++ b/src/teaselshore/entry/evacuated_zones_test.cpp
@@ -215,7 +215,7 @@
         this->start(100);
         this->harness.send(EvacuationStarted { zoneA, 101 });
         const auto arrive = [this] {
-            CallerRequestArrived arrived { this->harness.node.nextRequestId(), {}, 0 };
+            CallerRequestArrived arrived { this->harness.node.nextRequestId(), {}, HandedRequest {} };
             arrived.request.method = "POST";
             arrived.request.path = "/order/x";
             arrived.request.host = EntryHarness::hostName;
--- a/src/teaselshore/entry/relayed_requests.cpp
+++ b/src/teaselshore/entry/relayed_requests.cpp
@@ -24,7 +24,7 @@
 bool EntryRequests::tryRelay(Request& request, Instant now)
 {
     const bool mayRun = request.runs == 0 || request.route->retryable;
-    if (request.isRelayed || !mayRun || request.runs >= request.route->maxAttempts
+    if (request.handed || !mayRun || request.runs >= request.route->maxAttempts
         || request.triedPeers.size() >= maxTriedPeers || request.deadline - now < minTimeForRelay)
         return false;
     std::optional<std::string> peer = this->state.relays.choose(request.triedPeers, now);
@@ -60,7 +60,8 @@
     relay.attempt.idleTimeout = request.deadline - now + peerConnectTimeout;
     relay.attempt.relay = request.route->response == ResponseKind::EventStream;
     relay.context = { request.deadline, request.caller.key,
-        request.lastEventId ? request.lastEventId : request.caller.lastEventId, request.runs };
+        request.lastEventId ? request.lastEventId : request.caller.lastEventId,
+        HandedRequest { request.runs, request.table->configuration().version } };
     this->state.commands.emplace_back(std::move(relay));
     return true;
 }
--- a/src/teaselshore/entry/relayed_requests_test.cpp
+++ b/src/teaselshore/entry/relayed_requests_test.cpp
@@ -69,6 +69,17 @@
             this->harness.send(std::move(event));
         }
 
+        /// @brief Sends a request of the route "order" as a peer hands it on.
+        void arriveFromPeer(const HandedRequest& handed)
+        {
+            CallerRequestArrived arrived { this->harness.node.nextRequestId(), {}, handed };
+            arrived.request.method = "POST";
+            arrived.request.path = "/order/x";
+            arrived.request.host = EntryHarness::hostName;
+            arrived.request.key = "key-n";
+            this->harness.send(std::move(arrived));
+        }
+
         EntryHarness harness;
     };
 
@@ -83,7 +94,7 @@
         EXPECT_TRUE(relayed->attempt.authority == "host-b:1" || relayed->attempt.authority == "host-c:1");
         EXPECT_EQ(relayed->attempt.path, "/order/x");
         EXPECT_EQ(relayed->context.key, "key-n");
-        EXPECT_EQ(relayed->context.runs, 0u);
+        EXPECT_EQ(relayed->context.history, (HandedRequest { 0, 1 }));
         EXPECT_EQ(relayed->context.deadline, this->harness.now + 900ms);
         this->peerResponds(relayed->attempt.attempt, 200, true);
         const auto response = this->harness.first<Respond>();
@@ -97,18 +108,35 @@
     TEST_F(RelayedRequestsTest, RequestOfAPeerIsNotHandedOn)
     {
         this->loseLinks();
-        CallerRequestArrived arrived { this->harness.node.nextRequestId(), {}, 0 };
-        arrived.request.method = "POST";
-        arrived.request.path = "/order/x";
-        arrived.request.host = EntryHarness::hostName;
-        arrived.request.key = "key-n";
-        this->harness.send(std::move(arrived));
+        this->arriveFromPeer({ 0, 1 });
         EXPECT_TRUE(this->harness.all<RelayRequest>().empty());
         const auto response = this->harness.first<Respond>();
         ASSERT_TRUE(response);
         EXPECT_EQ(response->status, 503);
     }
 
+    // Guards against requests with a valid key or route that get 401 or 404, or go to the service of before, since a
+    // peer that was frozen decides by the configuration of before.
+    TEST_F(RelayedRequestsTest, NodeThatIsBehindDecidesNothingForAPeer)
+    {
+        EntryConfiguration next = EntryHarness::configuration(2);
+        for (const bool isBehind : { true, false }) {
+            this->arriveFromPeer({ 0, 2 });
+            const auto response = this->harness.first<Respond>();
+            EXPECT_EQ(response.has_value(), isBehind);
+            EXPECT_EQ(this->harness.all<ForwardRequest>().empty(), isBehind);
+            if (response)
+                EXPECT_EQ(response->status, 503) << "the peer may try another node";
+            this->harness.send(EntryConfigurationRead { next });
+        }
+        // A node that is ahead is right, also about what is gone.
+        next.version = 3;
+        next.routes.erase(next.routes.begin());
+        this->harness.send(EntryConfigurationRead { next });
+        this->arriveFromPeer({ 0, 2 });
+        EXPECT_EQ(this->harness.first<Respond>()->status, 404);
+    }
+
     // Guards against a refusal by one peer, or one that is gone, that ends a request which another peer could serve.
     TEST_F(RelayedRequestsTest, SecondPeerIsTriedIfTheFirstDidNotTakeTheRequest)
     {
@@ -150,7 +178,7 @@
         this->harness.fail(this->harness.first<RelayRequest>()->attempt.attempt, true);
         const auto second = this->harness.first<RelayRequest>();
         ASSERT_TRUE(second);
-        EXPECT_EQ(second->context.runs, 1u);
+        EXPECT_EQ(second->context.history.runs, 1u);
         this->peerResponds(second->attempt.attempt, 503, false);
         ASSERT_TRUE(this->harness.first<Respond>());
         EXPECT_EQ(this->harness.first<Respond>()->status, 502);
