Count and charge handed requests once in the retry budget

Cause: each node to which a request is handed took it for a new one. It added its share to the budget and sent it once without a charge, though upstreams of an earlier peer had refused it. Requests that were handed on before their service was chosen were charged to a service without a name.

Ruled out: shares that add up to more than the floor (no node starts or ends), retries of one node (nothing breaks without the cuts).

Change: HandedRequest says whether a node has counted the request; a peer that refuses says whether an upstream may have received it, and the next hand-over is then charged. The service is chosen before.

Failed before: RelayedRequestsTest.NextPeerIsChargedOnceAnUpstreamMayHaveTheRequest (200 of 60) and .RequestIsCountedInOneRetryBudgetOnly (30 of 20).

--- a/include/teaselshore/entry/caller_request.hpp
+++ b/include/teaselshore/entry/caller_request.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "teaselshore/base/fingerprint.hpp"
@@ -75,10 +76,15 @@
     /// Version of the configuration that has the request's route and key. A peer with an older one must not decide by
     /// it.
     std::uint64_t configuration = 0;
+    /// A node has counted the request in its retry budget; no other counts it again.
+    bool isCounted = false;
 
     auto operator<=>(const HandedRequest&) const = default;
 };
 
+/// @brief Field of a node's own refusal of a handed request: "1" if an upstream may have received it, otherwise "0".
+inline constexpr std::string_view handedArrivedField = "teaselshore-arrived";
+
 /// @brief What a node adds to a request that it hands to a peer.
 struct RelayContext {
     /// When the caller stops waiting.
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -103,8 +103,10 @@
     request.caller = std::move(arrived.request);
     request.arrivedAt = now;
     request.handed = arrived.handed;
-    if (request.handed)
+    if (request.handed) {
+        request.isCounted = request.handed->isCounted;
         ++this->state.statistics.requestsOfPeers;
+    }
     if (this->hasEnded) {
         // Its bytes were read while the last answers left.
         this->refuse(
@@ -180,6 +182,8 @@
     this->deadlines.emplace(request.deadline, request.id);
     // Before the quota, which the peer takes.
     if (this->needsPeers(now)) {
+        // Retries at further peers are charged to it.
+        request.service = this->selectService(*request.route);
         this->relayOrEnd(request, noLinks, now);
         return;
     }
@@ -199,7 +203,8 @@
     this->fillRouting(request);
     if (this->rejectForShortage(request, now))
         return;
-    this->state.retryBudget(request.service).onRequest(now);
+    if (!std::exchange(request.isCounted, true))
+        this->state.retryBudget(request.service).onRequest(now);
     this->dispatch(request, now);
 }
 
@@ -861,12 +866,16 @@
         return false;
     if (result.connectionBroken && !this->crashes.mayRetryAfterBrokenConnection(crashKeysOf(request)))
         return false;
+    return this->chargeRetry(request, now);
+}
+
+bool EntryRequests::chargeRetry(const Request& request, Instant now)
+{
     // Refused requests count too: the upstream has received them. Connections that were never established do not.
-    if (request.mayHaveArrived && !this->state.retryBudget(request.service).tryRetry(now)) {
-        ++this->state.statistics.deniedRetries;
-        return false;
-    }
-    return true;
+    if (!request.mayHaveArrived || this->state.retryBudget(request.service).tryRetry(now))
+        return true;
+    ++this->state.statistics.deniedRetries;
+    return false;
 }
 
 void EntryRequests::retryOrEnd(Request& request, const AttemptResult& result, const std::string& reason, Instant now)
@@ -969,6 +978,8 @@
                                                                     : ErrorCode::Rejected;
     const CallerError error { code, status, reason, retryAfter };
     Respond response { request.id, status, { { "content-type", "application/json" } }, errorBody(request.id, error) };
+    if (request.handed)
+        response.headers.emplace_back(handedArrivedField, request.mayHaveArrived ? "1" : "0");
     if (retryAfter)
         response.headers.emplace_back("retry-after", formatSeconds(*retryAfter));
     this->state.commands.emplace_back(std::move(response));
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -79,6 +79,8 @@
         std::uint32_t runs = 0;
         /// True once an upstream may have received the request, whether it ran it or refused it.
         bool mayHaveArrived = false;
+        /// True once a node has counted the request in its retry budget.
+        bool isCounted = false;
         /// Set if a peer handed the request to this node, which then does not hand it on.
         std::optional<HandedRequest> handed;
         /// Peers that were tried.
@@ -199,6 +201,8 @@
     /// @brief Returns whether the process is likely to end before a request that starts now.
     bool isTooLate(const EntryRoute& route, Instant now) const;
     bool mayRetry(Request& request, const AttemptResult& result, Instant now);
+    /// @brief Takes a retry from the budget if the request may have reached an upstream; false if there is none left.
+    bool chargeRetry(const Request& request, Instant now);
     void retryOrEnd(Request& request, const AttemptResult& result, const std::string& reason, Instant now);
     std::optional<Attempt> takeAttempt(AttemptId id);
     /// @brief Applies what a response says about the state and load of its upstream.
--- a/src/teaselshore/entry/relayed_requests.cpp
+++ b/src/teaselshore/entry/relayed_requests.cpp
@@ -19,6 +19,20 @@
     constexpr Duration abandonAfter = std::chrono::milliseconds(600);
     constexpr const char* linksLost = "the links to upstreams are lost";
 
+    /// Takes the field of a peer's refusal out of the headers. Returns whether an upstream may have received the
+    /// request; a peer of an earlier version does not say so.
+    bool takeArrived(HeaderList& headers)
+    {
+        bool hasArrived = true;
+        std::erase_if(headers, [&hasArrived](const auto& field) {
+            if (field.first != handedArrivedField)
+                return false;
+            hasArrived = field.second != "0";
+            return true;
+        });
+        return hasArrived;
+    }
+
 } // namespace
 
 bool EntryRequests::tryRelay(Request& request, Instant now)
@@ -61,7 +75,7 @@
     relay.attempt.relay = request.route->response == ResponseKind::EventStream;
     relay.context = { request.deadline, request.caller.key,
         request.lastEventId ? request.lastEventId : request.caller.lastEventId,
-        HandedRequest { request.runs, request.table->configuration().version } };
+        HandedRequest { request.runs, request.table->configuration().version, request.isCounted } };
     this->state.commands.emplace_back(std::move(relay));
     return true;
 }
@@ -88,10 +102,14 @@
     request->attempt.reset();
     const int status = event.response.status;
     const bool isOfUpstream = event.facts.isStamped;
+    const bool hasArrived = takeArrived(event.response.headers);
     // The peer has not run the request, and another one may.
     if (!isOfUpstream && status == serviceUnavailable && !event.response.relayed) {
         this->state.relays.onFailed(attempt.peer, now);
-        if (this->tryRelay(*request, now))
+        request->mayHaveArrived = request->mayHaveArrived || hasArrived;
+        request->isCounted = request->isCounted || hasArrived;
+        // An upstream of the peer has received the request, so that the first send of the next peer is a retry.
+        if (this->chargeRetry(*request, now) && this->tryRelay(*request, now))
             return;
     }
     // Only further events may follow a stream that has started. Neither may a refusal by the peer, which speaks for
--- a/src/teaselshore/entry/relayed_requests_test.cpp
+++ b/src/teaselshore/entry/relayed_requests_test.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <string>
+#include <utility>
 
 #include <gtest/gtest.h>
 
@@ -58,12 +59,12 @@
         }
 
         /// @brief Answers an attempt at a peer.
-        void peerResponds(AttemptId attempt, int status, bool isOfUpstream)
+        void peerResponds(AttemptId attempt, int status, bool isOfUpstream, const char* arrived = "0")
         {
             UpstreamResponded event;
             event.response.attempt = attempt;
             event.response.status = status;
-            event.response.headers = { { "retry-after", "0.30" } };
+            event.response.headers = { { "retry-after", "0.30" }, { std::string(handedArrivedField), arrived } };
             event.response.body = "of the peer";
             event.facts.isStamped = isOfUpstream;
             this->harness.send(std::move(event));
@@ -159,6 +160,63 @@
         }
     }
 
+    // Guards against sends beyond the shared retry budget: each peer in turn sends the request as a new one.
+    TEST_F(RelayedRequestsTest, NextPeerIsChargedOnceAnUpstreamMayHaveTheRequest)
+    {
+        constexpr int requests = 200;
+        this->loseLinks();
+        const auto handsToSecondPeer = [this](const char* arrived) {
+            int second = 0;
+            for (int number = 0; number < requests; ++number) {
+                this->harness.request("status");
+                const auto relayed = this->harness.first<RelayRequest>();
+                EXPECT_TRUE(relayed);
+                this->peerResponds(relayed->attempt.attempt, 503, false, arrived);
+                if (const auto next = this->harness.first<RelayRequest>()) {
+                    ++second;
+                    this->peerResponds(next->attempt.attempt, 503, false, arrived);
+                }
+                const auto response = this->harness.first<Respond>();
+                EXPECT_TRUE(response && response->status == 503);
+                for (const auto& [name, value] : response->headers)
+                    EXPECT_NE(name, handedArrivedField);
+            }
+            return second;
+        };
+        EXPECT_EQ(handsToSecondPeer("0"), requests) << "a peer that sent nothing costs nothing";
+        // The whole floor of the fleet, since no other node is there in the test, and the ratio of the requests.
+        EXPECT_LE(handsToSecondPeer("1"), 20 + requests / 5);
+    }
+
+    // Guards against a budget that grows at each node to which the same request is handed.
+    TEST_F(RelayedRequestsTest, RequestIsCountedInOneRetryBudgetOnly)
+    {
+        constexpr int requests = 100;
+        const std::pair<std::string, std::string> arrived { handedArrivedField, "1" };
+        int sent = 0;
+        int repeated = 0;
+        for (int number = 0; number < requests; ++number) {
+            this->harness.advance(50ms);
+            this->arriveFromPeer({ 0, 1, true });
+            const auto first = this->harness.first<ForwardRequest>();
+            // No upstream may have room after so many refusals.
+            if (!first)
+                continue;
+            ++sent;
+            this->harness.respond(first->attempt.attempt, 503, true);
+            if (const auto again = this->harness.first<ForwardRequest>()) {
+                ++repeated;
+                this->harness.respond(again->attempt.attempt, 200);
+            } else if (const auto refusal = this->harness.first<Respond>()) {
+                EXPECT_NE(std::find(refusal->headers.begin(), refusal->headers.end(), arrived), refusal->headers.end())
+                    << "the peer must charge the next one";
+            }
+        }
+        EXPECT_GT(sent, requests / 2);
+        EXPECT_GT(repeated, 0);
+        EXPECT_LE(repeated, 20);
+    }
+
     // Guards against an unsafe request that runs twice since its peer was lost while it had the request.
     TEST_F(RelayedRequestsTest, LostPeerMayHaveRunTheRequest)
     {
