--- a/include/teaselshore/routing/prompt_blocks.hpp
+++ b/include/teaselshore/routing/prompt_blocks.hpp
@@ -21,7 +21,7 @@
 ///
 /// Callers state how long the parts of a prompt are, and may state anything. The hashes of such blocks are computed
 /// when they are asked for, so that memory follows from the number of parts and not from their stated lengths.
-/// Immutable.
+/// Immutable, and so thread-safe.
 class PromptBlocks {
 public:
     /// @brief A prompt without blocks.
@@ -33,8 +33,8 @@
 
     std::size_t size() const;
     bool empty() const { return this->size() == 0; }
-    /// @brief Returns the hash that covers the prompt from its start to the end of a block. Precondition: index <
-    /// size().
+    /// @brief Returns the hash that covers the prompt from its start to the end of a block. Precondition: the prompt
+    /// has this block.
     Fingerprint operator[](std::size_t index) const;
     /// @brief Returns the hash of the last block. Precondition: there is one.
     Fingerprint back() const { return (*this)[this->size() - 1]; }
