Tell processes that start the evacuations that a restore has lost

Cause: a node that starts takes the list of the copy for complete. It asked no peer, and refused what a peer told since that is of an earlier era; a report could not say that its sender keeps an evacuation of before a restore.

Ruled out: a later answer of the platform, which holds the copy; nodes that lose the evacuation by themselves: those that saw the restore keep it for 10 s.

Reports state how long the sender still keeps an evacuation that is missing, a receiver without a later statement keeps it as long and never prolongs it, and nodes ask peers for 5 s after their start, as for the configuration.

--- a/include/teaselshore/entry/entry_message.hpp
+++ b/include/teaselshore/entry/entry_message.hpp
@@ -145,6 +145,8 @@
         std::uint64_t revision = 0;
         /// Time since a node read the change from the platform.
         Duration age {};
+        /// Time for which an evacuation remains in effect that is missing at a restored platform.
+        std::optional<Duration> missingFor {};
 
         auto operator<=>(const Zone&) const = default;
     };
--- a/include/teaselshore/entry/evacuated_zones.hpp
+++ b/include/teaselshore/entry/evacuated_zones.hpp
@@ -19,6 +19,8 @@
     std::uint64_t revision = 0;
     /// When a node read the change from the platform.
     Instant since {};
+    /// Until when an evacuation remains in effect that is missing at a restored platform; nothing if it is not missing.
+    std::optional<Instant> missingUntil {};
 
     auto operator<=>(const ZoneEvacuation&) const = default;
 };
@@ -40,8 +42,11 @@
     Changes onRead(const ZoneEvacuation& change);
     /// @brief Applies a change that a peer reported.
     Changes onReported(const ZoneEvacuation& change);
+    /// @brief Applies an evacuation that a peer knows from before a restore, for no longer than the peer does: this
+    /// process may have started after the restore. Precondition: `missingUntil` is set.
+    Changes onReportedMissing(const ZoneEvacuation& evacuation, Instant now);
     void onPlatformRestored(Instant now) { this->restoredAt = now; }
-    /// @brief Ends what is due some time after a restore, and drops old entries.
+    /// @brief Ends what has been missing since a restore for too long, and drops old entries.
     Changes onTick(Instant now);
 
     bool contains(const AvailabilityZone& zone) const;
@@ -63,8 +68,7 @@
         bool isEvacuated = false;
         std::uint64_t revision = 0;
         Instant since {};
-        /// True while the object is missing at a restored platform.
-        bool isMissing = false;
+        std::optional<Instant> missingUntil;
     };
 
     /// @brief Replaces what is known of a zone.
--- a/src/teaselshore/entry/evacuated_zones.cpp
+++ b/src/teaselshore/entry/evacuated_zones.cpp
@@ -22,9 +22,9 @@
 
 void EvacuatedZones::set(const ZoneEvacuation& change, Changes& changes)
 {
-    Entry& entry = this->zones.try_emplace(change.zone, Entry { false, 0, change.since, false }).first->second;
+    Entry& entry = this->zones.try_emplace(change.zone, Entry { false, 0, change.since, std::nullopt }).first->second;
     entry.revision = change.revision;
-    entry.isMissing = false;
+    entry.missingUntil = change.missingUntil;
     if (entry.isEvacuated == change.isEvacuated)
         return;
     entry.isEvacuated = change.isEvacuated;
@@ -52,8 +52,8 @@
         if (!entry.isEvacuated || entry.revision > revision || listed.contains(zone))
             continue;
         if (this->mayHaveBeenLost(now))
-            entry.isMissing = true;
-        else
+            entry.missingUntil = *this->restoredAt + lostObjectTime;
+        else if (!entry.missingUntil || now >= *entry.missingUntil)
             this->set({ zone, false, revision, now }, changes);
     }
     return changes;
@@ -79,15 +79,25 @@
     return changes;
 }
 
+EvacuatedZones::Changes EvacuatedZones::onReportedMissing(const ZoneEvacuation& evacuation, Instant now)
+{
+    Changes changes;
+    const auto known = this->zones.find(evacuation.zone);
+    if (known != this->zones.end() && known->second.revision >= evacuation.revision)
+        return changes;
+    ZoneEvacuation limited = evacuation;
+    limited.missingUntil = std::min(*evacuation.missingUntil, now + lostObjectTime);
+    if (*limited.missingUntil > now)
+        this->set(limited, changes);
+    return changes;
+}
+
 EvacuatedZones::Changes EvacuatedZones::onTick(Instant now)
 {
     Changes changes;
-    if (this->restoredAt && !this->mayHaveBeenLost(now)) {
-        this->restoredAt.reset();
-        for (auto& [zone, entry] : this->zones) {
-            if (entry.isMissing)
-                this->set({ zone, false, this->completeRevision.value_or(entry.revision), now }, changes);
-        }
+    for (auto& [zone, entry] : this->zones) {
+        if (entry.missingUntil && now >= *entry.missingUntil)
+            this->set({ zone, false, this->completeRevision.value_or(entry.revision), now }, changes);
     }
     std::erase_if(this->zones,
         [now](const auto& item) { return !item.second.isEvacuated && now - item.second.since >= endedRetention; });
@@ -104,7 +114,8 @@
 
 bool EvacuatedZones::isDoubtful() const
 {
-    return std::any_of(this->zones.begin(), this->zones.end(), [](const auto& item) { return item.second.isMissing; });
+    return std::any_of(
+        this->zones.begin(), this->zones.end(), [](const auto& item) { return item.second.missingUntil.has_value(); });
 }
 
 bool EvacuatedZones::containedSince(const AvailabilityZone& zone, Instant since) const
@@ -117,7 +128,7 @@
 {
     Changes result;
     for (const auto& [zone, entry] : this->zones)
-        result.push_back({ zone, entry.isEvacuated, entry.revision, entry.since });
+        result.push_back({ zone, entry.isEvacuated, entry.revision, entry.since, entry.missingUntil });
     return result;
 }
 
--- a/src/teaselshore/entry/evacuated_zones_test.cpp
+++ b/src/teaselshore/entry/evacuated_zones_test.cpp
@@ -436,6 +436,36 @@
         EXPECT_EQ(zones.count(), 0u);
     }
 
+    // Guards against peers that keep a lost evacuation in effect for ever by telling each other of it, against one that
+    // starts again after it ended, and against a list by which a node forgets what a peer has told.
+    TEST(EvacuatedZones, MissingEvacuationsOfPeersEndInTime)
+    {
+        const Instant now { 1000s };
+        EvacuatedZones zones;
+        zones.onListed({}, 200, now);
+        const ZoneEvacuation missing { zoneA, true, 101, now - 5s, now + 4s };
+        EXPECT_EQ(zones.onReportedMissing(missing, now).size(), 1u);
+        EXPECT_TRUE(zones.isDoubtful());
+        EXPECT_TRUE(zones.onReportedMissing({ zoneA, true, 101, now, now + 9s }, now + 1s).empty()) << "known";
+        EXPECT_TRUE(zones.onListed({}, 201, now + 2s).empty());
+        EXPECT_TRUE(zones.onTick(now + 3s).empty());
+        EXPECT_TRUE(zones.contains(zoneA));
+        EXPECT_EQ(zones.onTick(now + 4s).size(), 1u);
+        EXPECT_TRUE(zones.onReportedMissing({ zoneA, true, 101, now, now + 9s }, now + 5s).empty()) << "has ended";
+        EXPECT_FALSE(zones.contains(zoneA));
+
+        EXPECT_TRUE(zones.onReportedMissing({ zoneB, true, 101, now, now + 5s }, now + 5s).empty()) << "over";
+        EXPECT_EQ(zones.onReportedMissing({ zoneB, true, 101, now, now + 3600s }, now + 5s).size(), 1u);
+        EXPECT_EQ(zones.onRead({ zoneB, true, 202, now + 6s }).size(), 0u);
+        EXPECT_FALSE(zones.isDoubtful()) << "the operator has written it again";
+        EXPECT_TRUE(zones.onTick(now + 600s).empty());
+        EXPECT_TRUE(zones.contains(zoneB));
+
+        const AvailabilityZone zoneC("zone-c");
+        EXPECT_EQ(zones.onReportedMissing({ zoneC, true, 101, now, now + 3600s }, now + 5s).size(), 1u);
+        EXPECT_EQ(zones.onTick(now + 15s).size(), 1u) << "no longer than after a restore that this node has seen";
+    }
+
     // Guards against a suspicion of before an evacuation by which the links of a node without upstreams count as lost.
     TEST(UpstreamLinks, ChecksUnderWayDoNotCountWithoutUpstreams)
     {
--- a/src/teaselshore/entry/evacuation_exchange.cpp
+++ b/src/teaselshore/entry/evacuation_exchange.cpp
@@ -15,6 +15,8 @@
     /// Time between two rounds of requests while the platform does not answer; a small part of the time within which
     /// an evacuation must be in effect.
     constexpr Duration requestPeriod = std::chrono::milliseconds(250);
+    /// Time after the start for which a node asks peers whether a restore of the platform has lost an evacuation.
+    constexpr Duration doubtfulTime = std::chrono::seconds(5);
     /// Time without knowledge of the evacuations after which the operator is told why the node is not ready.
     constexpr Duration warningPeriod = std::chrono::seconds(5);
 
@@ -33,6 +35,8 @@
     for (const EvacuationStarted& evacuation : event.evacuations)
         evacuations.push_back({ evacuation.zone, true, evacuation.revision, now });
     Changes changes = this->state.evacuated.onListed(evacuations, event.revision, now);
+    if (isFirst)
+        this->askPeers(now);
     return isFirst ? changes : this->spread(std::move(changes), now);
 }
 
@@ -60,9 +64,12 @@
         return {};
     Changes evacuations;
     Changes later;
+    Changes missing;
     for (const EvacuationReport::Zone& zone : report.zones) {
         const ZoneEvacuation change { zone.zone, zone.isEvacuated, zone.revision, now - zone.age };
-        if (change.revision > report.revision.value_or(0))
+        if (zone.isEvacuated && zone.missingFor)
+            missing.push_back({ zone.zone, true, zone.revision, change.since, now + *zone.missingFor });
+        else if (change.revision > report.revision.value_or(0))
             later.push_back(change);
         else if (change.isEvacuated)
             evacuations.push_back(change);
@@ -74,6 +81,10 @@
         for (ZoneEvacuation& changed : this->state.evacuated.onReported(change))
             changes.push_back(std::move(changed));
     }
+    for (const ZoneEvacuation& evacuation : missing) {
+        for (ZoneEvacuation& changed : this->state.evacuated.onReportedMissing(evacuation, now))
+            changes.push_back(std::move(changed));
+    }
     if (report.wantsAnswer && this->knowsMoreThan(report))
         this->state.commands.emplace_back(SendEntryMessage { senderAddress, this->report(false, now) });
     return this->spread(std::move(changes), now);
@@ -102,9 +113,13 @@
     // What is doubtful is not complete at the present revision: a peer would take it for the operator's latest word.
     const bool isComplete = !this->state.evacuated.isDoubtful();
     EvacuationReport report { {}, isComplete ? this->state.evacuated.revision() : std::nullopt, wantsAnswer };
-    for (const ZoneEvacuation& entry : this->state.evacuated.entries())
-        report.zones.push_back(
-            { entry.zone, entry.isEvacuated, entry.revision, std::max(now - entry.since, Duration::zero()) });
+    for (const ZoneEvacuation& entry : this->state.evacuated.entries()) {
+        const Duration age = std::max(now - entry.since, Duration::zero());
+        EvacuationReport::Zone zone { entry.zone, entry.isEvacuated, entry.revision, age };
+        if (entry.missingUntil)
+            zone.missingFor = std::max(*entry.missingUntil - now, Duration::zero());
+        report.zones.push_back(std::move(zone));
+    }
     return report;
 }
 
@@ -118,7 +133,7 @@
             = std::any_of(report.zones.begin(), report.zones.end(), [&entry](const EvacuationReport::Zone& zone) {
                   return zone.zone == entry.zone && zone.revision >= entry.revision;
               });
-        if (entry.revision > known && !isReported)
+        if ((entry.revision > known || entry.missingUntil) && !isReported)
             return true;
     }
     return false;
@@ -126,7 +141,12 @@
 
 void EvacuationExchange::askPeers(Instant now)
 {
-    if ((this->isAnswered && this->isComplete()) || now < this->nextRequest || !this->state.borrower.hasPeers())
+    if (!this->isEnabled() || !this->state.borrower.hasPeers())
+        return;
+    if (!this->askUntil)
+        this->askUntil = now + doubtfulTime;
+    const bool isKnown = this->isAnswered && this->isComplete() && now >= *this->askUntil;
+    if (isKnown || now < this->nextRequest)
         return;
     this->nextRequest = now + requestPeriod;
     for (const std::string& address : this->state.borrower.samplePeers(askedPeers))
--- a/src/teaselshore/entry/evacuation_exchange.hpp
+++ b/src/teaselshore/entry/evacuation_exchange.hpp
@@ -10,8 +10,8 @@
 ///
 /// A node that learns of a change tells some random peers, and these tell others, so that nodes that the platform turns
 /// away learn of it within a few hops. Random peers may leave some out, so that a node whose watch is not answered asks
-/// peers as well, and so does one that has not yet read the evacuations. Methods return the zones that changed. Not
-/// thread-safe.
+/// peers as well, and so does one that has not yet read the evacuations, or has just started. Methods return the zones
+/// that changed. Not thread-safe.
 class EvacuationExchange {
 public:
     using Changes = EvacuatedZones::Changes;
@@ -40,6 +40,8 @@
     EntryState& state;
     bool isAnswered = true;
     Instant nextRequest {};
+    /// Until when a node asks peers though it knows what the platform holds; nothing before it knows peers.
+    std::optional<Instant> askUntil;
     /// When this node has begun to wait for the evacuations with everything else known.
     std::optional<Instant> waitingSince;
 };
--- a/src/teaselshore/protocol/codec_test.cpp
+++ b/src/teaselshore/protocol/codec_test.cpp
@@ -172,7 +172,9 @@
             EntryMessage(ConfigurationCopy { fields.number(), fields.text() }),
             EntryMessage(EvacuationReport {
                 { { AvailabilityZone(fields.text()), true, fields.number(), std::chrono::seconds(fields.below(1000)) },
-                    { AvailabilityZone(fields.text()), false, fields.number(), Duration::zero() } },
+                    { AvailabilityZone(fields.text()), false, fields.number(), Duration::zero() },
+                    { AvailabilityZone(fields.text()), true, fields.number(), std::chrono::seconds(1),
+                        std::chrono::seconds(fields.below(1000)) } },
                 fields.flag() ? std::optional(fields.number()) : std::nullopt, fields.flag() }),
             EntryMessage(PlatformContactRequest {}),
             EntryMessage(PlatformContact { std::chrono::seconds(7), std::chrono::milliseconds(3),
@@ -251,6 +253,10 @@
             const EvacuationReport evacuated { { { AvailabilityZone("a"), true, 1, age } }, std::nullopt, false };
             EXPECT_FALSE(decode(encode({ NodeId("a"), "b", "c", EntryMessage(evacuated) }), error));
             EXPECT_EQ(error, ProtocolError::InvalidValue);
+            const EvacuationReport missing { { { AvailabilityZone("a"), true, 1, std::chrono::seconds(1), age } },
+                std::nullopt, false };
+            EXPECT_FALSE(decode(encode({ NodeId("a"), "b", "c", EntryMessage(missing) }), error));
+            EXPECT_EQ(error, ProtocolError::InvalidValue);
         }
 
         const SuspectReport report { .kind = SuspectReportKind::Excused };
--- a/src/teaselshore/protocol/entry_conversions.cpp
+++ b/src/teaselshore/protocol/entry_conversions.cpp
@@ -145,6 +145,8 @@
             entry.set_is_evacuated(zone.isEvacuated);
             entry.set_revision(zone.revision);
             entry.set_age(zone.age.count());
+            if (zone.missingFor)
+                entry.set_missing_for(zone.missingFor->count());
         }
         if (report.revision)
             result.set_revision(*report.revision);
@@ -242,7 +244,11 @@
             const Duration age(entry.age());
             if (age < Duration::zero() || age > longestContact)
                 return std::nullopt;
-            result.zones.push_back({ AvailabilityZone(entry.zone()), entry.is_evacuated(), entry.revision(), age });
+            const Duration missingFor(entry.missing_for());
+            if (missingFor < Duration::zero() || missingFor > longestContact)
+                return std::nullopt;
+            result.zones.push_back({ AvailabilityZone(entry.zone()), entry.is_evacuated(), entry.revision(), age,
+                entry.has_missing_for() ? std::optional(missingFor) : std::nullopt });
         }
         if (report.has_revision())
             result.revision = report.revision();
