Keep upstreams in use that answer on open connections

Cause: an attempt that finds no free connection opens a new one, and where that failed it counted as a failure of the upstream, whose circuit breaker opened and kept the working connections unused as well. Such an attempt now ends as a refusal if the upstream has accepted another one in the last 500 ms: the limit of concurrent requests decreases, the breaker stays closed.

RefusingUpstreams.RequestsReachUpstreamsByOpenConnections failed before (393 and 380 of 400 requests not sent), and passes. RefusingUpstreams.UpstreamThatIsGoneGetsFewRequests holds the other side.

--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -807,9 +807,12 @@
     const auto attempt = this->takeAttempt(event.attempt);
     if (!attempt)
         return;
-    // A connection that was not established is no refusal, after which the upstream would get further requests.
-    const AttemptOutcome outcome
-        = event.mayHaveRun && event.connectionBroken ? AttemptOutcome::Failed : AttemptOutcome::TimedOut;
+    // A connection that was not established is no refusal, after which the upstream would get further requests. Where
+    // open connections carry answers it is one: the upstream takes as many requests as there are such connections.
+    const bool isRefusal = !event.mayHaveRun && this->hasAcceptedLately(attempt->upstream, now);
+    const AttemptOutcome outcome = isRefusal         ? AttemptOutcome::Refused
+        : event.mayHaveRun && event.connectionBroken ? AttemptOutcome::Failed
+                                                     : AttemptOutcome::TimedOut;
     this->state.router.onFinished(attempt->dispatch, outcome, 0, now);
     if (event.connectionBroken)
         ++this->state.statistics.brokenAttempts;
--- a/src/teaselshore/entry/refusing_upstreams_test.cpp
+++ b/src/teaselshore/entry/refusing_upstreams_test.cpp
@@ -282,5 +282,61 @@
         }
     }
 
+    // Load pattern: no new connections can be opened, and open ones carry a third of the attempts. Guards against
+    // upstreams that get no requests because of the others, though they answer on the open connections.
+    TEST(RefusingUpstreams, RequestsReachUpstreamsByOpenConnections)
+    {
+        constexpr int requests = 400;
+        for (const int count : { 2, 4 }) {
+            EntryHarness harness;
+            harness.start(count, 64);
+            RandomSource random(3);
+            int unsent = 0;
+            for (int number = 0; number < requests; ++number) {
+                harness.advance(20ms);
+                harness.request("order");
+                auto sent = harness.first<ForwardRequest>();
+                if (!sent) {
+                    ++unsent;
+                    harness.advance(100ms);
+                }
+                while (sent && random.below(3) != 0) {
+                    harness.fail(sent->attempt.attempt, false);
+                    sent = harness.first<ForwardRequest>();
+                }
+                if (sent)
+                    harness.respond(sent->attempt.attempt, 200);
+            }
+            EXPECT_EQ(unsent, 0) << count;
+        }
+    }
+
+    // Guards against requests that go on to an upstream which is gone, since it answered shortly before.
+    TEST(RefusingUpstreams, UpstreamThatIsGoneGetsFewRequests)
+    {
+        EntryHarness harness;
+        harness.start(4, 64);
+        const UpstreamId gone = EntryHarness::upstream(1, 64).id();
+        int served = 0;
+        int failed = 0;
+        for (int number = 0; number < 400; ++number) {
+            harness.advance(10ms);
+            harness.request("order");
+            auto sent = harness.first<ForwardRequest>();
+            if (number >= 200 && sent && sent->attempt.upstream == gone) {
+                ++failed;
+                harness.fail(sent->attempt.attempt, false);
+                sent = harness.first<ForwardRequest>();
+            }
+            if (!sent)
+                continue;
+            ++served;
+            harness.respond(sent->attempt.attempt, 200);
+        }
+        EXPECT_EQ(served, 400);
+        // Its part of the requests for half a second, and as many as open a circuit breaker or probe it.
+        EXPECT_LE(failed, 50 / 4 + 5 + 2);
+    }
+
 } // namespace
 } // namespace teaselshore
