Leave times since 1970 whole in fromSeconds()

Nodes took their turns at an upstream with a stated limit for due at all times, so that together they could exceed the limit.

Cause: cut the result of fromSeconds() at a year, as times of messages. TurnSchedule computes turns as times since 1970, which are 56 years: each turn became one of 1971, and the next one the present.

fromSeconds() cuts at 1,000 years, which still keeps sums from overflowing; times of messages are cut at a year, by toStatedTime().

All other uses of fromSeconds() are lengths.

--- a/include/teaselshore/base/time.hpp
+++ b/include/teaselshore/base/time.hpp
@@ -37,14 +37,18 @@
     return std::clamp(stated, -longest, longest);
 }
 
-/// @brief Converts seconds to a Duration, rounding towards zero; at most longestTime either way, and zero for no
+/// @brief Longest length that fromSeconds() returns. Times since 1970 are far below it, and sums of some hundred such
+/// lengths do not overflow.
+constexpr std::chrono::hours longestLength { 24 * 365 * 1000 };
+
+/// @brief Converts seconds to a Duration, rounding towards zero; at most longestLength either way, and zero for no
 /// number.
 constexpr Duration fromSeconds(double seconds)
 {
-    constexpr double longest = std::chrono::duration<double>(longestTime).count();
+    constexpr double longest = std::chrono::duration<double>(longestLength).count();
     // Not a number compares as false.
     if (!(seconds >= -longest && seconds <= longest))
-        return seconds > longest ? longestTime : seconds < -longest ? -longestTime : Duration::zero();
+        return seconds > longest ? longestLength : seconds < -longest ? -longestLength : Duration::zero();
     return Duration(static_cast<Duration::rep>(seconds * 1e6));
 }
 
