Count requests that connections drop, and how late timers run

Callers got neither an answer nor a refusal for a whole request, and no log line or metric told whether a connection had dropped it unread, behind an answer, or at the end of the process, nor whether the event loop was late. Both are logged and counted (teaselshore_dropped_requests_total, teaselshore_longest_loop_delay_seconds). No decision changes.

--- a/include/teaselshore/http/event_loop.hpp
+++ b/include/teaselshore/http/event_loop.hpp
@@ -40,6 +40,10 @@
     /// @brief Returns the current monotonic time.
     Instant now() const;
 
+    /// @brief Returns the longest time by which a timer ran late so far, since the loop was busy or the process had no
+    /// processor.
+    Duration longestTimerDelay() const;
+
     struct Impl;
     Impl& implementation() { return *this->impl; }
 
--- a/include/teaselshore/http/http_server.hpp
+++ b/include/teaselshore/http/http_server.hpp
@@ -137,6 +137,9 @@
     /// @brief Connections that were closed before their callers had received a finished answer, since they stopped to
     /// read it.
     std::uint64_t cutAnswers() const;
+    /// @brief HTTP/1 connections that were ended with bytes of a request that got no answer, though no answer had told
+    /// the caller that the connection ends.
+    std::uint64_t droppedRequests() const;
 
     BodyMemory bodyMemory() const;
 
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -120,6 +120,14 @@
         "teaselshore_cut_answers_total", "Finished answers that callers stopped to read before their end.", cut);
 }
 
+void EntryMetrics::updateDroppedRequests(std::uint64_t dropped, Duration longestLoopDelay)
+{
+    this->setCounter("teaselshore_dropped_requests_total",
+        "Connections that the server ended with bytes of a request that got no answer.", dropped);
+    this->setGauge("teaselshore_longest_loop_delay_seconds", "Longest time by which a timer ran late since the start.",
+        toSeconds(longestLoopDelay));
+}
+
 void EntryMetrics::updateBodies(const BodyMemory& bodies)
 {
     this->setGauge("teaselshore_request_body_bytes",
--- a/src/teaselshore/daemon/entry_metrics.hpp
+++ b/src/teaselshore/daemon/entry_metrics.hpp
@@ -20,6 +20,7 @@
     void updatePlatformCalls(const PlatformClient& platform);
     void updateBodies(const BodyMemory& bodies);
     void updateAnswers(const UnsentAnswers& unsent, std::uint64_t cut);
+    void updateDroppedRequests(std::uint64_t dropped, Duration longestLoopDelay);
     void startWindow() { this->metrics.startWindow(); }
     std::string render() const { return this->metrics.renderPrometheus(); }
 
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -383,6 +383,9 @@
         return { statusNotFound, {}, "no such page\n" };
     this->metrics.update(this->node.statistics(), this->relay.counters(), this->callers->refusedRequests());
     this->metrics.updateAnswers(this->callers->unsentAnswers(), this->callers->cutAnswers());
+    const std::uint64_t droppedOfPeers = this->relays ? this->relays->droppedRequests() : 0;
+    this->metrics.updateDroppedRequests(
+        this->callers->droppedRequests() + droppedOfPeers, this->loop->longestTimerDelay());
     this->metrics.updateBodies(this->callers->bodyMemory());
     this->metrics.updatePlatformCalls(*this->platform);
     return { statusOk, { { "content-type", "text/plain; version=0.0.4" } }, this->metrics.render() };
--- a/src/teaselshore/http/event_loop.cpp
+++ b/src/teaselshore/http/event_loop.cpp
@@ -11,12 +11,15 @@
 
 #include "event_loop_impl.hpp"
 #include "teaselshore/base/assert.hpp"
+#include "teaselshore/base/log.hpp"
 
 namespace teaselshore {
 
 namespace {
 
     constexpr std::int32_t longestWaitMilliseconds = 1000;
+    /// Delay of a timer that is logged, at most once in this time.
+    constexpr Duration loggedDelay = std::chrono::milliseconds(100);
     /// Rounds that the destructor grants h2o to release closed sockets.
     constexpr int drainRounds = 100;
 
@@ -128,6 +131,7 @@
     const Instant now = monotonicNow();
     bool ran = false;
     while (!this->timers.empty() && this->timers.begin()->first.first <= now) {
+        this->noteDelay(now - this->timers.begin()->first.first);
         auto node = this->timers.extract(this->timers.begin());
         this->timerDue.erase(node.key().second);
         node.mapped()();
@@ -141,6 +145,18 @@
     return ran;
 }
 
+void EventLoop::Impl::noteDelay(Duration delay)
+{
+    this->longestTimerDelay = std::max(this->longestTimerDelay, delay);
+    if (delay < loggedDelay)
+        return;
+    // The oldest timer comes first, and the others of this round are no news.
+    if (const Instant now = monotonicNow(); now >= this->nextDelayLog) {
+        this->nextDelayLog = now + loggedDelay;
+        logLine(LogLevel::Warning, "event loop is late", { { "ms", toMilliseconds(delay) } });
+    }
+}
+
 std::int32_t EventLoop::Impl::waitMilliseconds() const
 {
     if (!this->releases.empty())
@@ -195,4 +211,6 @@
 
 Instant EventLoop::now() const { return monotonicNow(); }
 
+Duration EventLoop::longestTimerDelay() const { return this->impl->longestTimerDelay; }
+
 } // namespace teaselshore
--- a/src/teaselshore/http/event_loop_impl.hpp
+++ b/src/teaselshore/http/event_loop_impl.hpp
@@ -36,6 +36,8 @@
     void cancelTimer(TimerId timer);
     /// @brief Runs the due timers; returns whether any ran.
     bool runDueTimers();
+    /// @brief Notes by how much a timer is late.
+    void noteDelay(Duration delay);
     /// @brief Returns the longest wait in milliseconds until the next timer.
     std::int32_t waitMilliseconds() const;
 
@@ -48,6 +50,8 @@
     std::map<std::pair<Instant, TimerId>, std::function<void()>> timers;
     std::unordered_map<TimerId, Instant> timerDue;
     TimerId lastTimer = 0;
+    Duration longestTimerDelay {};
+    Instant nextDelayLog {};
     std::vector<std::function<void()>> releases;
 
     std::atomic<bool> stopping { false };
--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -84,6 +84,8 @@
 {
     auto* self = static_cast<Http1Connection*>(socket->data);
     if (self->state == State::Lingering) {
+        if (socket->input->size > 0)
+            self->noteDropped("it arrived after the server had ended its side");
         h2o_buffer_consume(&socket->input, socket->input->size);
         if (error != nullptr)
             self->close();
@@ -253,6 +255,7 @@
         this->pending += fmt::format("content-length: {}\r\n", *length);
     else if (this->framing == Framing::Chunked)
         this->pending += "transfer-encoding: chunked\r\n";
+    this->announcedClose = this->closeAfterAnswer;
     if (this->closeAfterAnswer)
         this->pending += "connection: close\r\n";
     else if (this->version10)
@@ -393,6 +396,8 @@
     // Closing with unread bytes would reset the connection and could destroy the answer on its way.
     this->state = State::Lingering;
     shutdown(h2o_socket_get_fd(this->socket), SHUT_WR);
+    if (this->socket->input->size > 0)
+        this->noteDropped("it waited behind the last answer");
     h2o_buffer_consume(&this->socket->input, this->socket->input->size);
     this->lingeringBytes = this->kernelBytes();
     this->deadline = monotonicNow() + lingerTime;
@@ -408,6 +413,21 @@
     return static_cast<std::size_t>(std::max(bytes, 0));
 }
 
+bool Http1Connection::hasUnreadBytes() const
+{
+    char byte = 0;
+    return this->socket->input->size > 0
+        || recv(h2o_socket_get_fd(this->socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+void Http1Connection::noteDropped(std::string_view reason)
+{
+    if (this->announcedClose || std::exchange(this->notedDropped, true))
+        return;
+    this->core.countDroppedRequest();
+    logLine(LogLevel::Warning, "request of a caller dropped without an answer", { { "reason", reason } });
+}
+
 std::size_t Http1Connection::unsentBytes() const
 {
     return this->state == State::Closed ? 0 : this->pendingBytes() + this->kernelBytes();
@@ -422,6 +442,13 @@
     this->armTimer(this->deadline);
 }
 
+void Http1Connection::endWithServer()
+{
+    if (this->state == State::Reading || (this->state == State::Idle && this->hasUnreadBytes()))
+        this->noteDropped("the server ended before it was read");
+    this->breakOff();
+}
+
 void Http1Connection::breakOff()
 {
     if (this->state == State::Closed)
--- a/src/teaselshore/http/http1_connection.hpp
+++ b/src/teaselshore/http/http1_connection.hpp
@@ -30,6 +30,8 @@
     void closeWhenIdle();
     /// @brief Closes the connection at once.
     void breakOff();
+    /// @brief Like breakOff(), and counts a request of which bytes have arrived and that gets no answer.
+    void endWithServer();
 
     /// @brief Methods of the open exchange.
     void startAnswer(int status, const HttpHeaders& headers, std::optional<std::size_t> length);
@@ -86,6 +88,11 @@
     void nextRequest();
     void linger();
     std::size_t kernelBytes() const;
+    /// @brief Returns whether bytes of the client have arrived that were not read, or not parsed, yet.
+    bool hasUnreadBytes() const;
+    /// @brief Counts and logs, once, a request that is dropped though no answer has announced the end of the
+    /// connection.
+    void noteDropped(std::string_view reason);
     void close();
     void armTimer(Instant due);
     void onTimer();
@@ -109,6 +116,9 @@
     bool headRequest = false;
     bool answerDone = false;
     bool closeAfterAnswer = false;
+    /// The latest answer told the client that the connection ends with it.
+    bool announcedClose = false;
+    bool notedDropped = false;
     bool resetOnClose = false;
     /// End of the time for the current state. A timer that fires before it is armed again.
     Instant deadline {};
--- a/src/teaselshore/http/http_server.cpp
+++ b/src/teaselshore/http/http_server.cpp
@@ -105,6 +105,8 @@
 
 std::uint64_t HttpServer::cutAnswers() const { return this->impl->core->cutAnswers(); }
 
+std::uint64_t HttpServer::droppedRequests() const { return this->impl->core->droppedRequests(); }
+
 BodyMemory HttpServer::bodyMemory() const { return this->impl->core->bodyMemory(); }
 
 void HttpServer::stopAccepting() { this->impl->core->stopAccepting(); }
--- a/src/teaselshore/http/http_server_test.cpp
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -548,6 +548,27 @@
         EXPECT_TRUE(isAnswered(unused)) << "without a request before";
     }
 
+    // Guards against requests that are dropped without a trace, and against others that are counted as dropped: those
+    // behind an answer that announced the end of its connection.
+    TEST(HttpServer, CountsRequestsThatAreDropped)
+    {
+        const std::string request = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+        for (const bool isAnnounced : { false, true }) {
+            HttpFixture fixture([&](const auto& exchange) {
+                exchange->startStream(200, {});
+                exchange->write("part");
+                exchange->finishIncomplete();
+            });
+            if (isAnnounced)
+                fixture.server->announceClose();
+            const RawConnection connection(fixture.server->port());
+            connection.send(request + request);
+            bool ended = false;
+            ASSERT_TRUE(fixture.runUntil([&] { return connection.receive(ended).empty() && ended; }));
+            EXPECT_EQ(fixture.server->droppedRequests(), isAnnounced ? 0u : 1u);
+        }
+    }
+
     // Guards against connections, and the answers that they keep, that stay for good when a caller stops to read, and
     // against callers that read slowly and are cut.
     TEST(HttpServer, DisconnectsOnlyCallersThatStopReadingTheirAnswer)
--- a/src/teaselshore/http/server_core.cpp
+++ b/src/teaselshore/http/server_core.cpp
@@ -95,7 +95,7 @@
     for (const auto& [socket, connection] : this->connections)
         remaining.push_back(connection.get());
     for (Http1Connection* connection : remaining)
-        connection->breakOff();
+        connection->endWithServer();
     for (const auto& [socket, connection] : this->http2Connections)
         shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
     this->releaseIfUnused();
--- a/src/teaselshore/http/server_core.hpp
+++ b/src/teaselshore/http/server_core.hpp
@@ -50,6 +50,8 @@
     std::uint64_t refusedRequests() const { return this->refused; }
     void countCutAnswer() { ++this->cut; }
     std::uint64_t cutAnswers() const { return this->cut; }
+    void countDroppedRequest() { ++this->dropped; }
+    std::uint64_t droppedRequests() const { return this->dropped; }
     UnsentAnswers unsentAnswers() const;
     const ByteBudget& bodyBudget() const { return this->bodies; }
     void setBodyBudget(ByteBudget budget) { this->bodies = std::move(budget); }
@@ -96,6 +98,7 @@
     std::uint64_t bodiesWithoutMemory = 0;
     std::uint64_t refused = 0;
     std::uint64_t cut = 0;
+    std::uint64_t dropped = 0;
 };
 
 } // namespace teaselshore
