--- a/src/teaselshore/http/event_loop_test.cpp
+++ b/src/teaselshore/http/event_loop_test.cpp
@@ -1,4 +1,5 @@
 #include <memory>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -40,6 +41,22 @@
         EXPECT_EQ(total, threadCount * tasksPerThread);
     }
 
+    // Guards against timers of a process that got no processor, which give up what has arrived in time but was not
+    // looked at.
+    TEST(EventLoop, RunsTimersAfterWhatArrivedBeforeTheyWereDue)
+    {
+        const auto loop = EventLoop::create();
+        std::vector<std::string> order;
+        loop->runAfter(std::chrono::milliseconds(20), [&] {
+            order.emplace_back("timer");
+            loop->stop();
+        });
+        loop->post([&] { order.emplace_back("arrived"); });
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        loop->run();
+        EXPECT_EQ(order, (std::vector<std::string> { "arrived", "timer" }));
+    }
+
     // Guards against timers that run out of order, early, or after their cancellation.
     TEST(EventLoop, RunsTimersInOrderAndNotWhenCancelled)
     {
--- a/src/teaselshore/http/http_client_test.cpp
+++ b/src/teaselshore/http/http_client_test.cpp
@@ -1,5 +1,6 @@
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -55,6 +56,28 @@
         std::unique_ptr<RawConnection> connection;
     };
 
+    // Guards against replies that arrived in time and are given up, since the process had no processor until their time
+    // was over: of a request that must not run twice, nobody would get the answer.
+    TEST(HttpClient, LateLoopTakesRepliesThatArrivedInTime)
+    {
+        HttpFixture fixture(ignore);
+        const RawServer server;
+        HttpCall call = fixture.call("POST", "/");
+        call.authority = server.authority();
+        call.idleTimeout = std::chrono::milliseconds(200);
+        CallRecord record;
+        fixture.start(std::move(call), record);
+        std::unique_ptr<RawConnection> connection;
+        ASSERT_TRUE(fixture.runUntil([&] { return (connection = server.accept()) != nullptr; }));
+        bool ended = false;
+        ASSERT_TRUE(fixture.runUntil([&] { return !connection->receive(ended).empty(); }));
+        connection->send("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        ASSERT_TRUE(fixture.runUntil([&] { return record.isDone(); }));
+        EXPECT_FALSE(record.error) << record.error->detail;
+        EXPECT_EQ(record.body, "ok");
+    }
+
     // Guards against replies that were cut off but are reported as complete.
     TEST(HttpClient, ReportsReplyThatBreaksOff)
     {
--- a/src/teaselshore/http/http_server_test.cpp
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -1,6 +1,7 @@
 #include <ctime>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include <gtest/gtest.h>
 #include <sys/resource.h>
@@ -36,6 +37,11 @@
         return answer;
     }
 
+    void runFor(HttpFixture& fixture, Duration time)
+    {
+        fixture.runUntil([] { return false; }, time);
+    }
+
     // Guards against requests that reach the handler without body, query, host or header fields.
     TEST(HttpServer, PassesWholeRequestAndReply)
     {
@@ -569,6 +575,113 @@
         }
     }
 
+    // Guards against requests that have arrived while the process had no processor, and that are dropped unread since
+    // the time of their idle connection is over when it goes on: at a planned stop, and beyond the idle timeout.
+    TEST(HttpServer, LateLoopAnswersRequestsThatArrivedOnIdleConnections)
+    {
+        const std::string request = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+        for (const bool isStopping : { true, false }) {
+            HttpServerSettings settings;
+            settings.idleTimeout = std::chrono::milliseconds(50);
+            HttpFixture fixture([&](const auto& exchange) { exchange->reply({ 200, {}, "whole" }); }, settings);
+            const RawConnection idle(fixture.server->port());
+            idle.send(request);
+            std::string first;
+            bool ended = false;
+            ASSERT_TRUE(fixture.runUntil([&] { return !(first += idle.receive(ended)).empty(); }));
+            runFor(fixture, std::chrono::milliseconds(10));
+            if (isStopping)
+                fixture.server->stopAccepting();
+            idle.send(request);
+            // Nothing runs meanwhile; the server allows two seconds more than the idle time.
+            std::this_thread::sleep_for(std::chrono::milliseconds(isStopping ? 200 : 2200));
+            std::string received;
+            ASSERT_TRUE(fixture.runUntil([&] {
+                received += idle.receive(ended);
+                return ended || received.find("whole") != std::string::npos;
+            }));
+            EXPECT_NE(received.find("whole"), std::string::npos) << "stopping: " << isStopping;
+            EXPECT_EQ(received.find("connection: close") != std::string::npos, isStopping);
+        }
+    }
+
+    // Guards against requests whose last bytes arrived in time and that are refused as too slow, since the process had
+    // no processor until their time was over.
+    TEST(HttpServer, LateLoopAnswersRequestsThatArrivedInTime)
+    {
+        HttpServerSettings settings;
+        settings.requestTimeout = std::chrono::milliseconds(300);
+        HttpFixture fixture(echo, settings);
+        const RawConnection connection(fixture.server->port());
+        connection.send("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\nfirst");
+        runFor(fixture, std::chrono::milliseconds(50));
+        connection.send("-last");
+        std::this_thread::sleep_for(std::chrono::milliseconds(400));
+        std::string received;
+        bool ended = false;
+        ASSERT_TRUE(fixture.runUntil([&] {
+            received += connection.receive(ended);
+            return ended || received.find("\r\n\r\n") != std::string::npos;
+        }));
+        EXPECT_EQ(received.rfind("HTTP/1.1 200", 0), 0u) << received;
+    }
+
+    // Guards against requests behind an answer that began before a planned stop: it told nobody that its connection
+    // ends, and the caller sends its next request at once.
+    TEST(HttpServer, StopAcceptingAnswersRequestsBehindAnAnswerThatAnnouncedNoClose)
+    {
+        const std::string request = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+        std::shared_ptr<ServerExchange> open;
+        HttpFixture fixture([&](const auto& exchange) {
+            if (open) {
+                exchange->reply({ 200, {}, "second" });
+                return;
+            }
+            open = exchange;
+            exchange->startStream(200, { { "content-type", "text/event-stream" } });
+            exchange->write("first");
+        });
+        const RawConnection connection(fixture.server->port());
+        connection.send(request);
+        std::string received;
+        bool ended = false;
+        const auto hasReceived = [&](const std::string& text) {
+            received += connection.receive(ended);
+            return received.find(text) != std::string::npos;
+        };
+        ASSERT_TRUE(fixture.runUntil([&] { return hasReceived("first"); }));
+        ASSERT_EQ(received.find("connection: close"), std::string::npos);
+        fixture.server->announceClose();
+        fixture.server->stopAccepting();
+        open->finish();
+        // The caller has the end of the answer before the server knows that it was written.
+        ASSERT_TRUE(hasReceived("0\r\n\r\n"));
+        connection.send(request);
+        ASSERT_TRUE(fixture.runUntil([&] { return hasReceived("second") || ended; }));
+        EXPECT_NE(received.find("second"), std::string::npos);
+        EXPECT_NE(received.find("connection: close"), std::string::npos);
+    }
+
+    // Guards against an idle connection that reads a request after it has ended its side, and drops it: its caller
+    // cannot tell that the request did not run.
+    TEST(HttpServer, ClosedIdleConnectionReadsNoRequests)
+    {
+        const std::string request = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+        HttpFixture fixture(echo);
+        const RawConnection idle(fixture.server->port());
+        idle.send(request);
+        std::string first;
+        bool ended = false;
+        ASSERT_TRUE(fixture.runUntil([&] { return !(first += idle.receive(ended)).empty(); }));
+        runFor(fixture, std::chrono::milliseconds(10));
+        fixture.server->stopAccepting();
+        ASSERT_TRUE(fixture.runUntil([&] { return idle.receive(ended).empty() && ended; }));
+        idle.trySend(request);
+        runFor(fixture, std::chrono::milliseconds(50));
+        idle.receive(ended);
+        EXPECT_TRUE(idle.wasReset());
+    }
+
     // Guards against connections, and the answers that they keep, that stay for good when a caller stops to read, and
     // against callers that read slowly and are cut.
     TEST(HttpServer, DisconnectsOnlyCallersThatStopReadingTheirAnswer)
