Close connections at a planned stop only after answers that announce it

The request that a caller sent right behind a stream was dropped if the stream had begun before a planned stop and ended after the node had stopped to accept: its connection was closed with the answer, although the answer's head, which had left before, had not said so. Such a connection is idle again, answers what arrives within the time for last requests, and is closed as an idle one.

Ruled out: the caller's fault. Only an answer with connection: close tells it to send nothing more.

--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -38,8 +38,7 @@
     constexpr std::size_t maxWriteBytes = std::size_t { 64 } * 1024;
     /// Added to the idle time, so that a client that keeps to it never meets a close.
     constexpr Duration idleMargin = std::chrono::seconds(2);
-    /// Time that idle connections stay open when the server stops to accept: requests may be on their way, or have
-    /// arrived and not been read.
+    /// Time that idle connections stay open once the server has stopped to accept: requests may be on their way.
     constexpr Duration lastRequestTime = std::chrono::milliseconds(100);
 
     constexpr int statusContinue = 100;
@@ -383,7 +382,7 @@
     this->state = State::Idle;
     this->idleTime = this->core.limits().idleTimeout;
     this->undeliveredBytes = std::numeric_limits<std::size_t>::max();
-    this->extendDeadline(this->idleTime + idleMargin);
+    this->extendDeadline(this->core.accepts() ? this->idleTime + idleMargin : lastRequestTime);
     h2o_socket_read_start(this->socket, onReadable);
     if (this->socket->input->size > 0)
         this->readRequests();
@@ -431,10 +430,9 @@
 
 void Http1Connection::closeWhenIdle()
 {
-    this->closeAfterAnswer = true;
-    if (this->state != State::Idle)
-        return;
-    this->extendDeadline(lastRequestTime);
+    // An answer that has begun may not have announced the close; after it, the connection is idle again.
+    if (this->state == State::Idle)
+        this->extendDeadline(lastRequestTime);
 }
 
 void Http1Connection::endWithServer()
--- a/src/teaselshore/http/http1_connection.hpp
+++ b/src/teaselshore/http/http1_connection.hpp
@@ -26,7 +26,7 @@
 
     /// @brief Starts to read. The socket may be handed over to h2o's HTTP/2 if the client begins with its preface.
     void start();
-    /// @brief Closes the connection if no request is open and nothing arrived; otherwise after the open answer.
+    /// @brief Closes the connection soon if it is idle; otherwise after the answer that announces it.
     void closeWhenIdle();
     /// @brief Closes the connection at once.
     void breakOff();
--- a/src/teaselshore/http/server_core.hpp
+++ b/src/teaselshore/http/server_core.hpp
@@ -28,6 +28,8 @@
     /// @brief Announces the end of the connection in each further answer.
     void announceClose() { this->isClosing = true; }
     bool closing() const { return this->isClosing; }
+    /// @brief Returns whether new connections are accepted.
+    bool accepts() const { return this->listener != nullptr; }
     bool refusesDotSegments() const { return this->refuseDotSegments; }
     std::size_t maxHeaderFields() const { return this->headerFields; }
     const HttpServerLimits& limits() const { return this->serverLimits; }
