Refuse requests as too slow only when no byte of them waits unread

Callers got 408 for requests whose last bytes had arrived in time, when the process had no processor until the time was over: the same cause as that of dropped requests on idle connections. The rest is read first. How often a request can put the refusal off is bounded by the limits on its size, since each time takes bytes of it.

HttpServer.LateLoopAnswersRequestsThatArrivedInTime failed in 3 of 3 runs before and passes now.

--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -500,6 +500,11 @@
 void Http1Connection::onDeadline()
 {
     if (this->state == State::Reading) {
+        // The rest may have arrived in time; the limits on requests bound how often.
+        if (this->hasUnreadBytes()) {
+            this->extendDeadline(unreadRecheckTime);
+            return;
+        }
         this->refuse(requestTimeout, "the request did not arrive in time");
         return;
     }
