End a process only when no request is arriving

Callers that were sending a request when the process had answered all others lost it with the process: the end waited for bytes that leave, not for those that arrive. Connections on which a request is half read, or waits unread, hold the end up now, at most until the grace period is over. A request that does not go on is refused at its timeout as before.

--- a/include/teaselshore/http/http_server.hpp
+++ b/include/teaselshore/http/http_server.hpp
@@ -134,6 +134,8 @@
     /// @brief Connections with bytes that their callers have not received, whether or not the answer is finished. An
     /// HTTP/2 connection counts until it is closed.
     UnsentAnswers unsentAnswers() const;
+    /// @brief HTTP/1 connections on which bytes of a request have arrived, read or not, that has no exchange yet.
+    std::size_t arrivingRequests() const;
     /// @brief Connections that were closed before their callers had received a finished answer, since they stopped to
     /// read it.
     std::uint64_t cutAnswers() const;
--- a/src/teaselshore/daemon/answer_drain.cpp
+++ b/src/teaselshore/daemon/answer_drain.cpp
@@ -13,9 +13,10 @@
 
 } // namespace
 
-bool mayEnd(const UnsentAnswers& unsent, const DrainTimes& times, Instant now)
+bool mayEnd(const OwedToCallers& owed, const DrainTimes& times, Instant now)
 {
-    return now >= times.deadline || (now >= times.earliest && unsent.connections == 0);
+    const bool owesNothing = owed.unsent.connections == 0 && owed.arriving == 0;
+    return now >= times.deadline || (now >= times.earliest && owesNothing);
 }
 
 AnswerDrain::AnswerDrain(EventLoop& loop, std::vector<const HttpServer*> servers)
@@ -33,13 +34,14 @@
     this->timer = this->loop.runAfter(Duration(0), [this] { this->check(); });
 }
 
-UnsentAnswers AnswerDrain::unsentAnswers() const
+OwedToCallers AnswerDrain::owed() const
 {
-    UnsentAnswers total;
+    OwedToCallers total;
     for (const HttpServer* server : this->servers) {
         const UnsentAnswers unsent = server->unsentAnswers();
-        total.connections += unsent.connections;
-        total.bytes += unsent.bytes;
+        total.unsent.connections += unsent.connections;
+        total.unsent.bytes += unsent.bytes;
+        total.arriving += server->arrivingRequests();
     }
     return total;
 }
@@ -47,14 +49,15 @@
 void AnswerDrain::check()
 {
     const Instant now = this->loop.now();
-    const UnsentAnswers unsent = this->unsentAnswers();
-    if (!mayEnd(unsent, this->times, now)) {
+    const OwedToCallers owed = this->owed();
+    if (!mayEnd(owed, this->times, now)) {
         this->timer = this->loop.runAfter(checkPeriod, [this] { this->check(); });
         return;
     }
-    if (unsent.connections > 0)
+    if (owed.unsent.connections > 0 || owed.arriving > 0)
         logLine(LogLevel::Warning, "the process ends before callers have received their answers",
-            { { "connections", unsent.connections }, { "unsentBytes", unsent.bytes } });
+            { { "connections", owed.unsent.connections }, { "unsentBytes", owed.unsent.bytes },
+                { "arrivingRequests", owed.arriving } });
     this->onEnd();
 }
 
--- a/src/teaselshore/daemon/answer_drain.hpp
+++ b/src/teaselshore/daemon/answer_drain.hpp
@@ -19,13 +19,24 @@
     auto operator<=>(const DrainTimes&) const = default;
 };
 
-/// @brief Returns whether a process that has answered all requests may end.
-bool mayEnd(const UnsentAnswers& unsent, const DrainTimes& times, Instant now);
+/// @brief What a process owes callers though no request is open.
+struct OwedToCallers {
+    UnsentAnswers unsent;
+    /// Requests of which bytes have arrived.
+    std::size_t arriving = 0;
 
-/// @brief Holds up the end of a process while answers are on their way to callers.
+    auto operator<=>(const OwedToCallers&) const = default;
+};
+
+/// @brief Returns whether a process that has answered all requests that it knows of may end.
+bool mayEnd(const OwedToCallers& owed, const DrainTimes& times, Instant now);
+
+/// @brief Holds up the end of a process while answers are on their way to callers, or requests on theirs to the
+/// process.
 ///
 /// A request counts as answered when its answer is handed to the connection, but a caller with a slow line needs
-/// seconds for it. Belongs to the event loop's thread. Loop and servers must outlive it.
+/// seconds for it; and it counts as open once it is read whole. Belongs to the event loop's thread. Loop and servers
+/// must outlive it.
 class AnswerDrain {
 public:
     AnswerDrain(EventLoop& loop, std::vector<const HttpServer*> servers);
@@ -38,7 +49,7 @@
 
 private:
     void check();
-    UnsentAnswers unsentAnswers() const;
+    OwedToCallers owed() const;
 
     EventLoop& loop;
     std::vector<const HttpServer*> servers;
--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -409,6 +409,13 @@
     return static_cast<std::size_t>(std::max(bytes, 0));
 }
 
+bool Http1Connection::isReceiving() const
+{
+    if (this->state == State::Reading)
+        return true;
+    return this->state == State::Idle && (this->socket->input->size > 0 || this->hasUnreadBytes());
+}
+
 bool Http1Connection::hasUnreadBytes() const
 {
     char byte = 0;
@@ -437,9 +444,7 @@
 
 void Http1Connection::endWithServer()
 {
-    const bool hasBytes = this->state == State::Reading
-        || (this->state == State::Idle && (this->socket->input->size > 0 || this->hasUnreadBytes()));
-    if (hasBytes)
+    if (this->isReceiving())
         this->noteDropped("the server ended before it was read");
     this->breakOff();
 }
--- a/src/teaselshore/http/http1_connection.hpp
+++ b/src/teaselshore/http/http1_connection.hpp
@@ -42,6 +42,8 @@
     /// @brief Ends the answer without its end: after the pending bytes have left, or at once.
     void abort(bool keepPending);
     std::size_t pendingBytes() const { return this->pending.size() + this->sending.size() - this->sentBytes; }
+    /// @brief Returns whether bytes of a request have arrived that no exchange has yet.
+    bool isReceiving() const;
     /// @brief Bytes that the client has not acknowledged, those that the kernel keeps included.
     std::size_t unsentBytes() const;
 
--- a/src/teaselshore/http/http_server.cpp
+++ b/src/teaselshore/http/http_server.cpp
@@ -103,6 +103,8 @@
 
 UnsentAnswers HttpServer::unsentAnswers() const { return this->impl->core->unsentAnswers(); }
 
+std::size_t HttpServer::arrivingRequests() const { return this->impl->core->arrivingRequests(); }
+
 std::uint64_t HttpServer::cutAnswers() const { return this->impl->core->cutAnswers(); }
 
 std::uint64_t HttpServer::droppedRequests() const { return this->impl->core->droppedRequests(); }
--- a/src/teaselshore/http/server_core.cpp
+++ b/src/teaselshore/http/server_core.cpp
@@ -139,6 +139,14 @@
     return unsent;
 }
 
+std::size_t ServerCore::arrivingRequests() const
+{
+    std::size_t count = 0;
+    for (const auto& [socket, connection] : this->connections)
+        count += connection->isReceiving() ? 1 : 0;
+    return count;
+}
+
 BodyMemory ServerCore::bodyMemory() const
 {
     return { this->bodies.used(), this->bodies.total(), this->bodiesWithoutMemory };
--- a/src/teaselshore/http/server_core.hpp
+++ b/src/teaselshore/http/server_core.hpp
@@ -55,6 +55,7 @@
     void countDroppedRequest() { ++this->dropped; }
     std::uint64_t droppedRequests() const { return this->dropped; }
     UnsentAnswers unsentAnswers() const;
+    std::size_t arrivingRequests() const;
     const ByteBudget& bodyBudget() const { return this->bodies; }
     void setBodyBudget(ByteBudget budget) { this->bodies = std::move(budget); }
     void countBodyWithoutMemory() { ++this->bodiesWithoutMemory; }
