Run timers only after what arrived until they were due was read

A process that got no processor for some tens of milliseconds ran due timers before it polled, and gave up what had arrived in time: replies of upstreams (callers got 502 or 504 though their answer was there), connections that had been established, answers of the platform and of peers. A timer runs now after a poll that began when it was due. Timers without a delay still run at the end of the round. Each wake for a timer alone costs one more poll that does not wait.

Ruled out: longer timeouts, which only make the same event rarer.

EventLoop.RunsTimersAfterWhatArrivedBeforeTheyWereDue and HttpClient.LateLoopTakesRepliesThatArrivedInTime failed before and pass now; all 76 tests of the module pass.

--- a/include/teaselshore/http/event_loop.hpp
+++ b/include/teaselshore/http/event_loop.hpp
@@ -31,7 +31,8 @@
     /// @brief Runs the task in the loop's thread, in the order of the calls. Thread-safe.
     void post(std::function<void()> task);
 
-    /// @brief Runs the task once after the delay (resolution 1 ms).
+    /// @brief Runs the task once after the delay (resolution 1 ms), and after what had arrived on sockets by then was
+    /// read.
     TimerId runAfter(Duration delay, std::function<void()> task);
 
     /// @brief Cancels a timer; does nothing if it already ran.
--- a/src/teaselshore/http/event_loop.cpp
+++ b/src/teaselshore/http/event_loop.cpp
@@ -18,6 +18,8 @@
 namespace {
 
     constexpr std::int32_t longestWaitMilliseconds = 1000;
+    /// Due time of timers without a delay: they wait for no further poll.
+    constexpr Instant endOfRound {};
     /// Delay of a timer that is logged, at most once in this time.
     constexpr Duration loggedDelay = std::chrono::milliseconds(100);
     /// Rounds that the destructor grants h2o to release closed sockets.
@@ -64,9 +66,12 @@
     this->entered = true;
     while (!this->stopping.load(std::memory_order_acquire)) {
         this->runReleases();
-        this->runDueTimers();
+        this->polledAt = monotonicNow();
         h2o_evloop_run(this->loop, this->waitMilliseconds());
+        this->runDueTimers();
     }
+    // What arrived during the last timers is read too, and may be answered at once.
+    h2o_evloop_run(this->loop, 0);
     this->stopping.store(false, std::memory_order_release);
 }
 
@@ -111,7 +116,7 @@
 TimerId EventLoop::Impl::addTimer(Duration delay, std::function<void()> task)
 {
     const TimerId timer = ++this->lastTimer;
-    const Instant due = monotonicNow() + std::max(delay, Duration(0));
+    const Instant due = delay > Duration(0) ? monotonicNow() + delay : endOfRound;
     this->timers.emplace(std::pair(due, timer), std::move(task));
     this->timerDue.emplace(timer, due);
     return timer;
@@ -128,10 +133,15 @@
 
 bool EventLoop::Impl::runDueTimers()
 {
-    const Instant now = monotonicNow();
+    const TimerId last = this->lastTimer;
     bool ran = false;
-    while (!this->timers.empty() && this->timers.begin()->first.first <= now) {
-        this->noteDelay(now - this->timers.begin()->first.first);
+    while (!this->timers.empty()) {
+        const auto [due, timer] = this->timers.begin()->first;
+        // A timer that a task of this round adds without a delay belongs to the next one.
+        if (due > this->polledAt || timer > last)
+            break;
+        if (due != endOfRound)
+            this->noteDelay(this->polledAt - due);
         auto node = this->timers.extract(this->timers.begin());
         this->timerDue.erase(node.key().second);
         node.mapped()();
@@ -163,7 +173,7 @@
         return 0;
     if (this->timers.empty())
         return longestWaitMilliseconds;
-    const Duration remaining = this->timers.begin()->first.first - monotonicNow();
+    const Duration remaining = this->timers.begin()->first.first - this->polledAt;
     const auto rounded = std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
     return static_cast<std::int32_t>(std::clamp<std::int64_t>(rounded, 0, longestWaitMilliseconds));
 }
--- a/src/teaselshore/http/event_loop_impl.hpp
+++ b/src/teaselshore/http/event_loop_impl.hpp
@@ -34,7 +34,10 @@
     void runPosted();
     TimerId addTimer(Duration delay, std::function<void()> task);
     void cancelTimer(TimerId timer);
-    /// @brief Runs the due timers; returns whether any ran.
+    /// @brief Runs the timers that were due before the latest poll; returns whether any ran.
+    ///
+    /// A process may get no processor between two lines of code. A timer that gives up what has not arrived must not
+    /// run before the loop has read what arrived until the timer was due.
     bool runDueTimers();
     /// @brief Notes by how much a timer is late.
     void noteDelay(Duration delay);
@@ -50,6 +53,8 @@
     std::map<std::pair<Instant, TimerId>, std::function<void()>> timers;
     std::unordered_map<TimerId, Instant> timerDue;
     TimerId lastTimer = 0;
+    /// Time right before the latest poll.
+    Instant polledAt {};
     Duration longestTimerDelay {};
     Instant nextDelayLog {};
     std::vector<std::function<void()>> releases;
