Let tasks without a delay wait for the timers that are due

Tasks without a delay that add further ones held up all timers since, as they came before every timer of their round. They are due at the latest poll now, behind older timers. Nothing in the daemons adds such tasks without end; found by a review.

EventLoop.RunsTimersBesideTasksThatAddTasks failed before (a timer of 20 ms ran after 300 ms).

--- a/src/teaselshore/http/event_loop.cpp
+++ b/src/teaselshore/http/event_loop.cpp
@@ -18,8 +18,6 @@
 namespace {
 
     constexpr std::int32_t longestWaitMilliseconds = 1000;
-    /// Due time of timers without a delay: they wait for no further poll.
-    constexpr Instant endOfRound {};
     /// Delay of a timer that is logged, at most once in this time.
     constexpr Duration loggedDelay = std::chrono::milliseconds(100);
     /// Rounds that the destructor grants h2o to release closed sockets.
@@ -116,7 +114,8 @@
 TimerId EventLoop::Impl::addTimer(Duration delay, std::function<void()> task)
 {
     const TimerId timer = ++this->lastTimer;
-    const Instant due = delay > Duration(0) ? monotonicNow() + delay : endOfRound;
+    // Without a delay it waits for no further poll, but for the timers that are due already.
+    const Instant due = delay > Duration(0) ? monotonicNow() + delay : this->polledAt;
     this->timers.emplace(std::pair(due, timer), std::move(task));
     this->timerDue.emplace(timer, due);
     return timer;
@@ -140,8 +139,7 @@
         // A timer that a task of this round adds without a delay belongs to the next one.
         if (due > this->polledAt || timer > last)
             break;
-        if (due != endOfRound)
-            this->noteDelay(this->polledAt - due);
+        this->noteDelay(this->polledAt - due);
         auto node = this->timers.extract(this->timers.begin());
         this->timerDue.erase(node.key().second);
         node.mapped()();
--- a/src/teaselshore/http/event_loop_impl.hpp
+++ b/src/teaselshore/http/event_loop_impl.hpp
@@ -54,7 +54,7 @@
     std::unordered_map<TimerId, Instant> timerDue;
     TimerId lastTimer = 0;
     /// Time right before the latest poll.
-    Instant polledAt {};
+    Instant polledAt = monotonicNow();
     Duration longestTimerDelay {};
     Instant nextDelayLog {};
     std::vector<std::function<void()>> releases;
--- a/src/teaselshore/http/event_loop_test.cpp
+++ b/src/teaselshore/http/event_loop_test.cpp
@@ -1,3 +1,4 @@
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -117,5 +118,23 @@
         EXPECT_EQ(held.use_count(), 1);
     }
 
+    // Guards against timers that never run, since each round a task without a delay adds the next one.
+    TEST(EventLoop, RunsTimersBesideTasksThatAddTasks)
+    {
+        const auto loop = EventLoop::create();
+        const Instant start = loop->now();
+        Duration ranAfter = Duration::max();
+        std::function<void()> again = [&] {
+            if (ranAfter < Duration::max() || loop->now() - start > std::chrono::milliseconds(300))
+                loop->stop();
+            else
+                loop->runAfter(Duration(0), again);
+        };
+        loop->runAfter(std::chrono::milliseconds(20), [&] { ranAfter = loop->now() - start; });
+        loop->runAfter(Duration(0), again);
+        loop->run();
+        EXPECT_LT(ranAfter, std::chrono::milliseconds(200));
+    }
+
 } // namespace
 } // namespace teaselshore
