Keep one timer for the pause of a listener

A process that had no descriptors left when it stopped to accept ended with a segmentation fault, and with it the requests of all its callers: the second pause of the listener replaced the timer of the first one, which then used the closed listener.

--- a/src/teaselshore/http/http_server_test.cpp
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -839,5 +839,23 @@
         EXPECT_EQ(error.kind, HttpError::Kind::AddressInvalid);
     }
 
+    // Guards against a server that stops while it has no descriptors, and that uses its listener once it is closed.
+    TEST(HttpServer, StopsAcceptingWithoutDescriptors)
+    {
+        HttpFixture fixture(echo);
+        runFor(fixture, std::chrono::milliseconds(10));
+        const RawConnection connection(fixture.server->port());
+        rlimit limit {};
+        ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &limit), 0);
+        const int next = dup(0);
+        close(next);
+        const rlimit lowered { static_cast<rlim_t>(next), limit.rlim_max };
+        ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &lowered), 0);
+        runFor(fixture, std::chrono::milliseconds(10));
+        fixture.server->stopAccepting();
+        ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &limit), 0);
+        runFor(fixture, std::chrono::milliseconds(100));
+    }
+
 } // namespace
 } // namespace teaselshore
--- a/src/teaselshore/http/server_core.cpp
+++ b/src/teaselshore/http/server_core.cpp
@@ -204,6 +204,7 @@
 void ServerCore::pauseAccepting()
 {
     h2o_socket_read_stop(this->listener);
+    this->loop.cancelTimer(this->acceptTimer);
     this->acceptTimer = this->loop.addTimer(acceptPause, [this] { h2o_socket_read_start(this->listener, onAccept); });
 }
 
