Judge calls and connections by what had arrived at the latest poll

Replies that had arrived in time were still given up by a late loop in two cases: when progress had extended the time of a call beyond its timer, since the owner of the timer compared the extended time with the clock; and when more sockets were ready than one poll reads (256). The time for progress is judged by the latest poll and by whether bytes wait on the connection; the time for a whole call by the latest poll. Connections of callers had the first case as well, and compare with the latest poll too.

That of connections has no test of its own.

--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -496,7 +496,7 @@
     // While an answer is open the owner of the exchange watches the time.
     if (this->state == State::Closed || (this->state == State::Answering && !this->answerDone))
         return;
-    if (monotonicNow() >= this->deadline)
+    if (this->core.eventLoop().polledAt >= this->deadline)
         this->onDeadline();
     else
         this->armTimer(this->deadline);
--- a/src/teaselshore/http/http_client.cpp
+++ b/src/teaselshore/http/http_client.cpp
@@ -164,14 +164,16 @@
 void HttpClient::Impl::onTimer(CallId id)
 {
     ClientCall& call = *this->calls.at(id);
-    if (monotonicNow() >= call.deadline) {
+    // What has arrived since the latest poll is not known yet.
+    if (this->loop.polledAt >= call.deadline) {
         this->fail(call, { HttpError::Kind::Timeout, "time for the whole call", call.connected });
         return;
     }
     const Duration limit = call.connected ? call.call.idleTimeout : call.call.connectTimeout;
-    if (call.connected && call.paused)
+    // One poll reads a part of many ready sockets.
+    if (call.connected && (call.paused || !call.connection->isQuiet()))
         call.lastProgress = monotonicNow();
-    const Duration remaining = call.lastProgress + limit - monotonicNow();
+    const Duration remaining = call.lastProgress + limit - this->loop.polledAt;
     if (remaining > Duration(0))
         this->armTimer(call, remaining);
     else
--- a/src/teaselshore/http/http_client_test.cpp
+++ b/src/teaselshore/http/http_client_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <thread>
@@ -584,5 +585,70 @@
         EXPECT_EQ(correct, total);
     }
 
+    // Guards against replies that arrived in time and are given up by a timer that was due earlier: its time had been
+    // extended by progress, and ended after the latest poll.
+    TEST(HttpClient, LateLoopTakesRepliesThatArrivedWithinAnExtendedTime)
+    {
+        using namespace std::chrono_literals;
+        HttpFixture fixture(ignore);
+        const RawServer server;
+        HttpCall call = fixture.call("POST", "/");
+        call.authority = server.authority();
+        call.idleTimeout = 300ms;
+        CallRecord record;
+        fixture.start(std::move(call), record);
+        std::unique_ptr<RawConnection> connection;
+        ASSERT_TRUE(fixture.runUntil([&] { return (connection = server.accept()) != nullptr; }));
+        bool ended = false;
+        ASSERT_TRUE(fixture.runUntil([&] { return !connection->receive(ended).empty(); }));
+        fixture.runUntil([] { return false; }, 50ms);
+        // Extends the time to 350 ms; the timer stays due at 300 ms.
+        connection->send("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n");
+        ASSERT_TRUE(fixture.runUntil([&] { return record.status == 200; }));
+        // No processor from 200 to 310 ms, so that the next poll begins when both other timers are due.
+        fixture.loop->runAfter(150ms, [] { std::this_thread::sleep_for(110ms); });
+        fixture.loop->runAfter(200ms, [&] {
+            connection->send("ok");
+            std::this_thread::sleep_for(80ms);
+        });
+        ASSERT_TRUE(fixture.runUntil([&] { return record.isDone(); }));
+        EXPECT_FALSE(record.error) << record.error->detail;
+        EXPECT_EQ(record.body, "ok");
+    }
+
+    // Guards against replies that arrived in time and are given up, since one poll reads no more than 256 sockets.
+    TEST(HttpClient, LateLoopTakesMoreRepliesThanOnePollReads)
+    {
+        using namespace std::chrono_literals;
+        constexpr std::size_t calls = 300;
+        HttpFixture fixture(ignore);
+        const RawServer server;
+        std::vector<CallRecord> records(calls);
+        std::vector<std::unique_ptr<RawConnection>> connections;
+        for (CallRecord& record : records) {
+            HttpCall call = fixture.call("POST", "/");
+            call.authority = server.authority();
+            call.idleTimeout = 2s;
+            fixture.start(std::move(call), record);
+            ASSERT_TRUE(fixture.runUntil([&] {
+                auto accepted = server.accept();
+                if (accepted)
+                    connections.push_back(std::move(accepted));
+                return connections.size() == static_cast<std::size_t>(&record - records.data()) + 1;
+            }));
+        }
+        fixture.runUntil([] { return false; }, 50ms);
+        for (const auto& connection : connections)
+            connection->send("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+        std::this_thread::sleep_for(2200ms);
+        ASSERT_TRUE(fixture.runUntil([&] {
+            return std::all_of(
+                records.begin(), records.end(), [](const CallRecord& record) { return record.isDone(); });
+        }));
+        EXPECT_EQ(std::count_if(records.begin(), records.end(),
+                      [](const CallRecord& record) { return record.error.has_value(); }),
+            0);
+    }
+
 } // namespace
 } // namespace teaselshore
