Refuse streams once a stopping node accepts no connections

Streams that were begun on kept connections late in a planned stop were cut at the end of the grace period. Such requests exist since connections stay open behind answers that announced no close. The node took them while twice the mean time at the service was left, which says little about one stream. They are refused at once with Retry-After; another node can take them.

--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -444,6 +444,7 @@
         return;
     if (!this->acceptingStopped) {
         this->acceptingStopped = true;
+        this->requests.onAcceptingStopped();
         this->state.commands.emplace_back(StopAccepting {});
         return;
     }
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -173,7 +173,8 @@
     // Checked before quota is borrowed, since a refused request needs none.
     if (this->refuseIfQuarantined(request, now))
         return;
-    if (this->isTooLate(*request.route, now)) {
+    const bool isLateStream = this->refusesStreams && request.route->response == ResponseKind::EventStream;
+    if (isLateStream || this->isTooLate(*request.route, now)) {
         this->refuse(request, RequestOutcome::NoCapacity, serviceUnavailable, "this node is about to stop",
             stoppingRetryAfter, now);
         return;
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -43,6 +43,9 @@
     void onLinksLost(Instant now);
     /// @brief Refuses requests from now on that are not likely to end before the process does.
     void onStopRequested(Instant processEnd) { this->processEnd = processEnd; }
+    /// @brief From here on streams are refused: only kept connections bring requests, and how long a stream takes is
+    /// not known before its end.
+    void onAcceptingStopped() { this->refusesStreams = true; }
     /// @brief Answers all open requests, as the process is about to end.
     void endAll(Instant now);
     void onTick(Instant now);
@@ -261,6 +264,7 @@
     bool hasEnded = false;
     /// End of the process; set during a planned stop.
     std::optional<Instant> processEnd;
+    bool refusesStreams = false;
     /// When the waiting requests were last dispatched.
     Instant lastWaitingDispatch {};
     WaitingRequests waiting;
--- a/src/teaselshore/entry/planned_stop_test.cpp
+++ b/src/teaselshore/entry/planned_stop_test.cpp
@@ -153,5 +153,21 @@
         EXPECT_FALSE(node.harness.first<StopProcess>()) << "the end is announced once";
     }
 
+    // Guards against a stream that begins on a kept connection late in a planned stop, and is cut at its end.
+    TEST(PlannedStop, StreamsThatMayOutlastTheProcessAreNotBegunLate)
+    {
+        StoppingNode node;
+        ASSERT_TRUE(node.request("order"));
+        // 5 s after the request to stop, as behind a stream that began before it.
+        node.advanceTo(3s);
+        if (!node.request("digest")) {
+            EXPECT_EQ(node.responses.back().status, 503);
+            return;
+        }
+        node.harness.send(UpstreamStreamStarted { node.attempts.back(), {} });
+        node.advanceTo(-1s);
+        EXPECT_TRUE(node.brokenStreams.empty()) << "a stream that was sent 5 s after the request to stop is cut";
+    }
+
 } // namespace
 } // namespace teaselshore
