Bound the reads of a request whose time is over

A caller that kept sending held its request and its connection beyond the time for requests since, as bytes that wait unread put the refusal off each time. They do so 16 times at most.

--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -32,6 +32,9 @@
     constexpr std::size_t bodyReservationFactor = 2;
     /// Time until a deadline is judged again for which bytes had arrived unread; the loop reads them meanwhile.
     constexpr Duration unreadRecheckTime = std::chrono::milliseconds(1);
+    /// Further reads of a request whose time is over and whose rest may have arrived before. Without a limit, a client
+    /// that keeps sending would hold its connection for good.
+    constexpr int maxLateReads = 16;
     /// Time for the client to read the last answer before the connection is closed.
     constexpr Duration lingerTime = std::chrono::milliseconds(500);
     /// Bytes handed to the socket at once; the end of each write shows that the client still reads.
@@ -143,6 +146,7 @@
         this->memory = this->core.bodyBudget().reservation();
         this->state = State::Reading;
         this->sawContinue = false;
+        this->lateReads = 0;
         this->extendDeadline(limits.requestTimeout);
     }
     std::size_t used = 0;
@@ -505,8 +509,9 @@
 void Http1Connection::onDeadline()
 {
     if (this->state == State::Reading) {
-        // The rest may have arrived in time; the limits on requests bound how often.
-        if (this->hasUnreadBytes()) {
+        // The rest may have arrived in time.
+        if (this->hasUnreadBytes() && this->lateReads < maxLateReads) {
+            ++this->lateReads;
             this->extendDeadline(unreadRecheckTime);
             return;
         }
--- a/src/teaselshore/http/http1_connection.hpp
+++ b/src/teaselshore/http/http1_connection.hpp
@@ -125,6 +125,8 @@
     Framing framing = Framing::Length;
     bool first = true;
     bool sawContinue = false;
+    /// Reads of the request after its time.
+    int lateReads = 0;
     bool version10 = false;
     bool headRequest = false;
     bool answerDone = false;
--- a/src/teaselshore/http/http_server_test.cpp
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <ctime>
 #include <memory>
 #include <string>
@@ -857,5 +858,28 @@
         runFor(fixture, std::chrono::milliseconds(100));
     }
 
+    // Guards against a caller that keeps a request, and its connection, open as long as it sends.
+    TEST(HttpServer, RefusesRequestsThatGoOnBeyondTheirTime)
+    {
+        HttpServerSettings settings;
+        settings.requestTimeout = std::chrono::milliseconds(200);
+        HttpFixture fixture(echo, settings);
+        const RawConnection connection(fixture.server->port());
+        connection.send("POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n");
+        std::string chunk = "1;" + std::string(8000, 'x') + "\r\na\r\n";
+        std::atomic<bool> done { false };
+        std::thread sender([&] {
+            while (!done && connection.trySend(chunk))
+                continue;
+        });
+        const Instant start = fixture.loop->now();
+        fixture.runUntil([&] { return fixture.server->refusedRequests() > 0; }, std::chrono::seconds(10));
+        EXPECT_LT(fixture.loop->now() - start, std::chrono::seconds(1));
+        done = true;
+        fixture.server.reset();
+        runFor(fixture, std::chrono::milliseconds(10));
+        sender.join();
+    }
+
 } // namespace
 } // namespace teaselshore
