Judge the end of the grace period when what has arrived was read

Answers that had arrived in time were replaced by 502, and streams cut, when a node got no processor until the end of its grace period: the first event that it then read ended all requests, before the answers behind it were read. The end is judged by ticks now, which come after what has arrived, and a tick is due at that time.

PlannedStop.AnswersThatWaitUnreadAtTheEndGoBeforeIt failed before: 502 for the second of two answers.

--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -155,7 +155,8 @@
     /// @brief Acts on lost and returned links to the upstreams.
     void updateLinks(Instant now);
     void checkLinks(Instant now);
-    void advanceShutdown(Instant now);
+    void advanceShutdown(bool isTick, Instant now);
+    Instant graceEnd() const { return *this->stopRequestedAt + this->state.settings.host.stopGrace - flushMargin; }
 
     EntryState state;
     ConfigurationRelay configurations;
@@ -189,16 +190,22 @@
 
 EntryCommands EntryNode::handle(EntryEvent event, Instant now)
 {
+    const bool isTick = std::holds_alternative<EntryTick>(event);
     std::visit([&](auto& payload) { this->impl->handle(payload, now); }, event);
     if (this->impl->state.routingChanged)
         this->impl->applyRouting(now);
     this->impl->updateLinks(now);
     this->impl->updateReadiness();
-    this->impl->advanceShutdown(now);
+    this->impl->advanceShutdown(isTick, now);
     return std::exchange(this->impl->state.commands, {});
 }
 
-Instant EntryNode::nextTick() const { return std::min(this->impl->nextHousekeeping, this->impl->requests.nextTick()); }
+Instant EntryNode::nextTick() const
+{
+    const Instant next = std::min(this->impl->nextHousekeeping, this->impl->requests.nextTick());
+    const bool isStopping = this->impl->stopRequestedAt && !this->impl->stopped;
+    return isStopping ? std::min(next, this->impl->graceEnd()) : next;
+}
 
 RequestForecast EntryNode::forecast(const CallerRequest& request, Instant now)
 {
@@ -430,12 +437,12 @@
         return;
     this->stopRequestedAt = now;
     this->duties.stop();
-    this->requests.onStopRequested(now + this->state.settings.host.stopGrace - flushMargin);
+    this->requests.onStopRequested(this->graceEnd());
     this->state.commands.emplace_back(AnnounceClose {});
     this->state.log(LogLevel::Info, "stopping", { { "openRequests", std::to_string(this->requests.openCount()) } });
 }
 
-void EntryNode::Impl::advanceShutdown(Instant now)
+void EntryNode::Impl::advanceShutdown(bool isTick, Instant now)
 {
     if (!this->stopRequestedAt || this->stopped)
         return;
@@ -448,7 +455,8 @@
         this->state.commands.emplace_back(StopAccepting {});
         return;
     }
-    const bool gracePeriodOver = passed >= this->state.settings.host.stopGrace - flushMargin;
+    // A tick comes after what has arrived was read; after a pause, other events leave answers unread behind them.
+    const bool gracePeriodOver = isTick && now >= this->graceEnd();
     if (this->requests.openCount() > 0 && !gracePeriodOver)
         return;
     this->stopped = true;
--- a/src/teaselshore/entry/planned_stop_test.cpp
+++ b/src/teaselshore/entry/planned_stop_test.cpp
@@ -120,6 +120,24 @@
         }
     }
 
+    // Guards against answers that arrived in time and are replaced by failures, since the node got no processor until
+    // the end of its grace period and then read one of them first.
+    TEST(PlannedStop, AnswersThatWaitUnreadAtTheEndGoBeforeIt)
+    {
+        StoppingNode node;
+        ASSERT_TRUE(node.request("order"));
+        ASSERT_TRUE(node.request("order"));
+        node.advanceTo(500ms);
+        node.harness.now = node.stopAt;
+        for (const AttemptId attempt : std::vector<AttemptId>(node.attempts)) {
+            node.harness.respond(attempt, 200);
+            node.collect();
+        }
+        ASSERT_EQ(node.responses.size(), 2u);
+        for (const Respond& response : node.responses)
+            EXPECT_EQ(response.status, 200);
+    }
+
     // Guards against a request that waits for an upstream until the process ends.
     TEST(PlannedStop, WaitingRequestIsToldThatItDidNotRun)
     {
