Read no more of a connection than is parsed

Callers saw: four connections that sent 30 whole requests of 4 MB each ahead took a process of memory-mb: 260 to 335 MB, which a host may end, and with it the requests of all callers.

Cause: the library reads into a buffer that doubles until the client has sent no more, so that a sender on a fast line has it take tens of MB in one event; what follows the request that is answered stays there, and no budget counts it. Reading stopped beyond 64 KB, after the read, and began again with each answer. Traced in the test: buffers of up to 43.6 MB of bytes, 67 MB of space, behind an open answer.

Change: the connection reads itself, 16 KB before they are parsed and 256 KB per event, and reads on behind an open answer only while no more than 16 KB wait. HTTP/2 connections are read by the library as before. What it costs: a caller that has sent over 16 KB (64 KB before) ahead and leaves is noticed when its answer is written.

Ruled out: the reservations of bodies. At most four bodies were open, 16 MB of a budget of 124 MB.

RequestBodies.PipelinedRequestsAreNotReadAhead failed 3 of 3 times and passes 3 of 3; the 76 tests of the module http pass, and RequestBodies.*, StatedNumbers.* and PlannedStop*.

--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -1,6 +1,7 @@
 #include "http1_connection.hpp"
 
 #include <algorithm>
+#include <cerrno>
 #include <limits>
 #include <utility>
 
@@ -22,7 +23,13 @@
 
     constexpr std::string_view http2Preface = "PRI * HTTP/2.0\r\n";
     /// Bytes of later requests that wait while an answer is open; more stay in the kernel.
-    constexpr std::size_t maxPipelinedBytes = std::size_t { 64 } * 1024;
+    constexpr std::size_t maxPipelinedBytes = std::size_t { 16 } * 1024;
+    /// Bytes read before they are parsed. A client may send faster than they are read, and no budget counts them.
+    constexpr std::size_t maxReadBytes = std::size_t { 16 } * 1024;
+    /// Space for a read, which doubles the buffer as often as it is full.
+    constexpr std::size_t leastReadBytes = std::size_t { 4 } * 1024;
+    /// Reads per event, so that a large body does not delay other connections.
+    constexpr int readsPerEvent = 16;
     /// Bytes of a head, and of lines that have not ended, for which a request needs nothing of the memory budget: more
     /// than those of common requests, and little on as many connections as a process has descriptors.
     constexpr std::size_t freeHeadBytes = std::size_t { 4 } * 1024;
@@ -82,30 +89,64 @@
 void Http1Connection::start()
 {
     this->armTimer(this->deadline);
+    // The library reads without a bound.
+    h2o_socket_dont_read(this->socket, 1);
     h2o_socket_read_start(this->socket, onReadable);
 }
 
+Http1Connection::Received Http1Connection::receive()
+{
+    std::size_t received = 0;
+    while (received < maxReadBytes) {
+        const h2o_iovec_t buffer = h2o_buffer_reserve(&this->socket->input, leastReadBytes);
+        if (buffer.base == nullptr)
+            return Received::End;
+        const std::size_t space = std::min(buffer.len, maxReadBytes - received);
+        const ssize_t count = recv(h2o_socket_get_fd(this->socket), buffer.base, space, 0);
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+            return Received::All;
+        // After some bytes, the next event tells the end again.
+        if (count <= 0)
+            return received > 0 ? Received::All : Received::End;
+        this->socket->input->size += static_cast<std::size_t>(count);
+        received += static_cast<std::size_t>(count);
+        if (static_cast<std::size_t>(count) < space)
+            return Received::All;
+    }
+    return Received::Part;
+}
+
 void Http1Connection::onReadable(h2o_socket_t* socket, const char* error)
 {
     auto* self = static_cast<Http1Connection*>(socket->data);
-    if (self->state == State::Lingering) {
-        if (socket->input->size > 0)
-            self->noteDropped("it arrived after the server had ended its side");
-        h2o_buffer_consume(&socket->input, socket->input->size);
-        if (error != nullptr)
-            self->close();
-        return;
-    }
-    if (error != nullptr) {
-        self->breakOff();
-        return;
-    }
-    if (self->state == State::Answering) {
-        if (socket->input->size > maxPipelinedBytes)
+    for (int reads = 0; reads < readsPerEvent; ++reads) {
+        if (self->state == State::Answering && socket->input->size > maxPipelinedBytes) {
             h2o_socket_read_stop(socket);
+            return;
+        }
+        const Received received = error == nullptr ? self->receive() : Received::End;
+        self->onReceived(received);
+        if (received != Received::Part || self->state == State::Closed)
+            return;
+    }
+}
+
+void Http1Connection::onReceived(Received received)
+{
+    if (this->state == State::Lingering) {
+        if (this->socket->input->size > 0)
+            this->noteDropped("it arrived after the server had ended its side");
+        h2o_buffer_consume(&this->socket->input, this->socket->input->size);
+        if (received == Received::End)
+            this->close();
         return;
     }
-    self->readRequests();
+    if (received == Received::End)
+        this->breakOff();
+    else if (this->state != State::Answering)
+        this->readRequests();
 }
 
 void Http1Connection::readRequests()
@@ -121,6 +162,7 @@
     if (!bytes.starts_with(http2Preface))
         return false;
     h2o_socket_read_stop(this->socket);
+    h2o_socket_dont_read(this->socket, 0);
     h2o_socket_t* handedOver = std::exchange(this->socket, nullptr);
     this->state = State::Closed;
     this->core.acceptHttp2(handedOver);
--- a/src/teaselshore/http/http1_connection.hpp
+++ b/src/teaselshore/http/http1_connection.hpp
@@ -65,10 +65,20 @@
         Lingering,
         Closed,
     };
+    enum class Received {
+        /// More may have arrived.
+        Part,
+        All,
+        /// The client ended its side, or the connection broke.
+        End,
+    };
 
     static void onReadable(h2o_socket_t* socket, const char* error);
     static void onWritten(h2o_socket_t* socket, const char* error);
 
+    /// @brief Reads what has arrived, up to a bound.
+    Received receive();
+    void onReceived(Received received);
     void readRequests();
     bool readRequest();
     bool handOverToHttp2();
