Refuse requests that teaselshored reads after its last answer

Callers of teaselshored got neither an answer nor a refusal for a request that was read between the last answer and the end of the process: on an idle connection, for 100 ms, or on one that held up the end since its request was still arriving. The request was registered, and the event that should have been decided was dropped like all others after StopProcess.

Such requests, and those beyond max open requests, are refused in the same way now, with 503 not_run and retry-after.

Ruled out: events of the node after its end, which would need a second set of decisions for a node that has left its peers.

--- a/src/teaselshore/daemon/serving_task.cpp
+++ b/src/teaselshore/daemon/serving_task.cpp
@@ -27,6 +27,8 @@
     constexpr Duration metricsWindow = std::chrono::seconds(10);
     /// Kept for the last messages to peers to leave.
     constexpr Duration stopDelay = std::chrono::milliseconds(200);
+    /// Another node can take the request, or this one once some have ended.
+    constexpr Duration refusedRetryAfter = std::chrono::seconds(1);
     constexpr int statusNotFound = 404;
     constexpr int statusServiceUnavailable = 503;
     constexpr std::string_view readinessPath = "/readyz";
@@ -50,7 +52,7 @@
     }
 
     bool listen(HttpError* error);
-    void onCaller(std::shared_ptr<ServerExchange> exchange);
+    void onCaller(const std::shared_ptr<ServerExchange>& exchange);
     void onAdmin(const std::shared_ptr<ServerExchange>& exchange);
     HttpReply adminReply(const HttpRequest& request);
     AdminContext adminContext(std::string_view id) const;
@@ -138,7 +140,7 @@
     server.maxBodyBytes = this->settings.limits.maxBodyBytes;
     server.refuseDotSegments = true;
     this->callerServer = HttpServer::listen(
-        *this->loop, server, [this](std::shared_ptr<ServerExchange> exchange) { this->onCaller(std::move(exchange)); },
+        *this->loop, server, [this](const std::shared_ptr<ServerExchange>& exchange) { this->onCaller(exchange); },
         error);
     if (!this->callerServer)
         return false;
@@ -150,7 +152,7 @@
     return this->adminServer != nullptr;
 }
 
-void ServingTask::Impl::onCaller(std::shared_ptr<ServerExchange> exchange)
+void ServingTask::Impl::onCaller(const std::shared_ptr<ServerExchange>& exchange)
 {
     const HttpRequest& request = exchange->request();
     if (request.path == readinessPath) {
@@ -162,15 +164,14 @@
         return;
     }
     const RequestId id = this->node.nextRequestId();
-    if (this->relay.openCallers() >= this->settings.limits.maxOpenRequests) {
-        const Respond refusal
-            = errorResponse(id, notRunError("this node has too many open requests", std::chrono::seconds(1)));
-        exchange->reply(
-            { refusal.status, { { "content-type", "application/json" }, { "retry-after", "1" } }, refusal.body });
+    const bool isFull = this->relay.openCallers() >= this->settings.limits.maxOpenRequests;
+    this->relay.addCaller(id, exchange);
+    if (this->stopped || isFull) {
+        const char* reason = this->stopped ? "this node has stopped" : "this node has too many open requests";
+        this->relay.execute(errorResponse(id, notRunError(reason, refusedRetryAfter)));
         return;
     }
     RequestArrived arrived { id, request.method, request.path, toHeaderList(request.headers), request.body.text() };
-    this->relay.addCaller(id, std::move(exchange));
     this->handle(std::move(arrived));
 }
 
