Announce the close of connections when teaselshored is asked to stop

Callers of teaselshored that kept connections learned of their close only by the close itself: until the node had stopped, answers said nothing of it, and connections were closed 100 ms later. A request on its way then was reset, though nothing had told its caller to use another connection. teaselshore-entry has announced it since its planned stops were made graceful; teaselshored did not.

The server announces the close from SetReady{false} on, which a Node emits only when it is asked to stop.

Ruled out: a command of its own as in EntryNode, whose readiness also fails for other reasons.

--- a/src/teaselshore/daemon/serving_task.cpp
+++ b/src/teaselshore/daemon/serving_task.cpp
@@ -74,7 +74,7 @@
     void execute(ReadNotices&) { this->outlets.readNotices(); }
     void execute(QueryLoad& command) { this->queries.execute(command); }
     void execute(QueryOutcome& command) { this->queries.execute(command); }
-    void execute(SetReady& command) { this->ready = command.ready; }
+    void execute(SetReady& command);
     void execute(StopProcess& command);
     void execute(LogEvent& command) { writeLogEvent(command); }
     void execute(Span& command);
@@ -256,6 +256,14 @@
     });
 }
 
+void ServingTask::Impl::execute(SetReady& command)
+{
+    this->ready = command.ready;
+    // A Node becomes unready only to stop.
+    if (!this->ready)
+        this->callerServer->announceClose();
+}
+
 void ServingTask::Impl::execute(StopProcess& command)
 {
     this->stopped = true;
