End the handling of signals before the tasks that they call

A second SIGTERM, or SIGHUP, in the last milliseconds of a process could end it with SIGSEGV in place of an orderly end, or stay without effect on a wake descriptor that was closed: the thread of the signals called EntryTask or ServingTask by reference, and the main functions destroyed these before the thread ended.

A SignalTask starts its thread when it is constructed, and so can only be declared after the task that it calls; it ends first on all ways out. The signals are blocked before, by a function of its own, and stay blocked until the process is gone.

Ruled out: a stop() to be called after run(), which ways out by exceptions would miss.

--- a/src/teaselshore/daemon/entry_main.cpp
+++ b/src/teaselshore/daemon/entry_main.cpp
@@ -46,7 +46,7 @@
 
 int runDaemon(const EntrySettings& settings, const std::string& path, std::uint64_t seed)
 {
-    SignalTask signals;
+    blockSignals();
     setLogNode(settings.node);
     HttpError error;
     const auto task = EntryTask::create(settings, seed, &error);
@@ -54,7 +54,8 @@
         logLine(LogLevel::Error, "cannot listen", { { "reason", error.detail } });
         return EXIT_FAILURE;
     }
-    signals.start([&task] { task->requestStop(); },
+    // Ends before the task does.
+    const SignalTask signals([&task] { task->requestStop(); },
         [&task, &path] {
             if (auto changed = readSettings(path))
                 task->onSettingsChanged(std::move(*changed));
--- a/src/teaselshore/daemon/signal_task.cpp
+++ b/src/teaselshore/daemon/signal_task.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-SignalTask::SignalTask()
+void blockSignals()
 {
     const sigset_t signals = handledSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
@@ -29,17 +29,7 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-SignalTask::~SignalTask()
-{
-    this->ended = true;
-    if (!this->thread.joinable())
-        return;
-    // Ends the wait of the thread.
-    pthread_kill(this->thread.native_handle(), SIGINT);
-    this->thread.join();
-}
-
-void SignalTask::start(std::function<void()> onStop, std::function<void()> onReload)
+SignalTask::SignalTask(std::function<void()> onStop, std::function<void()> onReload)
 {
     this->thread = std::thread([this, onStop = std::move(onStop), onReload = std::move(onReload)] {
         const sigset_t signals = handledSignals();
@@ -55,4 +45,12 @@
     });
 }
 
+SignalTask::~SignalTask()
+{
+    this->ended = true;
+    // Ends the wait of the thread.
+    pthread_kill(this->thread.native_handle(), SIGINT);
+    this->thread.join();
+}
+
 } // namespace teaselshore
--- a/src/teaselshore/daemon/signal_task.hpp
+++ b/src/teaselshore/daemon/signal_task.hpp
@@ -6,19 +6,22 @@
 
 namespace teaselshore {
 
+/// @brief Blocks SIGTERM, SIGINT and SIGHUP in the calling thread and those it starts, and ignores SIGPIPE in the
+/// process. Precondition: the calling thread is the only one.
+void blockSignals();
+
 /// @brief Turns SIGTERM and SIGINT into a stop request, and SIGHUP into a request to read the settings again.
 ///
-/// Create it before any other thread: the signals are blocked in the creating thread and those it starts.
+/// Signals that come before or after its life stay blocked. Precondition: blockSignals() was called.
 class SignalTask {
 public:
-    SignalTask();
+    /// @brief Starts to wait for signals. The functions run in the task's thread.
+    SignalTask(std::function<void()> onStop, std::function<void()> onReload);
+    /// @brief Waits for the function that runs. What the functions use may be released afterwards.
     ~SignalTask();
     SignalTask(const SignalTask&) = delete;
     SignalTask& operator=(const SignalTask&) = delete;
 
-    /// @brief Starts to wait for signals. The functions run in the task's thread.
-    void start(std::function<void()> onStop, std::function<void()> onReload);
-
 private:
     std::atomic<bool> ended { false };
     std::thread thread;
--- a/src/teaselshore/daemon/teaselshored_main.cpp
+++ b/src/teaselshore/daemon/teaselshored_main.cpp
@@ -80,7 +80,7 @@
 
 int runDaemon(const DaemonSettings& settings, std::uint64_t seed)
 {
-    SignalTask signals;
+    blockSignals();
     const auto start = std::chrono::system_clock::now().time_since_epoch();
     const NodeId id = makeNodeId(settings.node,
         static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(start).count()));
@@ -117,7 +117,8 @@
     outlets.readNotices = [&platform] { platform->readNotices(); };
     serving->connect(std::move(outlets));
 
-    signals.start(
+    // Ends before the task does.
+    const SignalTask signals(
         [&serving] { serving->requestStop(); }, [] { logLine(LogLevel::Info, "settings apply at the next start"); });
     logLine(LogLevel::Info, "started",
         { { "listen", formatSocketAddress(settings.listen) }, { "admin", formatSocketAddress(settings.admin) },
