--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -473,7 +473,8 @@
     if (this->announcedClose || std::exchange(this->notedDropped, true))
         return;
     this->core.countDroppedRequest();
-    logLine(LogLevel::Warning, "request of a caller dropped without an answer", { { "reason", reason } });
+    logLine(LogLevel::Warning, "request dropped without an answer",
+        { { "port", this->core.port() }, { "reason", reason } });
 }
 
 std::size_t Http1Connection::unsentBytes() const
--- a/src/teaselshore/http/http_server.cpp
+++ b/src/teaselshore/http/http_server.cpp
@@ -75,10 +75,11 @@
         report(error, HttpError::Kind::ListenFailed, systemError("listen"));
         return nullptr;
     }
-    const std::uint16_t port = boundPort(descriptor);
+    HttpServerSettings bound = settings;
+    bound.port = boundPort(descriptor);
     // Deletes itself after abandon().
-    auto* core = new ServerCore(loop.implementation(), settings, std::move(handler), descriptor);
-    return std::unique_ptr<HttpServer>(new HttpServer(std::make_unique<Impl>(Impl { core, port })));
+    auto* core = new ServerCore(loop.implementation(), bound, std::move(handler), descriptor);
+    return std::unique_ptr<HttpServer>(new HttpServer(std::make_unique<Impl>(Impl { core, bound.port })));
 }
 
 HttpServer::HttpServer(std::unique_ptr<Impl> impl)
--- a/src/teaselshore/http/server_core.cpp
+++ b/src/teaselshore/http/server_core.cpp
@@ -29,6 +29,7 @@
 ServerCore::ServerCore(
     EventLoop::Impl& loop, const HttpServerSettings& settings, HttpHandler handler, int listenDescriptor)
     : loop(loop)
+    , listenPort(settings.port)
     , handler(std::move(handler))
     , serverLimits { settings.maxHeaderBytes, settings.maxBodyBytes, settings.requestTimeout, settings.idleTimeout }
     , headerFields(settings.maxHeaderFields)
--- a/src/teaselshore/http/server_core.hpp
+++ b/src/teaselshore/http/server_core.hpp
@@ -27,6 +27,7 @@
     void stopAccepting();
     /// @brief Announces the end of the connection in each further answer.
     void announceClose() { this->isClosing = true; }
+    std::uint16_t port() const { return this->listenPort; }
     bool closing() const { return this->isClosing; }
     /// @brief Returns whether new connections are accepted.
     bool accepts() const { return this->listener != nullptr; }
@@ -82,6 +83,7 @@
     void pauseAccepting();
 
     EventLoop::Impl& loop;
+    std::uint16_t listenPort;
     HttpHandler handler;
     h2o_globalconf_t configuration {};
     h2o_context_t context {};
