Judge at a planned stop by the route whether a request can end in time

Long streams were begun late in a planned stop and cut at the end of the grace period where their service serves five times as many short ones: the node compared twice the mean time at the service with what was left. It keeps the times of each route now, as a mean plus four mean deviations (DurationEstimate, as in RFC 6298); a route without a response yet falls back to the service's mean, and its streams are refused once connections are not accepted. A stream that has begun is resumed until the end, since no other node can go on with it.

PlannedStop.RequestsAreRefusedByTheTimesOfTheirRoute, .RefusedAttemptIsNotRepeatedTooLate and .StreamThatHasBegunIsResumedUntilTheEnd failed before.

--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -37,7 +37,8 @@
     constexpr Duration waitingPollPeriod = std::chrono::milliseconds(15);
     /// Minimum time before the deadline for which another attempt is worthwhile.
     constexpr Duration minTimeForRetry = std::chrono::milliseconds(50);
-    /// Multiple of the mean time at an upstream that must be left before the end of the process for a request to start.
+    /// Multiple of the mean time at an upstream that must be left before the end of the process for a request to start
+    /// whose route has had no response yet.
     constexpr int stopTimeFactor = 2;
     /// Another node can take the request at once.
     constexpr Duration stoppingRetryAfter = std::chrono::milliseconds(50);
@@ -173,7 +174,8 @@
     // Checked before quota is borrowed, since a refused request needs none.
     if (this->refuseIfQuarantined(request, now))
         return;
-    const bool isLateStream = this->refusesStreams && request.route->response == ResponseKind::EventStream;
+    const bool isLateStream = this->refusesUnknownStreams && request.route->response == ResponseKind::EventStream
+        && !this->routeTimes.contains(request.route->name);
     if (isLateStream || this->isTooLate(*request.route, now)) {
         this->refuse(request, RequestOutcome::NoCapacity, serviceUnavailable, "this node is about to stop",
             stoppingRetryAfter, now);
@@ -780,6 +782,9 @@
     if (!event.facts.notRun && !failed && isUsable && (event.facts.isStamped || !success)) {
         if (!request->streaming)
             this->recordFirstEvent(*request, now);
+        // The rest of a stream says little about the whole one.
+        if (!request->lastEventId && !request->caller.lastEventId)
+            this->routeTimes[attempt->route].add(now - attempt->startedAt);
         this->respond(*request, std::move(event.response), RequestOutcome::Answered, now);
         return;
     }
@@ -852,17 +857,22 @@
 {
     if (!this->processEnd)
         return false;
+    const Duration left = *this->processEnd - now;
+    // Routes to one service may differ by more than an order of magnitude.
+    if (const auto times = this->routeTimes.find(route.name); times != this->routeTimes.end())
+        return left < times->second.upperBound();
     Duration hold {};
     for (const WeightedService& target : route.targets)
         hold = std::max(hold, this->state.router.meanHoldTime(target.service));
-    return *this->processEnd - now < stopTimeFactor * hold;
+    return left < stopTimeFactor * hold;
 }
 
 bool EntryRequests::mayRetry(Request& request, const AttemptResult& result, Instant now)
 {
     if (request.sends >= maxSends || request.deadline - now < minTimeForRetry)
         return false;
-    if (this->isTooLate(*request.route, now))
+    // No other node can go on with a stream that has begun, and its rest may take less time.
+    if (!request.streaming && this->isTooLate(*request.route, now))
         return false;
     if (request.runs > 0 && !request.route->retryable)
         return false;
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -17,6 +18,7 @@
 #include "limit_exchange.hpp"
 #include "refusal_exchange.hpp"
 #include "teaselshore/entry/request_forecast.hpp"
+#include "teaselshore/reliability/duration_estimate.hpp"
 #include "teaselshore/routing/overload_controller.hpp"
 #include "waiting_requests.hpp"
 
@@ -43,9 +45,9 @@
     void onLinksLost(Instant now);
     /// @brief Refuses requests from now on that are not likely to end before the process does.
     void onStopRequested(Instant processEnd) { this->processEnd = processEnd; }
-    /// @brief From here on streams are refused: only kept connections bring requests, and how long a stream takes is
-    /// not known before its end.
-    void onAcceptingStopped() { this->refusesStreams = true; }
+    /// @brief From here on streams are refused on routes whose times are not known: only kept connections bring
+    /// requests.
+    void onAcceptingStopped() { this->refusesUnknownStreams = true; }
     /// @brief Answers all open requests, as the process is about to end.
     void endAll(Instant now);
     void onTick(Instant now);
@@ -264,7 +266,9 @@
     bool hasEnded = false;
     /// End of the process; set during a planned stop.
     std::optional<Instant> processEnd;
-    bool refusesStreams = false;
+    bool refusesUnknownStreams = false;
+    /// Times that attempts took whose response was passed on.
+    std::map<RouteName, DurationEstimate> routeTimes;
     /// When the waiting requests were last dispatched.
     Instant lastWaitingDispatch {};
     WaitingRequests waiting;
--- a/src/teaselshore/entry/planned_stop_test.cpp
+++ b/src/teaselshore/entry/planned_stop_test.cpp
@@ -14,10 +14,17 @@
     /// Time from the request for a planned stop to the end of the process; the default of EntrySettings.
     constexpr Duration grace = 8s;
 
+    /// Requests of a route that a node serves one after the other, in the time that they usually take.
+    struct UsualRequests {
+        std::string route;
+        Duration time {};
+        int count = 0;
+    };
+
     /// A node during a planned stop, and everything that it has told callers.
     class StoppingNode {
     public:
-        explicit StoppingNode(Duration latencyTarget = 400ms)
+        explicit StoppingNode(Duration latencyTarget = 400ms, const std::vector<UsualRequests>& usual = {})
         {
             this->harness.start(3, 16);
             EntryConfiguration configuration = EntryHarness::configuration(2);
@@ -26,6 +33,11 @@
                 route.latencyTarget = latencyTarget;
             }
             this->harness.send(EntryConfigurationRead { configuration });
+            for (int round = 0; round < 20; ++round) {
+                for (const UsualRequests& requests : usual)
+                    this->serve(requests);
+            }
+            this->attempts.clear();
             this->harness.send(EntryStopRequested {});
             this->stopAt = this->harness.now + grace;
         }
@@ -41,6 +53,21 @@
             return sent.has_value();
         }
 
+        void serve(const UsualRequests& requests)
+        {
+            for (int number = 0; number < requests.count; ++number) {
+                ASSERT_TRUE(this->request(requests.route));
+                UpstreamResponded end;
+                end.response.attempt = this->attempts.back();
+                end.response.status = 200;
+                end.response.relayed = true;
+                end.facts.isStamped = true;
+                this->harness.send(UpstreamStreamStarted { end.response.attempt, end.facts });
+                this->harness.advance(requests.time);
+                this->harness.send(end);
+            }
+        }
+
         void advanceTo(Duration beforeEnd)
         {
             while (this->harness.now < this->stopAt - beforeEnd && !this->isStopped) {
@@ -101,6 +128,57 @@
         EXPECT_TRUE(node.responses.empty());
     }
 
+    /// Long streams, and five times as many short ones, at one service.
+    std::vector<UsualRequests> longAndShort(const std::string& longRoute, const std::string& shortRoute)
+    {
+        return { { longRoute, 3s, 1 }, { shortRoute, 100ms, 5 } };
+    }
+
+    // Guards against long streams that are begun and cut at the end of the grace period, and against refusals of short
+    // ones that end before, since the mean time at their service is that of neither.
+    TEST(PlannedStop, RequestsAreRefusedByTheTimesOfTheirRoute)
+    {
+        StoppingNode node(400ms, longAndShort("digest", "query"));
+        EXPECT_TRUE(node.request("digest")) << "it has the whole grace period";
+        node.advanceTo(2500ms);
+        ASSERT_FALSE(node.isStopped);
+        EXPECT_FALSE(node.request("digest"));
+        ASSERT_EQ(node.responses.size(), 1u);
+        EXPECT_EQ(node.responses[0].status, 503);
+        EXPECT_TRUE(hasRetryAfter(node.responses[0]));
+        EXPECT_TRUE(node.request("query"));
+        node.advanceTo(1s);
+        EXPECT_TRUE(node.request("query"));
+        EXPECT_EQ(node.responses.size(), 1u);
+    }
+
+    // Guards against a long stream that is sent once more, and cut at the end of the grace period, when its upstream
+    // did not run it: another node has the time.
+    TEST(PlannedStop, RefusedAttemptIsNotRepeatedTooLate)
+    {
+        StoppingNode node(400ms, longAndShort("digest", "query"));
+        ASSERT_TRUE(node.request("digest"));
+        node.advanceTo(2500ms);
+        node.harness.respond(node.attempts.back(), 503, true);
+        EXPECT_FALSE(node.harness.first<ForwardRequest>());
+        node.collect();
+        ASSERT_EQ(node.responses.size(), 1u);
+        EXPECT_EQ(node.responses[0].status, 503);
+        EXPECT_TRUE(hasRetryAfter(node.responses[0]));
+    }
+
+    // Guards against a stream that is cut when its upstream fails during a planned stop, since its route usually takes
+    // longer than what is left: the rest of it may take less, and no other node can go on with it.
+    TEST(PlannedStop, StreamThatHasBegunIsResumedUntilTheEnd)
+    {
+        StoppingNode node(400ms, longAndShort("query", "digest"));
+        ASSERT_TRUE(node.request("query"));
+        node.harness.send(UpstreamStreamStarted { node.attempts.back(), {} });
+        node.advanceTo(1s);
+        node.harness.fail(node.attempts.back(), true, 7);
+        EXPECT_TRUE(node.harness.first<ForwardRequest>());
+    }
+
     // Guards against callers whose connection just closes at the end of the grace period, and against an answer that
     // promises that a request did not run although an upstream has it.
     TEST(PlannedStop, WhatIsOpenAtTheEndIsAnswered)
