Take a body that has arrived at once

Callers saw, with the reads of 256 KB per event: when more uploads arrive than the budget has room for, half-read bodies fill it, and most of them are refused inside their body.

Change: up to 4 MB are read per event, still 16 KB before they are parsed.

The 76 tests of the module http pass.

--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -28,8 +28,9 @@
     constexpr std::size_t maxReadBytes = std::size_t { 16 } * 1024;
     /// Space for a read, which doubles the buffer as often as it is full.
     constexpr std::size_t leastReadBytes = std::size_t { 4 } * 1024;
-    /// Reads per event, so that a large body does not delay other connections.
-    constexpr int readsPerEvent = 16;
+    /// Reads per event. A body that has arrived is taken at once as a rule: many half-read ones would fill the budget,
+    /// and none of them could end.
+    constexpr int readsPerEvent = 256;
     /// Bytes of a head, and of lines that have not ended, for which a request needs nothing of the memory budget: more
     /// than those of common requests, and little on as many connections as a process has descriptors.
     constexpr std::size_t freeHeadBytes = std::size_t { 4 } * 1024;
