--- a/src/teaselshore/http/http_server_test.cpp
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -43,6 +43,16 @@
         fixture.runUntil([] { return false; }, time);
     }
 
+    /// Sends a request, and waits for its answer and for the server to await the next request.
+    void makeIdle(HttpFixture& fixture, const RawConnection& connection, const std::string& request)
+    {
+        connection.send(request);
+        std::string answer;
+        bool ended = false;
+        EXPECT_TRUE(fixture.runUntil([&] { return !(answer += connection.receive(ended)).empty(); }));
+        runFor(fixture, std::chrono::milliseconds(10));
+    }
+
     // Guards against requests that reach the handler without body, query, host or header fields.
     TEST(HttpServer, PassesWholeRequestAndReply)
     {
@@ -595,17 +605,14 @@
             settings.idleTimeout = std::chrono::milliseconds(50);
             HttpFixture fixture([&](const auto& exchange) { exchange->reply({ 200, {}, "whole" }); }, settings);
             const RawConnection idle(fixture.server->port());
-            idle.send(request);
-            std::string first;
-            bool ended = false;
-            ASSERT_TRUE(fixture.runUntil([&] { return !(first += idle.receive(ended)).empty(); }));
-            runFor(fixture, std::chrono::milliseconds(10));
+            makeIdle(fixture, idle, request);
             if (isStopping)
                 fixture.server->stopAccepting();
             idle.send(request);
             // Nothing runs meanwhile; the server allows two seconds more than the idle time.
             std::this_thread::sleep_for(std::chrono::milliseconds(isStopping ? 200 : 2200));
             std::string received;
+            bool ended = false;
             ASSERT_TRUE(fixture.runUntil([&] {
                 received += idle.receive(ended);
                 return ended || received.find("whole") != std::string::npos;
@@ -679,12 +686,9 @@
         const std::string request = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
         HttpFixture fixture(echo);
         const RawConnection idle(fixture.server->port());
-        idle.send(request);
-        std::string first;
-        bool ended = false;
-        ASSERT_TRUE(fixture.runUntil([&] { return !(first += idle.receive(ended)).empty(); }));
-        runFor(fixture, std::chrono::milliseconds(10));
+        makeIdle(fixture, idle, request);
         fixture.server->stopAccepting();
+        bool ended = false;
         ASSERT_TRUE(fixture.runUntil([&] { return idle.receive(ended).empty() && ended; }));
         idle.trySend(request);
         runFor(fixture, std::chrono::milliseconds(50));
