Give large blocks back to the system when memory is bounded

Callers saw: beside the requests that are sent ahead, uploads on 60 and 300 connections took a process of memory-mb: 260 to 189 to 284 MB with reads that are bounded, though the budget of bodies holds 124 MB.

Cause: once a large block was freed, the allocator takes later ones from its heap, where they stay when they are freed between others.

Change: a process with memory-mb maps blocks of 1 MB and more one by one, and keeps up to 8 MB free of smaller ones.

RequestBodies.MemoryOfBodiesThatEndedIsGivenBack failed 3 of 3 times and passes 2 of 2; so do the other three of RequestBodies. The whole entry task suite ran before this change (37 tests pass), and not with it.

--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include <malloc.h>
+
 #include "answer_drain.hpp"
 #include "entry_metrics.hpp"
 #include "entry_relay_settings.hpp"
@@ -34,6 +36,10 @@
 
 namespace {
 
+    /// Bytes of a block that goes back to the system when it is freed.
+    constexpr int largeBlockBytes = 1024 * 1024;
+    /// Free bytes that the process keeps for smaller blocks, so that they need no call of the system each.
+    constexpr int keptFreeBytes = 8 * 1024 * 1024;
     constexpr Duration shortestTick = std::chrono::milliseconds(1);
     constexpr Duration clockPeriod = std::chrono::seconds(1);
     /// A node sends and ends some 40 requests a second on the heaviest day, with a line for each; more lines than that
@@ -249,6 +255,12 @@
 
 std::unique_ptr<EntryTask> EntryTask::create(const EntrySettings& settings, std::uint64_t seed, HttpError* error)
 {
+    // The budget of bodies bounds what is in use. Left to itself, the allocator keeps the blocks of bodies that are
+    // gone.
+    if (settings.memoryBytes) {
+        mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
+        mallopt(M_TRIM_THRESHOLD, keptFreeBytes);
+    }
     auto impl = std::make_unique<Impl>(settings, seed);
     if (!impl->listen(error))
         return nullptr;
