--- a/include/teaselshore/entry/entry_event.hpp
+++ b/include/teaselshore/entry/entry_event.hpp
@@ -163,7 +163,10 @@
 };
 
 /// @brief The host requests a planned stop of the daemon.
-struct EntryStopRequested { };
+struct EntryStopRequested {
+    /// When the request reached the process, if that is known; a busy daemon handles it later.
+    std::optional<Instant> receivedAt {};
+};
 
 /// @brief A timer is due.
 struct EntryTick { };
--- a/include/teaselshore/entry/entry_statistics.hpp
+++ b/include/teaselshore/entry/entry_statistics.hpp
@@ -98,6 +98,8 @@
     std::map<RouteName, RouteAdmission> admissions;
     /// Services that are short of capacity.
     std::uint64_t shortServices = 0;
+    /// Streams that the end of the process cut.
+    std::uint64_t streamsCutByStop = 0;
 };
 
 } // namespace teaselshore
--- a/src/teaselshore/daemon/entry_metrics.cpp
+++ b/src/teaselshore/daemon/entry_metrics.cpp
@@ -86,6 +86,8 @@
         static_cast<double>(statistics.liveNodes));
     this->setGauge("teaselshore_lease_held", "1 while this node holds the lease of the fleet's duties.",
         statistics.holdsLease ? 1 : 0);
+    this->setCounter("teaselshore_streams_cut_by_stop_total", "Streams that the end of the process cut.",
+        statistics.streamsCutByStop);
     this->updateAdmissions(statistics);
 }
 
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -19,6 +19,7 @@
 #include "platform/caller_codec.hpp"
 #include "platform/decode_objects.hpp"
 #include "platform/wire_names.hpp"
+#include "teaselshore/base/clock.hpp"
 #include "teaselshore/base/json_text.hpp"
 #include "teaselshore/base/log.hpp"
 #include "teaselshore/base/log_limiter.hpp"
@@ -287,7 +288,8 @@
 
 void EntryTask::requestStop()
 {
-    this->impl->loop->post([impl = this->impl.get()] { impl->handle(EntryStopRequested {}); });
+    this->impl->loop->post(
+        [impl = this->impl.get(), receivedAt = monotonicNow()] { impl->handle(EntryStopRequested { receivedAt }); });
 }
 
 void EntryTask::onSettingsChanged(EntrySettings settings)
--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -431,15 +431,17 @@
     this->state.log(LogLevel::Info, canServe ? "ready for requests" : "not ready for requests", {});
 }
 
-void EntryNode::Impl::handle(EntryStopRequested&, Instant now)
+void EntryNode::Impl::handle(EntryStopRequested& event, Instant now)
 {
     if (this->stopRequestedAt)
         return;
     this->stopRequestedAt = now;
     this->duties.stop();
-    this->requests.onStopRequested(this->graceEnd());
+    this->requests.onStopRequested(now, this->graceEnd());
     this->state.commands.emplace_back(AnnounceClose {});
-    this->state.log(LogLevel::Info, "stopping", { { "openRequests", std::to_string(this->requests.openCount()) } });
+    this->state.log(LogLevel::Info, "stopping",
+        { { "openRequests", std::to_string(this->requests.openCount()) },
+            { "lateMs", fmt::format("{:.1f}", toMilliseconds(now - event.receivedAt.value_or(now))) } });
 }
 
 void EntryNode::Impl::advanceShutdown(bool isTick, Instant now)
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -1021,6 +1021,9 @@
         { "ms", fmt::format("{:.1f}", toMilliseconds(now - request.arrivedAt)) } };
     if (!request.passedOver.empty())
         fields.emplace_back("passedOver", request.passedOver);
+    if (this->stopRequestedAt)
+        fields.emplace_back(
+            "arrivedAfterStopMs", fmt::format("{:.0f}", toMilliseconds(request.arrivedAt - *this->stopRequestedAt)));
     this->state.log(LogLevel::Info, "request ended", std::move(fields));
     this->stopWaiting(request);
     this->overload.onEnded(request.id);
@@ -1039,6 +1042,7 @@
         Request& request = this->requests.at(id);
         this->state.borrower.cancel(id);
         this->cancelAttempt(request, now);
+        this->state.statistics.streamsCutByStop += request.streaming ? 1 : 0;
         if (request.streaming || request.runs > 0)
             this->endWithoutResponse(request, "this node stops", now);
         else
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -44,7 +44,11 @@
     /// @brief Hands the requests that wait, or are not answered, to peers.
     void onLinksLost(Instant now);
     /// @brief Refuses requests from now on that are not likely to end before the process does.
-    void onStopRequested(Instant processEnd) { this->processEnd = processEnd; }
+    void onStopRequested(Instant requestedAt, Instant processEnd)
+    {
+        this->stopRequestedAt = requestedAt;
+        this->processEnd = processEnd;
+    }
     /// @brief From here on streams are refused on routes whose times are not known: only kept connections bring
     /// requests.
     void onAcceptingStopped() { this->refusesUnknownStreams = true; }
@@ -264,7 +268,8 @@
     std::optional<Instant> earlyDeadline;
     /// True once all requests were ended; those that are still read are refused.
     bool hasEnded = false;
-    /// End of the process; set during a planned stop.
+    /// Begin of the planned stop, and end of the process.
+    std::optional<Instant> stopRequestedAt;
     std::optional<Instant> processEnd;
     bool refusesUnknownStreams = false;
     /// Times that attempts took whose response was passed on.
