--- a/src/teaselshore/entry/planned_stop_test.cpp
+++ b/src/teaselshore/entry/planned_stop_test.cpp
@@ -1,10 +1,13 @@
 #include <algorithm>
+#include <cmath>
+#include <map>
 #include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
 
 #include "entry_test_support.hpp"
+#include "teaselshore/base/random.hpp"
 
 namespace teaselshore {
 namespace {
@@ -14,6 +17,9 @@
     /// Time from the request for a planned stop to the end of the process; the default of EntrySettings.
     constexpr Duration grace = 8s;
 
+    /// Streams that callers sent later than this after the request for a planned stop must end before the process does.
+    constexpr Duration cutAcceptedTime = 3s;
+
     /// Requests of a route that a node serves one after the other, in the time that they usually take.
     struct UsualRequests {
         std::string route;
@@ -24,7 +30,9 @@
     /// A node during a planned stop, and everything that it has told callers.
     class StoppingNode {
     public:
-        explicit StoppingNode(Duration latencyTarget = 400ms, const std::vector<UsualRequests>& usual = {})
+        /// @brief Node that handles the request to stop after the delay.
+        explicit StoppingNode(Duration latencyTarget = 400ms, const std::vector<UsualRequests>& usual = {},
+            Duration delay = Duration::zero())
         {
             this->harness.start(3, 16);
             EntryConfiguration configuration = EntryHarness::configuration(2);
@@ -38,8 +46,9 @@
                     this->serve(requests);
             }
             this->attempts.clear();
-            this->harness.send(EntryStopRequested {});
             this->stopAt = this->harness.now + grace;
+            this->harness.now += delay;
+            this->harness.send(EntryStopRequested { this->harness.now - delay });
         }
 
         /// @brief Sends a request and returns whether it went to an upstream.
@@ -68,6 +77,14 @@
             }
         }
 
+        /// @brief Plays the first event of the stream that was sent last.
+        void startStream()
+        {
+            UpstreamStreamStarted event { this->attempts.back(), {} };
+            event.facts.isStamped = true;
+            this->harness.send(event);
+        }
+
         void advanceTo(Duration beforeEnd)
         {
             while (this->harness.now < this->stopAt - beforeEnd && !this->isStopped) {
@@ -87,7 +104,10 @@
             this->isStopped = this->isStopped || this->harness.first<StopProcess>();
         }
 
+        EntryStatistics statistics() const { return this->harness.node.statistics(); }
+
         EntryHarness harness;
+        /// When the host ends the process.
         Instant stopAt {};
         bool isStopped = false;
         std::vector<AttemptId> attempts;
@@ -265,5 +285,91 @@
         EXPECT_TRUE(node.brokenStreams.empty()) << "a stream that was sent 5 s after the request to stop is cut";
     }
 
+    // Guards against a stream that is taken late in a planned stop, since those of its route have been short, and is
+    // cut at the end as it takes longer.
+    TEST(PlannedStop, LateStreamThatTakesLongerThanUsualIsNotCut)
+    {
+        StoppingNode node(400ms, { { "digest", 300ms, 1 } });
+        ASSERT_TRUE(node.request("order")) << "keeps the process";
+        node.advanceTo(grace - cutAcceptedTime - 100ms);
+        ASSERT_FALSE(node.isStopped);
+        if (!node.request("digest")) {
+            ASSERT_EQ(node.responses.size(), 1u);
+            EXPECT_EQ(node.responses[0].status, 503);
+            EXPECT_TRUE(hasRetryAfter(node.responses[0]));
+            return;
+        }
+        node.startStream();
+        node.advanceTo(-1s);
+        EXPECT_TRUE(node.brokenStreams.empty());
+    }
+
+    // Guards against late requests that are refused though their time limit ends before the process does.
+    TEST(PlannedStop, LateRequestWhoseTimeLimitEndsBeforeTheProcessIsServed)
+    {
+        for (const char* route : { "order", "status", "digest", "query" }) {
+            StoppingNode node(400ms, { { route, 300ms, 1 } });
+            ASSERT_TRUE(node.request("order")) << "keeps the process";
+            node.advanceTo(grace - cutAcceptedTime - 100ms);
+            EXPECT_TRUE(node.request(route, 3s)) << route;
+            EXPECT_TRUE(node.responses.empty()) << route;
+        }
+    }
+
+    // Guards against streams that came late in a planned stop and are cut at its end, whatever streams of their route
+    // took before.
+    TEST(PlannedStop, CutsNoStreamThatCameLate)
+    {
+        for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+            RandomSource random(seed);
+            const auto draw = [&random](Duration most) {
+                // A heavy tail: most are short.
+                return fromSeconds(toSeconds(most) * std::pow(random.uniform(), 4));
+            };
+            StoppingNode node(400ms, { { "digest", draw(4s), 1 }, { "query", draw(1s), 2 } });
+            ASSERT_TRUE(node.request("order")) << "keeps the process";
+            std::map<AttemptId, Instant> ends;
+            std::size_t lateStreams = 0;
+            while (!node.isStopped) {
+                const bool isLate = node.harness.now > node.stopAt - grace + cutAcceptedTime;
+                const bool isDigest = random.below(2) == 0;
+                // Those that come earlier end at once.
+                if (node.request(isDigest ? "digest" : "query", isDigest ? 15s : 3s)) {
+                    node.startStream();
+                    lateStreams += isLate ? 1 : 0;
+                    ends[node.attempts.back()] = node.harness.now + (isLate ? draw(30s) : Duration::zero());
+                }
+                for (auto end = ends.begin(); end != ends.end();) {
+                    if (end->second > node.harness.now) {
+                        ++end;
+                        continue;
+                    }
+                    UpstreamResponded response;
+                    response.response.attempt = end->first;
+                    response.response.status = 200;
+                    response.response.relayed = true;
+                    response.facts.isStamped = true;
+                    node.harness.send(response);
+                    end = ends.erase(end);
+                }
+                node.harness.advance(Duration(random.below(200'000)));
+                node.collect();
+            }
+            EXPECT_GT(lateStreams, 0u) << "seed " << seed;
+            EXPECT_EQ(node.statistics().streamsCutByStop, 0u) << "seed " << seed;
+        }
+    }
+
+    // Guards against a process that is ended by force with requests open, since it handled the request to stop late.
+    TEST(PlannedStop, ProcessEndsInTimeThoughItHandledTheRequestToStopLate)
+    {
+        StoppingNode node(400ms, {}, 900ms);
+        ASSERT_TRUE(node.request("order"));
+        ASSERT_TRUE(node.request("digest"));
+        node.startStream();
+        node.advanceTo(200ms);
+        EXPECT_TRUE(node.isStopped);
+    }
+
 } // namespace
 } // namespace teaselshore
