Take a request late in a planned stop only if its time limit ends before the process

What callers saw: a stream that they sent on a kept connection later than 3 s after the request to stop was taken, passed on to an upstream and cut at the end of the grace period, 7.7 s after the request to stop.

Cause: whether a request ends in time was estimated from the streams of its route that had ended well. Some exceed any estimate: few or short streams were seen before, upstreams get slower, times have a heavy tail. Since connections stay open behind an answer that did not announce the close, requests come until the end of the process.

Change: a request that arrives later than 2.6 s after the request to stop is taken only if its own time limit is over before open requests are ended; otherwise it is refused at once, with the same 503 as before. This holds for all kinds of requests: one that is not a stream is answered with 502 at the end, but with nothing if the process is late and ended by force. Retries of such requests are bounded by the same limit. The estimate still judges those that arrive earlier, as their callers had no time to learn of the stop, and their retries. `explain` asks the same function. The moments of a stop are a value of their own, StopSchedule.

Ruled out: a wider estimate (rarer, not gone); the end of an idle connection right behind the stream (it would drop what is on its way, the fault before); a refusal of all late requests (short ones with a time limit can be served).

--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -15,6 +15,7 @@
 #include "limit_exchange.hpp"
 #include "platform_contacts.hpp"
 #include "refusal_exchange.hpp"
+#include "stop_schedule.hpp"
 #include "upstream_routing.hpp"
 
 namespace teaselshore {
@@ -24,13 +25,6 @@
     constexpr std::size_t requestIdDigits = 20;
     /// Time between two rounds of periodic work.
     constexpr Duration housekeepingPeriod = std::chrono::milliseconds(100);
-    /// Time from the first failing readiness check until the load balancer opens no new connections: two checks one
-    /// second apart, and their responses.
-    constexpr Duration loadBalancerDelay = std::chrono::milliseconds(2600);
-    /// Part of the stop grace period that is reserved for sending the last bytes.
-    constexpr Duration flushMargin = std::chrono::milliseconds(300);
-    /// Part of the stop grace period that the end of the process itself takes.
-    constexpr Duration exitMargin = std::chrono::milliseconds(100);
     /// A clock reading that differs from the expected time by more than this must be confirmed before it is used.
     constexpr Duration clockTolerance = std::chrono::milliseconds(300);
     /// Time that a changed clock must persist before it is used. Clock steps that are reverted last only some seconds.
@@ -156,7 +150,6 @@
     void updateLinks(Instant now);
     void checkLinks(Instant now);
     void advanceShutdown(bool isTick, Instant now);
-    Instant graceEnd() const { return *this->stopRequestedAt + this->state.settings.host.stopGrace - flushMargin; }
 
     EntryState state;
     ConfigurationRelay configurations;
@@ -171,7 +164,8 @@
     EntryRequests requests;
     bool ready = false;
     bool knewEvacuations = false;
-    std::optional<Instant> stopRequestedAt;
+    /// Set during a planned stop.
+    std::optional<StopSchedule> stop;
     bool acceptingStopped = false;
     bool stopped = false;
     Instant nextHousekeeping {};
@@ -203,8 +197,8 @@
 Instant EntryNode::nextTick() const
 {
     const Instant next = std::min(this->impl->nextHousekeeping, this->impl->requests.nextTick());
-    const bool isStopping = this->impl->stopRequestedAt && !this->impl->stopped;
-    return isStopping ? std::min(next, this->impl->graceEnd()) : next;
+    const bool isStopping = this->impl->stop && !this->impl->stopped;
+    return isStopping ? std::min(next, this->impl->stop->requestsEnd()) : next;
 }
 
 RequestForecast EntryNode::forecast(const CallerRequest& request, Instant now)
@@ -422,8 +416,8 @@
 
 void EntryNode::Impl::updateReadiness()
 {
-    const bool canServe = this->state.table && this->state.directory.hasSynced() && this->evacuations.isComplete()
-        && !this->stopRequestedAt;
+    const bool canServe
+        = this->state.table && this->state.directory.hasSynced() && this->evacuations.isComplete() && !this->stop;
     if (canServe == this->ready)
         return;
     this->ready = canServe;
@@ -433,11 +427,11 @@
 
 void EntryNode::Impl::handle(EntryStopRequested& event, Instant now)
 {
-    if (this->stopRequestedAt)
+    if (this->stop)
         return;
-    this->stopRequestedAt = now;
+    this->stop = StopSchedule(now, now, this->state.settings.host.stopGrace);
     this->duties.stop();
-    this->requests.onStopRequested(now, this->graceEnd());
+    this->requests.onStopRequested(*this->stop);
     this->state.commands.emplace_back(AnnounceClose {});
     this->state.log(LogLevel::Info, "stopping",
         { { "openRequests", std::to_string(this->requests.openCount()) },
@@ -446,19 +440,15 @@
 
 void EntryNode::Impl::advanceShutdown(bool isTick, Instant now)
 {
-    if (!this->stopRequestedAt || this->stopped)
-        return;
-    const Duration passed = now - *this->stopRequestedAt;
-    if (passed < loadBalancerDelay)
+    if (!this->stop || this->stopped || now < this->stop->connectionsEnd())
         return;
     if (!this->acceptingStopped) {
         this->acceptingStopped = true;
-        this->requests.onAcceptingStopped();
         this->state.commands.emplace_back(StopAccepting {});
         return;
     }
     // A tick comes after what has arrived was read; after a pause, other events leave answers unread behind them.
-    const bool gracePeriodOver = isTick && now >= this->graceEnd();
+    const bool gracePeriodOver = isTick && now >= this->stop->requestsEnd();
     if (this->requests.openCount() > 0 && !gracePeriodOver)
         return;
     this->stopped = true;
@@ -466,8 +456,7 @@
     this->requests.endAll(now);
     this->duties.writeLastReport(now);
     this->state.log(LogLevel::Info, "stopped", { { "openRequests", std::to_string(open) } });
-    this->state.commands.emplace_back(
-        StopProcess { *this->stopRequestedAt + this->state.settings.host.stopGrace - exitMargin });
+    this->state.commands.emplace_back(StopProcess { this->stop->processEnd() });
 }
 
 void EntryNode::Impl::handle(EntryTick&, Instant now)
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -174,14 +174,12 @@
     // Checked before quota is borrowed, since a refused request needs none.
     if (this->refuseIfQuarantined(request, now))
         return;
-    const bool isLateStream = this->refusesUnknownStreams && request.route->response == ResponseKind::EventStream
-        && !this->routeTimes.contains(request.route->name);
-    if (isLateStream || this->isTooLate(*request.route, now)) {
+    setDeadline(request);
+    if (this->isTooLate(request, now)) {
         this->refuse(request, RequestOutcome::NoCapacity, serviceUnavailable, "this node is about to stop",
             stoppingRetryAfter, now);
         return;
     }
-    request.deadline = request.arrivedAt + std::min(request.caller.timeout.value_or(noTimeout), request.route->timeout);
     this->deadlines.emplace(request.deadline, request.id);
     // Before the quota, which the peer takes.
     if (this->needsPeers(now)) {
@@ -853,16 +851,24 @@
     this->dispatchWaiting(now);
 }
 
-bool EntryRequests::isTooLate(const EntryRoute& route, Instant now) const
+void EntryRequests::setDeadline(Request& request)
+{
+    request.deadline = request.arrivedAt + std::min(request.caller.timeout.value_or(noTimeout), request.route->timeout);
+}
+
+bool EntryRequests::isTooLate(const Request& request, Instant now) const
 {
-    if (!this->processEnd)
+    if (!this->stop)
         return false;
-    const Duration left = *this->processEnd - now;
+    // An estimate is exceeded now and then, and these requests could have gone to another node.
+    if (request.arrivedAt >= this->stop->boundedFrom())
+        return request.deadline > this->stop->requestsEnd();
+    const Duration left = this->stop->requestsEnd() - now;
     // Routes to one service may differ by more than an order of magnitude.
-    if (const auto times = this->routeTimes.find(route.name); times != this->routeTimes.end())
+    if (const auto times = this->routeTimes.find(request.route->name); times != this->routeTimes.end())
         return left < times->second.upperBound();
     Duration hold {};
-    for (const WeightedService& target : route.targets)
+    for (const WeightedService& target : request.route->targets)
         hold = std::max(hold, this->state.router.meanHoldTime(target.service));
     return left < stopTimeFactor * hold;
 }
@@ -872,7 +878,7 @@
     if (request.sends >= maxSends || request.deadline - now < minTimeForRetry)
         return false;
     // No other node can go on with a stream that has begun, and its rest may take less time.
-    if (!request.streaming && this->isTooLate(*request.route, now))
+    if (!request.streaming && this->isTooLate(request, now))
         return false;
     if (request.runs > 0 && !request.route->retryable)
         return false;
@@ -1021,9 +1027,9 @@
         { "ms", fmt::format("{:.1f}", toMilliseconds(now - request.arrivedAt)) } };
     if (!request.passedOver.empty())
         fields.emplace_back("passedOver", request.passedOver);
-    if (this->stopRequestedAt)
+    if (this->stop)
         fields.emplace_back(
-            "arrivedAfterStopMs", fmt::format("{:.0f}", toMilliseconds(request.arrivedAt - *this->stopRequestedAt)));
+            "arrivedAfterStopMs", fmt::format("{:.0f}", toMilliseconds(request.arrivedAt - this->stop->receivedAt())));
     this->state.log(LogLevel::Info, "request ended", std::move(fields));
     this->stopWaiting(request);
     this->overload.onEnded(request.id);
@@ -1137,7 +1143,8 @@
         return rejected(serviceUnavailable, "such requests crashed several upstreams",
             std::max(minRetryAfter, this->crashes.remainingRejection(crashKeysOf(request), now)));
     }
-    if (this->isTooLate(*request.route, now))
+    setDeadline(request);
+    if (this->isTooLate(request, now))
         return rejected(serviceUnavailable, "this node is about to stop", stoppingRetryAfter);
     if (this->needsPeers(now))
         return { Outcome::Relayed, noLinks };
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -17,6 +17,7 @@
 #include "evacuation_exchange.hpp"
 #include "limit_exchange.hpp"
 #include "refusal_exchange.hpp"
+#include "stop_schedule.hpp"
 #include "teaselshore/entry/request_forecast.hpp"
 #include "teaselshore/reliability/duration_estimate.hpp"
 #include "teaselshore/routing/overload_controller.hpp"
@@ -43,15 +44,9 @@
     void onCapacityChanged(Instant now);
     /// @brief Hands the requests that wait, or are not answered, to peers.
     void onLinksLost(Instant now);
-    /// @brief Refuses requests from now on that are not likely to end before the process does.
-    void onStopRequested(Instant requestedAt, Instant processEnd)
-    {
-        this->stopRequestedAt = requestedAt;
-        this->processEnd = processEnd;
-    }
-    /// @brief From here on streams are refused on routes whose times are not known: only kept connections bring
-    /// requests.
-    void onAcceptingStopped() { this->refusesUnknownStreams = true; }
+    /// @brief Refuses requests from now on that are not likely to end before the process does, and later those that
+    /// need not.
+    void onStopRequested(const StopSchedule& schedule) { this->stop = schedule; }
     /// @brief Answers all open requests, as the process is about to end.
     void endAll(Instant now);
     void onTick(Instant now);
@@ -207,8 +202,10 @@
         bool mayHaveRun = false;
         bool connectionBroken = false;
     };
-    /// @brief Returns whether the process is likely to end before a request that starts now.
-    bool isTooLate(const EntryRoute& route, Instant now) const;
+    /// @brief Sets the time by which the response must be complete. Precondition: the route is set.
+    static void setDeadline(Request& request);
+    /// @brief Returns whether the process may end before a request that starts now. Precondition: its deadline is set.
+    bool isTooLate(const Request& request, Instant now) const;
     bool mayRetry(Request& request, const AttemptResult& result, Instant now);
     /// @brief Takes a retry from the budget if the request may have reached an upstream; false if there is none left.
     bool chargeRetry(const Request& request, Instant now);
@@ -268,10 +265,8 @@
     std::optional<Instant> earlyDeadline;
     /// True once all requests were ended; those that are still read are refused.
     bool hasEnded = false;
-    /// Begin of the planned stop, and end of the process.
-    std::optional<Instant> stopRequestedAt;
-    std::optional<Instant> processEnd;
-    bool refusesUnknownStreams = false;
+    /// Set during a planned stop.
+    std::optional<StopSchedule> stop;
     /// Times that attempts took whose response was passed on.
     std::map<RouteName, DurationEstimate> routeTimes;
     /// When the waiting requests were last dispatched.
