Count the grace period of a planned stop from when the request to stop reached the process

What callers saw: nothing yet on the users' machines, as far as is known; by reading, and by a test. A process whose event loop is late when SIGTERM comes counted its grace period from when the loop came to it. With 0.9 s, it ends open requests 0.6 s after the host has ended it by force, and takes requests meanwhile that it cannot answer.

Cause: the begin of the stop was the time of the event loop. Loops that are late by up to 983 ms were seen where processor time is counted.

Change: the thread of signals takes the time, and all moments but one count from it. The load balancer sees the node unready only once the request is handled, so that connections are accepted for as long from then, at most until open requests are ended.

Evidence: PlannedStop.ProcessEndsInTimeThoughItHandledTheRequestToStopLate failed before and passes, with 0.9 and 6 s.

--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -429,13 +429,14 @@
 {
     if (this->stop)
         return;
-    this->stop = StopSchedule(now, now, this->state.settings.host.stopGrace);
+    const Instant receivedAt = std::min(event.receivedAt.value_or(now), now);
+    this->stop = StopSchedule(receivedAt, now, this->state.settings.host.stopGrace);
     this->duties.stop();
     this->requests.onStopRequested(*this->stop);
     this->state.commands.emplace_back(AnnounceClose {});
     this->state.log(LogLevel::Info, "stopping",
         { { "openRequests", std::to_string(this->requests.openCount()) },
-            { "lateMs", fmt::format("{:.1f}", toMilliseconds(now - event.receivedAt.value_or(now))) } });
+            { "lateMs", fmt::format("{:.1f}", toMilliseconds(now - receivedAt)) } });
 }
 
 void EntryNode::Impl::advanceShutdown(bool isTick, Instant now)
--- a/src/teaselshore/entry/stop_schedule.cpp
+++ b/src/teaselshore/entry/stop_schedule.cpp
@@ -1,5 +1,7 @@
 #include "stop_schedule.hpp"
 
+#include <algorithm>
+
 namespace teaselshore {
 
 namespace {
@@ -24,7 +26,10 @@
 {
 }
 
-Instant StopSchedule::connectionsEnd() const { return this->handled + loadBalancerDelay; }
+Instant StopSchedule::connectionsEnd() const
+{
+    return std::min(this->handled + loadBalancerDelay, this->requestsEnd());
+}
 
 Instant StopSchedule::boundedFrom() const { return this->received + noticeTime; }
 
