Tests of planned stops: a late stop begins with open requests; limits at the end; retries

The test of a request to stop that is handled late did not check any longer that requests were open at that delay: with both refused it would have passed without anything to end. It asks for them again, and for the refusal and the bounded request at 6 s.

Two more cases: a time limit at the very end of requests (taken, and ended as its own limit; a microsecond more is refused), and the retry of a late request within its limit.

--- a/src/teaselshore/entry/planned_stop_test.cpp
+++ b/src/teaselshore/entry/planned_stop_test.cpp
@@ -367,14 +367,49 @@
     // Guards against a process that is ended by force with requests open, since it handled the request to stop late.
     TEST(PlannedStop, ProcessEndsInTimeThoughItHandledTheRequestToStopLate)
     {
-        for (const Duration delay : { 900ms, 6000ms }) {
-            StoppingNode node(400ms, {}, delay);
-            node.request("order");
-            if (node.request("digest"))
-                node.startStream();
-            node.advanceTo(200ms);
-            EXPECT_TRUE(node.isStopped) << toMilliseconds(delay);
-        }
+        StoppingNode late(400ms, {}, 900ms);
+        ASSERT_TRUE(late.request("order"));
+        ASSERT_TRUE(late.request("digest"));
+        late.startStream();
+        late.advanceTo(200ms);
+        EXPECT_TRUE(late.isStopped);
+
+        StoppingNode tooLate(400ms, {}, 6s);
+        EXPECT_FALSE(tooLate.request("order"));
+        ASSERT_EQ(tooLate.responses.size(), 1u);
+        EXPECT_EQ(tooLate.responses[0].status, 503);
+        ASSERT_TRUE(tooLate.request("order", 1s));
+        tooLate.advanceTo(200ms);
+        EXPECT_TRUE(tooLate.isStopped);
+    }
+
+    // Guards against a request that is taken, or refused, by mistake when its time limit is the very end of requests,
+    // and against one that is cut there in place of being told that its time is over.
+    TEST(PlannedStop, TimeLimitAtTheEndOfRequestsIsKept)
+    {
+        StoppingNode node;
+        ASSERT_TRUE(node.request("order")) << "keeps the process";
+        node.advanceTo(4s);
+        const Duration left = node.stopAt - 300ms - node.harness.now;
+        EXPECT_FALSE(node.request("digest", left + 1us));
+        ASSERT_TRUE(node.request("digest", left));
+        node.startStream();
+        node.advanceTo(-1s);
+        EXPECT_EQ(node.brokenStreams.size(), 1u) << "by its own time limit";
+        EXPECT_EQ(node.statistics().streamsCutByStop, 0u);
+    }
+
+    // Guards against retries of late requests that may outlast the process, or that are denied though they cannot.
+    TEST(PlannedStop, LateRequestIsRetriedWithinItsTimeLimit)
+    {
+        StoppingNode node;
+        ASSERT_TRUE(node.request("order")) << "keeps the process";
+        node.advanceTo(3s);
+        ASSERT_TRUE(node.request("status", 2s));
+        node.harness.respond(node.attempts.back(), 503, true);
+        const auto retry = node.harness.first<ForwardRequest>();
+        ASSERT_TRUE(retry);
+        EXPECT_LE(retry->context.deadline, node.stopAt - 300ms);
     }
 
 } // namespace
