Count a planned stop from the latest poll if the process had no processor when it was requested

What callers saw: nothing that is known to come from it; by the review of the fix. The thread that takes the time of the request to stop runs no sooner than the event loop if the whole process has no processor. After a pause of over 0.4 s, requests that came later than 3 s after the request to stop are judged by the estimate again; after 0.3 s, the last ones are open when the host ends the process.

Cause: the time at which a thread learns of something was taken for the time at which it came. The event loop tells since when it may have been late: it polls at least every 0.1 s here, so that a request to stop that is seen after the end of its wait may have come at any time since that poll began. The earlier time is taken.

Ruled out: the sending time from the kernel (signals have none); a wider margin (a pause has no bound).

--- a/include/teaselshore/http/event_loop.hpp
+++ b/include/teaselshore/http/event_loop.hpp
@@ -13,8 +13,8 @@
 
 /// @brief h2o event loop. Servers and clients created on it run in the thread that calls run().
 ///
-/// Only post() and stop() may be called from other threads; all else belongs to the loop's thread (or to the creating
-/// thread before run()). Tasks run inside run() only; the destructor releases those that are left.
+/// Only post(), stop() and lateSince() may be called from other threads; all else belongs to the loop's thread (or to
+/// the creating thread before run()). Tasks run inside run() only; the destructor releases those that are left.
 class EventLoop {
 public:
     static std::unique_ptr<EventLoop> create();
@@ -41,6 +41,10 @@
     /// @brief Returns the current monotonic time.
     Instant now() const;
 
+    /// @brief Returns since when the loop may have been busy, or the process without a processor: now unless the loop
+    /// is late. Thread-safe.
+    Instant lateSince() const;
+
     /// @brief Returns the longest time by which a timer ran late so far, since the loop was busy or the process had no
     /// processor.
     Duration longestTimerDelay() const;
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -288,8 +288,9 @@
 
 void EntryTask::requestStop()
 {
-    this->impl->loop->post(
-        [impl = this->impl.get(), receivedAt = monotonicNow()] { impl->handle(EntryStopRequested { receivedAt }); });
+    // The process may have had no processor when the request came.
+    const Instant receivedAt = this->impl->loop->lateSince();
+    this->impl->loop->post([impl = this->impl.get(), receivedAt] { impl->handle(EntryStopRequested { receivedAt }); });
 }
 
 void EntryTask::onSettingsChanged(EntrySettings settings)
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -44,8 +44,8 @@
     void onCapacityChanged(Instant now);
     /// @brief Hands the requests that wait, or are not answered, to peers.
     void onLinksLost(Instant now);
-    /// @brief Refuses requests from now on that are not likely to end before the process does, and later those that
-    /// need not.
+    /// @brief From now on, refuses requests that are not likely to end before the process does; later, all that may
+    /// outlast it.
     void onStopRequested(const StopSchedule& schedule) { this->stop = schedule; }
     /// @brief Answers all open requests, as the process is about to end.
     void endAll(Instant now);
--- a/src/teaselshore/http/event_loop.cpp
+++ b/src/teaselshore/http/event_loop.cpp
@@ -65,7 +65,10 @@
     while (!this->stopping.load(std::memory_order_acquire)) {
         this->runReleases();
         this->polledAt = monotonicNow();
-        h2o_evloop_run(this->loop, this->waitMilliseconds());
+        const std::int32_t wait = this->waitMilliseconds();
+        this->waitBegin = this->polledAt;
+        this->waitEnd = this->polledAt + std::chrono::milliseconds(wait);
+        h2o_evloop_run(this->loop, wait);
         this->runDueTimers();
     }
     // What arrived during the last timers is read too, and may be answered at once.
@@ -219,6 +222,12 @@
 
 Instant EventLoop::now() const { return monotonicNow(); }
 
+Instant EventLoop::lateSince() const
+{
+    const Instant now = monotonicNow();
+    return now > this->impl->waitEnd.load() ? this->impl->waitBegin.load() : now;
+}
+
 Duration EventLoop::longestTimerDelay() const { return this->impl->longestTimerDelay; }
 
 } // namespace teaselshore
--- a/src/teaselshore/http/event_loop_impl.hpp
+++ b/src/teaselshore/http/event_loop_impl.hpp
@@ -55,6 +55,9 @@
     TimerId lastTimer = 0;
     /// Time right before the latest poll.
     Instant polledAt = monotonicNow();
+    /// The same, and when the wait of that poll ends, for other threads.
+    std::atomic<Instant> waitBegin { polledAt };
+    std::atomic<Instant> waitEnd { polledAt };
     Duration longestTimerDelay {};
     Instant nextDelayLog {};
     std::vector<std::function<void()>> releases;
--- a/src/teaselshore/http/event_loop_test.cpp
+++ b/src/teaselshore/http/event_loop_test.cpp
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
@@ -42,6 +43,33 @@
         EXPECT_EQ(total, threadCount * tasksPerThread);
     }
 
+    // Guards against a thread that takes what it is told for new, though the process has had no time to look since.
+    TEST(EventLoop, TellsOtherThreadsSinceWhenItIsLate)
+    {
+        constexpr auto timerDelay = std::chrono::milliseconds(20);
+        const auto loop = EventLoop::create();
+        std::atomic<bool> isBusy = false;
+        Instant busySince {};
+        Instant lateSince {};
+        std::thread observer([&] {
+            while (!isBusy)
+                std::this_thread::yield();
+            std::this_thread::sleep_for(3 * timerDelay);
+            lateSince = loop->lateSince();
+            isBusy = false;
+        });
+        loop->runAfter(timerDelay, [&] { loop->stop(); });
+        loop->post([&] {
+            busySince = loop->now();
+            isBusy = true;
+            while (isBusy)
+                std::this_thread::yield();
+        });
+        loop->run();
+        observer.join();
+        EXPECT_LE(lateSince, busySince);
+    }
+
     // Guards against timers of a process that got no processor, which give up what has arrived in time but was not
     // looked at.
     TEST(EventLoop, RunsTimersAfterWhatArrivedBeforeTheyWereDue)
