Tests of requests that a configuration, a reload or an early stop could end

HttpServer.CallerThatEndsItsSendingSideIsTakenForGone states what happens to callers that end their sending side after a whole request: their request is cancelled and the connection closed without an answer, as an end cannot be told from a close.

--- a/src/teaselshore/entry/entry_requests_test.cpp
+++ b/src/teaselshore/entry/entry_requests_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <set>
 
@@ -668,6 +669,93 @@
         }
     }
 
+    // Guards against requests that are ended by a configuration which takes their route, service, key or time away
+    // while they are open, wait for an upstream or wait for a loan.
+    TEST(EntryRequests, ConfigurationEndsNoRequestThatHasBegun)
+    {
+        const std::pair<const char*, std::function<void(EntryConfiguration&)>> changes[] {
+            { "routes", [](EntryConfiguration& next) { next.routes.clear(); } },
+            { "services", [](EntryConfiguration& next) { next.routes.clear(), next.services.clear(); } },
+            { "workspaces", [](EntryConfiguration& next) { next.workspaces.clear(); } },
+            { "keys", [](EntryConfiguration& next) { next.workspaces[0].keys = { "key-of-nobody" }; } },
+            { "timeout",
+                [](EntryConfiguration& next) {
+                    for (EntryRoute& route : next.routes)
+                        route.timeout = 10ms, route.latencyTarget = 1ms, route.maxAttempts = 1;
+                } },
+        };
+        for (const auto& [name, change] : changes) {
+            EntryHarness harness;
+            harness.start(1, 1);
+            EntryConfiguration configuration = EntryHarness::configuration(2);
+            for (EntryRoute& route : configuration.routes)
+                route.timeout = 15s, route.latencyTarget = 80s;
+            harness.send(EntryConfigurationRead { configuration });
+            std::vector<RequestId> open { harness.request("order", 15s) };
+            const auto sent = harness.first<ForwardRequest>();
+            ASSERT_TRUE(sent) << name;
+            open.push_back(harness.request("order", 15s));
+            EXPECT_FALSE(harness.first<ForwardRequest>()) << name;
+
+            configuration.version = 3;
+            change(configuration);
+            harness.send(EntryConfigurationRead { configuration });
+            std::vector<Respond> responses;
+            const auto collect = [&] {
+                for (const Respond& response : harness.all<Respond>())
+                    responses.push_back(response);
+            };
+            collect();
+            for (int round = 0; round < 20; ++round) {
+                harness.advance(100ms);
+                collect();
+                EXPECT_FALSE(harness.first<CancelAttempt>()) << name;
+            }
+            EXPECT_TRUE(responses.empty()) << name;
+            harness.respond(sent->attempt.attempt, 200);
+            collect();
+            ASSERT_EQ(responses.size(), 1u) << name;
+            EXPECT_EQ(responses[0].request, open[0]) << name;
+            EXPECT_EQ(responses[0].status, 200) << name;
+            if (const auto next = harness.first<ForwardRequest>())
+                harness.respond(next->attempt.attempt, 200);
+            else
+                harness.advance(15s);
+            collect();
+            ASSERT_EQ(responses.size(), 2u) << name;
+            EXPECT_EQ(responses[1].status, std::string(name) == "services" ? 503 : 200) << name;
+        }
+    }
+
+    // Guards against a request that gets no answer since its workspace is removed, or its quota raised or lowered,
+    // while it waits for a loan.
+    TEST(EntryRequests, ConfigurationEndsNoRequestThatWaitsForALoan)
+    {
+        for (const std::optional<double> quota : { std::optional<double>(), std::optional(10.0), std::optional(1e6) }) {
+            for (const bool lends : { true, false }) {
+                QuotaHarness harness;
+                harness.request("order");
+                const auto asked = harness.asked();
+                ASSERT_TRUE(asked);
+                EntryConfiguration next = EntryHarness::configuration(3);
+                if (quota)
+                    next.workspaces[0].quota = WorkspaceQuota { QuotaUnit::Tokens, *quota, *quota, 1000 };
+                else
+                    next.workspaces.clear();
+                harness.send(EntryConfigurationRead { next });
+                EXPECT_FALSE(harness.first<Respond>());
+                if (lends)
+                    harness.lend(*asked, asked->amount);
+                else
+                    harness.advance(110ms);
+                const auto refused = harness.first<Respond>();
+                EXPECT_NE(refused.has_value(), harness.first<ForwardRequest>().has_value());
+                if (refused)
+                    EXPECT_EQ(refused->status, 429);
+            }
+        }
+    }
+
     // Guards against running a request with a loan that arrives after the caller has closed its connection.
     TEST(EntryRequests, ReturnsLoanOfDisconnectedCaller)
     {
--- a/src/teaselshore/entry/planned_stop_test.cpp
+++ b/src/teaselshore/entry/planned_stop_test.cpp
@@ -377,5 +377,49 @@
         }
     }
 
+    // Guards against requests of a process that is stopped before it has its configuration, and that get no answer:
+    // whether the configuration comes or not, and whether they come before the request to stop or after it.
+    TEST(PlannedStop, RequestsBeforeTheFirstConfigurationAreAnswered)
+    {
+        for (const int variant : { 0, 1, 2, 3 }) {
+            const bool isStoppedFirst = variant % 2 == 1;
+            const bool isConfigured = variant / 2 == 1;
+            EntryHarness harness;
+            std::vector<Respond> responses;
+            std::size_t sends = 0;
+            bool isStopped = false;
+            const auto collect = [&] {
+                sends += harness.all<ForwardRequest>().size();
+                for (const Respond& response : harness.all<Respond>())
+                    responses.push_back(response);
+                isStopped = isStopped || harness.first<StopProcess>();
+            };
+            const Instant end = harness.now + grace;
+            if (isStoppedFirst)
+                harness.send(EntryStopRequested { harness.now });
+            harness.request("order", 15s);
+            collect();
+            if (!isStoppedFirst)
+                harness.send(EntryStopRequested { harness.now });
+            harness.advance(50ms);
+            collect();
+            if (isConfigured) {
+                EntryConfiguration configuration = EntryHarness::configuration();
+                configuration.routes[0].timeout = 15s;
+                harness.send(EntryConfigurationRead { configuration });
+                harness.send(UpstreamsListed { { EntryHarness::upstream(1) } });
+                collect();
+            }
+            while (harness.now < end && !isStopped) {
+                harness.advance(20ms);
+                collect();
+            }
+            EXPECT_TRUE(isStopped) << variant;
+            EXPECT_EQ(sends, isConfigured ? 1u : 0u) << variant;
+            ASSERT_EQ(responses.size(), 1u) << variant;
+            EXPECT_EQ(responses[0].status, isConfigured ? 502 : 503) << variant;
+        }
+    }
+
 } // namespace
 } // namespace teaselshore
--- a/src/teaselshore/http/http_server_test.cpp
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -328,6 +328,45 @@
         EXPECT_EQ(answer.rfind("HTTP/1.1 408", 0), 0u) << answer;
     }
 
+    // Guards against a connection that is closed before the caller expects it, since the idle limit shrank after its
+    // last use.
+    TEST(HttpServer, IdleConnectionsKeepTheLimitOfTheirLastUse)
+    {
+        const std::string request = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+        HttpFixture fixture(echo);
+        const RawConnection connection(fixture.server->port());
+        makeIdle(fixture, connection, request);
+        fixture.server->setLimits({ 16384, 16384, std::chrono::seconds(3), std::chrono::milliseconds(50) });
+        // Beyond the new limit and what the server adds to it.
+        runFor(fixture, std::chrono::milliseconds(2300));
+        makeIdle(fixture, connection, request);
+        EXPECT_EQ(fixture.server->droppedRequests(), 0u);
+    }
+
+    // Guards against work that goes on for a caller that has left: an end of the sending side cannot be told from a
+    // close, so that a caller which still wants its answer keeps that side open.
+    TEST(HttpServer, CallerThatEndsItsSendingSideIsTakenForGone)
+    {
+        int closed = 0;
+        std::shared_ptr<ServerExchange> open;
+        HttpFixture fixture([&](const auto& exchange) {
+            exchange->onClosed([&closed] { ++closed; });
+            open = exchange;
+        });
+        const RawConnection connection(fixture.server->port());
+        connection.send("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc");
+        ASSERT_TRUE(fixture.runUntil([&] { return open != nullptr; }));
+        connection.endSending();
+        std::string answer;
+        bool ended = false;
+        ASSERT_TRUE(fixture.runUntil([&] {
+            answer += connection.receive(ended);
+            return ended;
+        }));
+        EXPECT_EQ(closed, 1);
+        EXPECT_EQ(answer, "");
+    }
+
     // Guards against a client that waits in vain for permission to send its body.
     TEST(HttpServer, AnswersExpectContinue)
     {
