Test of limits that shrink while requests are half read, failing

A chunked request of which a line between or behind the chunks was half read gets 400 when a configuration lowers the header limit. Heads and bodies pass.

--- a/src/teaselshore/http/http_server_test.cpp
+++ b/src/teaselshore/http/http_server_test.cpp
@@ -1,3 +1,4 @@
+#include <array>
 #include <atomic>
 #include <ctime>
 #include <memory>
@@ -328,6 +329,38 @@
         EXPECT_EQ(answer.rfind("HTTP/1.1 408", 0), 0u) << answer;
     }
 
+    // Guards against requests that are refused since limits that shrink meanwhile apply to what has begun under those
+    // of before: heads, bodies, and lines between and behind chunks.
+    TEST(HttpServer, LimitsThatShrinkApplyToLaterRequests)
+    {
+        const std::string post = "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n";
+        const std::string filler(1000, 'f');
+        const std::array<std::string, 3> requests[] {
+            { post + "x-custom: " + filler, filler, "\r\ncontent-length: 0\r\n\r\n" },
+            { post + "content-length: 2001\r\n\r\n" + filler, filler, "f" },
+            { post + "transfer-encoding: chunked\r\n\r\n1;" + filler, filler, "\r\nx\r\n0\r\n\r\n" },
+            { post + "transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nfield: " + filler, filler, "\r\n\r\n" },
+        };
+        for (const std::array<std::string, 3>& pieces : requests) {
+            HttpFixture fixture(echo);
+            const RawConnection connection(fixture.server->port());
+            connection.send(pieces[0]);
+            runFor(fixture, std::chrono::milliseconds(20));
+            fixture.server->setLimits({ 100, 100, std::chrono::milliseconds(50), std::chrono::milliseconds(50) });
+            runFor(fixture, std::chrono::milliseconds(150));
+            connection.send(pieces[1]);
+            runFor(fixture, std::chrono::milliseconds(20));
+            EXPECT_TRUE(connection.trySend(pieces[2]));
+            std::string answer;
+            bool ended = false;
+            ASSERT_TRUE(fixture.runUntil([&] {
+                answer += connection.receive(ended);
+                return ended;
+            }));
+            EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << pieces[0] << " -> " << answer;
+        }
+    }
+
     // Guards against a connection that is closed before the caller expects it, since the idle limit shrank after its
     // last use.
     TEST(HttpServer, IdleConnectionsKeepTheLimitOfTheirLastUse)
