Hold the lines of a chunked request against the limit under which it began

Callers saw 400 for a sound request in chunks, if a configuration lowered the header limit while one of its lines was half read. The limits of head and body are those of the moment at which the request began; only that of lines between and behind chunks was read from the server at each piece. It is kept with the connection now.

HttpServer.LimitsThatShrinkApplyToLaterRequests failed before for its two chunked requests and passes.

--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -184,6 +184,7 @@
     this->first = false;
     if (!this->parser) {
         const HttpServerLimits& limits = this->core.limits();
+        this->maxLineBytes = limits.maxHeaderBytes;
         this->parser.emplace(RequestLimits { limits.maxHeaderBytes, this->core.maxHeaderFields(), limits.maxBodyBytes,
             this->core.refusesDotSegments() });
         this->memory = this->core.bodyBudget().reservation();
@@ -197,7 +198,7 @@
     h2o_buffer_consume(&this->socket->input, used);
     // The head's limit does not cover the lines between chunks and after the last one.
     if (progress == RequestParser::Progress::NeedsMore && this->parser->hasHeader()
-        && this->socket->input->size > this->core.limits().maxHeaderBytes)
+        && this->socket->input->size > this->maxLineBytes)
         progress = RequestParser::Progress::Malformed;
     const bool isValid = progress == RequestParser::Progress::NeedsMore || progress == RequestParser::Progress::Done;
     // Bytes behind a whole request belong to the next one.
--- a/src/teaselshore/http/http1_connection.hpp
+++ b/src/teaselshore/http/http1_connection.hpp
@@ -125,6 +125,8 @@
     h2o_socket_t* socket;
     State state = State::Idle;
     std::optional<RequestParser> parser;
+    /// Limit on lines between and behind the chunks of the request that is being read.
+    std::size_t maxLineBytes = 0;
     /// Memory for the request that is being read.
     ByteBudget::Reservation memory;
     std::shared_ptr<Http1Exchange> exchange;
