Test of a silent upstream whose request nobody else can take, failing

The node takes its links for lost, cancels the attempt after 600 ms, finds that no peer can take the request, and answers 502 though the upstream was at work.

--- a/src/teaselshore/entry/relayed_requests_test.cpp
+++ b/src/teaselshore/entry/relayed_requests_test.cpp
@@ -293,5 +293,43 @@
         EXPECT_EQ(this->harness.node.statistics().upstreamCrashes, 0u);
     }
 
+    // Guards against a request that fails while its upstream is at work, since the links seem to be lost and nobody
+    // else can take it: during a planned stop, and without a peer.
+    TEST(RelayedRequests, SilentUpstreamKeepsTheRequestThatNobodyElseCanTake)
+    {
+        EntryHarness harness;
+        harness.start();
+        EntryConfiguration configuration = EntryHarness::configuration(2);
+        for (EntryRoute& route : configuration.routes)
+            route.timeout = 15s;
+        harness.send(EntryConfigurationRead { configuration });
+        for (const char* route : { "status", "query" }) {
+            const RequestId id = harness.request(route, 15s);
+            const auto sent = harness.first<ForwardRequest>();
+            ASSERT_TRUE(sent);
+            for (int round = 0; round < 20; ++round) {
+                // Attempts that cannot connect make the node check its links.
+                if (round % 2 == 0)
+                    harness.request("order", 15s);
+                for (const ForwardRequest& other : harness.all<ForwardRequest>())
+                    harness.fail(other.attempt.attempt, false);
+                harness.advance(100ms);
+                for (const Respond& response : harness.all<Respond>())
+                    EXPECT_NE(response.request, id) << route;
+                const auto checks = harness.all<CheckUpstream>();
+                for (const CheckUpstream& check : checks) {
+                    harness.send(UpstreamChecked { check.upstream, UpstreamChecked::State::Unknown, false });
+                    for (const Respond& response : harness.all<Respond>())
+                        EXPECT_NE(response.request, id) << route;
+                }
+            }
+            ASSERT_TRUE(harness.node.statistics().linksLost);
+            harness.respond(sent->attempt.attempt, 200);
+            ASSERT_EQ(harness.all<Respond>().size(), 1u) << route;
+            EXPECT_EQ(harness.first<Respond>()->request, id);
+            EXPECT_EQ(harness.first<Respond>()->status, 200);
+        }
+    }
+
 } // namespace
 } // namespace teaselshore
