Give up a silent attempt only if a peer can repeat the request

Callers of idempotent requests saw 502, and those of resumed streams the end of their stream, 600 ms after an attempt had begun, when the node took its links for lost. abandonUnanswered() cancelled the attempt first and asked afterwards whether the request may be sent once more. Without a peer, retry budget, time (a planned stop too) or attempts, nothing was gained: the upstream may be at work and the links may return.

It asks before now, with the conditions of mayRetry(). Requests that a peer handed on, which may not be handed on again, keep their attempt, too.

RelayedRequests.SilentUpstreamKeepsTheRequestThatNobodyElseCanTake failed before and passes; so do the other tests of requests, links and relays (71).

--- a/include/teaselshore/entry/peer_relays.hpp
+++ b/include/teaselshore/entry/peer_relays.hpp
@@ -23,6 +23,8 @@
     /// @brief Returns a random peer out of those that were not tried, preferably one that has not failed lately;
     /// nothing if all were tried.
     std::optional<std::string> choose(const std::vector<std::string>& tried, Instant now);
+    /// @brief Returns whether there is a peer that was not tried.
+    bool hasOther(const std::vector<std::string>& tried) const;
     /// @brief Records that a peer could not be reached or did not take a request.
     void onFailed(const std::string& address, Instant now);
 
--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -873,16 +873,21 @@
     return left < stopTimeFactor * hold;
 }
 
-bool EntryRequests::mayRetry(Request& request, const AttemptResult& result, Instant now)
+bool EntryRequests::mayRunAfter(std::uint32_t runs, const Request& request, Instant now) const
 {
     if (request.sends >= maxSends || request.deadline - now < minTimeForRetry)
         return false;
     // No other node can go on with a stream that has begun, and its rest may take less time.
     if (!request.streaming && this->isTooLate(request, now))
         return false;
-    if (request.runs > 0 && !request.route->retryable)
+    if (runs > 0 && !request.route->retryable)
         return false;
-    if (request.runs + earlierRuns(request) >= request.route->maxAttempts)
+    return runs + earlierRuns(request) < request.route->maxAttempts;
+}
+
+bool EntryRequests::mayRetry(Request& request, const AttemptResult& result, Instant now)
+{
+    if (!this->mayRunAfter(request.runs, request, now))
         return false;
     if (result.connectionBroken && !this->crashes.mayRetryAfterBrokenConnection(crashKeysOf(request)))
         return false;
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -170,6 +170,8 @@
     void recordFirstEvent(Request& request, Instant now);
     void logShortages();
     void dispatch(Request& request, Instant now);
+    /// @brief Returns whether there is a peer for the request, and time to hand it on.
+    bool canRelay(const Request& request, Instant now) const;
     /// @brief Hands the request to a peer. Returns false if it may not be, or if no peer is left.
     bool tryRelay(Request& request, Instant now);
     /// @brief Returns whether upstreams cannot serve the requests of this node, not even on connections that are open.
@@ -179,7 +181,7 @@
     void onPeerResponded(const RelayedAttempt& attempt, UpstreamResponded event, Instant now);
     void onPeerFailed(const RelayedAttempt& attempt, const AttemptFailed& event, Instant now);
     std::optional<RelayedAttempt> takeRelayedAttempt(AttemptId id);
-    /// @brief Gives up attempts without an answer that may be repeated, since the links are lost.
+    /// @brief Gives up attempts without an answer that a peer can repeat, since the links are lost.
     void abandonUnanswered(Instant now);
     /// @brief Returns whether all upstreams of the service that could serve requests are in evacuated zones.
     bool isEvacuated(const ServiceName& service, Instant now) const;
@@ -206,6 +208,8 @@
     static void setDeadline(Request& request);
     /// @brief Returns whether the process may end before a request that starts now. Precondition: its deadline is set.
     bool isTooLate(const Request& request, Instant now) const;
+    /// @brief Returns whether the request may be sent once more, and has the time, when it has run so many times here.
+    bool mayRunAfter(std::uint32_t runs, const Request& request, Instant now) const;
     bool mayRetry(Request& request, const AttemptResult& result, Instant now);
     /// @brief Takes a retry from the budget if the request may have reached an upstream; false if there is none left.
     bool chargeRetry(const Request& request, Instant now);
--- a/src/teaselshore/entry/peer_relays.cpp
+++ b/src/teaselshore/entry/peer_relays.cpp
@@ -27,6 +27,12 @@
     return choices[this->random.below(choices.size())];
 }
 
+bool PeerRelays::hasOther(const std::vector<std::string>& tried) const
+{
+    return std::any_of(this->peers.begin(), this->peers.end(),
+        [&tried](const std::string& peer) { return std::find(tried.begin(), tried.end(), peer) == tried.end(); });
+}
+
 void PeerRelays::onFailed(const std::string& address, Instant now) { this->failedAt.insert_or_assign(address, now); }
 
 } // namespace teaselshore
--- a/src/teaselshore/entry/relayed_requests.cpp
+++ b/src/teaselshore/entry/relayed_requests.cpp
@@ -35,11 +35,16 @@
 
 } // namespace
 
+bool EntryRequests::canRelay(const Request& request, Instant now) const
+{
+    return !request.handed && request.triedPeers.size() < maxTriedPeers && request.deadline - now >= minTimeForRelay
+        && this->state.relays.hasOther(request.triedPeers);
+}
+
 bool EntryRequests::tryRelay(Request& request, Instant now)
 {
     const bool mayRun = request.runs == 0 || request.route->retryable;
-    if (request.handed || !mayRun || request.runs >= request.route->maxAttempts
-        || request.triedPeers.size() >= maxTriedPeers || request.deadline - now < minTimeForRelay)
+    if (!mayRun || request.runs >= request.route->maxAttempts || !this->canRelay(request, now))
         return false;
     std::optional<std::string> peer = this->state.relays.choose(request.triedPeers, now);
     if (!peer)
@@ -168,9 +173,9 @@
     }
     for (const RequestId& id : unanswered) {
         Request* request = this->find(id);
-        // A request that may not be repeated waits for its answer, as the links may return in time.
-        if (!request || !request->attempt || !request->route->retryable
-            || request->runs + 1 >= request->route->maxAttempts)
+        // A request that nobody else can run waits for its answer, as the links may return in time.
+        if (!request || !request->attempt || !this->mayRunAfter(request->runs + 1, *request, now)
+            || !this->canRelay(*request, now) || this->state.retryBudget(request->service).remaining(now) < 1)
             continue;
         request->routing.excluded.push_back(this->attempts.at(*request->attempt).upstream);
         this->cancelAttempt(*request, now);
