Block signals before the settings are read

A SIGHUP in the first moments of a process ended it, as the signals were blocked only once the settings had been read; callers found no process. They are blocked first now, in both programs. A SIGTERM that comes so early leads to a graceful stop.

Signals before main() still end the process.

--- a/src/teaselshore/daemon/entry_main.cpp
+++ b/src/teaselshore/daemon/entry_main.cpp
@@ -46,7 +46,6 @@
 
 int runDaemon(const EntrySettings& settings, const std::string& path, std::uint64_t seed)
 {
-    blockSignals();
     setLogNode(settings.node);
     HttpError error;
     const auto task = EntryTask::create(settings, seed, &error);
@@ -72,6 +71,8 @@
 
 int main(int argc, char** argv)
 {
+    // First of all: a signal that comes while the settings are read would end the process.
+    blockSignals();
     try {
         TCLAP::CmdLine commandLine("Daemon of teaselshore for platforms where upstreams register themselves: takes "
                                    "requests of callers and routes them to upstreams. SIGTERM starts a graceful "
--- a/src/teaselshore/daemon/teaselshored_main.cpp
+++ b/src/teaselshore/daemon/teaselshored_main.cpp
@@ -80,7 +80,6 @@
 
 int runDaemon(const DaemonSettings& settings, std::uint64_t seed)
 {
-    blockSignals();
     const auto start = std::chrono::system_clock::now().time_since_epoch();
     const NodeId id = makeNodeId(settings.node,
         static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(start).count()));
@@ -134,6 +133,8 @@
 
 int main(int argc, char** argv)
 {
+    // First of all: a signal that comes while the settings are read would end the process.
+    blockSignals();
     try {
         TCLAP::CmdLine commandLine("Daemon of teaselshore: takes requests of callers and routes them to upstreams. "
                                    "SIGTERM starts a graceful shutdown.");
