Test of connections that are idle when a process ends, failing

AnswerDrain lets the process end while connections are open on which no answer announced the close. A request that arrives between that look and the end of the process is dropped with its connection.

--- a/src/teaselshore/daemon/answer_drain_test.cpp
+++ b/src/teaselshore/daemon/answer_drain_test.cpp
@@ -2,6 +2,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "answer_drain.hpp"
+#include "teaselshore/http/test_support.hpp"
 
 namespace teaselshore {
 namespace {
@@ -25,5 +26,26 @@
             RC_ASSERT(ends == (owed.unsent.connections == 0 && owed.arriving == 0 && now >= times.earliest));
     }
 
+    // Guards against requests that arrive on an idle connection after the last look at it, and that the process drops
+    // with the connection at its end.
+    TEST(AnswerDrain, LeavesNoIdleConnectionOpen)
+    {
+        HttpFixture fixture([](const auto& exchange) { exchange->reply({ 200, {}, "whole" }); });
+        const RawConnection connection(fixture.server->port());
+        connection.send("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+        std::string answer;
+        bool ended = false;
+        ASSERT_TRUE(fixture.runUntil([&] { return (answer += connection.receive(ended)).ends_with("whole"); }));
+        ASSERT_FALSE(ended);
+        AnswerDrain drain(*fixture.loop, { fixture.server.get() });
+        bool isDone = false;
+        drain.start({ fixture.loop->now(), fixture.loop->now() + 5s }, [&] {
+            connection.receive(ended);
+            isDone = true;
+        });
+        ASSERT_TRUE(fixture.runUntil([&] { return isDone; }));
+        EXPECT_TRUE(ended);
+    }
+
 } // namespace
 } // namespace teaselshore
