Close idle connections before the end of a process, after a look at each

Nodes logged "the server ended before it was read" at the end of planned stops: a request came to a connection that had become idle again after its last answer, while the process went from the last look of AnswerDrain to its end. The caller had an open connection, and its request was dropped; a process that gets no processor in between holds it for that long.

Once nothing is owed, AnswerDrain closes each idle connection on which no byte waits, and looks again: what had arrived in between is read and refused before the process ends. Requests that come later cross a close, which their callers see at once.

--- a/include/teaselshore/http/http_server.hpp
+++ b/include/teaselshore/http/http_server.hpp
@@ -136,6 +136,8 @@
     UnsentAnswers unsentAnswers() const;
     /// @brief HTTP/1 connections on which bytes of a request have arrived, read or not, that has no exchange yet.
     std::size_t arrivingRequests() const;
+    /// @brief Closes HTTP/1 connections that wait for a request of which no byte has arrived.
+    void closeIdleConnections();
     /// @brief Connections that were closed before their callers had received a finished answer, since they stopped to
     /// read it.
     std::uint64_t cutAnswers() const;
--- a/src/teaselshore/daemon/answer_drain.cpp
+++ b/src/teaselshore/daemon/answer_drain.cpp
@@ -19,7 +19,7 @@
     return now >= times.deadline || (now >= times.earliest && owesNothing);
 }
 
-AnswerDrain::AnswerDrain(EventLoop& loop, std::vector<const HttpServer*> servers)
+AnswerDrain::AnswerDrain(EventLoop& loop, std::vector<HttpServer*> servers)
     : loop(loop)
     , servers(std::move(servers))
 {
@@ -49,6 +49,11 @@
 void AnswerDrain::check()
 {
     const Instant now = this->loop.now();
+    if (mayEnd(this->owed(), this->times, now)) {
+        // Requests may still arrive on them until the process is gone.
+        for (HttpServer* server : this->servers)
+            server->closeIdleConnections();
+    }
     const OwedToCallers owed = this->owed();
     if (!mayEnd(owed, this->times, now)) {
         this->timer = this->loop.runAfter(checkPeriod, [this] { this->check(); });
--- a/src/teaselshore/daemon/answer_drain.hpp
+++ b/src/teaselshore/daemon/answer_drain.hpp
@@ -39,12 +39,13 @@
 /// must outlive it.
 class AnswerDrain {
 public:
-    AnswerDrain(EventLoop& loop, std::vector<const HttpServer*> servers);
+    AnswerDrain(EventLoop& loop, std::vector<HttpServer*> servers);
     ~AnswerDrain();
     AnswerDrain(const AnswerDrain&) = delete;
     AnswerDrain& operator=(const AnswerDrain&) = delete;
 
-    /// @brief Runs the function once the process may end, and logs what is left unsent. Precondition: not started yet.
+    /// @brief Runs the function once the process may end and idle connections are closed, and logs what is left unsent.
+    /// Precondition: not started yet.
     void start(const DrainTimes& limits, std::function<void()> onEnd);
 
 private:
@@ -52,7 +53,7 @@
     OwedToCallers owed() const;
 
     EventLoop& loop;
-    std::vector<const HttpServer*> servers;
+    std::vector<HttpServer*> servers;
     DrainTimes times;
     std::function<void()> onEnd;
     TimerId timer = 0;
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -686,7 +686,7 @@
 void EntryTask::Impl::execute(StopProcess& command)
 {
     this->stopped = true;
-    std::vector<const HttpServer*> servers { this->callers.get() };
+    std::vector<HttpServer*> servers { this->callers.get() };
     if (this->relays)
         servers.push_back(this->relays.get());
     this->drain = std::make_unique<AnswerDrain>(*this->loop, std::move(servers));
--- a/src/teaselshore/daemon/serving_task.cpp
+++ b/src/teaselshore/daemon/serving_task.cpp
@@ -268,8 +268,7 @@
 {
     this->stopped = true;
     this->callerServer->stopAccepting();
-    this->drain
-        = std::make_unique<AnswerDrain>(*this->loop, std::vector<const HttpServer*> { this->callerServer.get() });
+    this->drain = std::make_unique<AnswerDrain>(*this->loop, std::vector<HttpServer*> { this->callerServer.get() });
     this->drain->start({ this->loop->now() + stopDelay, command.deadline }, [this] { this->loop->stop(); });
 }
 
--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -491,6 +491,12 @@
         this->extendDeadline(lastRequestTime);
 }
 
+void Http1Connection::closeIfIdle()
+{
+    if (this->state == State::Idle && !this->isReceiving())
+        this->close();
+}
+
 void Http1Connection::endWithServer()
 {
     if (this->isReceiving())
--- a/src/teaselshore/http/http1_connection.hpp
+++ b/src/teaselshore/http/http1_connection.hpp
@@ -30,6 +30,8 @@
     void closeWhenIdle();
     /// @brief Closes the connection at once.
     void breakOff();
+    /// @brief Closes the connection if it waits for a request of which no byte has arrived.
+    void closeIfIdle();
     /// @brief Like breakOff(), and counts a request of which bytes have arrived and that gets no answer.
     void endWithServer();
 
--- a/src/teaselshore/http/http_server.cpp
+++ b/src/teaselshore/http/http_server.cpp
@@ -106,6 +106,8 @@
 
 std::size_t HttpServer::arrivingRequests() const { return this->impl->core->arrivingRequests(); }
 
+void HttpServer::closeIdleConnections() { this->impl->core->closeIdleConnections(); }
+
 std::uint64_t HttpServer::cutAnswers() const { return this->impl->core->cutAnswers(); }
 
 std::uint64_t HttpServer::droppedRequests() const { return this->impl->core->droppedRequests(); }
--- a/src/teaselshore/http/server_core.cpp
+++ b/src/teaselshore/http/server_core.cpp
@@ -148,6 +148,16 @@
     return count;
 }
 
+void ServerCore::closeIdleConnections()
+{
+    std::vector<Http1Connection*> open;
+    open.reserve(this->connections.size());
+    for (const auto& [socket, connection] : this->connections)
+        open.push_back(connection.get());
+    for (Http1Connection* connection : open)
+        connection->closeIfIdle();
+}
+
 BodyMemory ServerCore::bodyMemory() const
 {
     return { this->bodies.used(), this->bodies.total(), this->bodiesWithoutMemory };
--- a/src/teaselshore/http/server_core.hpp
+++ b/src/teaselshore/http/server_core.hpp
@@ -57,6 +57,7 @@
     std::uint64_t droppedRequests() const { return this->dropped; }
     UnsentAnswers unsentAnswers() const;
     std::size_t arrivingRequests() const;
+    void closeIdleConnections();
     const ByteBudget& bodyBudget() const { return this->bodies; }
     void setBodyBudget(ByteBudget budget) { this->bodies = std::move(budget); }
     void countBodyWithoutMemory() { ++this->bodiesWithoutMemory; }
