--- a/src/teaselshore/http/http1_connection.hpp
+++ b/src/teaselshore/http/http1_connection.hpp
@@ -30,6 +30,8 @@
     void closeWhenIdle();
     /// @brief Closes the connection at once.
     void breakOff();
+    /// @brief Closes the connection if it waits for a request of which no byte has arrived.
+    void closeIfIdle();
     /// @brief Like breakOff(), and counts a request of which bytes have arrived and that gets no answer.
     void endWithServer();
 
@@ -125,6 +127,8 @@
     h2o_socket_t* socket;
     State state = State::Idle;
     std::optional<RequestParser> parser;
+    /// Limit on lines between and behind the chunks of the request that is being read.
+    std::size_t maxLineBytes = 0;
     /// Memory for the request that is being read.
     ByteBudget::Reservation memory;
     std::shared_ptr<Http1Exchange> exchange;
