Name the longest task of a late round of the event loop

Callers saw nothing of it. A line "event loop is late" said by how much timers were late, not what kept the loop: work of the process, or a host that gave it no processor.

Change: each stretch of work of a round is measured with one clock read where it begins; the line names the longest one (what called it, and the work that the task names by EventLoop::nameWork()), and the processor time of the thread since the last poll. The granted wait for sockets does not count. One more system call per round, for the processor time.

Ruled out: the time of day of h2o as the end of the wait; h2o reads it again after its callbacks, so that callbacks of sockets were taken for the wait. The first callback ends the wait instead.

--- a/include/teaselshore/http/event_loop.hpp
+++ b/include/teaselshore/http/event_loop.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 #include "teaselshore/base/time.hpp"
 
@@ -41,6 +42,10 @@
     /// @brief Returns the current monotonic time.
     Instant now() const;
 
+    /// @brief Names what the running task goes on with, for the log line of a late loop. The text must outlive the
+    /// loop; takes one clock read.
+    void nameWork(std::string_view work);
+
     /// @brief Returns the longest time by which a timer ran late so far, since the loop was busy or the process had no
     /// processor.
     Duration longestTimerDelay() const;
--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -137,6 +137,17 @@
         return { limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout };
     }
 
+    /// Names the events whose handling may take long.
+    struct WorkNames {
+        std::string_view operator()(const CallerRequestArrived&) const { return "request routed"; }
+        std::string_view operator()(const EntryConfigurationRead&) const { return "configuration taken over"; }
+        std::string_view operator()(const UpstreamsListed&) const { return "upstreams taken over"; }
+        std::string_view operator()(const NodeReportsRead&) const { return "node reports decoded"; }
+        std::string_view operator()(const EntryMessageReceived&) const { return "message of a peer"; }
+        std::string_view operator()(const EntryTick&) const { return "tick"; }
+        template <typename Event> std::string_view operator()(const Event&) const { return "other event"; }
+    };
+
     NodeId makeProcessId(const std::string& node)
     {
         const auto start = std::chrono::system_clock::now().time_since_epoch();
@@ -495,6 +506,7 @@
     for (const KindObject& object : objects) {
         if (object.name != wire::configName || object.deleted)
             continue;
+        this->loop->nameWork("configuration decoded");
         std::string reason;
         if (auto configuration = decodeConfiguration(object.spec, reason))
             this->handle(EntryConfigurationRead { std::move(*configuration), encodeConfiguration(object.spec) });
@@ -506,6 +518,7 @@
 
 void EntryTask::Impl::onUpstreamsListed(const std::vector<KindObject>& objects)
 {
+    this->loop->nameWork("upstreams decoded");
     UpstreamsListed listed;
     std::vector<UpstreamReplaced> replaced;
     for (const KindObject& object : objects) {
@@ -610,7 +623,10 @@
     // Requests that are still read while the last answers leave need an answer too.
     if (this->stopped && !std::holds_alternative<CallerRequestArrived>(event))
         return;
-    for (EntryCommand& command : this->node.handle(std::move(event), this->loop->now()))
+    this->loop->nameWork(std::visit(WorkNames {}, event));
+    EntryCommands commands = this->node.handle(std::move(event), this->loop->now());
+    this->loop->nameWork("commands");
+    for (EntryCommand& command : commands)
         std::visit([this](auto& content) { this->execute(content); }, command);
     this->scheduleTick();
 }
@@ -740,6 +756,7 @@
 {
     // Posted, because the node is still inside the event that issued the command.
     this->loop->post([this, text = std::move(command.text)] {
+        this->loop->nameWork("configuration of a peer decoded");
         std::string reason;
         if (auto configuration = decodeConfiguration(text, reason))
             this->handle(EntryConfigurationRead { std::move(*configuration), text });
--- a/src/teaselshore/http/event_loop.cpp
+++ b/src/teaselshore/http/event_loop.cpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <csignal>
 #include <cstdint>
+#include <ctime>
+#include <string_view>
 #include <utility>
 
 #include <sys/eventfd.h>
@@ -23,6 +25,21 @@
     /// Rounds that the destructor grants h2o to release closed sockets.
     constexpr int drainRounds = 100;
 
+    constexpr std::string_view startWork = "start";
+    constexpr std::string_view waitWork = "wait";
+    constexpr std::string_view socketWork = "sockets";
+    constexpr std::string_view postedWork = "posted task";
+    constexpr std::string_view timerWork = "timer";
+    constexpr std::string_view releaseWork = "release";
+
+    Duration threadProcessorTime()
+    {
+        timespec time {};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+        return std::chrono::duration_cast<Duration>(
+            std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+    }
+
     void onWake(h2o_socket_t* socket, const char*)
     {
         auto* impl = static_cast<EventLoop::Impl*>(socket->data);
@@ -38,6 +55,7 @@
     , wakeDescriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
 {
     TEASELSHORE_ASSERT(this->wakeDescriptor >= 0, "eventfd failed");
+    this->meter.begin(startWork, monotonicNow());
     // An eventfd instead of h2o's multithread queue: that queue reads into buffers of the creating thread.
     this->wakeSocket = h2o_evloop_socket_create(this->loop, this->wakeDescriptor, H2O_SOCKET_FLAG_DONT_READ);
     this->wakeSocket->data = this;
@@ -62,10 +80,11 @@
 void EventLoop::Impl::run()
 {
     this->entered = true;
+    this->processorTimeAtPoll = threadProcessorTime();
     while (!this->stopping.load(std::memory_order_acquire)) {
         this->runReleases();
-        this->polledAt = monotonicNow();
-        h2o_evloop_run(this->loop, this->waitMilliseconds());
+        this->beginRound();
+        this->poll();
         this->runDueTimers();
     }
     // What arrived during the last timers is read too, and may be answered at once.
@@ -73,6 +92,37 @@
     this->stopping.store(false, std::memory_order_release);
 }
 
+void EventLoop::Impl::beginRound()
+{
+    this->polledAt = monotonicNow();
+    this->longestWork = this->meter.endRound(this->polledAt);
+    const Duration used = threadProcessorTime();
+    this->processorTime = used - std::exchange(this->processorTimeAtPoll, used);
+}
+
+void EventLoop::Impl::poll()
+{
+    const std::int32_t wait = this->waitMilliseconds();
+    this->meter.begin(waitWork, this->polledAt, std::chrono::milliseconds(wait));
+    this->waiting = true;
+    h2o_evloop_run(this->loop, wait);
+    this->endWait(monotonicNow());
+}
+
+void EventLoop::Impl::endWait(Instant now)
+{
+    if (!std::exchange(this->waiting, false))
+        return;
+    this->meter.begin(socketWork, now);
+}
+
+void EventLoop::Impl::nameWork(std::string_view work)
+{
+    const Instant now = monotonicNow();
+    this->endWait(now);
+    this->meter.name(work, now);
+}
+
 void EventLoop::Impl::wake()
 {
     const std::uint64_t one = 1;
@@ -85,6 +135,9 @@
 {
     std::vector<std::function<void()>> tasks;
     tasks.swap(this->releases);
+    if (tasks.empty())
+        return;
+    this->meter.begin(releaseWork, monotonicNow());
     // A connection, which its task holds, must be gone before the task that releases its server.
     for (std::function<void()>& task : tasks)
         std::exchange(task, nullptr)();
@@ -107,8 +160,14 @@
         const std::lock_guard<std::mutex> lock(this->postedMutex);
         tasks.swap(this->posted);
     }
-    for (const std::function<void()>& task : tasks)
+    Instant now = monotonicNow();
+    this->endWait(now);
+    for (const std::function<void()>& task : tasks) {
+        this->meter.begin(postedWork, now);
         task();
+        now = monotonicNow();
+    }
+    this->meter.begin(socketWork, now);
 }
 
 TimerId EventLoop::Impl::addTimer(Duration delay, std::function<void()> task)
@@ -142,14 +201,17 @@
         this->noteDelay(this->polledAt - due);
         auto node = this->timers.extract(this->timers.begin());
         this->timerDue.erase(node.key().second);
+        this->meter.begin(timerWork, monotonicNow());
         node.mapped()();
         ran = true;
     }
     // h2o runs the callbacks of completed writes before each poll. It registers a socket whose write completed in a
     // timer for writing otherwise, and aborts when more than 256 sockets are ready and that one is reported a round
     // later.
-    if (ran)
+    if (ran) {
+        this->meter.begin(socketWork, monotonicNow());
         h2o_timeout__do_post_callback(this->loop);
+    }
     return ran;
 }
 
@@ -161,7 +223,10 @@
     // The oldest timer comes first, and the others of this round are no news.
     if (const Instant now = monotonicNow(); now >= this->nextDelayLog) {
         this->nextDelayLog = now + loggedDelay;
-        logLine(LogLevel::Warning, "event loop is late", { { "ms", toMilliseconds(delay) } });
+        logLine(LogLevel::Warning, "event loop is late",
+            { { "ms", toMilliseconds(delay) }, { "longestTask", this->longestWork.task },
+                { "work", this->longestWork.work }, { "taskMs", toMilliseconds(this->longestWork.length) },
+                { "processorMs", toMilliseconds(this->processorTime) } });
     }
 }
 
@@ -219,6 +284,8 @@
 
 Instant EventLoop::now() const { return monotonicNow(); }
 
+void EventLoop::nameWork(std::string_view work) { this->impl->nameWork(work); }
+
 Duration EventLoop::longestTimerDelay() const { return this->impl->longestTimerDelay; }
 
 } // namespace teaselshore
--- a/src/teaselshore/http/event_loop_impl.hpp
+++ b/src/teaselshore/http/event_loop_impl.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -12,6 +13,7 @@
 #include "h2o.hpp"
 #include "teaselshore/base/clock.hpp"
 #include "teaselshore/http/event_loop.hpp"
+#include "work_meter.hpp"
 
 namespace teaselshore {
 
@@ -23,6 +25,13 @@
     Impl& operator=(const Impl&) = delete;
 
     void run();
+    /// @brief Notes when the poll begins, and what kept the loop from it.
+    void beginRound();
+    /// @brief Waits for sockets, at most until the next timer, and runs their callbacks.
+    void poll();
+    /// @brief Ends the wait of this poll where the first callback of a socket begins.
+    void endWait(Instant now);
+    void nameWork(std::string_view work);
     void wake();
     /// @brief Runs a task that releases what h2o may still use further up the call stack, in the next round or in the
     /// destructor.
@@ -55,6 +64,14 @@
     TimerId lastTimer = 0;
     /// Time right before the latest poll.
     Instant polledAt = monotonicNow();
+    WorkMeter meter;
+    /// Whether the loop is in a poll and no callback has run yet.
+    bool waiting = false;
+    /// Longest work between the last two polls, and the processor time of the thread in between.
+    LoopWork longestWork;
+    Duration processorTime {};
+    /// Processor time of the thread at the latest poll.
+    Duration processorTimeAtPoll {};
     Duration longestTimerDelay {};
     Instant nextDelayLog {};
     std::vector<std::function<void()>> releases;
--- a/src/teaselshore/http/event_loop_test.cpp
+++ b/src/teaselshore/http/event_loop_test.cpp
@@ -4,14 +4,20 @@
 #include <thread>
 #include <vector>
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include "teaselshore/base/clock.hpp"
 #include "teaselshore/http/event_loop.hpp"
 #include "teaselshore/http/http_server.hpp"
+#include "test_support.hpp"
+#include "work_meter.hpp"
 
 namespace teaselshore {
 namespace {
 
+    using testing::HasSubstr;
+
     // Guards against tasks of other threads that are lost, reordered or leave the loop asleep.
     TEST(EventLoop, RunsPostedTasksOfEachThreadInOrder)
     {
@@ -136,5 +142,70 @@
         EXPECT_LT(ranAfter, std::chrono::milliseconds(200));
     }
 
+    /// Runs the loop until a timer ran that the start of the work made late, and returns what was logged.
+    std::string logOfLateLoop(EventLoop& loop)
+    {
+        testing::internal::CaptureStderr();
+        loop.runAfter(std::chrono::milliseconds(40), [&loop] { loop.stop(); });
+        loop.run();
+        return testing::internal::GetCapturedStderr();
+    }
+
+    void takeLong() { std::this_thread::sleep_for(std::chrono::milliseconds(200)); }
+
+    // Guards against a log of late loops that names another task than the one that took long, or the wait for sockets.
+    TEST(EventLoop, NamesTheLongestTaskOfALateRound)
+    {
+        const auto loop = EventLoop::create();
+        loop->post([&loop] { loop->nameWork("short"); });
+        loop->post([&loop] {
+            loop->nameWork("begin");
+            loop->nameWork("long");
+            takeLong();
+            loop->nameWork("end");
+        });
+        const std::string posted = logOfLateLoop(*loop);
+        EXPECT_THAT(posted, HasSubstr(R"("longestTask":"posted task","work":"long","taskMs":)"));
+        loop->runAfter(std::chrono::milliseconds(20), [&loop] { loop->nameWork("short"); });
+        loop->runAfter(std::chrono::milliseconds(30), takeLong);
+        const std::string timer = logOfLateLoop(*loop);
+        EXPECT_THAT(timer, HasSubstr(R"("longestTask":"timer","work":"","taskMs":)"));
+    }
+
+    // Guards against callbacks of sockets that are taken for the wait before them.
+    TEST(EventLoop, TellsCallbacksOfSocketsFromTheWait)
+    {
+        for (const bool named : { false, true }) {
+            HttpFixture fixture([&fixture, named](const std::shared_ptr<ServerExchange>& exchange) {
+                if (named)
+                    fixture.loop->nameWork("answer");
+                takeLong();
+                exchange->reply({ 200, {}, "done" });
+            });
+            CallRecord record;
+            fixture.start(fixture.call("GET", "/"), record);
+            EXPECT_THAT(logOfLateLoop(*fixture.loop),
+                HasSubstr(
+                    std::string(R"("longestTask":"sockets","work":")") + (named ? "answer" : "request read") + '"'));
+        }
+    }
+
+    // Guards against waits that count as work, and work after a short wait that does not.
+    TEST(WorkMeter, CountsWhatIsBeyondTheGrantedWait)
+    {
+        using std::chrono::milliseconds;
+        const Instant start = monotonicNow();
+        WorkMeter meter;
+        meter.begin("start", start);
+        meter.endRound(start);
+        meter.begin("wait", start, milliseconds(1000));
+        meter.begin("sockets", start + milliseconds(10));
+        EXPECT_EQ(meter.endRound(start + milliseconds(15)), (LoopWork { "sockets", "", milliseconds(5) }));
+        meter.begin("wait", start + milliseconds(15), milliseconds(100));
+        meter.begin("timer", start + milliseconds(145));
+        EXPECT_EQ(meter.endRound(start + milliseconds(146)), (LoopWork { "wait", "", milliseconds(30) }));
+        EXPECT_EQ(meter.endRound(start + milliseconds(146)), LoopWork {});
+    }
+
 } // namespace
 } // namespace teaselshore
--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -122,6 +122,7 @@
 void Http1Connection::onReadable(h2o_socket_t* socket, const char* error)
 {
     auto* self = static_cast<Http1Connection*>(socket->data);
+    self->core.eventLoop().nameWork("request read");
     for (int reads = 0; reads < readsPerEvent; ++reads) {
         if (self->state == State::Answering && socket->input->size > maxPipelinedBytes) {
             h2o_socket_read_stop(socket);
@@ -394,6 +395,7 @@
 void Http1Connection::onWritten(h2o_socket_t* socket, const char* error)
 {
     auto* self = static_cast<Http1Connection*>(socket->data);
+    self->core.eventLoop().nameWork("answer written");
     self->sentBytes += self->writeSize();
     if (error == nullptr && self->sentBytes < self->sending.size()) {
         self->writeNext();
--- a/src/teaselshore/http/http_client.cpp
+++ b/src/teaselshore/http/http_client.cpp
@@ -301,6 +301,7 @@
 {
     const ClientConnection& connection = ClientConnection::of(socket);
     auto* impl = static_cast<Impl*>(connection.owner);
+    impl->loop.nameWork("connected");
     if (error != nullptr) {
         impl->fail(*connection.call, { HttpError::Kind::ConnectFailed, error, false });
         return;
@@ -321,6 +322,7 @@
 {
     const ClientConnection& connection = ClientConnection::of(socket);
     auto* impl = static_cast<Impl*>(connection.owner);
+    impl->loop.nameWork("reply read");
     if (connection.call == nullptr) {
         impl->pool.drop(connection);
         return;
--- a/src/teaselshore/http/server_core.cpp
+++ b/src/teaselshore/http/server_core.cpp
@@ -184,6 +184,7 @@
     if (error != nullptr)
         return;
     auto* core = static_cast<ServerCore*>(listener->data);
+    core->loop.nameWork("connections accepted");
     for (int count = 0; count < acceptsPerEvent && core->acceptConnection(); ++count)
         continue;
 }
