Name the decoding of platform replies in the line of late loops

Trials that logged delays from 8 ms on named the event that was handled before: it is the last one that said what it does, and replies of the platform are decoded behind it. The decoding names itself, and what follows an event is unnamed.

--- a/src/teaselshore/daemon/entry_task.cpp
+++ b/src/teaselshore/daemon/entry_task.cpp
@@ -628,6 +628,8 @@
     this->loop->nameWork("commands");
     for (EntryCommand& command : commands)
         std::visit([this](auto& content) { this->execute(content); }, command);
+    // What called this goes on with work of its own.
+    this->loop->nameWork({});
     this->scheduleTick();
 }
 
--- a/src/teaselshore/platform/platform_client.cpp
+++ b/src/teaselshore/platform/platform_client.cpp
@@ -138,6 +138,7 @@
             return PlatformError { isPlatformWrite(kind) ? PlatformError::Kind::OutcomeUnknown
                                                          : PlatformError::Kind::NotFound,
                 "the platform was restored since the version was read", std::nullopt };
+        this->loop.nameWork("platform reply decoded");
         std::optional<Value> value = parse(reply);
         if (!value)
             return malformedReply(kind, "reply cannot be understood");
