Remember for a moment that the event loop was late, for threads that run after it

After a pause of the whole process, the event loop may poll before the thread of signals runs, and then it is late no longer: the whole program with a pause of 0.9 s over SIGTERM ended 8.77 s after it, as before. The loop keeps its latest late time for 0.1 s.

--- a/include/teaselshore/http/event_loop.hpp
+++ b/include/teaselshore/http/event_loop.hpp
@@ -43,7 +43,7 @@
     Instant now() const;
 
     /// @brief Returns since when the loop may have been busy, or the process without a processor: now unless the loop
-    /// is late. Thread-safe.
+    /// is late, or was right before. Thread-safe.
     Instant lateSince() const;
 
     /// @brief Names what the running task goes on with, for the log line of a late loop. The text must outlive the
--- a/src/teaselshore/http/event_loop.cpp
+++ b/src/teaselshore/http/event_loop.cpp
@@ -22,6 +22,10 @@
     constexpr std::int32_t longestWaitMilliseconds = 1000;
     /// Delay of a timer that is logged, at most once in this time.
     constexpr Duration loggedDelay = std::chrono::milliseconds(100);
+    /// Delay of a poll with which the loop is not late.
+    constexpr Duration lateTolerance = std::chrono::milliseconds(10);
+    /// Time that other threads may need, once the process has a processor again, until they run.
+    constexpr Duration otherThreadTime = std::chrono::milliseconds(100);
     /// Rounds that the destructor grants h2o to release closed sockets.
     constexpr int drainRounds = 100;
 
@@ -95,6 +99,10 @@
 void EventLoop::Impl::beginRound()
 {
     this->polledAt = monotonicNow();
+    if (this->polledAt > this->waitEnd.load() + lateTolerance) {
+        this->lateBegin = this->waitBegin.load();
+        this->lateEnd = this->polledAt;
+    }
     this->longestWork = this->meter.endRound(this->polledAt);
     const Duration used = threadProcessorTime();
     this->processorTime = used - std::exchange(this->processorTimeAtPoll, used);
@@ -289,7 +297,9 @@
 Instant EventLoop::lateSince() const
 {
     const Instant now = monotonicNow();
-    return now > this->impl->waitEnd.load() ? this->impl->waitBegin.load() : now;
+    if (now > this->impl->waitEnd.load() + lateTolerance)
+        return this->impl->waitBegin;
+    return now < this->impl->lateEnd.load() + otherThreadTime ? this->impl->lateBegin.load() : now;
 }
 
 void EventLoop::nameWork(std::string_view work) { this->impl->nameWork(work); }
--- a/src/teaselshore/http/event_loop_impl.hpp
+++ b/src/teaselshore/http/event_loop_impl.hpp
@@ -67,6 +67,9 @@
     /// The same, and when the wait of that poll ends, for other threads.
     std::atomic<Instant> waitBegin { polledAt };
     std::atomic<Instant> waitEnd { polledAt };
+    /// The latest time in which the loop was late.
+    std::atomic<Instant> lateBegin { Instant {} };
+    std::atomic<Instant> lateEnd { Instant {} };
     WorkMeter meter;
     /// Whether the loop is in a poll and no callback has run yet.
     bool waiting = false;
--- a/src/teaselshore/http/event_loop_test.cpp
+++ b/src/teaselshore/http/event_loop_test.cpp
@@ -74,6 +74,10 @@
         loop->run();
         observer.join();
         EXPECT_LE(lateSince, busySince);
+        EXPECT_LE(loop->lateSince(), busySince) << "other threads may run only now";
+        loop->runAfter(std::chrono::milliseconds(150), [&] { loop->stop(); });
+        loop->run();
+        EXPECT_GT(loop->lateSince(), busySince);
     }
 
     // Guards against timers of a process that got no processor, which give up what has arrived in time but was not
