--- a/src/teaselshore/entry/entry_node.cpp
+++ b/src/teaselshore/entry/entry_node.cpp
@@ -15,7 +15,7 @@
 #include "limit_exchange.hpp"
 #include "platform_contacts.hpp"
 #include "refusal_exchange.hpp"
-#include "stop_schedule.hpp"
+#include "teaselshore/reliability/stop_schedule.hpp"
 #include "upstream_routing.hpp"
 
 namespace teaselshore {
--- a/src/teaselshore/entry/entry_requests.hpp
+++ b/src/teaselshore/entry/entry_requests.hpp
@@ -17,9 +17,9 @@
 #include "evacuation_exchange.hpp"
 #include "limit_exchange.hpp"
 #include "refusal_exchange.hpp"
-#include "stop_schedule.hpp"
 #include "teaselshore/entry/request_forecast.hpp"
 #include "teaselshore/reliability/duration_estimate.hpp"
+#include "teaselshore/reliability/stop_schedule.hpp"
 #include "teaselshore/routing/overload_controller.hpp"
 #include "waiting_requests.hpp"
 
--- a/src/teaselshore/entry/stop_schedule.cpp
+++ b/src/teaselshore/reliability/stop_schedule.cpp
@@ -1,4 +1,4 @@
-#include "stop_schedule.hpp"
+#include "teaselshore/reliability/stop_schedule.hpp"
 
 #include <algorithm>
 
--- a/src/teaselshore/entry/stop_schedule_test.cpp
+++ b/src/teaselshore/reliability/stop_schedule_test.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "stop_schedule.hpp"
+#include "teaselshore/reliability/stop_schedule.hpp"
 
 namespace teaselshore {
 namespace {
