teaselshored logs how late a planned stop begins

The node knows when the request to stop came, not only when its event loop handled it. The line "stopping" tells the difference (lateMs). No decision uses it yet.

--- a/include/teaselshore/node/node_event.hpp
+++ b/include/teaselshore/node/node_event.hpp
@@ -101,7 +101,10 @@
 
 /// @brief An operator or the host asks the node to stop.
 struct StopRequested {
+    /// Time until the host stops.
     std::optional<Duration> notice;
+    /// When the request came; when it is handled, if absent.
+    std::optional<Instant> receivedAt;
 
     auto operator<=>(const StopRequested&) const = default;
 };
--- a/src/teaselshore/daemon/serving_task.cpp
+++ b/src/teaselshore/daemon/serving_task.cpp
@@ -130,7 +130,11 @@
     this->impl->loop->post([impl = this->impl.get(), event = std::move(event)] { impl->handle(event); });
 }
 
-void ServingTask::requestStop() { this->deliver(StopRequested {}); }
+void ServingTask::requestStop()
+{
+    // The process may have had no processor when the request came.
+    this->deliver(StopRequested { std::nullopt, this->impl->loop->lateSince() });
+}
 
 bool ServingTask::Impl::listen(HttpError* error)
 {
--- a/src/teaselshore/node/node_lifecycle.cpp
+++ b/src/teaselshore/node/node_lifecycle.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "node_impl.hpp"
 
 namespace teaselshore {
@@ -49,7 +51,7 @@
 void Node::Impl::onUpstreamLeaving(const std::string& host, Duration notice, bool tellPeers, Instant now)
 {
     if (host == this->state.settings.hostName) {
-        StopRequested stop { notice };
+        StopRequested stop { notice, std::nullopt };
         this->handle(stop, now);
         return;
     }
@@ -81,6 +83,7 @@
     if (this->stopping)
         return;
     this->stopping = true;
+    const Instant receivedAt = std::min(event.receivedAt.value_or(now), now);
     this->rollouts.stop();
     // A request that fits in the notice is not cut off by the shorter limit of a stop without one.
     const Duration limit = event.notice ? std::max<Duration>(*event.notice - stopMargin, Duration::zero())
@@ -88,7 +91,9 @@
     this->stopDeadline = now + limit;
     this->releaseAt = now + std::min(this->state.settings.balancerDelay, limit / 4);
     this->state.commands.emplace_back(SetReady { false });
-    this->state.log(LogLevel::Info, "stopping", { { "limitMs", std::to_string(limit.count() / 1000) } });
+    this->state.log(LogLevel::Info, "stopping",
+        { { "limitMs", std::to_string(limit.count() / 1000) },
+            { "lateMs", fmt::format("{:.1f}", toMilliseconds(now - receivedAt)) } });
 }
 
 void Node::Impl::handle(Tick&, Instant now)
