Planned stop of teaselshored counts from the request to stop

What callers see: a process whose event loop is late when SIGTERM comes ends as much later, and a host that ends it in time cuts its answers. Before, a process without a notice kept no time for its last answers. NodeStop.TimeForOpenRequestsCountsFromTheRequestToStop failed before (the process ended 8.9 s after a request to stop with 8 s) and passes.

--- a/include/teaselshore/node/node_settings.hpp
+++ b/include/teaselshore/node/node_settings.hpp
@@ -72,7 +72,7 @@
     Duration moveBeforeLeave = std::chrono::seconds(2);
     /// Time between failing the readiness check and refusing new requests at a planned stop.
     Duration balancerDelay = std::chrono::seconds(2);
-    /// Longest time for open requests to finish at a planned stop without notice; with one, the notice is the limit.
+    /// Longest time of a planned stop without notice; with one, the notice is the limit.
     Duration drainTimeout = std::chrono::seconds(20);
     /// Only for tests.
     NodeMutations mutations;
--- a/src/teaselshore/node/node.cpp
+++ b/src/teaselshore/node/node.cpp
@@ -45,7 +45,7 @@
 {
     return this->impl->state.refusedConfiguration;
 }
-bool Node::stopping() const { return this->impl->stopping; }
+bool Node::stopping() const { return this->impl->stop.has_value(); }
 const Membership& Node::membership() const { return this->impl->state.membership; }
 const Router& Node::router() const { return this->impl->state.router; }
 const SlotOwner& Node::slotOwner() const { return this->impl->durable.slotOwner(); }
--- a/src/teaselshore/node/node_impl.hpp
+++ b/src/teaselshore/node/node_impl.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -10,6 +11,7 @@
 #include "durable_requests.hpp"
 #include "node_state.hpp"
 #include "teaselshore/node/node.hpp"
+#include "teaselshore/reliability/stop_schedule.hpp"
 #include "transient_requests.hpp"
 #include "version_rollouts.hpp"
 
@@ -79,11 +81,10 @@
     std::map<UpstreamId, Leaving> leaving;
     /// Configuration version up to which early notices were applied.
     ConfigurationVersion noticesVersion = 0;
-    bool stopping = false;
+    std::optional<StopSchedule> stop;
     bool slotsReleasing = false;
     bool stopped = false;
     Instant releaseAt {};
-    Instant stopDeadline {};
 };
 
 } // namespace teaselshore
--- a/src/teaselshore/node/node_lifecycle.cpp
+++ b/src/teaselshore/node/node_lifecycle.cpp
@@ -12,8 +12,6 @@
     constexpr Duration housekeepingPeriod = std::chrono::milliseconds(20);
     constexpr Duration capacityPeriod = std::chrono::milliseconds(100);
     constexpr Duration noticeRetention = std::chrono::minutes(10);
-    /// Part of a notice that is kept for the last messages of the process.
-    constexpr Duration stopMargin = std::chrono::milliseconds(300);
     /// A configuration that comes later than this after the end of a notice may name the replacement already.
     constexpr Duration noticeGrace = std::chrono::seconds(2);
 
@@ -80,15 +78,13 @@
 
 void Node::Impl::handle(StopRequested& event, Instant now)
 {
-    if (this->stopping)
+    if (this->stop)
         return;
-    this->stopping = true;
     const Instant receivedAt = std::min(event.receivedAt.value_or(now), now);
-    this->rollouts.stop();
     // A request that fits in the notice is not cut off by the shorter limit of a stop without one.
-    const Duration limit = event.notice ? std::max<Duration>(*event.notice - stopMargin, Duration::zero())
-                                        : this->state.settings.drainTimeout;
-    this->stopDeadline = now + limit;
+    const Duration limit = event.notice.value_or(this->state.settings.drainTimeout);
+    this->stop = StopSchedule(receivedAt, now, limit);
+    this->rollouts.stop();
     this->releaseAt = now + std::min(this->state.settings.balancerDelay, limit / 4);
     this->state.commands.emplace_back(SetReady { false });
     this->state.log(LogLevel::Info, "stopping",
@@ -137,21 +133,21 @@
 
 void Node::Impl::advanceStop(Instant now)
 {
-    if (!this->stopping || this->stopped)
+    if (!this->stop || this->stopped)
         return;
     if (!this->slotsReleasing && now >= this->releaseAt) {
         this->slotsReleasing = true;
-        this->durable.handle(PlannedStop { this->stopDeadline - now }, now);
+        this->durable.handle(PlannedStop { this->stop->requestsEnd() - now }, now);
     }
     const bool drained = this->slotsReleasing && this->durable.stopCompleted() && this->openRequests() == 0;
-    if (!drained && now < this->stopDeadline && !this->state.settings.mutations.stopAtOnce)
+    if (!drained && now < this->stop->requestsEnd() && !this->state.settings.mutations.stopAtOnce)
         return;
     this->stopped = true;
     if (!drained)
         this->state.log(
             LogLevel::Warning, "stopping with open requests", { { "open", std::to_string(this->openRequests()) } });
     this->cluster.leave(now);
-    this->state.commands.emplace_back(StopProcess { this->stopDeadline });
+    this->state.commands.emplace_back(StopProcess { this->stop->processEnd() });
 }
 
 } // namespace teaselshore
