teaselshored answers what is open at the end of a planned stop

What callers see: a request that waits or runs when the drain time is over gets neither an answer nor a refusal; its connection ends with the process. Change: requests that ran get 502, streams their error event, requests that wait a refusal that is true, callers of journalled requests outcome_unknown, as the request goes on at the node that takes over its slot. The cluster test looks at the answers of the last event, so that a request that is ended counts as cut off as before, and now expects of every planned stop that no caller is left.

--- a/src/teaselshore/node/durable_requests.cpp
+++ b/src/teaselshore/node/durable_requests.cpp
@@ -15,6 +15,8 @@
     constexpr int statusNotFound = 404;
     constexpr int statusUnprocessable = 422;
     constexpr std::size_t suffixDigits = 24;
+    /// Time in which another node has taken over the requests of one that stops.
+    constexpr Duration stoppingRetryAfter = std::chrono::seconds(1);
     constexpr std::string_view requestPathPrefix = "/v1/requests/";
     constexpr std::string_view generatedKeyPrefix = "generated-";
 
@@ -279,6 +281,19 @@
 
 void DurableRequests::execute(const StopCompleted&, Instant) { this->stopped = true; }
 
+void DurableRequests::endCallers(Instant now)
+{
+    for (const auto& [id, caller] : std::exchange(this->localCallers, {})) {
+        // Reading a stored response again does no harm.
+        const bool isRead = caller.journalled == RequestId();
+        this->answerLocal(caller,
+            isRead ? Answer { AnswerNotRun { stoppingRetryAfter, "this node stops" } }
+                   : Answer { AnswerUnknown { stoppingRetryAfter } },
+            now);
+    }
+    this->callerOfRequest.clear();
+}
+
 std::string DurableRequests::addressOf(const NodeId& node) const
 {
     const Member* member = this->state.membership.find(node);
--- a/src/teaselshore/node/durable_requests.hpp
+++ b/src/teaselshore/node/durable_requests.hpp
@@ -56,6 +56,9 @@
     const SlotOwner& slotOwner() const { return this->owner; }
     bool stopCompleted() const { return this->stopped; }
 
+    /// @brief Answers all callers at this node, as the process ends. What was accepted goes on at another node.
+    void endCallers(Instant now);
+
     /// @brief Number of callers at this node that wait for an answer.
     std::size_t openCallers() const { return this->localCallers.size(); }
 
--- a/src/teaselshore/node/node_cluster_test.cpp
+++ b/src/teaselshore/node/node_cluster_test.cpp
@@ -12,6 +12,7 @@
     constexpr std::size_t plainCount = 6;
     const std::vector<std::string> zones { "za", "zb", "zc" };
     constexpr std::string_view configurationKey = "configuration";
+    constexpr int firstServerError = 500;
     constexpr std::string_view invalidText = "classes: [broken";
 
 } // namespace
@@ -191,7 +192,9 @@
             if (const auto* leaving = request ? std::get_if<UpstreamLeaving>(request) : nullptr)
                 this->learnNotice(process, leaving->upstream.value());
         }
-        for (NodeCommand& command : process.node->handle(event, this->now)) {
+        NodeCommands commands = process.node->handle(event, this->now);
+        this->checkStop(process, commands);
+        for (NodeCommand& command : commands) {
             if (process.alive)
                 std::visit([&](auto& content) { this->execute(process, content); }, command);
         }
@@ -429,12 +432,26 @@
 void NodeCluster::execute(Process& process, StopProcess&)
 {
     this->note("stop completed");
+    for (const auto& [id, caller] : process.callers)
+        this->violation(fmt::format("planned stop of {} leaves {} without an answer", process.id.value(), caller->token));
+    this->after(seconds(0.2), [this, &process] { this->kill(process); });
+}
+
+void NodeCluster::checkStop(const Process& process, const NodeCommands& commands)
+{
+    const bool stops = std::any_of(commands.begin(), commands.end(),
+        [](const NodeCommand& command) { return std::holds_alternative<StopProcess>(command); });
+    if (!stops || !this->settings.announcedOnly)
+        return;
     for (const auto& [id, caller] : process.callers) {
-        if (this->settings.announcedOnly)
+        const bool isAnswered = std::any_of(commands.begin(), commands.end(), [&id = id](const NodeCommand& command) {
+            const auto* response = std::get_if<Respond>(&command);
+            return response && response->request == id && response->status < firstServerError;
+        });
+        if (!isAnswered)
             this->violation(fmt::format("planned stop of {} cuts off {} after {} ms", process.id.value(), caller->token,
                 toMilliseconds(this->now - caller->arrivedAt)));
     }
-    this->after(seconds(0.2), [this, &process] { this->kill(process); });
 }
 
 void NodeCluster::execute(Process& process, LogEvent& command)
--- a/src/teaselshore/node/node_lifecycle.cpp
+++ b/src/teaselshore/node/node_lifecycle.cpp
@@ -146,6 +146,8 @@
     if (!drained)
         this->state.log(
             LogLevel::Warning, "stopping with open requests", { { "open", std::to_string(this->openRequests()) } });
+    this->transient.endAll(now);
+    this->durable.endCallers(now);
     this->cluster.leave(now);
     this->state.commands.emplace_back(StopProcess { this->stop->processEnd() });
 }
--- a/src/teaselshore/node/node_test_support.hpp
+++ b/src/teaselshore/node/node_test_support.hpp
@@ -182,6 +182,8 @@
     void tick(Process& process);
     void watchConfiguration();
     void checkVersion(Process& process);
+    /// @brief Checks that a planned stop cuts off no caller, also by an error, if only announced events happen.
+    void checkStop(const Process& process, const NodeCommands& commands);
     static std::string hostName(std::size_t host) { return fmt::format("entry-{}", host); }
     static std::string hostAddress(std::size_t host) { return fmt::format("127.0.0.1:{}", 7000 + host); }
     Process* processAt(std::size_t host);
--- a/src/teaselshore/node/transient_requests.cpp
+++ b/src/teaselshore/node/transient_requests.cpp
@@ -302,14 +302,34 @@
     Request* request = this->find(id);
     if (!request)
         return;
-    if (request->phase == Phase::Running) {
-        this->state.commands.emplace_back(CancelAttempt { request->attempt });
-        if (const auto attempt = this->state.attempts.take(request->attempt))
-            this->state.endAttempt(*attempt, AttemptOutcome::Cancelled, 0, now);
-    }
+    this->cancelAttempt(*request, AttemptOutcome::Cancelled, now);
     this->erase(id, "caller gone", now);
 }
 
+void TransientRequests::cancelAttempt(Request& request, AttemptOutcome outcome, Instant now)
+{
+    if (request.phase != Phase::Running)
+        return;
+    this->state.commands.emplace_back(CancelAttempt { request.attempt });
+    if (const auto attempt = this->state.attempts.take(request.attempt))
+        this->state.endAttempt(*attempt, outcome, 0, now);
+    request.mayHaveRun = true;
+}
+
+void TransientRequests::endAll(Instant now)
+{
+    std::vector<RequestId> open;
+    open.reserve(this->requests.size());
+    for (const auto& [id, request] : this->requests)
+        open.push_back(id);
+    const std::string reason = "this node stops";
+    for (const RequestId& id : open) {
+        Request& request = this->requests.at(id);
+        this->cancelAttempt(request, AttemptOutcome::Cancelled, now);
+        this->fail(request, request.mayHaveRun ? failedError(reason) : notRunError(reason, defaultRetryAfter), now);
+    }
+}
+
 void TransientRequests::onTick(Instant now)
 {
     while (!this->timers.empty() && this->timers.begin()->first <= now) {
@@ -329,12 +349,7 @@
 
 void TransientRequests::expire(Request& request, Instant now)
 {
-    if (request.phase == Phase::Running) {
-        this->state.commands.emplace_back(CancelAttempt { request.attempt });
-        if (const auto attempt = this->state.attempts.take(request.attempt))
-            this->state.endAttempt(*attempt, AttemptOutcome::TimedOut, 0, now);
-        request.mayHaveRun = true;
-    }
+    this->cancelAttempt(request, AttemptOutcome::TimedOut, now);
     const std::string reason = "the deadline passed";
     this->fail(request, request.mayHaveRun ? failedError(reason) : notRunError(reason, defaultRetryAfter), now);
 }
--- a/src/teaselshore/node/transient_requests.hpp
+++ b/src/teaselshore/node/transient_requests.hpp
@@ -46,6 +46,9 @@
 
     void onTick(Instant now);
 
+    /// @brief Answers all open requests, as the process ends.
+    void endAll(Instant now);
+
     std::size_t open() const { return this->requests.size(); }
 
 private:
@@ -83,6 +86,8 @@
     void wait(Request& request, Duration delay, Instant now);
     void retry(Request& request, bool amplifies, const std::string& reason, Instant now);
     void expire(Request& request, Instant now);
+    /// @brief Cancels the running attempt, if there is one.
+    void cancelAttempt(Request& request, AttemptOutcome outcome, Instant now);
     void respond(Request& request, AttemptFinished finished, Instant now);
     void fail(Request& request, const CallerError& error, Instant now);
     void erase(const RequestId& id, std::string outcome, Instant now);
