teaselshored takes late requests only if they end before the process

What callers see: a request that a kept connection brings at the end of the drain time is passed on to an upstream and ended some moments later. Cause: requests were taken until the process ended, whatever their time limit. Change: once the load balancer sends no more, a request is taken only if its time limit ends before open requests are ended.

--- a/src/teaselshore/node/node.cpp
+++ b/src/teaselshore/node/node.cpp
@@ -11,6 +11,8 @@
 namespace {
 
     constexpr Duration noConfigurationRetryAfter = std::chrono::seconds(1);
+    /// Another node can take the request.
+    constexpr Duration stoppingRetryAfter = std::chrono::seconds(1);
     constexpr std::size_t requestIdDigits = 20;
     constexpr std::string_view storedResponsePrefix = "/v1/requests/";
 
@@ -89,6 +91,12 @@
         return;
     }
     auto& classified = std::get<ClassifiedRequest>(result);
+    if (this->mayOutlastStop(classified, now)) {
+        const CallerError error = notRunError("this node is about to stop", stoppingRetryAfter);
+        this->state.statistics.count(error.code);
+        this->state.commands.emplace_back(errorResponse(event.request, error));
+        return;
+    }
     const auto parent = parseTraceparent(findHeader(event.headers, "traceparent").value_or(std::string()));
     if (classified.durable())
         this->durable.onArrived(event, classified, parent, now);
--- a/src/teaselshore/node/node_impl.hpp
+++ b/src/teaselshore/node/node_impl.hpp
@@ -55,6 +55,8 @@
     void applyCrashChecks(const std::vector<CrashCheckResult>& results, Instant now);
     void housekeeping(Instant now);
     void moveFromLeaving(Instant now);
+    /// @brief Returns whether the node stops, no longer gets new connections, and the request may run for longer.
+    bool mayOutlastStop(const ClassifiedRequest& request, Instant now) const;
     void advanceStop(Instant now);
     std::size_t openRequests() const { return this->transient.open() + this->durable.openCallers(); }
 
--- a/src/teaselshore/node/node_lifecycle.cpp
+++ b/src/teaselshore/node/node_lifecycle.cpp
@@ -92,6 +92,17 @@
             { "lateMs", fmt::format("{:.1f}", toMilliseconds(now - receivedAt)) } });
 }
 
+bool Node::Impl::mayOutlastStop(const ClassifiedRequest& request, Instant now) const
+{
+    // Until then the load balancer sends requests, whose callers know of no other node.
+    if (!this->stop || now < this->releaseAt)
+        return false;
+    // The journal answers these at once.
+    if (request.respondAsync)
+        return this->stopped;
+    return now + request.timeLimit > this->stop->requestsEnd();
+}
+
 void Node::Impl::handle(Tick&, Instant now)
 {
     this->durable.onTick(now);
