--- a/src/teaselshore/node/node_cluster_test.cpp
+++ b/src/teaselshore/node/node_cluster_test.cpp
@@ -433,7 +433,8 @@
 {
     this->note("stop completed");
     for (const auto& [id, caller] : process.callers)
-        this->violation(fmt::format("planned stop of {} leaves {} without an answer", process.id.value(), caller->token));
+        this->violation(
+            fmt::format("planned stop of {} leaves {} without an answer", process.id.value(), caller->token));
     this->after(seconds(0.2), [this, &process] { this->kill(process); });
 }
 
--- a/src/teaselshore/node/node_stop_test.cpp
+++ b/src/teaselshore/node/node_stop_test.cpp
@@ -84,8 +84,8 @@
         {
             const RequestId id = this->node.nextRequestId();
             const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(timeLimit).count();
-            this->deliver(RequestArrived { id, method, path,
-                { { "x-workspace", "w" }, { "x-deadline-ms", std::to_string(milliseconds) } }, "" });
+            this->deliver(RequestArrived {
+                id, method, path, { { "x-workspace", "w" }, { "x-deadline-ms", std::to_string(milliseconds) } }, "" });
             return id;
         }
 
@@ -208,9 +208,9 @@
             = [](int from, int to) { return std::chrono::milliseconds(*rc::gen::inRange(from, to)); };
         std::vector<Drawn> requests;
         for (int count = *rc::gen::inRange(1, 20); count > 0; --count)
-            requests.push_back({ stopAt + milliseconds(-1000, 9000), milliseconds(1, 12'000), milliseconds(1, 12'000) });
-        std::sort(
-            requests.begin(), requests.end(), [](const auto& a, const auto& b) { return a.sentAt < b.sentAt; });
+            requests.push_back(
+                { stopAt + milliseconds(-1000, 9000), milliseconds(1, 12'000), milliseconds(1, 12'000) });
+        std::sort(requests.begin(), requests.end(), [](const auto& a, const auto& b) { return a.sentAt < b.sentAt; });
 
         StoppingNode node;
         std::multimap<Instant, RequestId> ends;
