--- a/src/teaselshore/daemon/serving_task_test.cpp
+++ b/src/teaselshore/daemon/serving_task_test.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 #include <utility>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "node_settings_from.hpp"
@@ -36,7 +37,7 @@
         {
             DaemonSettings settings;
             settings.node = "host-a";
-            settings.timeouts.drain = drainTime;
+            settings.timeouts.drain = this->drain;
             HttpError error;
             // Another process can take a port between the choice and the start of listening.
             for (int attempt = 0; !this->task && attempt < 5; ++attempt) {
@@ -87,6 +88,7 @@
             return received;
         }
 
+        Duration drain = drainTime;
         std::unique_ptr<ServingTask> task;
         std::thread thread;
         bool stopRequested = false;
@@ -133,5 +135,56 @@
         EXPECT_NE(answer.find("connection: close"), std::string::npos) << answer;
     }
 
+    /// As ServingTaskTest, with one upstream that never answers.
+    class ServingTaskWithUpstream : public ServingTaskTest {
+    protected:
+        void SetUp() override
+        {
+            this->drain = shortDrainTime;
+            ServingTaskTest::SetUp();
+            this->task->deliver(ConfigurationRead { 1,
+                fmt::format(R"(
+regions:
+  - {{name: r, zones: [a]}}
+classes:
+  - {{name: interactive, priority: 0, first-token-ms: 500, deadline-ms: 30000}}
+workspaces:
+  - {{name: w, share: 1}}
+services:
+  - name: ordering
+    kind: plain
+    versions:
+      - {{name: v1}}
+    upstreams:
+      - {{id: u-1, zone: a, address: "{}", version: v1, capacity: 10}}
+    routes:
+      - {{name: status, path: /orders/, method: GET, class: interactive, idempotent: true}}
+)",
+                    this->upstream.authority()) });
+        }
+
+        static constexpr Duration shortDrainTime = 2s;
+        RawServer upstream;
+    };
+
+    // Guards against requests that are open when the drain time is over, and whose callers get no answer.
+    TEST_F(ServingTaskWithUpstream, OpenRequestIsAnsweredAtTheEndOfAPlannedStop)
+    {
+        const RawConnection caller(this->port);
+        caller.send("GET /orders/1 HTTP/1.1\r\nhost: a\r\nx-workspace: w\r\n\r\n");
+        std::unique_ptr<RawConnection> attempt;
+        for (const Instant limit = monotonicNow() + drainTime; !attempt && monotonicNow() < limit;) {
+            attempt = this->upstream.accept();
+            std::this_thread::sleep_for(1ms);
+        }
+        ASSERT_TRUE(attempt) << "the upstream has the request";
+        const Instant stopAt = monotonicNow();
+        this->requestStop();
+        bool hasEnded = false;
+        const std::string answer = receiveUntil(caller, "\"failed\"", hasEnded);
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << answer;
+        EXPECT_LT(monotonicNow(), stopAt + shortDrainTime);
+    }
+
 } // namespace
 } // namespace teaselshore
