Requests that wait at the end of a planned stop are not sent any more

What callers see: a request that has waited for room until the end of the grace period is passed on to an upstream in its last 0.3 s and gets 502, which leaves open whether it ran, in place of a refusal that is true. An unsafe one may begin to run. Cause: endAll() answers one request after the other; one that ends with its upstream's kept failure leaves through respond(), which gives its place to the next that waits, though the node has ended. Found by review.

--- a/src/teaselshore/entry/entry_requests.cpp
+++ b/src/teaselshore/entry/entry_requests.cpp
@@ -556,7 +556,7 @@
 void EntryRequests::dispatchWaiting(Instant now)
 {
     this->lastWaitingDispatch = now;
-    if (this->waiting.empty())
+    if (this->waiting.empty() || this->hasEnded)
         return;
     this->waiting.dispatch([this, now](const RequestId& id) { return this->trySend(this->requests.at(id), now); });
 }
--- a/src/teaselshore/entry/planned_stop_test.cpp
+++ b/src/teaselshore/entry/planned_stop_test.cpp
@@ -255,6 +255,37 @@
         EXPECT_EQ(refused, 1);
     }
 
+    // Guards against requests that wait at the end of a planned stop and are then sent to an upstream, in the place of
+    // one that ended with its upstream's failure, and cut.
+    TEST(PlannedStop, WaitingRequestsAreNotSentAsOthersEnd)
+    {
+        StoppingNode node(80s);
+        constexpr int failed = 3;
+        for (int number = 0; number < failed; ++number) {
+            ASSERT_TRUE(node.request("status"));
+            UpstreamResponded failure;
+            failure.response.attempt = node.attempts.back();
+            failure.response.status = 500;
+            failure.facts.isStamped = true;
+            node.harness.send(failure);
+            ASSERT_TRUE(node.harness.first<ForwardRequest>()) << "it is sent again";
+        }
+        while (node.request("order")) { }
+        constexpr std::ptrdiff_t waiting = 10;
+        for (std::ptrdiff_t number = 1; number < waiting; ++number)
+            ASSERT_FALSE(node.request("order"));
+        ASSERT_TRUE(node.responses.empty()) << "they wait";
+        node.advanceTo(-1s);
+        ASSERT_TRUE(node.isStopped);
+        EXPECT_FALSE(node.harness.first<ForwardRequest>());
+        const auto countOf = [&node](int status) {
+            return std::count_if(node.responses.begin(), node.responses.end(),
+                [status](const Respond& response) { return response.status == status; });
+        };
+        EXPECT_EQ(countOf(500), failed);
+        EXPECT_EQ(countOf(503), waiting);
+    }
+
     // Guards against a request that is read between the end of the last answer and the end of the process, and whose
     // connection then closes without an answer.
     TEST(PlannedStop, RequestThatIsReadAfterTheLastAnswerIsToldThatItDidNotRun)
