A planned stop announces no close while a further request waits

What callers see: of two requests sent one behind the other on a connection, the second has arrived before the first answer begins, and gets neither an answer nor a refusal: the first answer announces the close, and the second request is read and dropped once it has ended, seconds later. The head of an answer announced the close whatever waited behind the request. Change: while bytes of a further request have arrived, no close is announced; the answer to the last of them does. A request behind an answer that is cut cannot be answered, and is now counted and logged as dropped. Found by review.

--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -294,7 +294,8 @@
         : length           ? Framing::Length
         : this->version10  ? Framing::EndOfConnection
                            : Framing::Chunked;
-    if (this->framing == Framing::EndOfConnection || this->core.closing())
+    // A request that is here already is answered, and announces the close.
+    if (this->framing == Framing::EndOfConnection || (this->core.closing() && !this->hasNextRequest()))
         this->closeAfterAnswer = true;
     this->pending += fmt::format("HTTP/1.1 {} {}\r\n", status, statusText(status));
     for (const HttpHeader& field : headers.all()) {
@@ -341,6 +342,8 @@
     this->resetOnClose = this->framing == Framing::EndOfConnection;
     this->closeAfterAnswer = true;
     if (!keepPending || this->pendingBytes() == 0) {
+        if (this->hasNextRequest())
+            this->noteDropped("it waited behind an answer that was cut");
         this->close();
         return;
     }
@@ -472,6 +475,8 @@
     return recv(h2o_socket_get_fd(this->socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool Http1Connection::hasNextRequest() const { return this->socket->input->size > 0 || this->hasUnreadBytes(); }
+
 void Http1Connection::noteDropped(std::string_view reason)
 {
     if (this->announcedClose || std::exchange(this->notedDropped, true))
--- a/src/teaselshore/http/http1_connection.hpp
+++ b/src/teaselshore/http/http1_connection.hpp
@@ -104,6 +104,8 @@
     std::size_t kernelBytes() const;
     /// @brief Returns whether bytes of the client wait in the kernel.
     bool hasUnreadBytes() const;
+    /// @brief Returns whether bytes of a further request have arrived.
+    bool hasNextRequest() const;
     /// @brief Counts and logs, once, a request that is dropped though no answer has announced the end of the
     /// connection.
     void noteDropped(std::string_view reason);
