teaselshored: an interrupted attempt counts as a run

What callers see: a request that was moved from an upstream that leaves, and finds no other one until its time or the node's is over, gets 503 not_run, which promises that it did not run. Cause: onAttemptFailed() returns for an interrupted attempt before it notes that the attempt may have run. Since open requests are answered at the end of a planned stop, every stop can say so. Evidence: NodeStop.InterruptedRequestIsNotToldThatItDidNotRun got 503, and gets 502. Found by review.

--- a/src/teaselshore/node/node_stop_test.cpp
+++ b/src/teaselshore/node/node_stop_test.cpp
@@ -80,12 +80,14 @@
         }
 
         /// @brief Returns the id of the request that was sent.
-        RequestId request(const std::string& method, const std::string& path, Duration timeLimit = 30s)
+        RequestId request(
+            const std::string& method, const std::string& path, Duration timeLimit = 30s, HeaderList headers = {})
         {
             const RequestId id = this->node.nextRequestId();
             const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(timeLimit).count();
-            this->deliver(RequestArrived {
-                id, method, path, { { "x-workspace", "w" }, { "x-deadline-ms", std::to_string(milliseconds) } }, "" });
+            headers.emplace_back("x-workspace", "w");
+            headers.emplace_back("x-deadline-ms", std::to_string(milliseconds));
+            this->deliver(RequestArrived { id, method, path, std::move(headers), "" });
             return id;
         }
 
@@ -111,6 +113,7 @@
         {
             for (const NodeCommand& command : this->node.handle(std::move(event), this->now)) {
                 if (const auto* start = std::get_if<StartAttempt>(&command)) {
+                    EXPECT_FALSE(this->stoppedAt) << "an attempt behind the end of the process";
                     this->attempts.insert_or_assign(start->request, start->attempt);
                 } else if (const auto* response = std::get_if<Respond>(&command)) {
                     this->answer(response->request, response->status);
@@ -196,6 +199,20 @@
         EXPECT_LT(node.processEnd, stopAt + grace);
     }
 
+    // Guards against a request that was moved from an upstream, and is told at the end that it did not run.
+    TEST(NodeStop, InterruptedRequestIsNotToldThatItDidNotRun)
+    {
+        StoppingNode node;
+        node.advanceTo(stopAt);
+        const RequestId moved = node.request("GET", "/orders/1");
+        node.deliver(NoticesRead { { { "u-1", 1s } } });
+        node.advanceTo(stopAt + 100ms);
+        node.deliver(AttemptFailed { node.attempts.at(moved), true, false, 0, "interrupted", std::nullopt });
+        node.deliver(StopRequested {});
+        node.advanceTo(stopAt + 2 * grace);
+        EXPECT_EQ(node.answers[moved], statusFailed);
+    }
+
     // Guards against requests without an answer, or that were taken late and are ended by the stop, whenever they come.
     RC_GTEST_PROP(NodeStopRandom, EachRequestIsAnsweredAndNoLateOneIsCut, ())
     {
--- a/src/teaselshore/node/transient_requests.cpp
+++ b/src/teaselshore/node/transient_requests.cpp
@@ -214,6 +214,7 @@
     if (interrupted) {
         this->state.endAttempt(attempt, AttemptOutcome::Cancelled, 0, now);
         request->preempting = false;
+        request->mayHaveRun = true;
         request->phase = Phase::Queued;
         const auto status = this->state.router.status(attempt.upstream, now);
         if (status && status->state != UpstreamState::Available) {
