--- a/src/teaselshore/node/node_lifecycle.cpp
+++ b/src/teaselshore/node/node_lifecycle.cpp
@@ -97,9 +97,9 @@
     // Until then the load balancer sends requests, whose callers know of no other node.
     if (!this->stop || now < this->releaseAt)
         return false;
-    // The journal answers these at once.
-    if (request.respondAsync)
-        return this->stopped;
+    // The journal answers both, and a key may have run already.
+    if (request.respondAsync || request.key)
+        return false;
     return now + request.timeLimit > this->stop->requestsEnd();
 }
 
--- a/src/teaselshore/node/node_stop_test.cpp
+++ b/src/teaselshore/node/node_stop_test.cpp
@@ -199,6 +199,29 @@
         EXPECT_LT(node.processEnd, stopAt + grace);
     }
 
+    // Guards against a repeated request that the node refuses by itself, though the journal may know that its key has
+    // run.
+    TEST(NodeStop, LateRequestWithAKeyIsAnsweredByTheJournal)
+    {
+        StoppingNode node;
+        node.advanceTo(stopAt);
+        node.request("GET", "/orders/1");
+        node.deliver(StopRequested {});
+        node.advanceTo(stopAt + balancerTime);
+        for (const bool hasKey : { false, true }) {
+            HeaderList headers { { "x-workspace", "w" } };
+            if (hasKey)
+                headers.emplace_back("idempotency-key", "k");
+            const NodeCommands commands = node.node.handle(
+                RequestArrived { node.node.nextRequestId(), "POST", "/orders", headers, "" }, node.now);
+            const bool isRefused = std::any_of(commands.begin(), commands.end(), [](const NodeCommand& command) {
+                const auto* response = std::get_if<Respond>(&command);
+                return response && response->body.find("this node is about to stop") != std::string::npos;
+            });
+            EXPECT_EQ(isRefused, !hasKey);
+        }
+    }
+
     // Guards against a request that was moved from an upstream, and is told at the end that it did not run.
     TEST(NodeStop, InterruptedRequestIsNotToldThatItDidNotRun)
     {
