teaselshored starts nothing once it has announced its end

What callers see: a request that was accepted with 202 may be dispatched in the last moment of a process and stay unknown. Cause: requests that the stop ends free their places, and the next one that waits took them behind StopProcess. Change: places that the end frees go to nobody, the release comes at the end of open requests at the latest, and the node itself refuses what comes later. Evidence: NodeStop.NothingStartsOnceTheEndIsAnnounced and .RequestsAfterTheEndAreRefused failed before. Found by review.

--- a/src/teaselshore/node/node.cpp
+++ b/src/teaselshore/node/node.cpp
@@ -33,7 +33,9 @@
 {
     std::visit([&](auto& content) { this->impl->handle(content, now); }, event);
     this->impl->applyEarlyNotices(now);
-    this->impl->applyAdmissionChanges(now);
+    // Places that the end has made free go to nobody.
+    if (!this->impl->stopped)
+        this->impl->applyAdmissionChanges(now);
     this->impl->rollouts.onEvent(now);
     return std::exchange(this->impl->state.commands, {});
 }
@@ -73,6 +75,10 @@
 void Node::Impl::handle(RequestArrived& event, Instant now)
 {
     ++this->state.statistics.requests;
+    if (this->stopped) {
+        this->refuseForStop(event.request);
+        return;
+    }
     if (event.method == "GET" && event.path.starts_with(storedResponsePrefix)) {
         const RequestId target(event.path.substr(storedResponsePrefix.size()));
         this->durable.onReadArrived(event, target, now);
@@ -92,9 +98,7 @@
     }
     auto& classified = std::get<ClassifiedRequest>(result);
     if (this->mayOutlastStop(classified, now)) {
-        const CallerError error = notRunError("this node is about to stop", stoppingRetryAfter);
-        this->state.statistics.count(error.code);
-        this->state.commands.emplace_back(errorResponse(event.request, error));
+        this->refuseForStop(event.request);
         return;
     }
     const auto parent = parseTraceparent(findHeader(event.headers, "traceparent").value_or(std::string()));
@@ -104,6 +108,13 @@
         this->transient.onArrived(std::move(event), std::move(classified), parent, now);
 }
 
+void Node::Impl::refuseForStop(const RequestId& request)
+{
+    const CallerError error = notRunError("this node stops", stoppingRetryAfter);
+    this->state.statistics.count(error.code);
+    this->state.commands.emplace_back(errorResponse(request, error));
+}
+
 void Node::Impl::handle(CallerGone& event, Instant now)
 {
     this->transient.onCallerGone(event.request, now);
--- a/src/teaselshore/node/node_impl.hpp
+++ b/src/teaselshore/node/node_impl.hpp
@@ -55,8 +55,9 @@
     void applyCrashChecks(const std::vector<CrashCheckResult>& results, Instant now);
     void housekeeping(Instant now);
     void moveFromLeaving(Instant now);
-    /// @brief Returns whether the node stops, no longer gets new connections, and the request may run for longer.
+    /// @brief Returns whether the node stops, the load balancer sends no more, and the request may run for longer.
     bool mayOutlastStop(const ClassifiedRequest& request, Instant now) const;
+    void refuseForStop(const RequestId& request);
     void advanceStop(Instant now);
     std::size_t openRequests() const { return this->transient.open() + this->durable.openCallers(); }
 
--- a/src/teaselshore/node/node_lifecycle.cpp
+++ b/src/teaselshore/node/node_lifecycle.cpp
@@ -85,7 +85,8 @@
     const Duration limit = event.notice.value_or(this->state.settings.drainTimeout);
     this->stop = StopSchedule(receivedAt, now, limit);
     this->rollouts.stop();
-    this->releaseAt = now + std::min(this->state.settings.balancerDelay, limit / 4);
+    this->releaseAt
+        = std::min(now + std::min(this->state.settings.balancerDelay, limit / 4), this->stop->requestsEnd());
     this->state.commands.emplace_back(SetReady { false });
     this->state.log(LogLevel::Info, "stopping",
         { { "limitMs", std::to_string(limit.count() / 1000) },
--- a/src/teaselshore/node/node_stop_test.cpp
+++ b/src/teaselshore/node/node_stop_test.cpp
@@ -199,6 +199,23 @@
         EXPECT_LT(node.processEnd, stopAt + grace);
     }
 
+    // Guards against a journalled request that takes the place of one that the stop has ended, and runs when the node
+    // has gone. A request to stop that is handled late must release the journal all the same.
+    TEST(NodeStop, NothingStartsOnceTheEndIsAnnounced)
+    {
+        StoppingNode node;
+        node.advanceTo(stopAt);
+        node.request("GET", "/find/1");
+        const RequestId waiting = node.request("GET", "/find/2", 30s, { { "prefer", "respond-async" } });
+        node.advanceTo(stopAt + 1s);
+        ASSERT_EQ(node.answers[waiting], 202);
+        ASSERT_FALSE(node.attempts.contains(waiting));
+        node.now += grace;
+        node.deliver(StopRequested { {}, node.now - grace * 9 / 10 });
+        node.advanceTo(node.now + grace);
+        EXPECT_TRUE(node.stoppedAt);
+    }
+
     // Guards against a repeated request that the node refuses by itself, though the journal may know that its key has
     // run.
     TEST(NodeStop, LateRequestWithAKeyIsAnsweredByTheJournal)
@@ -216,7 +233,7 @@
                 RequestArrived { node.node.nextRequestId(), "POST", "/orders", headers, "" }, node.now);
             const bool isRefused = std::any_of(commands.begin(), commands.end(), [](const NodeCommand& command) {
                 const auto* response = std::get_if<Respond>(&command);
-                return response && response->body.find("this node is about to stop") != std::string::npos;
+                return response && response->body.find("this node stops") != std::string::npos;
             });
             EXPECT_EQ(isRefused, !hasKey);
         }
@@ -236,6 +253,24 @@
         EXPECT_EQ(node.answers[moved], statusFailed);
     }
 
+    // Guards against requests that a node takes once it has announced its end.
+    TEST(NodeStop, RequestsAfterTheEndAreRefused)
+    {
+        StoppingNode node;
+        node.advanceTo(stopAt);
+        node.deliver(StopRequested {});
+        node.advanceTo(stopAt + 2 * grace);
+        ASSERT_TRUE(node.stoppedAt);
+        for (const char* path : { "/orders/1", "/v1/requests/unknown" }) {
+            const NodeCommands commands = node.node.handle(
+                RequestArrived { node.node.nextRequestId(), "GET", path, { { "x-deadline-ms", "1" } }, "" }, node.now);
+            ASSERT_EQ(commands.size(), 1u) << path;
+            const auto* response = std::get_if<Respond>(&commands.front());
+            ASSERT_TRUE(response) << path;
+            EXPECT_EQ(response->status, statusNotRun) << path;
+        }
+    }
+
     // Guards against requests without an answer, or that were taken late and are ended by the stop, whenever they come.
     RC_GTEST_PROP(NodeStopRandom, EachRequestIsAnsweredAndNoLateOneIsCut, ())
     {
