--- a/include/teaselshore/node/node_settings.hpp
+++ b/include/teaselshore/node/node_settings.hpp
@@ -70,7 +70,7 @@
     std::size_t loadQueriesPerTick = 8;
     /// Attempts still running this long before their upstream leaves are moved to another one.
     Duration moveBeforeLeave = std::chrono::seconds(2);
-    /// Time between failing the readiness check and refusing new requests at a planned stop.
+    /// Time after failing the readiness check in which the load balancer still sends requests.
     Duration balancerDelay = std::chrono::seconds(2);
     /// Longest time of a planned stop without notice; with one, the notice is the limit.
     Duration drainTimeout = std::chrono::seconds(20);
