Standby nodes judge rollouts beside the holder of the lease

Cause: only the holder judged the reports of all nodes; each node alone has too few responses. Change: the two other nodes that would acquire the lease read the reports as often while a rollout is open, judge them by the same evidence, and announce a rollback. Only the holder raises shares and writes the state. A new holder goes on with what it has collected as a standby, and the read after a shorter period begins does not wait for the end of the longer one. Ruled out: a share that falls by itself while the holder is silent, which needs a message of the holder to all nodes each second.

--- a/src/teaselshore/entry/entry_duties.cpp
+++ b/src/teaselshore/entry/entry_duties.cpp
@@ -117,7 +117,8 @@
     std::vector<std::string> lenders = this->state.peerAddresses;
     lenders.resize(std::min(lenders.size(), maxLenders));
     this->state.borrower.setPeers(std::move(lenders));
-    this->lease.setContending(this->nodes.rank(dutiesLease, now) < maxContenders);
+    this->isContending = this->nodes.rank(dutiesLease, now) < maxContenders;
+    this->lease.setContending(this->isContending);
 }
 
 std::vector<std::string> EntryDuties::peers(Instant now) const
@@ -234,26 +235,35 @@
             { { "fencingToken", std::to_string(this->lease.fencingToken(now).value_or(0)) } });
     }
     const std::optional<FencedHolder> holder = this->fencedHolder(now);
-    if (const std::size_t malformed = holder ? this->nodes.decodeDetails(now) : 0)
+    const RolloutRole role = holder ? RolloutRole::Holder
+        : this->isStandby()         ? RolloutRole::Standby
+                                    : RolloutRole::None;
+    if (const std::size_t malformed = role != RolloutRole::None ? this->nodes.decodeDetails(now) : 0)
         this->state.log(
             LogLevel::Warning, "details of reports are malformed", { { "count", std::to_string(malformed) } });
-    const LiveReports reports = holder ? this->nodes.reports(now) : LiveReports();
+    const LiveReports reports = role != RolloutRole::None ? this->nodes.reports(now) : LiveReports();
     this->usageReporter.onTick(reports, holder, now);
     this->fleetController.onTick(holder, reports, this->versionRollouts, now);
-    return this->versionRollouts.onTick(reports, holder.has_value(), now);
+    return this->versionRollouts.onTick(reports, role, now);
+}
+
+Duration EntryDuties::readPeriod(Instant now) const
+{
+    if (this->versionRollouts.isActive() && (this->holdsLease(now) || this->isStandby()))
+        return rolloutPeriod;
+    return this->holdsLease(now) ? holderReadPeriod : this->state.settings.host.usageWindow;
 }
 
 void EntryDuties::scheduleReports(Instant now)
 {
     if (this->isReading && now - this->readStartedAt > readTimeout)
         this->isReading = false;
-    if (!this->isReading && now >= this->nextRead) {
+    // The period may have become shorter since the last read.
+    const Instant due = std::min(this->nextRead, this->readStartedAt + this->readPeriod(now));
+    if (!this->isReading && now >= due) {
         this->isReading = true;
         this->readStartedAt = now;
-        this->nextRead = now
-            + (!this->holdsLease(now)                  ? this->state.settings.host.usageWindow
-                    : this->versionRollouts.isActive() ? rolloutPeriod
-                                                       : holderReadPeriod);
+        this->nextRead = now + this->readPeriod(now);
         this->state.commands.emplace_back(ReadNodeReports {});
     }
     const std::optional<Duration> wallClock = this->state.wallClockTime(now);
--- a/src/teaselshore/entry/entry_duties.hpp
+++ b/src/teaselshore/entry/entry_duties.hpp
@@ -45,6 +45,9 @@
     bool holdsLease(Instant now) const { return this->lease.fencingToken(now).has_value(); }
 
 private:
+    /// @brief Returns whether this node judges rollouts beside the holder of the lease, or while there is none.
+    bool isStandby() const { return this->isContending && this->versionRollouts.isActive(); }
+    Duration readPeriod(Instant now) const;
     void scheduleReports(Instant now);
     void writeReport(Instant now, bool endsWindow);
     void execute(std::vector<ObjectCommand> commands);
@@ -64,6 +67,8 @@
     /// Time without a report after which the other nodes take over a node's share of the quotas.
     const Duration shareTimeout;
     LeaseHolder lease;
+    /// True if this node is one of those that acquire a free lease.
+    bool isContending = false;
     UsageReporter usageReporter;
     FleetController fleetController;
     EntryRollouts versionRollouts;
--- a/src/teaselshore/entry/entry_rollouts.cpp
+++ b/src/teaselshore/entry/entry_rollouts.cpp
@@ -275,14 +275,15 @@
     return { this->recentReports.begin(), this->recentReports.end() };
 }
 
-bool EntryRollouts::onTick(const LiveReports& reports, bool holdsLease, Instant now)
+bool EntryRollouts::onTick(const LiveReports& reports, RolloutRole role, Instant now)
 {
     const auto timedOut = std::erase_if(this->versionsAwaitingOrder, [&](const ServiceVersion& version) {
         const auto since = this->versionsSeenSince.find(version);
         return since == this->versionsSeenSince.end() || now - since->second > orderTimeout;
     });
     this->sharesChanged = this->sharesChanged || timedOut > 0;
-    if ((holdsLease || this->isActive() || !this->versionsAwaitingOrder.empty()) && now >= this->nextRead)
+    if ((role == RolloutRole::Holder || this->isActive() || !this->versionsAwaitingOrder.empty())
+        && now >= this->nextRead)
         this->requestOrders(this->versionsAwaitingOrder.empty(), now);
     if (!this->isActive()) {
         this->recentReports.clear();
@@ -290,10 +291,10 @@
         return std::exchange(this->sharesChanged, false);
     }
     this->execute(this->guard.onTick(now));
-    if (holdsLease) {
+    if (role != RolloutRole::None) {
         for (const RolloutOrder& order : this->platformOrders) {
             if (isOpen(order))
-                this->advance(order, reports, now);
+                this->advance(order, reports, role, now);
         }
     }
     return std::exchange(this->sharesChanged, false);
@@ -327,7 +328,7 @@
     }
 }
 
-void EntryRollouts::advance(const RolloutOrder& order, const LiveReports& reports, Instant now)
+void EntryRollouts::advance(const RolloutOrder& order, const LiveReports& reports, RolloutRole role, Instant now)
 {
     auto found = this->activeRollouts.find(order.service);
     if (found != this->activeRollouts.end() && found->second.pair.to != order.target) {
@@ -338,13 +339,15 @@
         const std::optional<VersionPair> pair = this->versionPair(order);
         if (!pair)
             return;
-        // A new holder does not know when the rollout started; the share shows its progress.
+        // A node that has just begun to judge does not know when the rollout started; the share shows its progress.
         ActiveRollout fresh { *pair, now, order.share, now, RolloutStep::State::Running, EvidenceHistory(*pair) };
         found = this->activeRollouts.emplace(order.service, std::move(fresh)).first;
     }
     ActiveRollout& rollout = found->second;
-    this->adoptDecision(rollout);
+    this->adoptDecision(rollout, now);
     this->collectEvidence(rollout, reports, now);
+    if (role == RolloutRole::Standby && !rollout.isFaulty)
+        return;
     const std::vector<RegisteredUpstream> upstreams = this->state.directory.upstreams();
     RolloutProgress progress;
     progress.elapsed = now - rollout.startedAt;
@@ -377,19 +380,25 @@
                 { "responses", std::to_string(rollout.responses) }, { "reason", rollout.reason },
                 { "oldMs", formatMean(rollout.oldCounts) }, { "newMs", formatMean(rollout.newCounts) } });
     }
-    if (rollout.lastWritten != step && !rollout.pendingCall && now >= rollout.nextAttempt)
+    if (role == RolloutRole::Holder && rollout.lastWritten != step && !rollout.pendingCall
+        && now >= rollout.nextAttempt)
         this->write(order, rollout);
 }
 
-void EntryRollouts::adoptDecision(ActiveRollout& rollout) const
+void EntryRollouts::adoptDecision(ActiveRollout& rollout, Instant now) const
 {
     const auto decision = this->decisions.find(rollout.pair.service);
     if (decision == this->decisions.end() || decision->second.target != rollout.pair.to
         || rollout.state != RolloutStep::State::Running)
         return;
     rollout.state = toStepState(decision->second.state);
-    rollout.share = rollout.state == RolloutStep::State::Running ? std::max(rollout.share, decision->second.share)
-                                                                 : decision->second.share;
+    const double share = rollout.state == RolloutStep::State::Running ? std::max(rollout.share, decision->second.share)
+                                                                      : decision->second.share;
+    if (share == rollout.share)
+        return;
+    rollout.share = share;
+    rollout.changedAt = now;
+    rollout.responsesAtChange = rollout.responses;
 }
 
 void EntryRollouts::announce(const RolloutOrder& order, const RolloutStep& step)
--- a/src/teaselshore/entry/entry_rollouts.hpp
+++ b/src/teaselshore/entry/entry_rollouts.hpp
@@ -25,6 +25,15 @@
     std::optional<Duration> latency;
 };
 
+/// @brief What a node does for rollouts beyond its own evidence.
+enum class RolloutRole {
+    None,
+    /// Judges the reports of all nodes, so that a faulty version is stopped while nobody holds the lease.
+    Standby,
+    /// Also raises the share, and writes the state for the operator.
+    Holder,
+};
+
 /// @brief Carries out version rollouts. Each node stops a faulty version on its own evidence; the holder of the lease
 /// also raises the share of a good version, rolls a faulty one back, and writes the state for the operator. Not
 /// thread-safe.
@@ -50,16 +59,15 @@
     void onAttempt(const EndedEntryAttempt& attempt, Instant now);
     /// @brief Returns the evidence to report to the holder of the lease.
     std::vector<VersionReport> reports() const;
-    /// @brief Reads orders when due, and advances rollouts if this node holds the lease. Returns whether shares
-    /// changed.
-    bool onTick(const LiveReports& reports, bool holdsLease, Instant now);
+    /// @brief Reads orders when due, and judges or advances rollouts. Returns whether shares changed.
+    bool onTick(const LiveReports& reports, RolloutRole role, Instant now);
     /// @brief Writes the state of rollouts again and reads the orders.
     void onPlatformRestored(Instant now);
     bool awaitsCloudCall(std::uint64_t call) const { return this->cloudCalls.contains(call); }
     void onCloudResult(const CloudCallEnded& result, Instant now);
 
 private:
-    /// Progress of a rollout at the holder of the lease.
+    /// Progress of a rollout at a node that judges it.
     struct ActiveRollout {
         VersionPair pair;
         Instant startedAt {};
@@ -96,12 +104,12 @@
     /// @brief Keeps a decision that a restored order lacks, and sends it to the peers: one that has just started, or
     /// that holds the lease now, may not know it.
     void repeatDecision(const RolloutOrder& known, const RolloutOrder& restored);
-    /// @brief Applies a decision of an earlier holder of the lease.
-    void adoptDecision(ActiveRollout& rollout) const;
+    /// @brief Applies a decision of another node.
+    void adoptDecision(ActiveRollout& rollout, Instant now) const;
     /// @brief Applies a decision at this node and sends it to the others, before it is written to the platform.
     void announce(const RolloutOrder& order, const RolloutStep& step);
     void requestOrders(bool mayBeStale, Instant now);
-    void advance(const RolloutOrder& order, const LiveReports& reports, Instant now);
+    void advance(const RolloutOrder& order, const LiveReports& reports, RolloutRole role, Instant now);
     void collectEvidence(ActiveRollout& rollout, const LiveReports& reports, Instant now) const;
     void write(const RolloutOrder& order, ActiveRollout& rollout);
 
--- a/src/teaselshore/entry/entry_rollouts_test.cpp
+++ b/src/teaselshore/entry/entry_rollouts_test.cpp
@@ -190,6 +190,30 @@
         }
     }
 
+    // Guards against a slow version that keeps the middle share while nobody has the lease, as the last holder was
+    // killed.
+    TEST(EntryRollouts, SlowVersionIsRolledBackThoughTheLeaseHolderIsKilled)
+    {
+        std::vector<std::uint64_t> seeds { 58, 130, 154 };
+        for (std::uint64_t seed = 1; seed <= 24; ++seed)
+            seeds.push_back(seed);
+        for (const std::uint64_t seed : seeds) {
+            SCOPED_TRACE(seed);
+            RolloutTrial trial(9, 133, { seed % 2 ? 2.7 : 2.0, 0 }, seed);
+            trial.advance(12s);
+            trial.order(15s);
+            trial.advance(100ms);
+            trial.listUpstreams();
+            trial.advance(std::chrono::milliseconds(3000 + 250 * (seed % 24)));
+            const auto holders = trial.fleet.leaseHolders();
+            ASSERT_EQ(holders.size(), 1u);
+            trial.fleet.frozen.insert(holders.front());
+            trial.advance(30s);
+            trial.expectLimitedExposure();
+            EXPECT_EQ(trial.state(), RolloutOrder::State::RolledBack);
+        }
+    }
+
     // Guards against checks so strict that good versions cannot complete short rollouts.
     TEST(EntryRollouts, GoodVersionCompletesByItsDeadline)
     {
