Wait a millisecond for a reset after the reply to a long request

Cause: the client decided when it read the end. An upstream that ends its side and then closes with a part of the request unread, or aborts, resets microseconds later, and nothing announces the reset.

Change: where a reply without a length is accepted and the body is over 32 KiB, the call ends one millisecond after the end of the connection, and as partial if a reset came until then.

The bytes of the reply are passed on as they come; only its end waits.

--- a/src/teaselshore/http/client_call.hpp
+++ b/src/teaselshore/http/client_call.hpp
@@ -52,6 +52,8 @@
     bool requestDelivered = false;
     /// The end of the peer's side was there before it had the whole request.
     bool endedEarly = false;
+    /// The reply ended with its connection, and a reset may follow.
+    bool awaitsReset = false;
     bool paused = false;
     /// A handler is on the call stack; a cancellation waits until it returns.
     bool inHandler = false;
--- a/src/teaselshore/http/http_client.cpp
+++ b/src/teaselshore/http/http_client.cpp
@@ -25,12 +25,15 @@
     constexpr std::size_t maxPlainBodyBytes = std::size_t { 32 } * 1024;
     /// Bytes at the end of a request with a longer one that are written once all before them were sent.
     constexpr std::size_t lastPieceBytes = 1024;
+    /// Time between the end of the peer's side and the end of the call, for a reset that follows at once.
+    constexpr Duration resetTime = std::chrono::milliseconds(1);
 
-    /// @brief Returns whether the last bytes of the request wait until the ones before were sent.
+    /// @brief Returns whether the peer may reply without a length before it has the request. The last bytes of such a
+    /// request wait until the ones before were sent.
     ///
     /// The socket would take megabytes that the peer has no room for. If the peer ended its side then and read on, all
     /// of them could arrive before the client looks, and nothing would tell that the end came first.
-    bool isHeldBack(const ClientCall& call)
+    bool isUpload(const ClientCall& call)
     {
         return call.call.acceptUnframedReply && call.call.request.body.size() > maxPlainBodyBytes;
     }
@@ -158,7 +161,7 @@
 {
     noteEarlyEnd(call);
     const std::size_t total = call.requestBytes();
-    const std::size_t lastPiece = isHeldBack(call) ? total - lastPieceBytes : 0;
+    const std::size_t lastPiece = isUpload(call) ? total - lastPieceBytes : 0;
     const std::size_t limit = call.writtenBytes < lastPiece ? lastPiece : total;
     const std::size_t headBytes = std::min(call.writtenBytes, call.head.size());
     const std::string_view head = std::string_view(call.head).substr(headBytes);
@@ -196,7 +199,7 @@
         return;
     call.paused = paused;
     call.lastProgress = monotonicNow();
-    if (!call.connected)
+    if (!call.connected || call.awaitsReset)
         return;
     if (paused)
         h2o_socket_read_stop(call.connection->socket());
@@ -284,10 +287,25 @@
 {
     // A failed write takes the error of a reset, so that the next read sees an ordinary end. A peer that ends its side
     // before it has the whole request may reset the connection as well.
-    if (call.endedEarly || !call.requestDelivered || call.connection->takeError())
+    if (call.endedEarly || !call.requestDelivered || call.connection->takeError()) {
         this->fail(call, { HttpError::Kind::ConnectionClosed, "connection ended before the request was read", true });
-    else
+        return;
+    }
+    if (!isUpload(call)) {
         this->end(call, /*connectionEnded=*/true);
+        return;
+    }
+    // A peer that closes with a part of the request unread resets the connection, which nothing tells before.
+    call.awaitsReset = true;
+    h2o_socket_read_stop(call.connection->socket());
+    this->loop.cancelTimer(call.timer);
+    call.timer = this->loop.addTimer(resetTime, [this, id = call.id] {
+        ClientCall& waiting = *this->calls.at(id);
+        if (waiting.connection->takeError())
+            this->fail(waiting, { HttpError::Kind::ConnectionClosed, "connection was reset after its end", true });
+        else
+            this->end(waiting, /*connectionEnded=*/true);
+    });
 }
 
 void HttpClient::Impl::end(ClientCall& call, bool connectionEnded)
--- a/src/teaselshore/http/truncated_replies_test.cpp
+++ b/src/teaselshore/http/truncated_replies_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <ostream>
 #include <random>
@@ -20,6 +21,8 @@
     constexpr std::size_t maxHeadBytes = 4096;
     /// Time after which a socket that got nothing gets no more.
     constexpr Duration quietTime = std::chrono::milliseconds(20);
+    /// Rounds of the loop in which the client reads a reply and then the end of the connection.
+    constexpr int roundsUntilEnd = 3;
     constexpr Duration pollTime = std::chrono::milliseconds(1);
     constexpr std::size_t kibibyte = 1024;
 
@@ -92,6 +95,29 @@
             return record;
         }
 
+        /// Reads the request, ends its side, and resets the connection as soon as the client can have read the end.
+        CallRecord resetAfterTheEnd(std::size_t uploadBytes)
+        {
+            CallRecord record;
+            this->begin(std::string(uploadBytes, 'u'), record);
+            this->readUpTo(this->requestBytes);
+            const std::string reply = "part";
+            this->connection->send(std::string(unframedHead) + reply);
+            this->connection->endSending();
+            // Runs once in each round of the loop, and not later than a timer that the client sets meanwhile.
+            int rounds = 0;
+            std::function<void()> step = [&] {
+                rounds += record.body == reply ? 1 : 0;
+                if (rounds == roundsUntilEnd)
+                    this->connection->reset();
+                else
+                    this->fixture.loop->runAfter(Duration(0), step);
+            };
+            this->fixture.loop->runAfter(Duration(0), step);
+            EXPECT_TRUE(this->fixture.runUntil([&] { return rounds == roundsUntilEnd && record.isDone(); }));
+            return record;
+        }
+
         /// Replies once it has read the request, and returns the body as it arrived.
         std::string receiveBody(const std::string& body, CallRecord& record)
         {
@@ -264,6 +290,20 @@
         }
     }
 
+    // Guards against a reply that is reported as complete since its end was read a moment before the reset.
+    TEST(TruncatedReplies, UnframedReplyToAnUploadThatIsResetAfterItsEndIsPartial)
+    {
+        EarlyUpstream upstream;
+        for (const std::size_t kibibytes : { 33, 200, 1024, 8000 }) {
+            const CallRecord record = upstream.resetAfterTheEnd(kibibytes * kibibyte);
+            EXPECT_FALSE(record.ended) << kibibytes;
+            if (!record.error)
+                continue;
+            EXPECT_EQ(record.error->kind, HttpError::Kind::ConnectionClosed) << kibibytes;
+            EXPECT_TRUE(record.error->requestMayHaveBeenSent) << kibibytes;
+        }
+    }
+
     // Guards against request bodies that lose, repeat or mix bytes since they are written in parts.
     TEST(TruncatedReplies, RequestOfAnySizeArrivesAsItIs)
     {
