--- a/src/teaselshore/http/http_client.cpp
+++ b/src/teaselshore/http/http_client.cpp
@@ -291,11 +291,8 @@
         this->fail(call, { HttpError::Kind::ConnectionClosed, "connection ended before the request was read", true });
         return;
     }
-    if (!isUpload(call)) {
-        this->end(call, /*connectionEnded=*/true);
-        return;
-    }
-    // A peer that closes with a part of the request unread resets the connection, which nothing tells before.
+    // A peer that closes with a part of the request unread, or aborts, resets the connection, which nothing tells
+    // before.
     call.awaitsReset = true;
     h2o_socket_read_stop(call.connection->socket());
     this->loop.cancelTimer(call.timer);
--- a/src/teaselshore/http/truncated_replies_test.cpp
+++ b/src/teaselshore/http/truncated_replies_test.cpp
@@ -291,10 +291,10 @@
     }
 
     // Guards against a reply that is reported as complete since its end was read a moment before the reset.
-    TEST(TruncatedReplies, UnframedReplyToAnUploadThatIsResetAfterItsEndIsPartial)
+    TEST(TruncatedReplies, UnframedReplyThatIsResetAfterItsEndIsPartial)
     {
         EarlyUpstream upstream;
-        for (const std::size_t kibibytes : { 33, 200, 1024, 8000 }) {
+        for (const std::size_t kibibytes : { 0, 1, 20, 33, 200, 1024, 8000 }) {
             const CallRecord record = upstream.resetAfterTheEnd(kibibytes * kibibyte);
             EXPECT_FALSE(record.ended) << kibibytes;
             if (!record.error)
