Give calls time in the test of probes during an outage

Cause: the test itself. Its server has the thread of the client, and calls have 300 ms. When the process is kept waiting for longer, the watcher's first list ends as an outage of its own, and a probe follows. That one is answered, so that the test takes its answer later for the end of the outage that it makes, and counts the probe that ends it as one too many.

This test gives its calls 30 s; the platform that is down answers at once, so that no check depends on the time of calls. All checks are as before.

Not examined: whether a node that is kept waiting for longer than its calls have counts a reply that has arrived meanwhile as an outage.

--- a/src/teaselshore/platform/kind_watcher_test.cpp
+++ b/src/teaselshore/platform/kind_watcher_test.cpp
@@ -24,11 +24,16 @@
             HttpError error;
             this->server = HttpServer::listen(
                 *this->loop, {}, [this](const auto& exchange) { this->answer(exchange); }, &error);
+            this->connect(300ms);
+        }
+
+        void connect(Duration callTimeout)
+        {
             PlatformClientSettings settings;
             settings.authority = "127.0.0.1:" + std::to_string(this->server->port());
             settings.objects = KindedObjects {};
             settings.budget = { 1000, 1000, 1000, 1000 };
-            settings.callTimeout = 300ms;
+            settings.callTimeout = callTimeout;
             this->client = PlatformClient::create(*this->loop, settings);
         }
 
@@ -408,6 +413,9 @@
     // Guards against probes that go on after the outage, and against more of them than their period allows.
     TEST_F(KindWatcherTest, ProbesDuringAnOutageOnly)
     {
+        // The server has the thread of the client: when the process is kept waiting, its calls must not count as an
+        // outage of their own.
+        this->connect(30s);
         std::size_t lists = 0;
         const OutageProbe probe(
             *this->loop, *this->client, "rollouts", 50ms, RandomSource(5), [&](const auto&) { ++lists; });
