--- a/src/teaselshore/node/node_stop_test.cpp
+++ b/src/teaselshore/node/node_stop_test.cpp
@@ -83,7 +83,7 @@
         RequestId request(
             const std::string& method, const std::string& path, Duration timeLimit = 30s, HeaderList headers = {})
         {
-            const RequestId id = this->node.nextRequestId();
+            RequestId id = this->node.nextRequestId();
             const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(timeLimit).count();
             headers.emplace_back("x-workspace", "w");
             headers.emplace_back("x-deadline-ms", std::to_string(milliseconds));
