One place for the error of a request that ends, and for shared steps of tests

endError() serves the four places of TransientRequests that chose between failed and not_run; isReceiving() asks hasNextRequest(). The tests of planned stops and of partial replies share their steps; a reply that neither ended nor failed is now a failure of the latter. No change of behaviour.

--- a/src/teaselshore/http/http1_connection.cpp
+++ b/src/teaselshore/http/http1_connection.cpp
@@ -466,7 +466,7 @@
 {
     if (this->state == State::Reading)
         return true;
-    return this->state == State::Idle && (this->socket->input->size > 0 || this->hasUnreadBytes());
+    return this->state == State::Idle && this->hasNextRequest();
 }
 
 bool Http1Connection::hasUnreadBytes() const
--- a/src/teaselshore/http/truncated_replies_test.cpp
+++ b/src/teaselshore/http/truncated_replies_test.cpp
@@ -275,18 +275,22 @@
         EXPECT_EQ(falselyPartial, 0) << "of " << draws << ", seed " << seed;
     }
 
+    void expectPartial(const CallRecord& record)
+    {
+        EXPECT_FALSE(record.ended);
+        ASSERT_TRUE(record.error);
+        EXPECT_EQ(record.error->kind, HttpError::Kind::ConnectionClosed);
+        EXPECT_TRUE(record.error->requestMayHaveBeenSent);
+    }
+
     // Guards against a truncated reply that is reported as complete since the request arrived, after the upstream had
     // ended its side, from the buffer of the client's socket before the client looked at the connection.
     TEST(TruncatedReplies, UnframedReplyThatEndsBeforeTheBodyIsPartial)
     {
         EarlyUpstream upstream;
         for (const std::size_t kibibytes : { 200, 300, 600, 1024, 3000, 8000, 12000 }) {
-            const CallRecord record = upstream.endBeforeTheBody(kibibytes * kibibyte);
-            EXPECT_FALSE(record.ended) << kibibytes;
-            if (!record.error)
-                continue;
-            EXPECT_EQ(record.error->kind, HttpError::Kind::ConnectionClosed) << kibibytes;
-            EXPECT_TRUE(record.error->requestMayHaveBeenSent) << kibibytes;
+            SCOPED_TRACE(kibibytes);
+            expectPartial(upstream.endBeforeTheBody(kibibytes * kibibyte));
         }
     }
 
@@ -295,12 +299,8 @@
     {
         EarlyUpstream upstream;
         for (const std::size_t kibibytes : { 0, 1, 20, 33, 200, 1024, 8000 }) {
-            const CallRecord record = upstream.resetAfterTheEnd(kibibytes * kibibyte);
-            EXPECT_FALSE(record.ended) << kibibytes;
-            if (!record.error)
-                continue;
-            EXPECT_EQ(record.error->kind, HttpError::Kind::ConnectionClosed) << kibibytes;
-            EXPECT_TRUE(record.error->requestMayHaveBeenSent) << kibibytes;
+            SCOPED_TRACE(kibibytes);
+            expectPartial(upstream.resetAfterTheEnd(kibibytes * kibibyte));
         }
     }
 
--- a/src/teaselshore/node/node_stop_test.cpp
+++ b/src/teaselshore/node/node_stop_test.cpp
@@ -91,6 +91,15 @@
             return id;
         }
 
+        /// @brief Goes on until the load balancer sends no more. The open request keeps the process.
+        void stopWithAnOpenRequest()
+        {
+            this->advanceTo(stopAt);
+            this->request("GET", "/orders/1");
+            this->deliver(StopRequested {});
+            this->advanceTo(stopAt + balancerTime);
+        }
+
         void finish(const RequestId& id)
         {
             if (const auto attempt = this->attempts.find(id); attempt != this->attempts.end())
@@ -150,10 +159,7 @@
     TEST(NodeStop, LateRequestThatMayOutlastTheProcessIsToldThatItDidNotRun)
     {
         StoppingNode node;
-        node.advanceTo(stopAt);
-        node.request("GET", "/orders/1");
-        node.deliver(StopRequested {});
-        node.advanceTo(stopAt + balancerTime);
+        node.stopWithAnOpenRequest();
         const RequestId tooLong = node.request("GET", "/orders/2");
         EXPECT_FALSE(node.attempts.contains(tooLong));
         EXPECT_EQ(node.answers[tooLong], statusNotRun);
@@ -221,10 +227,7 @@
     TEST(NodeStop, LateRequestWithAKeyIsAnsweredByTheJournal)
     {
         StoppingNode node;
-        node.advanceTo(stopAt);
-        node.request("GET", "/orders/1");
-        node.deliver(StopRequested {});
-        node.advanceTo(stopAt + balancerTime);
+        node.stopWithAnOpenRequest();
         for (const bool hasKey : { false, true }) {
             HeaderList headers { { "x-workspace", "w" } };
             if (hasKey)
--- a/src/teaselshore/node/transient_requests.cpp
+++ b/src/teaselshore/node/transient_requests.cpp
@@ -25,6 +25,12 @@
         return static_cast<std::uint32_t>(finished.relayedEvents);
     }
 
+    /// Error of a request that ends without a response.
+    CallerError endError(bool mayHaveRun, const std::string& reason, Duration retryAfter)
+    {
+        return mayHaveRun ? failedError(reason) : notRunError(reason, retryAfter);
+    }
+
 } // namespace
 
 TransientRequests::TransientRequests(NodeState& state, CrashChecks& crashChecks)
@@ -85,7 +91,7 @@
     if (!request)
         return;
     const std::string reason = "the request can no longer meet its deadline";
-    this->fail(*request, request->mayHaveRun ? failedError(reason) : notRunError(reason, rejected.retryAfter), now);
+    this->fail(*request, endError(request->mayHaveRun, reason, rejected.retryAfter), now);
 }
 
 void TransientRequests::proceed(const RequestId& id, Instant now)
@@ -269,7 +275,7 @@
 {
     const bool spent = request.attempts >= this->state.settings.maxAttempts;
     if (spent || (amplifies && !this->state.retryBudget(request.classified.service).tryRetry(now))) {
-        this->fail(request, request.mayHaveRun ? failedError(reason) : notRunError(reason, defaultRetryAfter), now);
+        this->fail(request, endError(request.mayHaveRun, reason, defaultRetryAfter), now);
         return;
     }
     ++this->state.statistics.retries;
@@ -327,7 +333,7 @@
     for (const RequestId& id : open) {
         Request& request = this->requests.at(id);
         this->cancelAttempt(request, AttemptOutcome::Cancelled, now);
-        this->fail(request, request.mayHaveRun ? failedError(reason) : notRunError(reason, defaultRetryAfter), now);
+        this->fail(request, endError(request.mayHaveRun, reason, defaultRetryAfter), now);
     }
 }
 
@@ -352,7 +358,7 @@
 {
     this->cancelAttempt(request, AttemptOutcome::TimedOut, now);
     const std::string reason = "the deadline passed";
-    this->fail(request, request.mayHaveRun ? failedError(reason) : notRunError(reason, defaultRetryAfter), now);
+    this->fail(request, endError(request.mayHaveRun, reason, defaultRetryAfter), now);
 }
 
 void TransientRequests::respond(Request& request, AttemptFinished finished, Instant now)
